Lay the module borders and the message schema

The roles can be built side by side only when the messages between them and the direction of imports are fixed first.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Emulate engines, drive load and run experiments."""
--- /dev/null
+++ b/schema/messages.thrift
@@ -0,0 +1,223 @@
+// Messages between the system's own processes.
+// Rule for change: fields are only added, never renumbered or reused.
+namespace py tamarackthread.generated.messages
+
+const i32 PROTOCOL_VERSION = 1
+
+enum Role { ENTRY = 1, AGENT = 2, CONTROL = 3, OPERATOR = 4 }
+
+// What is known for certain about a call's execution at its target.
+enum Ran { NOT_RUN = 0, COMPLETE = 1, MAY_HAVE_RUN = 2 }
+
+// ---- greeting -----------------------------------------------------------
+struct Greeting {
+  1: i32 version,
+  2: string node,            // unique id of the process's node
+  3: Role role,
+  4: string region,
+  5: string zone,
+  6: binary nonce,           // fresh random bytes, answered by Proof
+  7: string address,         // where this node listens, empty if nowhere
+  8: i64 incarnation,        // grows at each start of the process
+}
+struct Proof { 1: binary mac }
+
+struct Failure { 1: string code, 2: string text, 3: optional string leader }
+struct Done { 1: optional i64 value }
+
+// ---- a call through entry and agent -------------------------------------
+struct Header { 1: string name, 2: string value }
+struct OpenCall {
+  1: binary call_id,         // 16 random bytes, the call's identity
+  2: string service_name,
+  3: string target,
+  4: string organisation,
+  5: string method,
+  6: string path,
+  7: list<Header> headers,
+  8: bool idempotent,
+  9: i32 priority,           // 0 urgent, 1 normal, 2 background
+  10: i32 deadline_ms,       // time left at the sender
+  11: i64 config_revision,
+  12: optional binary claim, // claim's identity, empty without a key
+  13: i64 fence,             // claim's fencing number
+  14: i32 resume_events,     // stream events the caller already has
+  15: i32 attempt,
+  16: string request_id,
+}
+struct CallHead { 1: binary call_id, 2: i32 status, 3: list<Header> headers }
+struct CallEnd {
+  1: binary call_id,
+  2: Ran ran,
+  3: string code,            // empty when complete
+  4: string text,
+  5: i32 retry_after_ms,
+  6: i64 events,             // stream events sent in all, including resumed ones
+}
+struct CancelCall { 1: binary call_id, 2: string code }
+
+// ---- load reports -------------------------------------------------------
+struct PrefixNote { 1: i64 prefix, 2: bool held }
+struct LoadReport {
+  1: string target,
+  2: i64 sequence,
+  3: i32 age_ms,             // age of the engine's own figures when sent
+  4: i32 running,
+  5: i32 queued,
+  6: i32 batch_slots,
+  7: i32 queued_tokens,
+  8: double step_ms,
+  9: double tokens_per_second,
+  10: bool leaving,
+  11: bool stuck,
+  12: list<PrefixNote> prefixes,
+  13: i64 prefix_sequence,
+}
+
+// ---- consensus ----------------------------------------------------------
+struct LogEntry { 1: i64 index, 2: i64 term, 3: i32 kind, 4: binary command }
+struct VoteRequest {
+  1: string group, 2: i64 term, 3: string candidate,
+  4: i64 last_index, 5: i64 last_term, 6: bool pre_vote, 7: binary disk_id,
+}
+struct VoteReply { 1: i64 term, 2: bool granted }
+struct AppendRequest {
+  1: string group, 2: i64 term, 3: string leader,
+  4: i64 previous_index, 5: i64 previous_term,
+  6: list<LogEntry> entries, 7: i64 commit_index, 8: i64 round,
+}
+struct AppendReply {
+  1: i64 term, 2: bool success, 3: i64 last_index, 4: i64 conflict_index,
+  5: i64 round, 6: binary disk_id,
+}
+struct SnapshotRequest {
+  1: string group, 2: i64 term, 3: string leader,
+  4: i64 last_index, 5: i64 last_term, 6: i64 offset, 7: i64 total,
+  8: binary chunk, 9: i64 checksum, 10: list<string> voters, 11: list<string> learners,
+}
+struct SnapshotReply { 1: i64 term, 2: i64 next_offset, 3: bool installed }
+struct ProposeRequest { 1: string group, 2: binary command }
+struct ProposeReply { 1: binary result, 2: i64 index }
+struct MemberRequest { 1: string group, 2: string action, 3: string node, 4: string address, 5: string replaces }
+struct Member { 1: string node, 2: string address, 3: bool voter, 4: i64 match_index, 5: bool leader, 6: bool reachable }
+struct MemberReply { 1: list<Member> members, 2: i64 term, 3: i64 commit_index, 4: string text }
+
+// ---- configuration ------------------------------------------------------
+// A document is one versioned piece of configuration: kind is one of
+// profile, service, organisation, target, shard.  Body is JSON checked
+// against the kind's schema; an empty body is a deletion.
+struct Document { 1: string kind, 2: string name, 3: i64 version, 4: string body, 5: i64 revision }
+struct ChangeRequest {
+  1: string change_id, 2: string actor, 3: string origin,
+  4: string kind, 5: string name, 6: i64 based_on, 7: string body,
+}
+struct Finding { 1: string place, 2: string code, 3: string text }
+enum ChangeStatus { ACCEPTED = 1, CONFLICT = 2, INVALID = 3 }
+struct ChangeReply {
+  1: ChangeStatus status, 2: i64 revision, 3: i64 version,
+  4: optional Document current, 5: list<Finding> findings, 6: bool repeated,
+}
+struct ReadRequest { 1: string kind, 2: string name, 3: bool history }
+struct ReadReply { 1: list<Document> documents, 2: i64 revision }
+struct AuditRequest { 1: i64 after, 2: i32 limit }
+struct AuditRecord {
+  1: i64 revision, 2: string actor, 3: string origin, 4: string kind, 5: string name,
+  6: string change_id, 7: string before, 8: string after, 9: string outcome, 10: i64 unix_ms,
+}
+struct AuditReply { 1: list<AuditRecord> records }
+
+// ---- configuration feed: nodes pull from a parent, parents may be relays --
+struct FeedRequest {
+  1: i64 after,              // the child's revision
+  2: i64 epoch,              // incarnation of the child
+  3: list<NodeState> nodes,  // this child and what changed below it since its last call
+  4: bool whole,             // nodes lists all below, not only what changed
+  5: i32 wait_ms,            // hold the answer this long when nothing is new
+}
+struct NodeState { 1: string node, 2: Role role, 3: string zone, 4: i64 revision, 5: bool gone, 6: i64 incarnation, 7: string address }
+struct FeedReply {
+  1: i64 revision,           // revision the documents lead to
+  2: list<Document> documents,
+  3: bool snapshot,          // documents are the whole state
+  4: i32 lease_ms,           // lease from the time the request was sent
+  5: i64 lease_revision,     // lease holds only at or above this revision
+  6: list<string> redirect,  // ask these parents instead
+  7: bool ask_whole,         // send the whole subtree next time
+}
+struct StatusRequest { 1: i64 revision }
+struct StatusReply {
+  1: i64 revision, 2: i32 nodes, 3: i32 in_force, 4: list<NodeState> laggards,
+  5: string leader, 6: i64 term, 7: bool in_force_everywhere, 8: i32 waiting_ms,
+}
+
+// ---- announcements ------------------------------------------------------
+struct Announcement {
+  1: string target, 2: string service_name, 3: string zone, 4: string region,
+  5: string address, 6: i64 incarnation, 7: bool leaving, 8: string group, 9: i32 ranks,
+  10: bool checks_fencing,
+}
+struct DrainRequest { 1: string target, 2: string actor, 3: bool cancel }
+
+// ---- claims of work that must not repeat ---------------------------------
+enum ClaimState { GRANTED = 1, RUNNING = 2, COMPLETE = 3, UNKNOWN = 4, RELEASED = 5 }
+struct ClaimRequest {
+  1: string shard, 2: binary key, 3: binary claim, 4: string holder,
+  5: i32 keep_ms, 6: i32 deadline_ms, 7: binary digest,   // digest of the request, so that a key isn't reused for another
+}
+struct ClaimFinish {
+  1: string shard, 2: binary key, 3: binary claim, 4: ClaimState state,
+  5: i32 status, 6: list<Header> headers, 7: binary body, 8: i64 fence, 9: string target,
+}
+struct ClaimReply {
+  1: bool granted, 2: ClaimState state, 3: i64 fence, 4: i32 status,
+  5: list<Header> headers, 6: binary body, 7: bool mismatch, 8: binary claim, 9: string target,
+}
+struct ClaimLookup { 1: string shard, 2: binary key, 3: i32 wait_ms }
+
+// Asked of agents: did this claim reach you, and can it still?
+struct ClaimProbe { 1: binary claim, 2: i64 fence, 3: bool seal }
+struct ClaimProof { 1: bool reached, 2: bool finished, 3: bool sealed }
+
+// ---- leases with fencing numbers ------------------------------------------
+struct LeaseRequest { 1: string name, 2: string holder, 3: i32 lease_ms, 4: i64 fence, 5: bool release }
+struct LeaseReply { 1: bool granted, 2: i64 fence, 3: string holder, 4: i32 lease_ms, 5: i32 wait_ms }
+
+// ---- portions of shared limits --------------------------------------------
+struct PortionRequest { 1: string organisation, 2: double demand, 3: double used }
+struct PortionsRequest { 1: string node, 2: string zone, 3: list<PortionRequest> portions }
+struct Portion { 1: string organisation, 2: double rate }
+struct PortionsReply { 1: list<Portion> portions, 2: i32 lease_ms }
+
+// ---- orders to engines ------------------------------------------------------
+struct GroupOrder {
+  1: string group, 2: i64 fence, 3: string order_id, 4: string action,
+  5: string body, 6: i32 deadline_ms,
+}
+struct GroupOrderReply { 1: bool accepted, 2: string body, 3: i64 highest_fence }
+struct DecisionRequest { 1: string group, 2: i64 fence, 3: i64 switch_id, 4: string decision, 5: string body }
+struct DecisionReply { 1: string decision, 2: i64 switch_id, 3: string body, 4: bool recorded }
+
+// One request or reply each frame; exactly one field is set.
+struct Request {
+  1: optional VoteRequest vote, 2: optional AppendRequest append,
+  3: optional SnapshotRequest snapshot, 4: optional ProposeRequest propose,
+  5: optional MemberRequest member,
+  6: optional ChangeRequest change, 7: optional ReadRequest read, 8: optional AuditRequest audit,
+  9: optional FeedRequest feed, 10: optional StatusRequest status,
+  11: optional Announcement announce, 12: optional DrainRequest drain,
+  13: optional ClaimRequest claim, 14: optional ClaimFinish claim_finish,
+  15: optional ClaimLookup claim_lookup, 16: optional ClaimProbe claim_probe,
+  17: optional LeaseRequest lease, 18: optional PortionsRequest portions,
+  19: optional GroupOrder order, 20: optional DecisionRequest decision,
+  21: optional LoadReport report,
+}
+struct Reply {
+  1: optional Failure failure, 2: optional Done done,
+  3: optional VoteReply vote, 4: optional AppendReply append, 5: optional SnapshotReply snapshot,
+  6: optional ProposeReply propose, 7: optional MemberReply member,
+  8: optional ChangeReply change, 9: optional ReadReply read, 10: optional AuditReply audit,
+  11: optional FeedReply feed, 12: optional StatusReply status,
+  13: optional ClaimReply claim, 14: optional ClaimProof claim_proof,
+  15: optional LeaseReply lease, 16: optional PortionsReply portions,
+  17: optional GroupOrderReply order, 18: optional DecisionReply decision,
+}
--- /dev/null
+++ b/tamarackthread/__init__.py
@@ -0,0 +1,1 @@
+"""Balance requests across expert-parallel model groups and plain services."""
--- /dev/null
+++ b/tamarackthread/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Guard one target: gate, reports, drain and orders."""
--- /dev/null
+++ b/tamarackthread/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the roles and the operator commands on the command line."""
--- /dev/null
+++ b/tamarackthread/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicate configuration, leases and claims on the few hosts with a disk."""
--- /dev/null
+++ b/tamarackthread/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Take callers' requests, choose targets and relay answers."""
--- /dev/null
+++ b/tamarackthread/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Hold decisions as plain classes that need no socket."""
--- /dev/null
+++ b/tamarackthread/shared/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what every role needs: errors, links, settings, logs and metrics."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Prove the promises under failure."""
