--- /dev/null
+++ b/tamarackthread/shared/listener.py
@@ -0,0 +1,75 @@
+"""Accept links from other processes on one address."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from tamarackthread.shared import errors, identity, link
+
+_log = logging.getLogger('tamarackthread.link')
+
+
+class Listener:
+    """Accept, greet and keep the links that peers dial."""
+
+    def __init__(
+        self,
+        options: identity.LinkOptions,
+        handler: link.Handler,
+    ) -> None:
+        """Keep the options; nothing is bound yet."""
+        self._options = options
+        self._handler = handler
+        self._links: set[link.Link] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def links(self) -> frozenset[link.Link]:
+        """Give the links that are open now."""
+        return frozenset(self._links)
+
+    async def start(self, host: str, port: int) -> str:
+        """Bind and return the address; port 0 lets the kernel pick."""
+        self._server = await asyncio.start_server(
+            self._accept,
+            host,
+            port,
+            ssl=self._options.listen_tls,
+        )
+        picked = self._server.sockets[0].getsockname()[1]
+        return f'{host}:{picked}'
+
+    def stop_accepting(self) -> None:
+        """Take no new connection and ask peers to open nothing more."""
+        if self._server is not None:
+            self._server.close()
+        for accepted in self.links:
+            accepted.ask_closing()
+
+    def close(self) -> None:
+        """Close the address and every link on it."""
+        self.stop_accepting()
+        for accepted in self.links:
+            accepted.close('this process stops')
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            accepted = await link.accept(
+                reader,
+                writer,
+                self._options,
+                self._handler,
+            )
+        except errors.CodedError as exc:
+            _log.warning('link: refused a peer, %s %s', exc.code, exc)
+            return
+        self._links.add(accepted)
+        try:
+            await accepted.wait_closed()
+        finally:
+            self._links.discard(accepted)
--- /dev/null
+++ b/tamarackthread/shared/peers.py
@@ -0,0 +1,142 @@
+"""Keep one link to each address that this process dials."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors, identity, link
+
+FIRST_BACKOFF_SECONDS = 0.05
+MAX_BACKOFF_SECONDS = 2.0
+STALE_HEARTBEATS = 2.5
+
+
+class QuietHandler(link.Handler):
+    """Refuse whatever a peer asks on a link that we dialled only to ask."""
+
+    async def on_request(
+        self,
+        link: link.Link,
+        request: messages.Request,
+    ) -> messages.Reply:
+        """Refuse the request by its code."""
+        raise errors.RequestUnsupported
+
+
+@attrs.define
+class _Backoff:
+    until: float = 0
+    seconds: float = FIRST_BACKOFF_SECONDS
+    error: str = ''
+
+
+class Peers:
+    """Dial addresses and share one link to each among all callers."""
+
+    def __init__(
+        self,
+        options: identity.LinkOptions,
+        handler: link.Handler | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Dial nothing yet; ``rng`` spreads reconnects after a failure."""
+        self._options = options
+        self._handler = handler or QuietHandler()
+        self._rng = rng or random.Random()
+        self._links: dict[str, link.Link] = {}
+        self._dials: dict[str, asyncio.Task[link.Link]] = {}
+        self._backoffs: dict[str, _Backoff] = {}
+
+    @property
+    def links(self) -> dict[str, link.Link]:
+        """Give the open links by address."""
+        return {
+            address: held
+            for address, held in self._links.items()
+            if not held.is_closed
+        }
+
+    def current(self, address: str) -> link.Link | None:
+        """Give the open link to an address without dialling."""
+        held = self._links.get(address)
+        if held is None or held.is_closed:
+            return None
+        return held
+
+    async def link(self, address: str) -> link.Link:
+        """Give a link to the address, dialling if there is none that echoes.
+
+        A link that has stopped echoing keeps its streams until its timeout,
+        but new work gets a new connection: what lost track of the old one
+        does not stop the new one.
+        """
+        held = self.current(address)
+        if held is not None and self._is_usable(held):
+            return held
+        try:
+            return await self._dial_once(address)
+        except errors.CodedError:
+            if held is not None and not held.is_closed:
+                return held
+            raise
+
+    async def request(
+        self,
+        address: str,
+        request: messages.Request,
+        timeout_seconds: float,
+    ) -> messages.Reply:
+        """Ask the process at an address."""
+        held = await self.link(address)
+        return await held.request(request, timeout_seconds)
+
+    def close(self) -> None:
+        """Close every link and stop dialling."""
+        for dial in tuple(self._dials.values()):
+            dial.cancel()
+        for held in tuple(self._links.values()):
+            held.close('this process stops')
+
+    def _is_usable(self, held: link.Link) -> bool:
+        if held.peer_closing:
+            return False
+        return held.is_fresh(self._options.heartbeat_seconds * STALE_HEARTBEATS)
+
+    async def _dial_once(self, address: str) -> link.Link:
+        backoff = self._backoffs.get(address)
+        now = asyncio.get_running_loop().time()
+        if backoff is not None and now < backoff.until:
+            raise errors.AddressUnreachable(backoff.error)
+        dial = self._dials.get(address)
+        if dial is None:
+            dial = asyncio.get_running_loop().create_task(self._dial(address))
+            self._dials[address] = dial
+            dial.add_done_callback(lambda _: self._dials.pop(address, None))
+        return await asyncio.shield(dial)
+
+    async def _dial(self, address: str) -> link.Link:
+        try:
+            dialled = await link.connect(
+                address,
+                self._options,
+                self._handler,
+            )
+        except errors.CodedError as exc:
+            self._back_off(address, str(exc))
+            raise
+        self._backoffs.pop(address, None)
+        self._links[address] = dialled
+        return dialled
+
+    def _back_off(self, address: str, error: str) -> None:
+        backoff = self._backoffs.setdefault(address, _Backoff())
+        now = asyncio.get_running_loop().time()
+        # Jitter spreads the reconnects of many peers after a host returns;
+        # without it they would all come back in the same instant.
+        backoff.until = now + backoff.seconds * self._rng.uniform(0.5, 1)
+        backoff.seconds = min(backoff.seconds * 2, MAX_BACKOFF_SECONDS)
+        backoff.error = error
--- a/tamarackthread/shared/wire.py
+++ b/tamarackthread/shared/wire.py
@@ -22,6 +22,17 @@
 MAX_PAYLOAD_BYTES = 1 << 20
 PROTOCOL_VERSION = 1
 
+# Everything that the library raises on bytes that are no such message.
+_NONSENSE = (
+    TProtocol.TProtocolException,
+    TTransport.TTransportException,
+    ValueError,
+    TypeError,
+    OverflowError,
+    EOFError,
+    MemoryError,
+)
+
 _Message = typing.TypeVar('_Message')
 
 
@@ -73,15 +84,7 @@
     message = kind()
     try:
         message.read(protocol)  # type: ignore[attr-defined]
-    except (
-        TProtocol.TProtocolException,
-        TTransport.TTransportException,
-        ValueError,
-        TypeError,
-        OverflowError,
-        EOFError,
-        MemoryError,
-    ) as exc:
+    except _NONSENSE as exc:
         raise errors.FrameInvalid(f'{kind.__name__}: {exc}') from exc
     return message
 
