Say in the messages when and where a claimed call may start

A frame can sit in a buffer while a process is stopped and come out long after its claim was forgotten. A claim now names the one process and the time on that process's own clock in which it may start; echoes carry that clock, so no two clocks need to agree.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -44,7 +44,11 @@
   14: i32 resume_events,     // stream events the caller already has
   15: i32 attempt,
   16: string request_id,
+  17: optional Handover handover, // set with a claim: when and where it may start
 }
+// The only process and the only time in which a claimed call may start.  The
+// time is on that process's own clock, so that clocks need not agree.
+struct Handover { 1: string target, 2: string address, 3: i64 incarnation, 4: i64 until_ms }
 struct CallHead { 1: binary call_id, 2: i32 status, 3: list<Header> headers }
 struct CallEnd {
   1: binary call_id,
@@ -163,20 +167,38 @@
 struct ClaimRequest {
   1: string shard, 2: binary key, 3: binary claim, 4: string holder,
   5: i32 keep_ms, 6: i32 deadline_ms, 7: binary digest,   // digest of the request, so that a key isn't reused for another
+  8: optional Handover handover,
 }
 struct ClaimFinish {
   1: string shard, 2: binary key, 3: binary claim, 4: ClaimState state,
   5: i32 status, 6: list<Header> headers, 7: binary body, 8: i64 fence, 9: string target,
+  10: optional Handover handover,                          // with RUNNING: where it goes next; else where it went
 }
 struct ClaimReply {
   1: bool granted, 2: ClaimState state, 3: i64 fence, 4: i32 status,
   5: list<Header> headers, 6: binary body, 7: bool mismatch, 8: binary claim, 9: string target,
+  10: optional Handover handover, 11: string holder, 12: string code, 13: bool known,
 }
 struct ClaimLookup { 1: string shard, 2: binary key, 3: i32 wait_ms }
 
 // Asked of agents: did this claim reach you, and can it still?
-struct ClaimProbe { 1: binary claim, 2: i64 fence, 3: bool seal }
-struct ClaimProof { 1: bool reached, 2: bool finished, 3: bool sealed }
+struct ClaimProbe { 1: binary claim, 2: i64 fence, 3: bool seal, 4: optional Handover handover }
+// Without known, the agent can say nothing about the past of this claim.
+struct ClaimProof {
+  1: bool reached, 2: bool finished, 3: bool sealed, 4: bool known,
+  5: bool answered, 6: i32 status, 7: list<Header> headers, 8: binary body,
+}
+
+// ---- commands and snapshots of the claim groups ----------------------------
+struct ClaimOperation { 1: optional ClaimRequest claim, 2: optional ClaimFinish finish, 3: optional ClaimLookup lookup }
+struct ClaimCommand { 1: string proposer, 2: i64 stamp_ms, 3: list<ClaimOperation> operations }
+struct ClaimResults { 1: list<ClaimReply> replies }
+struct ClaimRecord {
+  1: binary key, 2: binary claim, 3: string holder, 4: binary digest, 5: i64 fence,
+  6: ClaimState state, 7: i64 expires_ms, 8: i32 keep_ms, 9: optional Handover handover,
+  10: i32 status, 11: list<Header> headers, 12: binary body,
+}
+struct ClaimSnapshot { 1: i64 clock_ms, 2: string proposer, 3: i64 stamp_ms, 4: i64 fence, 5: list<ClaimRecord> records }
 
 // ---- leases with fencing numbers ------------------------------------------
 struct LeaseRequest { 1: string name, 2: string holder, 3: i32 lease_ms, 4: i64 fence, 5: bool release }
@@ -202,7 +224,7 @@
   1: optional VoteRequest vote, 2: optional AppendRequest append,
   3: optional SnapshotRequest snapshot, 4: optional ProposeRequest propose,
   5: optional MemberRequest member,
-  6: optional ChangeRequest change, 7: optional ReadRequest read, 8: optional AuditRequest audit,
+  6: optional ChangeRequest change, 7: optional ReadRequest documents, 8: optional AuditRequest audit,
   9: optional FeedRequest feed, 10: optional StatusRequest status,
   11: optional Announcement announce, 12: optional DrainRequest drain,
   13: optional ClaimRequest claim, 14: optional ClaimFinish claim_finish,
@@ -215,7 +237,7 @@
   1: optional Failure failure, 2: optional Done done,
   3: optional VoteReply vote, 4: optional AppendReply append, 5: optional SnapshotReply snapshot,
   6: optional ProposeReply propose, 7: optional MemberReply member,
-  8: optional ChangeReply change, 9: optional ReadReply read, 10: optional AuditReply audit,
+  8: optional ChangeReply change, 9: optional ReadReply documents, 10: optional AuditReply audit,
   11: optional FeedReply feed, 12: optional StatusReply status,
   13: optional ClaimReply claim, 14: optional ClaimProof claim_proof,
   15: optional LeaseReply lease, 16: optional PortionsReply portions,
--- a/tamarackthread/shared/link.py
+++ b/tamarackthread/shared/link.py
@@ -12,12 +12,15 @@
 import collections.abc
 import itertools
 import logging
+import struct
 
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, greeting, identity, stream, wire
 
 READ_BYTES = 256 * 1024
 HIGH_WATER_BYTES = 1024 * 1024
+CLOCK = struct.Struct('>q')
+MILLISECONDS = 1000
 _log = logging.getLogger('tamarackthread.link')
 
 
@@ -78,6 +81,7 @@
         self._beats: dict[int, float] = {}
         self._last_heard = self._loop.time()
         self._last_echo = self._loop.time()
+        self._peer_clock: tuple[int, float] | None = None
         self._closed = asyncio.Event()
         self._peer_closing = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -128,6 +132,18 @@
         age = self._loop.time() - self._last_echo
         return not self.is_closed and age <= within_seconds
 
+    def peer_clock_ms(self) -> int | None:
+        """Give the time on the peer's loop clock, never later than it is.
+
+        It is the reading that the peer's latest echo carried plus the time
+        since that echo came, so it lags by the echo's way here.  ``None``
+        before the first echo.
+        """
+        if self._peer_clock is None:
+            return None
+        reading, came_at = self._peer_clock
+        return reading + int((self._loop.time() - came_at) * MILLISECONDS)
+
     async def request(
         self,
         request: messages.Request,
@@ -296,13 +312,17 @@
         take(frame)
 
     def _take_heartbeat(self, frame: wire.Frame) -> None:
-        self.write(wire.Kind.ECHO, stream=frame.stream)
+        clock = CLOCK.pack(int(self._loop.time() * MILLISECONDS))
+        self.write(wire.Kind.ECHO, clock, stream=frame.stream)
 
     def _take_closing(self, frame: wire.Frame) -> None:
         self._peer_closing = True
 
     def _take_echo(self, frame: wire.Frame) -> None:
         number = frame.stream
+        if len(frame.payload) == CLOCK.size:
+            reading = CLOCK.unpack(frame.payload)[0]
+            self._peer_clock = (reading, self._loop.time())
         sent = self._beats.get(number)
         if sent is None:
             return
