--- /dev/null
+++ b/bench/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Emulate the engines and services that targets run."""
