--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -121,8 +121,9 @@
   1: ChangeStatus status, 2: i64 revision, 3: i64 version,
   4: optional Document current, 5: list<Finding> findings, 6: bool repeated,
 }
-struct ReadRequest { 1: string kind, 2: string name, 3: bool history }
-struct ReadReply { 1: list<Document> documents, 2: i64 revision }
+// A long list comes in pages: with more set, ask again after the last name.
+struct ReadRequest { 1: string kind, 2: string name, 3: bool history, 4: string after }
+struct ReadReply { 1: list<Document> documents, 2: i64 revision, 3: bool more }
 struct AuditRequest { 1: i64 after, 2: i32 limit }
 struct AuditRecord {
   1: i64 revision, 2: string actor, 3: string origin, 4: string kind, 5: string name,
@@ -137,8 +138,12 @@
   3: list<NodeState> nodes,  // this child and what changed below it since its last call
   4: bool whole,             // nodes lists all below, not only what changed
   5: i32 wait_ms,            // hold the answer this long when nothing is new
+  6: i64 confirmed,          // every node below that does not lag has this revision
+  7: optional i64 floor,     // set while a snapshot is fetched page by page
 }
-struct NodeState { 1: string node, 2: Role role, 3: string zone, 4: i64 revision, 5: bool gone, 6: i64 incarnation, 7: string address }
+// A node that lags counts by its own revision, the others by the revision that
+// the node above them confirms for all, so that nothing is sent for each node.
+struct NodeState { 1: string node, 2: Role role, 3: string zone, 4: i64 revision, 5: bool gone, 6: i64 incarnation, 7: string address, 8: bool lags }
 struct FeedReply {
   1: i64 revision,           // revision the documents lead to
   2: list<Document> documents,
@@ -147,6 +152,10 @@
   5: i64 lease_revision,     // lease holds only at or above this revision
   6: list<string> redirect,  // ask these parents instead
   7: bool ask_whole,         // send the whole subtree next time
+  8: bool more,              // ask again at once, the next page is ready
+  9: i64 floor,              // deletions up to here are no longer listed
+  10: i32 age_ms,            // a leader stood behind the lease at most so long
+                             // before the request was sent; may be negative
 }
 struct StatusRequest { 1: i64 revision }
 struct StatusReply {
@@ -219,6 +228,20 @@
 struct DecisionRequest { 1: string group, 2: i64 fence, 3: i64 switch_id, 4: string decision, 5: string body }
 struct DecisionReply { 1: string decision, 2: i64 switch_id, 3: string body, 4: bool recorded }
 
+// ---- commands and snapshots of the configuration group ----------------------
+// Findings are those of the leader's check: the attempt is refused and kept.
+struct ConfigCommand {
+  1: i64 unix_ms, 2: i64 elapsed_ms, 3: optional ChangeRequest change, 4: list<Finding> findings,
+  5: optional LeaseRequest lease, 6: optional DecisionRequest decision,
+}
+struct KeptAnswer { 1: string change_id, 2: i64 digest, 3: i64 clock_ms, 4: ChangeReply reply }
+struct LeaseRecord { 1: string name, 2: string holder, 3: i64 fence, 4: i32 lease_ms }
+struct ConfigSnapshot {
+  1: i64 clock_ms, 2: i64 floor, 3: i64 revision, 4: list<Document> documents, 5: list<Document> history,
+  6: list<AuditRecord> audit, 7: list<KeptAnswer> answers, 8: list<LeaseRecord> leases,
+  9: list<DecisionRequest> decisions, 10: i64 index,
+}
+
 // One request or reply each frame; exactly one field is set.
 struct Request {
   1: optional VoteRequest vote, 2: optional AppendRequest append,
