--- /dev/null
+++ b/tamarackthread/control/timing.py
@@ -0,0 +1,42 @@
+"""Hold the times and bounds of a replicated log."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Timing:
+    """Bound how long members wait and how much they send at once.
+
+    Times are in seconds of the event loop's clock.  ``drift`` is the greatest
+    share by which two hosts' clocks may differ in rate; the leader's lease is
+    shorter than the voters' silence by this share.
+    """
+
+    heartbeat: float = 0.15
+    election_min: float = 0.9
+    election_max: float = 1.5
+    drift: float = 0.1
+    append_timeout: float = 3.0
+    stall: float = 0.8
+    batch_entries: int = 512
+    batch_bytes: int = 256 << 10
+    chunk_bytes: int = 256 << 10
+    segment_bytes: int = 2 << 20
+    snapshot_entries: int = 10_000
+    snapshot_bytes: int = 8 << 20
+    trailing_entries: int = 2_000
+    reserve_bytes: int = 16 << 20
+    pending_proposals: int = 8_192
+    handover: float = 3.0
+
+    @property
+    def lease(self) -> float:
+        """Return how long one answered heartbeat keeps the leader sure."""
+        return self.election_min * (1 - self.drift)
+
+    @property
+    def heartbeat_timeout(self) -> float:
+        """Return how long one heartbeat is waited for before the next."""
+        return 2 * self.heartbeat
--- /dev/null
+++ b/tamarackthread/control/transport.py
@@ -0,0 +1,69 @@
+"""Carry requests between the members of a group."""
+
+from __future__ import annotations
+
+import abc
+
+from tamarackthread.control import failures
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors, peers
+
+
+class Transport(abc.ABC):
+    """Reach the other control hosts by the names of their nodes.
+
+    Requests may be lost, late, doubled and reordered.
+    """
+
+    @abc.abstractmethod
+    async def call(
+        self, node: str, request: messages.Request, timeout_seconds: float
+    ) -> messages.Reply:
+        """Send one request; raise a coded error unless it was answered."""
+
+    def learn(self, node: str, address: str) -> None:  # noqa: B027
+        """Note where a node listens, as the group's members have agreed."""
+
+
+class LinkTransport(Transport):
+    """Reach members over the process's shared links."""
+
+    def __init__(self, links: peers.Peers) -> None:
+        """Start without addresses; groups teach them through ``learn``."""
+        self._links = links
+        self._addresses: dict[str, str] = {}
+
+    async def call(
+        self, node: str, request: messages.Request, timeout_seconds: float
+    ) -> messages.Reply:
+        """Send one request over the link to the node's address."""
+        address = self._addresses.get(node)
+        if not address:
+            raise errors.AddressUnreachable(f'no address known for {node}')
+        reply = await self._links.request(address, request, timeout_seconds)
+        raise_failure(reply)
+        return reply
+
+    def learn(self, node: str, address: str) -> None:
+        """Use this address for the node from now on."""
+        self._addresses[node] = address
+
+
+def raise_failure(reply: messages.Reply) -> None:
+    """Raise what a peer answered as a failure, by its own class if known."""
+    failure = reply.failure
+    if failure is None:
+        return
+    if failure.code == failures.NotLeader.code:
+        raise failures.NotLeader(failure.text, failure.leader or '')
+    known = errors.by_code(failure.code)
+    if known is None or known is failures.LogCorrupt:
+        raise errors.PeerFailure(f'{failure.code}: {failure.text}')
+    raise known(failure.text)
+
+
+def failure_reply(exc: errors.CodedError) -> messages.Reply:
+    """Build the reply that carries a coded error to the asking peer."""
+    leader = getattr(exc, 'leader', None)
+    failure = messages.Failure(code=exc.code, text=str(exc), leader=leader)
+    return messages.Reply(failure=failure)
