Publish the decisions on the request path

Conclusion: first versions behind abstract bases, so that the signatures can be used while the policies are measured and tuned.

--- /dev/null
+++ b/tamarackthread/policy/overload.py
@@ -0,0 +1,105 @@
+"""Notice that this process has more to do than it can, and refuse early.
+
+A loop that runs late delays heartbeats, refusals and streams alike.  Its lag
+is the one measure that covers every cause.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from tamarackthread.policy import calls, refusals
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class OverloadSettings:
+    """Hold the limits, times in seconds.
+
+    Work that isn't urgent is refused above ``most_lag``, urgent work above
+    ``most_urgent_lag`` or when ``most_calls`` are open at once.
+    """
+
+    period: float = 0.05
+    smoothing: float = 0.3
+    most_lag: float = 0.05
+    most_urgent_lag: float = 0.25
+    most_calls: int = 4000
+    urgent_calls: int = 400
+    retry_after: float = 1.0
+
+
+class LagMeter:
+    """Measure how late the event loop runs what was due."""
+
+    def __init__(self, settings: OverloadSettings | None = None) -> None:
+        """Start with no lag measured."""
+        self._settings = settings or OverloadSettings()
+        self._lag: float = 0
+        self._due_at: float | None = None
+
+    @property
+    def lag(self) -> float:
+        """Return the smoothed lag in seconds."""
+        return self._lag
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self.expect(loop.time() + self._settings.period)
+            await asyncio.sleep(self._settings.period)
+            self.observe(loop.time())
+
+    def expect(self, due_at: float) -> None:
+        """Note when the next measurement is due."""
+        self._due_at = due_at
+
+    def observe(self, now: float) -> None:
+        """Take a measurement.
+
+        A rise counts at once and a fall is smoothed: refusing for a moment
+        too long costs little, a loop that falls behind costs every call.
+        """
+        if self._due_at is None:
+            return
+        late = max(0, now - self._due_at)
+        if late > self._lag:
+            self._lag = late
+            return
+        self._lag += (late - self._lag) * self._settings.smoothing
+
+    def current(self, now: float) -> float:
+        """Return the lag, counting a measurement that is overdue now."""
+        if self._due_at is None:
+            return self._lag
+        return max(self._lag, now - self._due_at)
+
+
+class OverloadGuard:
+    """Refuse calls while this process can't keep up."""
+
+    def __init__(
+        self,
+        meter: LagMeter,
+        settings: OverloadSettings | None = None,
+    ) -> None:
+        """Judge by the lag that ``meter`` measures."""
+        self._meter = meter
+        self._settings = settings or OverloadSettings()
+
+    def check(self, call: calls.CallFacts, open_calls: int, now: float) -> None:
+        """Raise ``EntryOverloaded`` when the call should go elsewhere."""
+        settings = self._settings
+        most_lag = settings.most_lag
+        most_calls = settings.most_calls
+        if call.priority == calls.Priority.URGENT:
+            most_lag = settings.most_urgent_lag
+            most_calls += settings.urgent_calls
+        lag = self._meter.current(now)
+        if lag > most_lag or open_calls >= most_calls:
+            raise refusals.EntryOverloaded(
+                f'loop lag {lag:.3f} s, {open_calls} calls open',
+                retry_after=settings.retry_after,
+            )
--- /dev/null
+++ b/tamarackthread/policy/pace.py
@@ -0,0 +1,104 @@
+"""Measure how fast a queue drains, and say when a refused caller may return."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class PaceSettings:
+    """Hold how the drain rate is smoothed, in seconds.
+
+    ``prior_seconds`` is the weight of the capacity that the load reports
+    suggest, against the measured rate over ``window_seconds``.
+    """
+
+    window_seconds: float = 1.0
+    prior_seconds: float = 0.2
+    least_retry: float = 0.25
+    most_retry: float = 20.0
+
+
+class DrainMeter:
+    """Measure served cost a second over the time that a queue was waiting.
+
+    Idle time isn't counted: it says nothing about how fast a queue drains.
+    """
+
+    def __init__(self, settings: PaceSettings | None = None) -> None:
+        """Start with nothing measured."""
+        self._settings = settings or PaceSettings()
+        self._busy: float = 0
+        self._served: float = 0
+        self._seen_at: float | None = None
+
+    def served(self, cost: float) -> None:
+        """Count a served call, if the queue was waiting."""
+        if self._seen_at is not None:
+            self._served += cost
+
+    def observe(self, is_waiting: bool, now: float) -> None:
+        """Note whether the queue waits from now on."""
+        if self._seen_at is not None:
+            passed = now - self._seen_at
+            self._busy += passed
+            keep = max(0, 1 - passed / self._settings.window_seconds)
+            self._busy *= keep
+            self._served *= keep
+        self._seen_at = now if is_waiting else None
+
+    def rate(self, prior: float) -> float:
+        """Return cost a second; ``prior`` counts while little is measured."""
+        weight = self._settings.prior_seconds
+        return (self._served + prior * weight) / (self._busy + weight)
+
+
+class RetryTimes:
+    """Tell refused callers when to come back.
+
+    Each refusal books the organisation's next free place at its share of the
+    drain rate.  One fixed time for all would bring the wave back as a wave.
+    """
+
+    def __init__(
+        self,
+        generator: random.Random,
+        settings: PaceSettings | None = None,
+    ) -> None:
+        """Start with no places booked."""
+        self._random = generator
+        self._settings = settings or PaceSettings()
+        self._next: dict[str, float] = {}
+
+    def book(
+        self,
+        organisation: str,
+        cost: float,
+        rate: float,
+        wait: float,
+        now: float,
+    ) -> float:
+        """Return seconds until a refused call of ``cost`` should come back.
+
+        ``rate`` is the organisation's share of the drain rate and ``wait``
+        the expected wait of the queue now.
+        """
+        settings = self._settings
+        earliest = now + max(settings.least_retry, wait)
+        place = max(earliest, self._next.get(organisation, 0))
+        if place - now > settings.most_retry:
+            half = settings.most_retry / 2
+            return half + half * self._random.random()
+        self._next[organisation] = place + cost / max(rate, 0.01)
+        self._tidy(now)
+        spread = 1 + self._random.random() / 4
+        return (place - now) * spread
+
+    def _tidy(self, now: float) -> None:
+        if len(self._next) < 1024:
+            return
+        for organisation in list(self._next):
+            if self._next[organisation] < now:
+                self._next.pop(organisation)
--- /dev/null
+++ b/tamarackthread/policy/room.py
@@ -0,0 +1,167 @@
+"""Find room for a call at the targets of a service.
+
+A call waits in the entry, where fairness, priority and deadline count, and
+not in the engine's queue, where they don't.  So room is what keeps an
+engine's batch full and its queue short.
+"""
+
+from __future__ import annotations
+
+import abc
+import collections.abc
+
+import attrs
+
+from tamarackthread.policy import calls, refusals, routing
+from tamarackthread.policy import load as target_load
+
+
+@attrs.define(slots=True, eq=False)
+class Placement:
+    """Be a call's place at a target until it is released."""
+
+    target: routing.TargetView
+    flight: target_load.Flight
+
+    def first_token(self, now: float) -> None:
+        """Note that the first token came."""
+        self.target.load.first_token(self.flight, now)
+
+    def release(self, now: float) -> None:
+        """Give the place back; a second time changes nothing."""
+        self.target.load.finished(self.flight, now)
+
+
+class Room(abc.ABC):
+    """Place calls while there is room."""
+
+    @abc.abstractmethod
+    def take(self, call: calls.CallFacts, now: float) -> Placement | None:
+        """Place a call, or return ``None`` while there is no room.
+
+        Raises ``NoTarget`` when no target takes calls and
+        ``DeadlineTooClose`` when none that has room could answer in time.
+        """
+
+    @abc.abstractmethod
+    def rate(self, now: float) -> float:
+        """Estimate how many calls a second this entry may place."""
+
+    @abc.abstractmethod
+    def first_token_seconds(self, call: calls.CallFacts, now: float) -> float:
+        """Estimate the time from placing the call to its first token."""
+
+    @abc.abstractmethod
+    def answer_seconds(self, call: calls.CallFacts, now: float) -> float:
+        """Estimate the time from placing the call to its last token."""
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class RoomSettings:
+    """Hold how full targets are kept.
+
+    ``reserved_slots`` of each target are kept free of work that isn't urgent,
+    and ``urgent_extra`` calls more than it has slots may be urgent: the
+    engine's own priorities put them first.
+    """
+
+    reserved_slots: int = 0
+    urgent_extra: int = 2
+
+
+class TargetRoom(Room):
+    """Place calls at the targets that a routing policy chooses."""
+
+    def __init__(
+        self,
+        policy: routing.RoutingPolicy,
+        settings: RoomSettings | None = None,
+    ) -> None:
+        """Start without targets."""
+        self._policy = policy
+        self._settings = settings or RoomSettings()
+        self._targets: list[routing.TargetView] = []
+
+    @property
+    def targets(self) -> collections.abc.Sequence[routing.TargetView]:
+        """Return the targets that calls may be placed at."""
+        return self._targets
+
+    def set_targets(
+        self,
+        targets: collections.abc.Iterable[routing.TargetView],
+    ) -> None:
+        """Replace the targets; calls already placed are untouched."""
+        self._targets = list(targets)
+
+    def take(self, call: calls.CallFacts, now: float) -> Placement | None:
+        """Place a call at one of the targets that have room."""
+        usable = routing.usable_targets(call, self._targets)
+        if not usable:
+            raise refusals.NoTarget(retry_after=1)
+        roomy = self._roomy(call, usable, now)
+        if not roomy:
+            return None
+        timely = _timely(call, roomy, now)
+        if not timely:
+            raise refusals.DeadlineTooClose()
+        view = self._policy.choose(call, timely, now)
+        if view is None:
+            return None
+        cached = view.prefixes.cached_tokens(call.prefixes)
+        tokens = max(0, call.prompt_tokens - int(cached))
+        view.prefixes.sent(call.prefixes)
+        return Placement(view, view.load.sent(tokens, now))
+
+    def rate(self, now: float) -> float:
+        """Estimate from the slots and how long own calls hold one."""
+        total: float = 0
+        for view in self._targets:
+            if view.load.takes_calls:
+                total += view.share * view.load.own_rate
+        return total
+
+    def first_token_seconds(self, call: calls.CallFacts, now: float) -> float:
+        """Estimate for a median target, were a slot free."""
+        return self._steps(call.prompt_tokens)
+
+    def answer_seconds(self, call: calls.CallFacts, now: float) -> float:
+        """Estimate for a median target, were a slot free."""
+        steps = call.answer_tokens * self._median_step()
+        return self._steps(call.prompt_tokens) + steps
+
+    def _roomy(
+        self,
+        call: calls.CallFacts,
+        usable: list[routing.TargetView],
+        now: float,
+    ) -> list[routing.TargetView]:
+        reserve = self._settings.reserved_slots
+        if call.priority == calls.Priority.URGENT:
+            reserve = -self._settings.urgent_extra
+        return [view for view in usable if view.load.has_room(now, reserve)]
+
+    def _median_step(self) -> float:
+        steps = sorted(view.load.step_seconds for view in self._targets)
+        return steps[len(steps) // 2] if steps else 0
+
+    def _steps(self, tokens: int) -> float:
+        if not self._targets:
+            return 0
+        chunk = self._targets[0].load.chunk_tokens
+        return self._median_step() * (1 + tokens / chunk)
+
+
+def _timely(
+    call: calls.CallFacts,
+    views: list[routing.TargetView],
+    now: float,
+) -> list[routing.TargetView]:
+    timely = []
+    for view in views:
+        cached = view.prefixes.cached_tokens(call.prefixes)
+        uncached = max(0, call.prompt_tokens - cached)
+        answer = view.load.expected_answer(uncached, call.answer_tokens, now)
+        if now + answer <= call.deadline:
+            timely.append(view)
+    return timely
