Keep claims as a replicated machine and guard them at the agent

A keyed order could run twice when its caller's second try reached another entry. A claim is granted once for a key with a growing fence; the agent starts a claim once, inside a window on its own clock, and seals it on request. Not yet wired and not measured.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -84,11 +84,13 @@
   1: string group, 2: i64 term, 3: string candidate,
   4: i64 last_index, 5: i64 last_term, 6: bool pre_vote, 7: binary disk_id,
 }
-struct VoteReply { 1: i64 term, 2: bool granted }
+struct VoteReply { 1: i64 term, 2: bool granted, 3: binary disk_id }
 struct AppendRequest {
   1: string group, 2: i64 term, 3: string leader,
   4: i64 previous_index, 5: i64 previous_term,
   6: list<LogEntry> entries, 7: i64 commit_index, 8: i64 round,
+  9: bool release_lease,     // the leader gives up its lease: a vote needn't wait
+  10: bool campaign,         // and this member is asked to stand for election now
 }
 struct AppendReply {
   1: i64 term, 2: bool success, 3: i64 last_index, 4: i64 conflict_index,
@@ -181,12 +183,14 @@
 struct ClaimFinish {
   1: string shard, 2: binary key, 3: binary claim, 4: ClaimState state,
   5: i32 status, 6: list<Header> headers, 7: binary body, 8: i64 fence, 9: string target,
-  10: optional Handover handover,                          // with RUNNING: where it goes next; else where it went
+  10: optional Handover handover,                          // with RUNNING: where it goes next
+  11: i32 move,              // RUNNING: number of this move; RELEASED: the move that the proof is about
 }
 struct ClaimReply {
   1: bool granted, 2: ClaimState state, 3: i64 fence, 4: i32 status,
   5: list<Header> headers, 6: binary body, 7: bool mismatch, 8: binary claim, 9: string target,
   10: optional Handover handover, 11: string holder, 12: string code, 13: bool known,
+  14: i32 move,
 }
 struct ClaimLookup { 1: string shard, 2: binary key, 3: i32 wait_ms }
 
@@ -205,7 +209,7 @@
 struct ClaimRecord {
   1: binary key, 2: binary claim, 3: string holder, 4: binary digest, 5: i64 fence,
   6: ClaimState state, 7: i64 expires_ms, 8: i32 keep_ms, 9: optional Handover handover,
-  10: i32 status, 11: list<Header> headers, 12: binary body,
+  10: i32 status, 11: list<Header> headers, 12: binary body, 13: i32 move,
 }
 struct ClaimSnapshot { 1: i64 clock_ms, 2: string proposer, 3: i64 stamp_ms, 4: i64 fence, 5: list<ClaimRecord> records }
 
--- /dev/null
+++ b/tamarackthread/shared/claim_times.py
@@ -0,0 +1,19 @@
+"""Hold the times on which the safety of claims rests, in milliseconds.
+
+They belong together: a call may start only within its window, an agent
+remembers longer than any window, and a claim is kept longer than an agent
+remembers.  So whatever one of them has forgotten, the next one refuses.
+"""
+
+from __future__ import annotations
+
+MILLISECONDS = 1000
+
+# Longest time between the claim and the start at the target.
+WINDOW_MS = 30_000
+# How long an agent remembers a claim after its window or its end.
+REMEMBER_MS = 600_000
+# How long a claim is kept after its last change, at least and at most.
+MIN_KEEP_MS = 2 * REMEMBER_MS
+DEFAULT_KEEP_MS = 3 * MIN_KEEP_MS
+MAX_KEEP_MS = 24 * 3600 * MILLISECONDS
