--- /dev/null
+++ b/tamarackthread/shared/documents.py
@@ -0,0 +1,188 @@
+"""Read and check the bodies of replicated documents.
+
+``check`` stands before a commit and is strict; ``parse`` reads what was
+committed and passes over keys that a newer version may have added.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import json
+import math
+import re
+import types
+import typing
+
+from tamarackthread.generated import documents as generated
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import (
+    addresses,
+    findings,
+    jsonc,
+    structure,
+    validation,
+)
+
+PROFILE = 'profile'
+SERVICE = 'service'
+ORGANISATION = 'organisation'
+TARGET = 'target'
+SHARD = 'shard'
+
+CLASSES: types.MappingProxyType[str, type] = types.MappingProxyType(
+    {
+        PROFILE: generated.Profile,
+        SERVICE: generated.Service,
+        ORGANISATION: generated.Organisation,
+        TARGET: generated.Target,
+        SHARD: generated.Shard,
+    },
+)
+KINDS = tuple(CLASSES)
+MAX_BODY_BYTES = 256 * 1024
+_NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+_ROOT = '$'
+
+Parsed = (
+    generated.Profile
+    | generated.Service
+    | generated.Organisation
+    | generated.Target
+    | generated.Shard
+)
+
+
+def parse(kind: str, body: str) -> Parsed:
+    """Read a committed body; raise ``DocumentUnreadable`` if it can't be."""
+    class_ = CLASSES.get(kind)
+    if class_ is None:
+        raise findings.KindUnknown(kind)
+    try:
+        return structure.build(class_, json.loads(body))
+    except (TypeError, ValueError, RecursionError) as exc:
+        raise findings.DocumentUnreadable(f'{kind}: {exc}') from exc
+
+
+def check(kind: str, name: str, body: str) -> list[messages.Finding]:
+    """Return everything that keeps a body from being committed.
+
+    An empty body deletes the document, so only kind and name are checked.
+    """
+    if kind not in CLASSES:
+        text = f'"{kind}" is none of {", ".join(KINDS)}'
+        return [_finding(_ROOT, findings.KindUnknown, text)]
+    found = []
+    if _NAME.fullmatch(name) is None:
+        text = f'"{name}" must be up to 63 letters, digits and "._-"'
+        found.append(_finding('name', findings.NameInvalid, text))
+    if body:
+        found.extend(_check_body(kind, body))
+    return found
+
+
+def violations(kind: str, value: typing.Any) -> list[validation.Violation]:
+    """Return the broken rules of a body that is already parsed."""
+    class_name = CLASSES[kind].__name__
+    schema = {
+        '$ref': f'#/$defs/{class_name}',
+        '$defs': generated.SCHEMA['$defs'],
+    }
+    found = validation.check(schema, value)
+    if isinstance(value, dict):
+        found.extend(_cross_check(kind, value))
+    return found
+
+
+def place(path: jsonc.Path) -> str:
+    """Write a path the way that JSON paths are written."""
+    parts = [_ROOT]
+    for key in path:
+        parts.append(f'[{key}]' if isinstance(key, int) else f'.{key}')
+    return ''.join(parts)
+
+
+def _check_body(
+    kind: str,
+    body: str,
+) -> collections.abc.Iterator[messages.Finding]:
+    if len(body.encode()) > MAX_BODY_BYTES:
+        text = f'more than {MAX_BODY_BYTES} bytes'
+        yield _finding(_ROOT, findings.DocumentTooLarge, text)
+        return
+    pairs = _Pairs()
+    try:
+        value = _decode(body, pairs)
+    except (ValueError, RecursionError) as exc:
+        yield _finding(_ROOT, findings.SyntaxInvalid, str(exc))
+        return
+    for key in pairs.doubled:
+        text = f'"{key}" stands twice in one object'
+        yield _finding(_ROOT, findings.KeyDuplicate, text)
+    for violation in violations(kind, value):
+        yield messages.Finding(
+            place=place(violation.path),
+            code=violation.code,
+            text=violation.text,
+        )
+
+
+class _Pairs:
+    """Make dictionaries for the decoder, noting keys that stand twice."""
+
+    def __init__(self) -> None:
+        self.doubled: list[str] = []
+
+    def __call__(
+        self,
+        items: list[tuple[str, typing.Any]],
+    ) -> dict[str, typing.Any]:
+        known: dict[str, typing.Any] = {}
+        for key, value in items:
+            if key in known:
+                self.doubled.append(key)
+            known[key] = value
+        return known
+
+
+def _decode(body: str, pairs: _Pairs) -> typing.Any:
+    """Decode JSON, refusing what is not a usable number."""
+    return json.loads(
+        body,
+        object_pairs_hook=pairs,
+        parse_constant=_refuse_number,
+        parse_float=_finite,
+    )
+
+
+def _finite(text: str) -> float:
+    value = float(text)
+    return value if math.isfinite(value) else _refuse_number(text)
+
+
+def _refuse_number(text: str) -> typing.NoReturn:
+    raise ValueError(f'{text} is not a usable number')
+
+
+def _cross_check(
+    kind: str,
+    value: dict[str, typing.Any],
+) -> collections.abc.Iterator[validation.Violation]:
+    if kind == TARGET:
+        address = value.get('address')
+        if isinstance(address, str) and addresses.parse(address) is None:
+            yield validation.Violation(
+                ('address',),
+                findings.AddressInvalid.code,
+                f'"{address}" is not an IP number and a port',
+            )
+    if kind == SERVICE and value.get('kind') == 'model':
+        if not value.get('models') and not value.get('paths'):
+            yield validation.Violation(
+                (),
+                findings.KeyMissing.code,
+                'a model service needs "models" or "paths"',
+            )
+
+
+def _finding(where: str, kind: type, text: str) -> messages.Finding:
+    return messages.Finding(place=where, code=kind.code, text=text)
--- a/tamarackthread/shared/structure.py
+++ b/tamarackthread/shared/structure.py
@@ -16,6 +16,8 @@
 
 def build(kind: type[_Built], body: dict[str, typing.Any]) -> _Built:
     """Build a generated class; raise ``TypeError`` if a needed key lacks."""
+    if not isinstance(body, dict):
+        raise TypeError(f'{kind.__name__} is made from an object')
     arguments = {}
     for field in attrs.fields(typing.cast(type, kind)):
         if field.name not in body:
--- /dev/null
+++ b/tamarackthread/shared/validation.py
@@ -0,0 +1,168 @@
+"""Check a JSON value against a schema and name each problem for operators.
+
+The rules come from the JSON Schema library; this module adds the codes, the
+hints for near misses and the words.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import difflib
+import json
+import re
+import types
+import typing
+
+import attrs
+import jsonschema
+
+from tamarackthread.shared import findings, jsonc
+
+_UNITS = ('_seconds', '_bytes', '_share', '_ratio', '_per_second')
+_DURATION = re.compile(r'\s*([0-9]+(?:\.[0-9]+)?)\s*(ms|s|m|h)\s*')
+_SECONDS = types.MappingProxyType({'ms': 0.001, 's': 1, 'm': 60, 'h': 3600})
+_HINT_CUTOFF = 0.7
+_SHOWN_CHARACTERS = 60
+_RANGE_WORDS = types.MappingProxyType(
+    {
+        'minimum': 'must be at least {0}',
+        'maximum': 'must be at most {0}',
+        'exclusiveMinimum': 'must be more than {0}',
+        'exclusiveMaximum': 'must be less than {0}',
+        'minItems': 'needs at least {0} of them',
+        'minLength': 'must not be empty',
+    },
+)
+
+
+@attrs.frozen
+class Violation:
+    """Be one broken rule, at a path inside the value."""
+
+    path: jsonc.Path
+    code: str
+    text: str
+
+
+def check(
+    schema: dict[str, typing.Any],
+    value: typing.Any,
+) -> list[Violation]:
+    """Return every broken rule, in the order of the schema's walk."""
+    validator = jsonschema.Draft202012Validator(schema)
+    found: list[Violation] = []
+    for error in validator.iter_errors(value):
+        found.extend(_violations(error))
+    return found
+
+
+def _violations(
+    error: jsonschema.ValidationError,
+) -> collections.abc.Iterator[Violation]:
+    path = tuple(error.absolute_path)
+    if error.validator == 'additionalProperties':
+        yield from _unknown_keys(error, path)
+        return
+    if error.validator == 'required':
+        missing = str(error.message).split("'")[1]
+        yield Violation(
+            path,
+            findings.KeyMissing.code,
+            f'"{missing}" is missing',
+        )
+        return
+    if error.validator == 'type':
+        yield _type_violation(error, path)
+        return
+    yield Violation(path, findings.ValueInvalid.code, _value_text(error, path))
+
+
+def _unknown_keys(
+    error: jsonschema.ValidationError,
+    path: jsonc.Path,
+) -> collections.abc.Iterator[Violation]:
+    known = error.schema['properties']
+    for key in error.instance:
+        if key in known:
+            continue
+        text = f'"{key}" is not known here{_hint(key, known)}'
+        yield Violation((*path, key), findings.KeyUnknown.code, text)
+
+
+def _hint(key: str, known: collections.abc.Iterable[str]) -> str:
+    stems = {_stem(name): name for name in known}
+    near = stems.get(_stem(key))
+    if near is None:
+        matches = difflib.get_close_matches(
+            key,
+            list(known),
+            n=1,
+            cutoff=_HINT_CUTOFF,
+        )
+        near = matches[0] if matches else None
+    return f'; did you mean "{near}"?' if near else ''
+
+
+def _stem(key: str) -> str:
+    """Cut a unit from a key, so that ``drain_ms`` leads to its neighbour."""
+    for unit in (*_UNITS, '_milliseconds', '_ms', '_s', '_kb', '_mb'):
+        if key.endswith(unit):
+            return key.removesuffix(unit)
+    return key
+
+
+def _type_violation(
+    error: jsonschema.ValidationError,
+    path: jsonc.Path,
+) -> Violation:
+    wanted = error.validator_value
+    shown = _shown(error.instance)
+    numeric = wanted in {'number', 'integer'}
+    if numeric and isinstance(error.instance, str):
+        return _number_violation(error.instance, path)
+    text = f'{_last(path)}must be {_article(wanted)}, not {shown}'
+    return Violation(path, findings.TypeInvalid.code, text)
+
+
+def _number_violation(value: str, path: jsonc.Path) -> Violation:
+    duration = _DURATION.fullmatch(value)
+    is_seconds = bool(path) and str(path[-1]).endswith('seconds')
+    if duration is None or not is_seconds:
+        text = f'{_last(path)}must be a number, not {_shown(value)}'
+        return Violation(path, findings.TypeInvalid.code, text)
+    seconds = float(duration.group(1)) * _SECONDS[duration.group(2)]
+    text = (
+        f'{_last(path)}takes a plain number of seconds: '
+        f'write {seconds:g}, not {_shown(value)}'
+    )
+    return Violation(path, findings.UnitInvalid.code, text)
+
+
+def _value_text(error: jsonschema.ValidationError, path: jsonc.Path) -> str:
+    if error.validator == 'enum':
+        choices = ', '.join(str(choice) for choice in error.validator_value)
+        return f'{_last(path)}must be one of {choices}'
+    words = _RANGE_WORDS.get(str(error.validator))
+    if words is not None:
+        return _last(path) + words.format(error.validator_value)
+    return f'{_last(path)}does not fit: {_shown(error.instance)}'
+
+
+def _last(path: jsonc.Path) -> str:
+    if not path:
+        return 'the whole text '
+    if isinstance(path[-1], int):
+        return f'item {path[-1] + 1} '
+    return f'"{path[-1]}" '
+
+
+def _article(wanted: typing.Any) -> str:
+    text = str(wanted)
+    return f'an {text}' if text[0] in 'aeiou' else f'a {text}'
+
+
+def _shown(value: typing.Any) -> str:
+    text = json.dumps(value, ensure_ascii=False)
+    if len(text) > _SHOWN_CHARACTERS:
+        return f'{text[:_SHOWN_CHARACTERS]}…'
+    return text
--- a/tools/generate_settings.py
+++ b/tools/generate_settings.py
@@ -10,6 +10,7 @@
 import pathlib
 import pprint
 import sys
+import types
 import typing
 
 import attrs
@@ -19,12 +20,14 @@
 DESTINATION = ROOT / 'tamarackthread' / 'generated'
 NAMES = ('settings', 'documents')
 
-TYPES = {
-    'string': 'str',
-    'integer': 'int',
-    'number': 'float',
-    'boolean': 'bool',
-}
+TYPES = types.MappingProxyType(
+    {
+        'string': 'str',
+        'integer': 'int',
+        'number': 'float',
+        'boolean': 'bool',
+    },
+)
 
 TEMPLATE = '''"""{{ description }}
 
@@ -135,7 +138,9 @@
     required: bool,
 ) -> Field:
     annotation = 'str' if 'enum' in schema else TYPES[schema['type']]
-    arguments = ['converter=float'] if annotation == 'float' else []
+    arguments = []
+    if annotation in {'float', 'int'}:
+        arguments.append(f'converter={annotation}')
     if not required:
         arguments.append(f'default={schema["default"]!r}')
     arguments.extend(_metadata(schema, ''))
@@ -181,19 +186,23 @@
     if 'properties' in schema:
         known[schema['title']] = schema
     done: dict[str, Class] = {}
-
-    def visit(name: str) -> None:
-        if name in done:
-            return
-        for child in children(known[name]):
-            visit(child)
-        done[name] = make_class(name, known[name])
-
     for name in known:
-        visit(name)
+        _visit(name, known, done)
     return list(done.values())
 
 
+def _visit(
+    name: str,
+    known: dict[str, typing.Any],
+    done: dict[str, Class],
+) -> None:
+    if name in done:
+        return
+    for child in children(known[name]):
+        _visit(child, known, done)
+    done[name] = make_class(name, known[name])
+
+
 def render(name: str) -> str:
     """Return the source text of one generated module."""
     path = ROOT / 'schema' / f'{name}.schema.json'
