Take a call from HTTP through the agent's gate to the target

The whole path needs an entry that reads, admits, hands over and relays, and an agent that alone can say 'not run'.

--- /dev/null
+++ b/tamarackthread/agent/failures.py
@@ -0,0 +1,71 @@
+"""Define the coded refusals and failures that an agent gives."""
+
+from __future__ import annotations
+
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors
+
+
+class TargetLeaving(errors.CodedError):
+    """Target is leaving and takes no new call."""
+
+    code = 'TT6001'
+    status = 503
+
+
+class TargetSilent(errors.CodedError):
+    """Target did not answer its heartbeat a moment ago."""
+
+    code = 'TT6002'
+    status = 503
+
+
+class TargetUnreachable(errors.CodedError):
+    """No connection to the target could be made."""
+
+    code = 'TT6003'
+    status = 503
+
+
+class TargetBroke(errors.CodedError):
+    """Target stopped answering after the call was handed to it."""
+
+    code = 'TT6004'
+    status = 502
+    ran = messages.Ran.MAY_HAVE_RUN
+
+
+class DeadlinePassed(errors.CodedError):
+    """Deadline passed before the call was handed to the target."""
+
+    code = 'TT6005'
+    status = 504
+
+
+class WrongTarget(errors.CodedError):
+    """Call was sent to the agent of another target."""
+
+    code = 'TT6006'
+    status = 503
+
+
+class TargetFull(errors.CodedError):
+    """Agent holds as many calls as its target may have."""
+
+    code = 'TT6007'
+    status = 503
+
+
+class BodyIncomplete(errors.CodedError):
+    """Body of the call ended before it was whole."""
+
+    code = 'TT6008'
+    status = 400
+
+
+class CallCancelled(errors.CodedError):
+    """Caller or entry gave up on the call while it ran."""
+
+    code = 'TT6009'
+    status = 499
+    ran = messages.Ran.MAY_HAVE_RUN
--- /dev/null
+++ b/tamarackthread/agent/gate.py
@@ -0,0 +1,235 @@
+"""Be the last gate in front of the target.
+
+Only this process hands calls to the target, so only it can say that a call
+was not run: it says so before it sends the first byte, and never after.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import aiohttp
+import attrs
+
+from tamarackthread.agent import failures, reports, target
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors, events, stream
+
+DEFAULT_IDLE_SECONDS = 15.0
+_EVENT_STREAM = 'text/event-stream'
+_log = logging.getLogger('tamarackthread.agent')
+
+
+@attrs.frozen
+class GateOptions:
+    """Say which target is guarded and how much it may hold."""
+
+    target_id: str
+    is_model: bool
+    call_limit: int
+    idle_seconds: float = DEFAULT_IDLE_SECONDS
+
+
+class Gate:
+    """Check each call, hand it to the target and relay the answer."""
+
+    def __init__(
+        self,
+        options: GateOptions,
+        client: target.TargetClient,
+        reporter: reports.Reporter,
+    ) -> None:
+        """Start open."""
+        self._options = options
+        self._client = client
+        self._reporter = reporter
+        self._leaving = False
+        self._open = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def open_calls(self) -> int:
+        """Count the calls that are with the target or on their way."""
+        return self._open
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether new calls are refused."""
+        return self._leaving
+
+    def leave(self, leaving: bool = True) -> None:
+        """Refuse new calls from this moment, or take them again."""
+        # Entries learn late that a target leaves.  The refusal here takes
+        # effect at once and says 'not run', so a late entry only costs a
+        # second attempt elsewhere, never a call on a leaving target.
+        self._leaving = leaving
+        self._reporter.set_leaving(leaving)
+
+    async def wait_idle(self) -> None:
+        """Wait until no call is in flight."""
+        await self._idle.wait()
+
+    async def serve(
+        self,
+        call: stream.Stream,
+        opening: messages.OpenCall,
+    ) -> None:
+        """Run one call from its opening to its end."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + (opening.deadline_ms or 0) / 1000
+        self._enter()
+        try:
+            await self._serve(call, opening, deadline)
+        except errors.CodedError as exc:
+            call.finish(_failed(opening, exc))
+        finally:
+            self._leave_one()
+
+    async def _serve(
+        self,
+        call: stream.Stream,
+        opening: messages.OpenCall,
+        deadline: float,
+    ) -> None:
+        self._check(opening, deadline)
+        body = await _read_body(call)
+        # Checked once more: the body may have taken long to arrive, and the
+        # target may have begun to leave or fallen silent meanwhile.
+        self._check(opening, deadline)
+        await self._run(call, opening, body)
+
+    def _check(self, opening: messages.OpenCall, deadline: float) -> None:
+        if opening.target != self._options.target_id:
+            raise failures.WrongTarget(f'this is {self._options.target_id}')
+        if self._leaving:
+            raise failures.TargetLeaving
+        if not self._reporter.is_fresh:
+            raise failures.TargetSilent
+        if asyncio.get_running_loop().time() >= deadline:
+            raise failures.DeadlinePassed
+        if self._open > self._options.call_limit:
+            raise failures.TargetFull
+
+    async def _run(
+        self,
+        call: stream.Stream,
+        opening: messages.OpenCall,
+        body: bytes,
+    ) -> None:
+        relaying = asyncio.ensure_future(self._relay(call, opening, body))
+        watching = asyncio.ensure_future(call.wait_failed())
+        try:
+            await asyncio.wait(
+                (relaying, watching),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not relaying.done():
+                await self._stop(relaying, opening)
+                raise failures.CallCancelled
+            relaying.result()
+        finally:
+            watching.cancel()
+            relaying.cancel()
+
+    async def _stop(
+        self,
+        relaying: asyncio.Future[None],
+        opening: messages.OpenCall,
+    ) -> None:
+        relaying.cancel()
+        await asyncio.wait((relaying,))
+        if self._options.is_model:
+            await self._client.cancel(opening.call_id)
+
+    async def _relay(
+        self,
+        call: stream.Stream,
+        opening: messages.OpenCall,
+        body: bytes,
+    ) -> None:
+        response = await self._client.hand_over(
+            opening,
+            body,
+            self._options.idle_seconds,
+        )
+        try:
+            call.send_head(
+                messages.CallHead(
+                    call_id=opening.call_id,
+                    status=response.status,
+                    headers=target.response_headers(response),
+                ),
+            )
+            sent = await self._relay_body(call, opening, response)
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise failures.TargetBroke(f'in its answer: {exc!r}') from exc
+        finally:
+            response.close()
+        call.finish(
+            messages.CallEnd(
+                call_id=opening.call_id,
+                ran=messages.Ran.COMPLETE,
+                code='',
+                events=sent,
+            ),
+        )
+
+    async def _relay_body(
+        self,
+        call: stream.Stream,
+        opening: messages.OpenCall,
+        response: aiohttp.ClientResponse,
+    ) -> int:
+        if response.content_type != _EVENT_STREAM:
+            async for received in response.content.iter_any():
+                await call.send(received)
+            return 0
+        cutter = events.EventCutter()
+        async for received in response.content.iter_any():
+            whole = cutter.cut(received)
+            if whole:
+                await call.send(whole)
+        # An engine that dies may close its connection cleanly.  Without its
+        # closing event the answer is not whole and must not end as if it
+        # were: the caller would take the first half for all of it.
+        if self._options.is_model and not cutter.done:
+            raise failures.TargetBroke('closed without its closing event')
+        if cutter.rest:
+            await call.send(cutter.rest)
+        return (opening.resume_events or 0) + cutter.count
+
+    def _enter(self) -> None:
+        self._open += 1
+        self._idle.clear()
+
+    def _leave_one(self) -> None:
+        self._open -= 1
+        if self._open == 0:
+            self._idle.set()
+
+
+def _failed(
+    opening: messages.OpenCall,
+    failure: errors.CodedError,
+) -> messages.CallEnd:
+    return messages.CallEnd(
+        call_id=opening.call_id,
+        ran=failure.ran,
+        code=failure.code,
+        text=str(failure),
+        retry_after_ms=int(failure.retry_after * 1000),
+    )
+
+
+async def _read_body(call: stream.Stream) -> bytes:
+    parts = []
+    try:
+        received = await call.receive()
+        while received is not None:
+            parts.append(received)
+            received = await call.receive()
+    except errors.StreamBroken as exc:
+        raise failures.BodyIncomplete(str(exc)) from exc
+    return b''.join(parts)
--- /dev/null
+++ b/tamarackthread/agent/reports.py
@@ -0,0 +1,122 @@
+"""Ask the target for its load and report it to the entries.
+
+The question is also the heartbeat between agent and target: a target that
+stops answering it is stuck, whatever its open connections look like.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import logging
+import math
+
+from tamarackthread.agent import failures, target
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import link
+
+FRESH_SECONDS = 1.5
+MAX_NOTES = 256
+_log = logging.getLogger('tamarackthread.agent')
+
+
+class Reporter:
+    """Poll the target and tell every connected entry what it said."""
+
+    def __init__(
+        self,
+        target_id: str,
+        client: target.TargetClient,
+        every_seconds: float,
+    ) -> None:
+        """Keep what to ask; ``run`` asks until it is cancelled."""
+        self._target_id = target_id
+        self._client = client
+        self._every = every_seconds
+        self._sequence = 0
+        self._last: target.TargetReport | None = None
+        self._last_at = -math.inf
+        self._tokens_per_second: float = 0
+        self._entries: set[link.Link] = set()
+        self._leaving = False
+
+    @property
+    def is_fresh(self) -> bool:
+        """Tell whether the target answered a moment ago."""
+        now = asyncio.get_running_loop().time()
+        return now - self._last_at <= FRESH_SECONDS
+
+    def add(self, entry: link.Link) -> None:
+        """Report to one more entry, beginning at once."""
+        self._entries.add(entry)
+        entry.notify(self._message(()))
+
+    def remove(self, entry: link.Link) -> None:
+        """Report to an entry no longer."""
+        self._entries.discard(entry)
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Say in each report from now on whether the target is leaving."""
+        self._leaving = leaving
+        self._tell(())
+
+    async def run(self) -> None:
+        """Ask and report for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            started = loop.time()
+            notes = await self._ask()
+            self._tell(notes)
+            spent = loop.time() - started
+            await asyncio.sleep(max(self._every - spent, self._every / 4))
+
+    async def _ask(self) -> collections.abc.Sequence[tuple[int, bool]]:
+        loop = asyncio.get_running_loop()
+        was_fresh = self.is_fresh
+        try:
+            report = await self._client.load()
+        except failures.TargetSilent as exc:
+            if was_fresh:
+                _log.info('agent: target is silent, %s', exc)
+            return ()
+        now = loop.time()
+        if self._last is not None and report.tokens >= self._last.tokens:
+            made = report.tokens - self._last.tokens
+            self._tokens_per_second = made / max(now - self._last_at, 1e-3)
+        self._last = report
+        self._last_at = now
+        return report.prefixes[-MAX_NOTES:]
+
+    def _tell(self, notes: collections.abc.Sequence[tuple[int, bool]]) -> None:
+        self._sequence += 1
+        message = self._message(notes)
+        for entry in tuple(self._entries):
+            entry.notify(message)
+
+    def _message(
+        self,
+        notes: collections.abc.Sequence[tuple[int, bool]],
+    ) -> messages.Request:
+        last = self._last
+        now = asyncio.get_running_loop().time()
+        age = 0 if last is None else now - self._last_at
+        report = messages.LoadReport(
+            target=self._target_id,
+            sequence=self._sequence,
+            age_ms=int(age * 1000),
+            leaving=self._leaving,
+            stuck=not self.is_fresh,
+            tokens_per_second=self._tokens_per_second,
+            prefixes=[
+                messages.PrefixNote(prefix=prefix, held=held)
+                for prefix, held in notes
+            ],
+        )
+        if last is not None:
+            report.running = last.running
+            report.queued = last.queued
+            report.batch_slots = last.batch_slots
+            report.queued_tokens = last.queued_tokens
+            report.step_ms = last.step_ms
+            report.prefix_sequence = last.prefix_sequence
+        return messages.Request(report=report)
--- /dev/null
+++ b/tamarackthread/agent/target.py
@@ -0,0 +1,205 @@
+"""Speak HTTP to the one target that this agent guards."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import aiohttp
+import attrs
+from aiohttp import client_exceptions
+
+from tamarackthread.agent import failures
+from tamarackthread.generated import settings as generated
+from tamarackthread.generated.messages import ttypes as messages
+
+LOAD_PATH = '/load'
+CANCEL_PATH = '/cancel'
+CALL_HEADER = 'X-Call-Id'
+RESUME_HEADER = 'X-Resume-Events'
+PRIORITY_HEADER = 'X-Priority'
+LOAD_TIMEOUT_SECONDS = 1.0
+CANCEL_TIMEOUT_SECONDS = 1.0
+_HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'host',
+        'expect',
+    ),
+)
+# ``OSError`` includes ``TimeoutError``; ``ValueError`` is an answer that is
+# no JSON.
+_NO_ANSWER = (aiohttp.ClientError, OSError, ValueError)
+_log = logging.getLogger('tamarackthread.agent')
+
+
+@attrs.frozen
+class TargetReport:
+    """Be the target's own figures; times in milliseconds."""
+
+    running: int
+    queued: int
+    batch_slots: int
+    queued_tokens: int
+    step_ms: float
+    tokens: int
+    prefix_sequence: int
+    prefixes: tuple[tuple[int, bool], ...]
+
+
+class TargetClient:
+    """Hand calls to the target and ask for its load.
+
+    Calls that may not be repeated get a connection of their own.  A pooled
+    connection that something on the way has lost track of would take the
+    call's bytes and stay silent; a fresh connection that cannot be made says
+    for certain that nothing was handed over.
+    """
+
+    def __init__(self, settings: generated.Agent) -> None:
+        """Keep the settings; ``start`` opens the connections."""
+        self._settings = settings
+        self._pooled: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Make the two pools, with and without reuse of connections."""
+        limit = self._settings.connection_limit
+        self._pooled = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=limit,
+                keepalive_timeout=self._settings.idle_connection_seconds,
+            ),
+            auto_decompress=False,
+        )
+        self._fresh = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=limit, force_close=True),
+            auto_decompress=False,
+        )
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for session in (self._pooled, self._fresh):
+            if session is not None:
+                await session.close()
+
+    async def hand_over(
+        self,
+        opening: messages.OpenCall,
+        body: bytes,
+        idle_seconds: float,
+    ) -> aiohttp.ClientResponse:
+        """Send the call and wait for the head of the answer.
+
+        Raises ``TargetUnreachable`` when nothing was sent and ``TargetBroke``
+        when bytes may have reached the target.
+        """
+        session = self._pooled if opening.idempotent else self._fresh
+        assert session is not None
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self._settings.connect_timeout_seconds,
+            sock_read=idle_seconds,
+        )
+        try:
+            return await session.request(
+                opening.method,
+                self._settings.target_url + opening.path,
+                data=body or None,
+                headers=request_headers(opening),
+                timeout=timeout,
+                allow_redirects=False,
+            )
+        except (
+            client_exceptions.ClientConnectorError,
+            client_exceptions.ConnectionTimeoutError,
+        ) as exc:
+            raise failures.TargetUnreachable(str(exc)) from exc
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise failures.TargetBroke(f'before an answer: {exc}') from exc
+
+    async def load(self) -> TargetReport:
+        """Ask for the load; raise ``TargetSilent`` without a good answer."""
+        answer = await self._ask('GET', LOAD_PATH, None, LOAD_TIMEOUT_SECONDS)
+        try:
+            return _report(answer)
+        except (KeyError, TypeError, ValueError) as exc:
+            raise failures.TargetSilent(f'load report: {exc}') from exc
+
+    async def cancel(self, call_id: bytes) -> None:
+        """Ask the engine to stop work on a call; a failure is only logged."""
+        order = {'call': call_id.hex()}
+        try:
+            await self._ask('POST', CANCEL_PATH, order, CANCEL_TIMEOUT_SECONDS)
+        except failures.TargetSilent as exc:
+            _log.debug('agent: cancel did not reach the target, %s', exc)
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        body: typing.Any,
+        timeout_seconds: float,
+    ) -> typing.Any:
+        assert self._pooled is not None
+        timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+        url = self._settings.target_url + path
+        try:
+            async with self._pooled.request(
+                method,
+                url,
+                json=body,
+                timeout=timeout,
+            ) as response:
+                response.raise_for_status()
+                return await response.json(content_type=None)
+        except _NO_ANSWER as exc:
+            raise failures.TargetSilent(f'{path}: {exc!r}') from exc
+
+
+def request_headers(opening: messages.OpenCall) -> list[tuple[str, str]]:
+    """Build the headers for the target from the caller's and our own."""
+    headers = [
+        (header.name, header.value)
+        for header in opening.headers or ()
+        if header.name.lower() not in _HOP_HEADERS
+    ]
+    headers.append((CALL_HEADER, opening.call_id.hex()))
+    headers.append((PRIORITY_HEADER, str(opening.priority or 0)))
+    headers.append(('X-Request-Id', opening.request_id or ''))
+    if opening.resume_events:
+        headers.append((RESUME_HEADER, str(opening.resume_events)))
+    return headers
+
+
+def response_headers(
+    response: aiohttp.ClientResponse,
+) -> list[messages.Header]:
+    """Take the headers that go back to the caller."""
+    return [
+        messages.Header(name=name, value=value)
+        for name, value in response.headers.items()
+        if name.lower() not in _HOP_HEADERS
+    ]
+
+
+def _report(answer: typing.Any) -> TargetReport:
+    prefixes = []
+    for prefix, held in answer.get('prefixes', ()):
+        prefixes.append((int(prefix), bool(held)))
+    return TargetReport(
+        running=int(answer['running']),
+        queued=int(answer['queued']),
+        batch_slots=int(answer.get('batch_slots', 0)),
+        queued_tokens=int(answer.get('queued_tokens', 0)),
+        step_ms=float(answer.get('step_ms', 0)),
+        tokens=int(answer.get('tokens', 0)),
+        prefix_sequence=int(answer.get('prefix_sequence', 0)),
+        prefixes=tuple(prefixes),
+    )
--- /dev/null
+++ b/tamarackthread/entry/directory.py
@@ -0,0 +1,149 @@
+"""Know the organisations, services and targets of the configuration."""
+
+from __future__ import annotations
+
+import collections.abc
+import hashlib
+import logging
+import typing
+
+import attrs
+
+from tamarackthread.entry import failures
+from tamarackthread.generated import documents as generated
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import documents
+
+_log = logging.getLogger('tamarackthread.entry')
+
+
+@attrs.frozen
+class Caller:
+    """Be the organisation that a credential belongs to."""
+
+    organisation: str
+    details: generated.Organisation
+
+
+class Directory:
+    """Hold what documents say, ready to be looked up by a call."""
+
+    def __init__(self) -> None:
+        """Start empty: no credential is known and no service exists."""
+        self._credentials: dict[str, str] = {}
+        self._organisations: dict[str, generated.Organisation] = {}
+        self._services: dict[str, generated.Service] = {}
+        self._profiles: dict[str, generated.Profile] = {}
+        self._targets: dict[str, generated.Target] = {}
+
+    @property
+    def services(self) -> collections.abc.Mapping[str, generated.Service]:
+        """Give the services by name."""
+        return self._services
+
+    @property
+    def organisations(
+        self,
+    ) -> collections.abc.Mapping[str, generated.Organisation]:
+        """Give the organisations by name."""
+        return self._organisations
+
+    @property
+    def targets(self) -> collections.abc.Mapping[str, generated.Target]:
+        """Give the targets by name."""
+        return self._targets
+
+    def apply(self, changed: typing.Iterable[messages.Document]) -> None:
+        """Take in documents; an empty body is a deletion."""
+        for document in changed:
+            table = self._tables().get(document.kind)
+            if table is not None:
+                self._replace(table, document)
+
+    def clear(self) -> None:
+        """Forget everything, before a whole new state is taken in."""
+        self._credentials.clear()
+        for table in self._tables().values():
+            table.clear()
+
+    def profile(self, service: str) -> generated.Profile:
+        """Give the profile of a service, or the defaults if it has none."""
+        details = self._services[service]
+        found = self._profiles.get(details.profile)
+        return found or generated.Profile()
+
+    def caller(self, authorization: str) -> Caller:
+        """Find the organisation of an ``Authorization`` header."""
+        scheme, _, token = authorization.partition(' ')
+        if scheme.lower() != 'bearer' or not token:
+            raise failures.CredentialUnknown
+        digest = hashlib.sha256(token.strip().encode()).hexdigest()
+        name = self._credentials.get(digest)
+        if name is None:
+            raise failures.CredentialUnknown
+        return Caller(name, self._organisations[name])
+
+    def service(self, host: str, path: str, model: str) -> str:
+        """Find the service for a call; the longest path prefix wins."""
+        best = ''
+        best_length = -1
+        for name, details in self._services.items():
+            if not _takes(details, host, model):
+                continue
+            length = _matched_length(details, path)
+            if length > best_length:
+                best, best_length = name, length
+        if best_length < 0:
+            raise failures.ServiceUnknown(f'{path} {model}'.strip())
+        return best
+
+    def _tables(self) -> dict[str, dict[str, typing.Any]]:
+        return {
+            'organisation': self._organisations,
+            'service': self._services,
+            'profile': self._profiles,
+            'target': self._targets,
+        }
+
+    def _replace(
+        self,
+        table: dict[str, typing.Any],
+        document: messages.Document,
+    ) -> None:
+        is_organisation = document.kind == 'organisation'
+        old = table.pop(document.name, None)
+        if is_organisation and old is not None:
+            self._forget_credentials(document.name)
+        if not document.body:
+            return
+        table[document.name] = documents.parse(document.kind, document.body)
+        if is_organisation:
+            self._learn_credentials(document.name)
+
+    def _learn_credentials(self, name: str) -> None:
+        for credential in self._organisations[name].credentials:
+            self._credentials[credential.sha256] = name
+
+    def _forget_credentials(self, name: str) -> None:
+        held = [
+            digest
+            for digest, owner in self._credentials.items()
+            if owner == name
+        ]
+        for digest in held:
+            self._credentials.pop(digest)
+
+
+def _takes(details: generated.Service, host: str, model: str) -> bool:
+    if details.hosts and host not in details.hosts:
+        return False
+    return not details.models or model in details.models
+
+
+def _matched_length(details: generated.Service, path: str) -> int:
+    if not details.paths:
+        return 0
+    matching = [
+        len(prefix) for prefix in details.paths if path.startswith(prefix)
+    ]
+    return max(matching, default=-1)
--- /dev/null
+++ b/tamarackthread/entry/front.py
@@ -0,0 +1,151 @@
+"""Serve callers over HTTP and tell the platform's balancer how we are."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import logging
+
+from aiohttp import web
+
+from tamarackthread.entry import answers, calls, failures, reading
+from tamarackthread.generated import settings as generated
+from tamarackthread.shared import errors, logs
+
+HEALTH_PATH = '/-/health'
+READY_PATH = '/-/ready'
+LEAVING_RETRY_SECONDS = 1.0
+_log = logging.getLogger('tamarackthread.entry')
+
+# Raises a coded refusal when this entry must not take the call now.
+Guard = collections.abc.Callable[[calls.Call, int], None]
+Readiness = collections.abc.Callable[[], bool]
+
+
+class Front:
+    """Take requests, run them and answer."""
+
+    def __init__(
+        self,
+        limits: generated.Entry,
+        reader: reading.Reader,
+        runner: calls.Runner,
+        guard: Guard,
+        is_ready: Readiness,
+    ) -> None:
+        """Serve nothing until ``start``."""
+        self._limits = limits
+        self._reader = reader
+        self._runner = runner
+        self._guard = guard
+        self._is_ready = is_ready
+        self._leaving = False
+        self._refusing = False
+        self._open = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._server: web.ServerRunner | None = None
+
+    @property
+    def open_calls(self) -> int:
+        """Count the calls in this entry."""
+        return self._open
+
+    async def start(self) -> str:
+        """Bind and return the address; port 0 lets the kernel pick."""
+        server = web.Server(
+            self._handle,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=self._limits.keepalive_seconds,
+            max_field_size=self._limits.header_limit_bytes,
+            max_line_size=self._limits.header_limit_bytes,
+            lingering_time=0,
+        )
+        self._server = web.ServerRunner(server, handle_signals=False)
+        await self._server.setup()
+        site = web.TCPSite(self._server, self._limits.host, self._limits.port)
+        await site.start()
+        host, port = self._server.addresses[0][:2]
+        return f'{host}:{port}'
+
+    def fail_health(self) -> None:
+        """Tell the platform's balancer to look elsewhere; go on serving."""
+        self._leaving = True
+
+    def refuse_new(self) -> None:
+        """Refuse new calls, which have then not run."""
+        self._refusing = True
+
+    async def wait_idle(self) -> None:
+        """Wait until the last call has ended."""
+        await self._idle.wait()
+
+    async def stop(self) -> None:
+        """Close the address and all callers' connections."""
+        if self._server is not None:
+            await self._server.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == HEALTH_PATH:
+            return web.Response(text='alive\n')
+        if request.path == READY_PATH:
+            return self._readiness()
+        return await self._call(request)
+
+    def _readiness(self) -> web.Response:
+        if self._leaving:
+            return web.Response(status=503, text='leaving\n')
+        if not self._is_ready():
+            return web.Response(status=503, text='configuration lapsed\n')
+        return web.Response(text='ready\n')
+
+    async def _call(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = reading.request_id_of(request)
+        sink = answers.HttpSink(
+            request,
+            request_id,
+            self._limits.slow_caller_seconds,
+        )
+        self._open += 1
+        self._idle.clear()
+        try:
+            with logs.request(request_id):
+                await self._run(request, request_id, sink)
+        finally:
+            self._open -= 1
+            if self._open == 0:
+                self._idle.set()
+        return sink.response
+
+    async def _run(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        sink: answers.HttpSink,
+    ) -> None:
+        try:
+            await self._checked(request, request_id, sink)
+        except errors.CodedError as exc:
+            _log.info('entry: call ended, %s %s', exc.code, exc)
+            if sink.started:
+                await sink.break_off(exc)
+                return
+            await sink.whole(
+                answers.error_head(exc, request_id),
+                answers.error_body(exc, request_id),
+            )
+
+    async def _checked(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        sink: answers.HttpSink,
+    ) -> None:
+        if self._refusing:
+            raise failures.EntryLeaving(retry_after=LEAVING_RETRY_SECONDS)
+        if self._open > self._limits.call_limit:
+            raise failures.ConnectionsFull(retry_after=LEAVING_RETRY_SECONDS)
+        call = await self._reader.read(request, request_id)
+        self._guard(call, self._open)
+        await self._runner.run(call, sink)
