Run entry and agent as processes of their own

Both roles need their parts started in order and stopped without cutting a call off. Nothing is measured yet: the control role is still to come.

--- /dev/null
+++ b/tamarackthread/agent/role.py
@@ -0,0 +1,159 @@
+"""Run the agent beside one target."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from tamarackthread.agent import announcer, gate, reports, target
+from tamarackthread.generated import settings as generated
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import (
+    errors,
+    feed,
+    link,
+    listener,
+    parents,
+    peers,
+    process,
+    relay,
+    stream,
+)
+
+_log = logging.getLogger('tamarackthread.agent')
+
+
+class AgentHandler(link.Handler):
+    """Serve entries' calls and the requests of control hosts and nodes."""
+
+    def __init__(
+        self,
+        guard: gate.Gate,
+        reporter: reports.Reporter,
+        known: feed.ConfigFeed,
+    ) -> None:
+        """Serve through the gate; relay the configuration to other nodes."""
+        self._gate = guard
+        self._reporter = reporter
+        self._feed = known
+        self._relay = relay.FeedServer(known, known.below, relay.Limits())
+
+    async def on_request(
+        self,
+        link: link.Link,
+        request: messages.Request,
+    ) -> messages.Reply:
+        """Answer a request by what it asks."""
+        if request.feed is not None:
+            reply = await self._relay.answer(link, request.feed)
+            self._feed.take_report()
+            return reply
+        if request.drain is not None:
+            self._gate.leave(leaving=not request.drain.cancel)
+            return messages.Reply(
+                done=messages.Done(value=self._gate.open_calls),
+            )
+        raise errors.RequestUnsupported
+
+    async def on_stream(
+        self,
+        link: link.Link,
+        call: stream.Stream,
+        opening: messages.OpenCall,
+    ) -> None:
+        """Serve one call."""
+        await self._gate.serve(call, opening)
+
+    def on_connected(self, link: link.Link) -> None:
+        """Report the load to an entry that connected."""
+        if link.peer.role == messages.Role.ENTRY:
+            self._reporter.add(link)
+
+    def on_lost(self, link: link.Link) -> None:
+        """Report no longer."""
+        self._reporter.remove(link)
+
+
+class Agent:
+    """Hold the parts of an agent's process."""
+
+    def __init__(self, settings: generated.Settings) -> None:
+        """Build the parts; ``run`` starts them."""
+        assert settings.agent is not None
+        self._settings = settings
+        self._own = settings.agent
+        self._place = process.take_place(settings)
+        self._peers = peers.Peers(self._place.options)
+        self._feed = feed.ConfigFeed(
+            self._peers,
+            self._place.options.identity,
+            parents.AnyParent(settings.control_addresses, random.Random()),
+            settings.feed.wait_seconds,
+        )
+        self._client = target.TargetClient(self._own)
+        self._reporter = reports.Reporter(
+            self._own.target_id,
+            self._client,
+            self._own.report_seconds,
+        )
+        self._gate = gate.Gate(
+            gate.GateOptions(
+                target_id=self._own.target_id,
+                is_model=self._own.kind == 'model',
+                call_limit=self._own.connection_limit,
+            ),
+            self._client,
+            self._reporter,
+        )
+        self._announcer = announcer.Announcer(
+            settings,
+            self._place.options.identity,
+            self._peers,
+            self._feed,
+        )
+        self._listener = listener.Listener(
+            self._place.options,
+            AgentHandler(self._gate, self._reporter, self._feed),
+        )
+
+    async def run(self, announce: process.Announce | None) -> None:
+        """Run until asked to stop, then leave without cutting anything off."""
+        await self._client.start()
+        address = await self._listener.start_on(self._place.bound)
+        self._feed.start()
+        loop = asyncio.get_running_loop()
+        working = [
+            loop.create_task(self._reporter.run()),
+            loop.create_task(self._announcer.run()),
+        ]
+        if announce is not None:
+            announce({'link': address})
+        _log.info('agent: guards %s', self._own.target_id)
+        await process.stop_asked()
+        await self._leave()
+        for work in working:
+            work.cancel()
+
+    async def _leave(self) -> None:
+        _log.info('agent: leaves, %d calls open', self._gate.open_calls)
+        self._gate.leave()
+        await self._announcer.leave()
+        await process.drained(
+            self._gate.wait_idle(),
+            self._own.drain_seconds,
+            _log,
+            'agent: calls are still open, stop them or wait?',
+        )
+        await self._feed.stop()
+        self._listener.close()
+        self._peers.close()
+        await self._client.stop()
+
+
+async def run(
+    settings: generated.Settings,
+    announce: process.Announce | None = None,
+) -> None:
+    """Run an agent until SIGTERM; ``announce`` gets its addresses."""
+    await Agent(settings).run(announce)
--- a/tamarackthread/entry/directory.py
+++ b/tamarackthread/entry/directory.py
@@ -12,7 +12,7 @@
 from tamarackthread.entry import failures
 from tamarackthread.generated import documents as generated
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import documents
+from tamarackthread.shared import catalogue, documents
 
 _log = logging.getLogger('tamarackthread.entry')
 
@@ -35,6 +35,7 @@
         self._services: dict[str, generated.Service] = {}
         self._profiles: dict[str, generated.Profile] = {}
         self._targets: dict[str, generated.Target] = {}
+        self._revision = 0
 
     @property
     def services(self) -> collections.abc.Mapping[str, generated.Service]:
@@ -53,6 +54,17 @@
         """Give the targets by name."""
         return self._targets
 
+    def follow(self, held: catalogue.Catalogue) -> None:
+        """Take in what the catalogue holds beyond what was taken before."""
+        while True:
+            page = held.after(self._revision)
+            if page.snapshot:
+                self.clear()
+            self.apply(page.documents)
+            self._revision = page.revision
+            if not page.more:
+                return
+
     def apply(self, changed: typing.Iterable[messages.Document]) -> None:
         """Take in documents; an empty body is a deletion."""
         for document in changed:
--- /dev/null
+++ b/tamarackthread/entry/role.py
@@ -0,0 +1,151 @@
+"""Run an entry on a thin host in front of the targets."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from tamarackthread.entry import (
+    calls,
+    directory,
+    failures,
+    fleet,
+    front,
+    reading,
+)
+from tamarackthread.generated import settings as generated
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import overload
+from tamarackthread.shared import (
+    catalogue,
+    errors,
+    feed,
+    link,
+    listener,
+    parents,
+    peers,
+    process,
+    relay,
+)
+
+LAPSED_RETRY_SECONDS = 1.0
+_log = logging.getLogger('tamarackthread.entry')
+
+
+class EntryHandler(link.Handler):
+    """Relay the configuration to other nodes of the zone."""
+
+    def __init__(self, known: feed.ConfigFeed) -> None:
+        """Serve what the feed holds."""
+        self._feed = known
+        self._relay = relay.FeedServer(known, known.below, relay.Limits())
+
+    async def on_request(
+        self,
+        link: link.Link,
+        request: messages.Request,
+    ) -> messages.Reply:
+        """Answer a request for the configuration."""
+        if request.feed is None:
+            raise errors.RequestUnsupported
+        reply = await self._relay.answer(link, request.feed)
+        self._feed.take_report()
+        return reply
+
+
+class Entry:
+    """Hold the parts of an entry's process."""
+
+    def __init__(self, settings: generated.Settings) -> None:
+        """Build the parts; ``run`` starts them."""
+        self._settings = settings
+        self._own = settings.entry
+        self._place = process.take_place(settings)
+        rng = random.Random()
+        self._directory = directory.Directory()
+        self._fleet = fleet.Fleet(settings.node.zone, self._directory, rng)
+        self._peers = peers.Peers(self._place.options, self._fleet)
+        self._fleet.use(self._peers)
+        self._feed = feed.ConfigFeed(
+            self._peers,
+            self._place.options.identity,
+            parents.AnyParent(settings.control_addresses, rng),
+            settings.feed.wait_seconds,
+        )
+        self._meter = overload.LagMeter()
+        self._overload = overload.OverloadGuard(
+            self._meter,
+            overload.OverloadSettings(
+                most_lag=self._own.loop_lag_limit_seconds,
+                most_calls=self._own.call_limit,
+            ),
+        )
+        self._front = front.Front(
+            self._own,
+            reading.Reader(self._directory, self._own),
+            calls.Runner(self._fleet, rng, lambda: self._feed.revision),
+            self._check,
+            self._feed.is_current,
+        )
+        self._listener = listener.Listener(
+            self._place.options,
+            EntryHandler(self._feed),
+        )
+
+    async def run(self, announce: process.Announce | None) -> None:
+        """Run until asked to stop, then end without cutting anything off."""
+        address = await self._listener.start_on(self._place.bound)
+        self._feed.subscribe(self._follow)
+        self._feed.start()
+        measuring = asyncio.ensure_future(self._meter.run())
+        http = await self._front.start()
+        if announce is not None:
+            announce({'link': address, 'http': http})
+        _log.info('entry: serves callers on %s', http)
+        await process.stop_asked()
+        await self._leave()
+        measuring.cancel()
+
+    def _follow(self, held: catalogue.Catalogue) -> None:
+        self._directory.follow(held)
+        self._fleet.update()
+
+    def _check(self, call: calls.Call, open_calls: int) -> None:
+        rules = call.profile.configuration
+        # An entry that is cut off would go on serving a profile that the
+        # operator has replaced.  Without a lease it refuses, so an accepted
+        # change is in force everywhere once the lease has ended; the caller
+        # is told 'not run' and the platform's balancer turns elsewhere.
+        if not self._feed.is_current(rules.lease_seconds):
+            if rules.lapse == 'refuse':
+                raise failures.ConfigurationLapsed(
+                    retry_after=LAPSED_RETRY_SECONDS,
+                )
+        now = asyncio.get_running_loop().time()
+        self._overload.check(call.facts, open_calls, now)
+
+    async def _leave(self) -> None:
+        _log.info('entry: leaves, %d calls open', self._front.open_calls)
+        self._front.fail_health()
+        await asyncio.sleep(self._own.health_grace_seconds)
+        self._front.refuse_new()
+        await process.drained(
+            self._front.wait_idle(),
+            self._own.drain_seconds,
+            _log,
+            'entry: calls are still open, stop them or wait?',
+        )
+        await self._front.stop()
+        await self._feed.stop()
+        self._fleet.close()
+        self._listener.close()
+        self._peers.close()
+
+
+async def run(
+    settings: generated.Settings,
+    announce: process.Announce | None = None,
+) -> None:
+    """Run an entry until SIGTERM; ``announce`` gets its addresses."""
+    await Entry(settings).run(announce)
--- a/tamarackthread/shared/listener.py
+++ b/tamarackthread/shared/listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 
 from tamarackthread.shared import errors, identity, link
 
@@ -31,14 +32,16 @@
 
     async def start(self, host: str, port: int) -> str:
         """Bind and return the address; port 0 lets the kernel pick."""
+        return await self.start_on(bind(host, port))
+
+    async def start_on(self, bound: socket.socket) -> str:
+        """Accept on a socket that is bound already and return its address."""
         self._server = await asyncio.start_server(
             self._accept,
-            host,
-            port,
+            sock=bound,
             ssl=self._options.listen_tls,
         )
-        picked = self._server.sockets[0].getsockname()[1]
-        return f'{host}:{picked}'
+        return address_of(bound)
 
     def stop_accepting(self) -> None:
         """Take no new connection and ask peers to open nothing more."""
@@ -73,3 +76,22 @@
             await accepted.wait_closed()
         finally:
             self._links.discard(accepted)
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """Bind a socket, so that its address is known before it is greeted with."""
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    bound = socket.socket(family)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        bound.bind((host, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+def address_of(bound: socket.socket) -> str:
+    """Give the address of a bound socket as HOST:PORT."""
+    host, port = bound.getsockname()[:2]
+    return f'{host}:{port}'
