Plan expert maps by incremental changes

A re-plan from nothing is even but moves nearly every weight each time, and a static map falls behind the drift.

--- /dev/null
+++ b/tamarackthread/policy/placement.py
@@ -0,0 +1,226 @@
+"""Plan which rank holds which expert.
+
+A planner is given today's map and an outlook and returns the map to go to.
+It is plain computation that takes tens of milliseconds and more: callers on
+an event loop run it in a thread.
+"""
+
+from __future__ import annotations
+
+import abc
+
+import attrs
+import numpy
+
+from tamarackthread.policy import (
+    expert_map,
+    forecast,
+    greedy,
+    local_search,
+    repair,
+)
+
+
+@attrs.frozen
+class BalanceWeights:
+    """Be a profile's trade-off between evenness and moves.
+
+    ``move_seconds`` is what moving one weight is worth in seconds of a
+    layer's full skew; ``least_gain`` is the skew that a layer must win
+    before anything of it moves; ``moves_a_layer`` caps one plan.
+    """
+
+    move_seconds: float
+    least_gain: float
+    moves_a_layer: int
+
+
+EVEN = BalanceWeights(move_seconds=0.3, least_gain=0.02, moves_a_layer=60)
+FEW_MOVES = BalanceWeights(move_seconds=8, least_gain=0.15, moves_a_layer=12)
+
+
+@attrs.frozen(eq=False)
+class Plan:
+    """Be a proposed map with what it costs and promises.
+
+    ``skew_before`` and ``skew_after`` are the forecast's means over layers.
+    """
+
+    target: expert_map.ExpertMap
+    moves: numpy.ndarray
+    skew_before: float
+    skew_after: float
+
+    @property
+    def is_change(self) -> bool:
+        """Tell whether any weight moves."""
+        return bool(len(self.moves))
+
+
+class Planner(abc.ABC):
+    """Plan the next map of one group."""
+
+    def plan(
+        self,
+        today: expert_map.ExpertMap,
+        outlook: forecast.Outlook,
+        lost: set[int] | None = None,
+    ) -> Plan:
+        """Return the plan for the ranks that are not in ``lost``."""
+        usable = today.without_ranks(lost) if lost else today
+        alive = _alive(today, lost or set())
+        target = self._target(usable, outlook, alive)
+        before = usable.rank_loads(outlook.shares)[expert_map.ALL, alive]
+        after = target.rank_loads(outlook.shares)[expert_map.ALL, alive]
+        return Plan(
+            target,
+            expert_map.moves_between(usable, target),
+            float(expert_map.skew(before).mean()),
+            float(expert_map.skew(after).mean()),
+        )
+
+    @abc.abstractmethod
+    def _target(
+        self,
+        today: expert_map.ExpertMap,
+        outlook: forecast.Outlook,
+        alive: numpy.ndarray,
+    ) -> expert_map.ExpertMap:
+        """Choose the map for the ranks numbered in ``alive``."""
+
+
+class StaticMap(Planner):
+    """Keep today's map and replace only experts with no replica left."""
+
+    def _target(
+        self,
+        today: expert_map.ExpertMap,
+        outlook: forecast.Outlook,
+        alive: numpy.ndarray,
+    ) -> expert_map.ExpertMap:
+        return repair.cover(today, outlook.shares, alive)
+
+
+class GreedyReplan(Planner):
+    """Plan anew each time, as if no weight were anywhere yet."""
+
+    def _target(
+        self,
+        today: expert_map.ExpertMap,
+        outlook: forecast.Outlook,
+        alive: numpy.ndarray,
+    ) -> expert_map.ExpertMap:
+        return greedy.place(today.shape, outlook.shares, alive)
+
+
+class IncrementalPlanner(Planner):
+    """Change today's map as long as a change is worth its moves."""
+
+    def __init__(self, weights: BalanceWeights, rounds: int = 48) -> None:
+        """Set the trade-off; ``rounds`` bounds the time of one plan."""
+        self._weights = weights
+        self._rounds = rounds
+
+    def _target(
+        self,
+        today: expert_map.ExpertMap,
+        outlook: forecast.Outlook,
+        alive: numpy.ndarray,
+    ) -> expert_map.ExpertMap:
+        covered = repair.cover(today, outlook.shares, alive)
+        slots = covered.slots.copy()
+        loads = covered.rank_loads(outlook.shares)[expert_map.ALL, alive]
+        # Below the least gain no change could pay: the layer is left alone.
+        uneven = expert_map.skew(loads) > self._weights.least_gain
+        layers = numpy.flatnonzero(uneven)
+        if layers.size:
+            part = slots[layers][expert_map.ALL, alive]
+            trail = self._search(part, outlook.shares[layers])
+            price = self._weights.move_seconds / outlook.trust_seconds
+            chosen = trail.best_slots(price, self._weights.least_gain)
+            slots[numpy.ix_(layers, alive)] = chosen
+        return expert_map.ExpertMap(covered.shape, slots)
+
+    def _search(self, slots: numpy.ndarray, shares: numpy.ndarray) -> '_Trail':
+        state = local_search.SearchState(slots, shares)
+        trail = _Trail(slots, shares.shape[1], state.loads)
+        for _ in range(self._rounds):
+            change = state.best_change()
+            spent = trail.cost + change.cost
+            chosen = (change.gain > _LEAST_FALL) & (
+                spent <= self._weights.moves_a_layer
+            )
+            if not chosen.any():
+                break
+            state.apply(change, chosen)
+            trail.record(change, chosen, state.loads)
+        return trail
+
+
+_LEAST_FALL = 1e-5
+
+
+class _Trail:
+    """Keep a search's steps, to go back to where each layer was best."""
+
+    def __init__(
+        self,
+        slots: numpy.ndarray,
+        experts: int,
+        loads: numpy.ndarray,
+    ) -> None:
+        self._slots = slots
+        self._experts = experts
+        self._skews = [expert_map.skew(loads)]
+        self._costs = [numpy.zeros(slots.shape[0], dtype=int)]
+        self._changes: list[tuple[local_search.Change, numpy.ndarray]] = []
+
+    @property
+    def cost(self) -> numpy.ndarray:
+        return self._costs[-1]
+
+    def record(
+        self,
+        change: local_search.Change,
+        chosen: numpy.ndarray,
+        loads: numpy.ndarray,
+    ) -> None:
+        self._changes.append((change, chosen))
+        self._skews.append(expert_map.skew(loads))
+        self._costs.append(self.cost + chosen * change.cost)
+
+    def best_slots(self, price: float, least_gain: float) -> numpy.ndarray:
+        """Replay each layer up to the step worth most after its price."""
+        skews = numpy.stack(self._skews)
+        worth = skews[0] - skews - price * numpy.stack(self._costs)
+        steps = worth.argmax(axis=0)
+        won = numpy.take_along_axis(skews[0] - skews, steps[None], axis=0)[0]
+        steps = numpy.where(won >= least_gain, steps, 0)
+        slots = self._slots.astype(int)
+        for number, (change, chosen) in enumerate(self._changes):
+            _replay(slots, change, chosen & (steps > number))
+        return local_search.to_slots(slots, self._experts)
+
+
+def _replay(
+    slots: numpy.ndarray,
+    change: local_search.Change,
+    chosen: numpy.ndarray,
+) -> None:
+    layers = numpy.flatnonzero(chosen)
+    slots[layers, change.rank[layers], change.slot[layers]] = change.expert[
+        layers
+    ]
+    swaps = layers[change.other_rank[layers] >= 0]
+    slots[swaps, change.other_rank[swaps], change.other_slot[swaps]] = (
+        change.other_expert[swaps]
+    )
+
+
+def _alive(
+    today: expert_map.ExpertMap,
+    lost: set[int],
+) -> numpy.ndarray:
+    return numpy.array(
+        [rank for rank in range(today.shape.ranks) if rank not in lost],
+    )
