--- a/bench/experiments/relay.py
+++ b/bench/experiments/relay.py
@@ -184,10 +184,15 @@
     for _ in range(CLIENTS):
         clients.append(
             await asyncio.create_subprocess_exec(
-                *(sys.executable, '-m', 'bench.streams'),
-                *('--token', TOKEN),
-                *('--streams', str(STREAMS // CLIENTS)),
-                *('--seconds', str(seconds)),
+                sys.executable,
+                '-m',
+                'bench.streams',
+                '--token',
+                TOKEN,
+                '--streams',
+                str(STREAMS // CLIENTS),
+                '--seconds',
+                str(seconds),
                 *urls,
                 stdout=asyncio.subprocess.PIPE,
             ),
