Carry keyed calls through their claims

A second try at another entry ran an order again. The entry now records each hand-over at the key's shard before it leaves, the agent lets a claim start once and runs it to its end even if the entry is gone, and a second try waits for the outcome, gets the kept answer, or takes over with the agent's proof.

--- a/tamarackthread/agent/claims.py
+++ b/tamarackthread/agent/claims.py
@@ -21,7 +21,7 @@
 from tamarackthread.shared import claim_errors, claim_times
 
 MAX_CLAIMS = 20_000
-MAX_ANSWER_BYTES = 4096
+MAX_ANSWER_BYTES = 16 * 1024
 MAX_ANSWERS_BYTES = 4 * 1024 * 1024
 
 
@@ -131,6 +131,8 @@
         known = self._known.get(opening.claim)
         if known is None or known.fence != opening.fence:
             return
+        if known.state is not _State.STARTED:
+            return
         known.state = _State.FINISHED
         known.keep_past(_now_ms())
         if answer is not None and self._has_room(answer):
--- a/tamarackthread/agent/gate.py
+++ b/tamarackthread/agent/gate.py
@@ -12,7 +12,7 @@
 import aiohttp
 import attrs
 
-from tamarackthread.agent import failures, reports, target
+from tamarackthread.agent import claims, failures, recording, reports, target
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, events, stream
 
@@ -39,11 +39,14 @@
         options: GateOptions,
         client: target.TargetClient,
         reporter: reports.Reporter,
+        claimed: claims.ClaimGate,
     ) -> None:
         """Start open."""
         self._options = options
         self._client = client
         self._reporter = reporter
+        self._claimed = claimed
+        self._claimed_runs: set[asyncio.Task[None]] = set()
         self._leaving = False
         self._open = 0
         self._idle = asyncio.Event()
@@ -98,6 +101,9 @@
         # Checked once more: the body may have taken long to arrive, and the
         # target may have begun to leave or fallen silent meanwhile.
         self._check(opening, deadline)
+        if opening.claim:
+            await self._run_claimed(call, opening, body)
+            return
         await self._run(call, opening, body)
 
     def _check(self, opening: messages.OpenCall, deadline: float) -> None:
@@ -112,6 +118,50 @@
         if self._open > self._options.call_limit:
             raise failures.TargetFull
 
+    def probe(self, ask: messages.ClaimProbe) -> messages.ClaimProof:
+        """Tell what became of a claim here."""
+        return self._claimed.probe(ask)
+
+    async def _run_claimed(
+        self,
+        call: stream.Stream,
+        opening: messages.OpenCall,
+        body: bytes,
+    ) -> None:
+        # A claimed call can't be taken back once the target has it, so it
+        # outlives the link of an entry that died.  Its end and its answer
+        # are what the second try of its caller will ask for.
+        work = self._relay_claimed(call, opening, body)
+        run = asyncio.get_running_loop().create_task(work)
+        self._claimed_runs.add(run)
+        run.add_done_callback(self._end_claimed)
+        await asyncio.shield(run)
+
+    def _end_claimed(self, run: asyncio.Task[None]) -> None:
+        self._claimed_runs.discard(run)
+        if not run.cancelled() and run.exception() is not None:
+            _log.info('agent: claimed call failed, %s', run.exception())
+
+    async def _relay_claimed(
+        self,
+        call: stream.Stream,
+        opening: messages.OpenCall,
+        body: bytes,
+    ) -> None:
+        self._claimed.admit(opening)
+        recorder = recording.Recorder(call)
+        answer = None
+        self._enter()
+        try:
+            await self._relay(recorder, opening, body)
+            answer = recorder.answer
+        except failures.TargetUnreachable:
+            self._claimed.withdraw(opening)
+            raise
+        finally:
+            self._claimed.finish(opening, answer)
+            self._leave_one()
+
     async def _run(
         self,
         call: stream.Stream,
@@ -145,7 +195,7 @@
 
     async def _relay(
         self,
-        call: stream.Stream,
+        call: recording.Receiver,
         opening: messages.OpenCall,
         body: bytes,
     ) -> None:
@@ -178,7 +228,7 @@
 
     async def _relay_body(
         self,
-        call: stream.Stream,
+        call: recording.Receiver,
         opening: messages.OpenCall,
         response: aiohttp.ClientResponse,
     ) -> int:
--- a/tamarackthread/agent/role.py
+++ b/tamarackthread/agent/role.py
@@ -6,7 +6,7 @@
 import logging
 import random
 
-from tamarackthread.agent import announcer, gate, reports, target
+from tamarackthread.agent import announcer, claims, gate, reports, target
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import (
@@ -54,6 +54,9 @@
             return messages.Reply(
                 done=messages.Done(value=self._gate.open_calls),
             )
+        if request.claim_probe is not None:
+            proof = self._gate.probe(request.claim_probe)
+            return messages.Reply(claim_proof=proof)
         raise errors.RequestUnsupported
 
     async def on_stream(
@@ -105,6 +108,10 @@
             ),
             self._client,
             self._reporter,
+            claims.ClaimGate(
+                self._own.target_id,
+                self._place.options.identity.incarnation,
+            ),
         )
         self._announcer = announcer.Announcer(
             settings,
--- a/tamarackthread/control/claim_service.py
+++ b/tamarackthread/control/claim_service.py
@@ -10,11 +10,10 @@
 import asyncio
 import collections
 import logging
-import typing
 
 import attrs
 
-from tamarackthread.control import claim_record, claims
+from tamarackthread.control import claim_record, claims, group
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, link, wire
 
@@ -37,16 +36,6 @@
     ran = messages.Ran.MAY_HAVE_RUN
 
 
-class Group(typing.Protocol):
-    """Be what this service needs of the shard's replicated log."""
-
-    async def propose(self, command: bytes) -> bytes:
-        """Replicate a command and give the machine's answer."""
-
-    async def read_barrier(self) -> None:
-        """Return once the local machine is known to be current."""
-
-
 @attrs.frozen(eq=False)
 class _Pending:
     operation: messages.ClaimOperation
@@ -59,7 +48,7 @@
     def __init__(
         self,
         machine: claims.ClaimsMachine,
-        group: Group,
+        replicated: group.Group,
         proposer: str,
     ) -> None:
         """Watch the machine; ``proposer`` names this start of this process.
@@ -68,7 +57,7 @@
         when the process starts anew.
         """
         self._machine = machine
-        self._group = group
+        self._group = replicated
         self._proposer = proposer
         self._pending: collections.deque[_Pending] = collections.deque()
         self._proposals: set[asyncio.Task[None]] = set()
--- a/tamarackthread/control/claims.py
+++ b/tamarackthread/control/claims.py
@@ -22,7 +22,7 @@
 
 MAX_CLAIMS = 200_000
 MAX_BYTES = 128 * 1024 * 1024
-MAX_ANSWER_BYTES = 4096
+MAX_ANSWER_BYTES = 16 * 1024
 
 _Record = claim_record.Record
 _State = messages.ClaimState
--- a/tamarackthread/entry/calls.py
+++ b/tamarackthread/entry/calls.py
@@ -9,11 +9,11 @@
 
 import attrs
 
-from tamarackthread.entry import answers, attempt, failures, fleet
+from tamarackthread.entry import answers, attempt, failures, fleet, keyed
 from tamarackthread.generated import documents as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import admission, calls, refusals, retries
-from tamarackthread.shared import errors
+from tamarackthread.shared import claim_errors, errors
 
 CALL_ID_BYTES = 16
 _log = logging.getLogger('tamarackthread.entry')
@@ -36,12 +36,18 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     key: str = ''
+    home_region: str = ''
 
     @property
     def is_model(self) -> bool:
         """Tell whether the call goes to a model engine."""
         return self.kind == 'model'
 
+    @property
+    def is_claimed(self) -> bool:
+        """Tell whether the call must not repeat and has a key to ensure it."""
+        return bool(self.key) and not self.facts.idempotent
+
 
 @attrs.define(eq=False)
 class _Life:
@@ -54,6 +60,7 @@
     attempts: int = 0
     resumed: int = 0
     may_have_run: bool = False
+    claim: keyed.KeyedCall | None = None
 
 
 class Runner:
@@ -64,11 +71,13 @@
         targets: fleet.Fleet,
         rng: random.Random,
         revision: fleet.Revision,
+        claimed: keyed.KeyedCalls,
     ) -> None:
         """Run against the fleet's targets."""
         self._fleet = targets
         self._rng = rng
         self._revision = revision
+        self._claimed = claimed
         self._budgets: dict[str, retries.RetryBudget] = {}
 
     async def run(self, call: Call, sink: answers.Sink) -> None:
@@ -80,23 +89,68 @@
         life = _Life(call, sink, attempt.Progress())
         loop = asyncio.get_running_loop()
         self._budget(call).earn(loop.time())
+        if call.is_claimed:
+            await self._run_claimed(life)
+            return
+        await self._run_in_time(life)
+
+    async def refuse(self, call: Call, failure: errors.CodedError) -> None:
+        """Make a refusal before the run truthful for another try's key."""
+        if call.is_claimed:
+            await self._claim_of(call).fail(failure)
+
+    async def _run_in_time(self, life: _Life) -> None:
         try:
-            async with asyncio.timeout_at(call.facts.deadline):
+            async with asyncio.timeout_at(life.call.facts.deadline):
                 await self._attempts(life)
         except TimeoutError as exc:
             raise _past_deadline(life) from exc
 
+    async def _run_claimed(self, life: _Life) -> None:
+        claim = self._claim_of(life.call)
+        life.claim = claim
+        life.sink = claim.record(life.sink)
+        try:
+            await self._run_in_time(life)
+        except asyncio.CancelledError:
+            claim.abandon(life.may_have_run)
+            raise
+        except errors.CodedError as exc:
+            await claim.fail(exc)
+            raise
+        claim.succeed()
+
+    def _claim_of(self, call: Call) -> keyed.KeyedCall:
+        return self._claimed.start(
+            keyed.Request(
+                facts=call.facts,
+                rules=call.profile.claims,
+                home_region=call.home_region,
+                key=call.key,
+                method=call.method,
+                path=call.path,
+                body=call.body,
+            ),
+        )
+
     async def _attempts(self, life: _Life) -> None:
-        while True:
+        is_answered = False
+        while not is_answered:
             life.attempts += 1
             try:
-                await self._attempt(life)
-            except attempt.AttemptFailed as exc:
-                await self._weigh(life, exc)
+                is_answered = await self._answered(life)
             except errors.CodedError as exc:
                 raise _truthful(life, exc) from exc
-            else:
-                return
+
+    async def _answered(self, life: _Life) -> bool:
+        """Try once; tell whether the caller has the answer."""
+        try:
+            await self._attempt(life)
+        except keyed.ClaimedElsewhere as exc:
+            return await self._settle(life, exc.reply)
+        except attempt.AttemptFailed as exc:
+            return await self._weigh_claimed(life, exc)
+        return True
 
     async def _attempt(self, life: _Life) -> None:
         pool = self._fleet.pool(life.call.service)
@@ -120,6 +174,8 @@
             raise refusals.NoTarget(ticket.target)
         life.excluded |= {ticket.target}
         opening = self._opening(life, ticket.target)
+        if life.claim is not None:
+            await self._secure(life.claim, opening, contact)
         running = attempt.Attempt(
             contact,
             ticket,
@@ -134,6 +190,17 @@
             life.may_have_run |= running.handed_over
             raise
 
+    async def _secure(
+        self,
+        claim: keyed.KeyedCall,
+        opening: messages.OpenCall,
+        contact: fleet.Contact,
+    ) -> None:
+        try:
+            await claim.secure(opening, contact)
+        except failures.ConnectionSilent as exc:
+            raise attempt.AttemptFailed(exc, messages.Ran.NOT_RUN) from exc
+
     async def _run_unless_preempted(
         self,
         life: _Life,
@@ -188,6 +255,36 @@
             request_id=call.request_id,
         )
 
+    async def _settle(
+        self,
+        life: _Life,
+        reply: messages.ClaimReply | None,
+    ) -> bool:
+        """Settle the key's claim; tell whether its answer has been given."""
+        assert life.claim is not None
+        settled = await life.claim.settle(reply)
+        if settled.granted:
+            return False
+        await keyed.replay(settled, life.sink)
+        return True
+
+    async def _weigh_claimed(
+        self,
+        life: _Life,
+        failed: attempt.AttemptFailed,
+    ) -> bool:
+        """Weigh a failure; tell whether an answer was found all the same."""
+        is_lost = failed.ran != messages.Ran.NOT_RUN
+        if life.claim is not None and is_lost and not life.sink.started:
+            # The agent goes on with a claimed call whose link has broken,
+            # and can tell its outcome or prove that it never came.
+            if await self._settle(life, None):
+                return True
+            failed.ran = messages.Ran.NOT_RUN
+            failed.cause.ran = messages.Ran.NOT_RUN
+        await self._weigh(life, failed)
+        return False
+
     async def _weigh(self, life: _Life, failed: attempt.AttemptFailed) -> None:
         """Return after a pause if another attempt is right, or raise."""
         cause = failed.cause
@@ -257,6 +354,8 @@
 
 
 def _past_deadline(life: _Life) -> errors.CodedError:
+    if life.claim is not None and life.claim.is_doubtful:
+        return claim_errors.ClaimStillRunning()
     if life.may_have_run:
         return failures.DeadlineExceeded()
     return failures.DeadlineBeforeStart()
--- a/tamarackthread/entry/directory.py
+++ b/tamarackthread/entry/directory.py
@@ -12,7 +12,7 @@
 from tamarackthread.entry import failures
 from tamarackthread.generated import documents as generated
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import catalogue, documents
+from tamarackthread.shared import catalogue, claim_keys, documents
 
 _log = logging.getLogger('tamarackthread.entry')
 
@@ -35,6 +35,7 @@
         self._services: dict[str, generated.Service] = {}
         self._profiles: dict[str, generated.Profile] = {}
         self._targets: dict[str, generated.Target] = {}
+        self._shards: dict[str, generated.Shard] = {}
         self._revision = 0
 
     @property
@@ -84,6 +85,13 @@
         found = self._profiles.get(details.profile)
         return found or generated.Profile()
 
+    def shards(self, members: tuple[str, ...]) -> tuple[claim_keys.Shard, ...]:
+        """Give the shards of claims, which these control hosts know."""
+        return tuple(
+            claim_keys.Shard(details.group, details.region, members)
+            for details in self._shards.values()
+        )
+
     def caller(self, authorization: str) -> Caller:
         """Find the organisation of an ``Authorization`` header."""
         scheme, _, token = authorization.partition(' ')
@@ -115,6 +123,7 @@
             'service': self._services,
             'profile': self._profiles,
             'target': self._targets,
+            'shard': self._shards,
         }
 
     def _replace(
--- a/tamarackthread/entry/front.py
+++ b/tamarackthread/entry/front.py
@@ -147,5 +147,9 @@
         if self._open > self._limits.call_limit:
             raise failures.ConnectionsFull(retry_after=LEAVING_RETRY_SECONDS)
         call = await self._reader.read(request, request_id)
-        self._guard(call, self._open)
+        try:
+            self._guard(call, self._open)
+        except errors.CodedError as exc:
+            await self._runner.refuse(call, exc)
+            raise
         await self._runner.run(call, sink)
--- /dev/null
+++ b/tamarackthread/entry/keyed.py
@@ -0,0 +1,291 @@
+"""Carry one keyed call that must not repeat through its claim.
+
+Every hand-over is recorded at the claim's shard before the first byte of it
+leaves, so that whoever comes after this process's death knows which agent to
+ask.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import logging
+
+import attrs
+
+from tamarackthread.entry import (
+    answers,
+    claims,
+    failures,
+    fleet,
+    recording,
+    takeover,
+)
+from tamarackthread.generated import documents as generated
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import calls
+from tamarackthread.shared import claim_errors, claim_keys, claim_times, errors
+
+HANDOVER_SECONDS = 10.0
+SETTLE_SECONDS = 1.0
+COLLECT_SECONDS = 60.0
+REPLAY_HEADER = ('X-Tamarackthread-Replayed', 'true')
+_State = messages.ClaimState
+_log = logging.getLogger('tamarackthread.claims')
+
+
+class ClaimedElsewhere(errors.CodedError):
+    """Another try has claimed the key; its claim must be settled first."""
+
+    code = 'TT4520'
+    status = 409
+    ran = messages.Ran.MAY_HAVE_RUN
+
+    def __init__(self, reply: messages.ClaimReply) -> None:
+        """Keep what the shard answered."""
+        super().__init__(reply.holder or '')
+        self.reply = reply
+
+
+@attrs.frozen
+class Request:
+    """Be what a claim needs to know of a call."""
+
+    facts: calls.CallFacts
+    rules: generated.Claims
+    home_region: str
+    key: str
+    method: str
+    path: str
+    body: bytes
+
+
+class KeyedCall:
+    """Be the claim of one call over all its attempts."""
+
+    def __init__(
+        self,
+        owner: KeyedCalls,
+        ask: claims.Ask,
+        rules: generated.Claims,
+    ) -> None:
+        """Claim nothing yet."""
+        self._owner = owner
+        self._ask = ask
+        self._rules = rules
+        self._held: messages.ClaimReply | None = None
+        self._is_asked = False
+        self._sink: recording.RecordingSink | None = None
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Tell whether another try of this key may have run."""
+        return self._is_asked and self._held is None
+
+    def record(self, sink: answers.Sink) -> answers.Sink:
+        """Keep what goes to the sink, for second tries, if it is small."""
+        limit = self._rules.answer_limit_bytes
+        self._sink = recording.RecordingSink(sink, limit)
+        return self._sink
+
+    async def secure(
+        self,
+        opening: messages.OpenCall,
+        contact: fleet.Contact,
+    ) -> None:
+        """Record the hand-over and put the claim into the call.
+
+        Raises ``ClaimedElsewhere`` when the call is not, or no longer, ours.
+        """
+        handover = window(contact, self._ask.deadline)
+        reply = await self._secure(handover)
+        if not reply.granted:
+            self._held = None
+            raise ClaimedElsewhere(reply)
+        self._held = reply
+        opening.claim = self._ask.name
+        opening.fence = reply.fence
+        opening.handover = handover
+
+    async def settle(
+        self,
+        reply: messages.ClaimReply | None = None,
+    ) -> messages.ClaimReply:
+        """Wait for the truth about the key, or take its claim over.
+
+        Without ``reply`` the claim is our own and its call got lost on the
+        way.  Returns a grant or a complete answer, else raises.
+        """
+        if reply is None:
+            assert self._held is not None
+            reply = self._held
+            reply.granted = False
+        self._held = None
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + self._rules.wait_seconds
+        until = min(self._ask.deadline, latest)
+        settled = await self._owner.settler.settle(self._ask, reply, until)
+        if settled.granted:
+            self._held = settled
+        return settled
+
+    def succeed(self) -> None:
+        """Record the whole answer; nobody waits for that."""
+        if self._held is None or self._sink is None:
+            return
+        finish = self._sink.finish_of_claim()
+        self._owner.later(self._finish(self._held, finish))
+
+    async def fail(self, failure: errors.CodedError) -> None:
+        """Record a failure and make its word hold for the whole key.
+
+        A refusal says 'not run' only if no other try of the key can have
+        run either; the caller would order anew under another key.
+        """
+        if failure.ran != messages.Ran.NOT_RUN:
+            self.abandon(handed_over=True)
+            return
+        if isinstance(failure, claim_errors.ClaimKeyReused):
+            return
+        try:
+            async with asyncio.timeout(SETTLE_SECONDS):
+                is_free = await self._free()
+        except (TimeoutError, errors.CodedError):
+            is_free = False
+        if not is_free:
+            failure.ran = messages.Ran.MAY_HAVE_RUN
+
+    def abandon(self, handed_over: bool) -> None:
+        """Leave the claim to be settled while nobody waits for the call."""
+        held = self._held
+        if held is None:
+            return
+        if handed_over:
+            self._owner.later(self._collect(held))
+            return
+        released = claims.Finish(_State.RELEASED)
+        self._owner.later(self._finish(held, released))
+
+    async def _secure(
+        self,
+        handover: messages.Handover,
+    ) -> messages.ClaimReply:
+        client = self._owner.client
+        held = self._held
+        if held is None:
+            self._is_asked = True
+            held = await client.claim(self._ask, handover)
+            if not held.granted or held.handover == handover:
+                return held
+        return await client.move(self._ask, held, handover)
+
+    async def _free(self) -> bool:
+        client = self._owner.client
+        if self._held is None:
+            found = await client.wait(self._ask, 0)
+        else:
+            released = claims.Finish(_State.RELEASED)
+            found = await client.finish(self._ask, self._held, released)
+        return not found.known or found.state == _State.RELEASED
+
+    async def _finish(
+        self,
+        held: messages.ClaimReply,
+        finish: claims.Finish,
+    ) -> None:
+        await self._owner.client.finish(self._ask, held, finish)
+
+    async def _collect(self, held: messages.ClaimReply) -> None:
+        until = asyncio.get_running_loop().time() + COLLECT_SECONDS
+        await self._owner.settler.collect(self._ask, held, until)
+
+
+class KeyedCalls:
+    """Start keyed calls and finish their claims in the background."""
+
+    def __init__(
+        self,
+        client: claims.ClaimsClient,
+        settler: takeover.Takeover,
+    ) -> None:
+        """Share the client and the takeover among all calls."""
+        self._client = client
+        self._settler = settler
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def client(self) -> claims.ClaimsClient:
+        """Give the way to the shards."""
+        return self._client
+
+    @property
+    def settler(self) -> takeover.Takeover:
+        """Give what settles the claims of other tries."""
+        return self._settler
+
+    def start(self, request: Request) -> KeyedCall:
+        """Prepare the claim of a call."""
+        rules = request.rules
+        ask = claims.Ask(
+            organisation=request.facts.organisation,
+            key=request.key,
+            digest=claim_keys.digest(
+                request.method,
+                request.path,
+                request.body,
+            ),
+            deadline=request.facts.deadline,
+            home_region=rules.shard_region or request.home_region,
+            keep_ms=int(rules.keep_seconds * claim_times.MILLISECONDS),
+        )
+        return KeyedCall(self, ask, rules)
+
+    def later(
+        self,
+        work: collections.abc.Coroutine[None, None, None],
+    ) -> None:
+        """Record something without making a caller wait."""
+        task = asyncio.get_running_loop().create_task(_logged(work))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def wait_idle(self, seconds: float) -> None:
+        """Wait until all outcomes are recorded, at most so long."""
+        if self._tasks:
+            await asyncio.wait(tuple(self._tasks), timeout=seconds)
+
+
+def window(contact: fleet.Contact, deadline: float) -> messages.Handover:
+    """Say where and until when a call may start, on the agent's clock.
+
+    Raises ``ConnectionSilent`` when the agent's clock isn't known.
+    """
+    held = contact.held
+    clock = held.peer_clock_ms() if held and not held.is_closed else None
+    if held is None or clock is None:
+        raise failures.ConnectionSilent(contact.name)
+    left = deadline - asyncio.get_running_loop().time()
+    seconds = min(left, HANDOVER_SECONDS)
+    return messages.Handover(
+        target=contact.name,
+        address=contact.details.address,
+        incarnation=held.peer.incarnation,
+        until_ms=clock + int(seconds * claim_times.MILLISECONDS),
+    )
+
+
+async def replay(reply: messages.ClaimReply, sink: answers.Sink) -> None:
+    """Give the kept answer of an earlier try."""
+    headers = [(kept.name, kept.value) for kept in reply.headers or ()]
+    headers.append(REPLAY_HEADER)
+    head = answers.Head(status=reply.status, headers=tuple(headers))
+    await sink.whole(head, reply.body or b'')
+
+
+async def _logged(
+    work: collections.abc.Coroutine[None, None, None],
+) -> None:
+    try:
+        await work
+    except errors.CodedError as exc:
+        _log.warning('claims: outcome not recorded, %s %s', exc.code, exc)
--- a/tamarackthread/entry/reading.py
+++ b/tamarackthread/entry/reading.py
@@ -90,6 +90,7 @@
             headers=_passed_on(request),
             body=body,
             key=key,
+            home_region=caller.details.home_region,
             facts=facts.CallFacts(
                 organisation=caller.organisation,
                 deadline=now + seconds,
--- a/tamarackthread/entry/role.py
+++ b/tamarackthread/entry/role.py
@@ -8,17 +8,21 @@
 
 from tamarackthread.entry import (
     calls,
+    claims,
     directory,
     failures,
     fleet,
     front,
+    keyed,
     reading,
+    takeover,
 )
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import overload
 from tamarackthread.shared import (
     catalogue,
+    claim_keys,
     errors,
     feed,
     link,
@@ -30,6 +34,7 @@
 )
 
 LAPSED_RETRY_SECONDS = 1.0
+OUTCOMES_SECONDS = 10.0
 _log = logging.getLogger('tamarackthread.entry')
 
 
@@ -81,10 +86,26 @@
                 most_calls=self._own.call_limit,
             ),
         )
+        self._claimed = keyed.KeyedCalls(
+            claims.ShardClaims(
+                self._peers,
+                self._shards,
+                settings.node.id,
+                rng,
+            ),
+            takeover.Takeover(
+                takeover.LinkProber(self._peers),
+            ),
+        )
         self._front = front.Front(
             self._own,
             reading.Reader(self._directory, self._own),
-            calls.Runner(self._fleet, rng, lambda: self._feed.revision),
+            calls.Runner(
+                self._fleet,
+                rng,
+                lambda: self._feed.revision,
+                self._claimed,
+            ),
             self._check,
             self._feed.is_current,
         )
@@ -125,6 +146,9 @@
         now = asyncio.get_running_loop().time()
         self._overload.check(call.facts, open_calls, now)
 
+    def _shards(self) -> tuple[claim_keys.Shard, ...]:
+        return self._directory.shards(tuple(self._settings.control_addresses))
+
     async def _leave(self) -> None:
         _log.info('entry: leaves, %d calls open', self._front.open_calls)
         self._front.fail_health()
@@ -137,6 +161,9 @@
             'entry: calls are still open, stop them or wait?',
         )
         await self._front.stop()
+        # An outcome that isn't recorded leaves its key unsettled: the second
+        # try would wait and ask the agent, though all is known here.
+        await self._claimed.wait_idle(OUTCOMES_SECONDS)
         await self._feed.stop()
         self._fleet.close()
         self._listener.close()
--- a/tamarackthread/shared/claim_times.py
+++ b/tamarackthread/shared/claim_times.py
@@ -16,4 +16,4 @@
 # How long a claim is kept after its last change, at least and at most.
 MIN_KEEP_MS = 2 * REMEMBER_MS
 DEFAULT_KEEP_MS = 3 * MIN_KEEP_MS
-MAX_KEEP_MS = 24 * 3600 * MILLISECONDS
+MAX_KEEP_MS = 14 * 24 * 3600 * MILLISECONDS
