Replicate documents and pull them to every node under a lease

An accepted change must reach every node that takes work, and a node that is cut off must stop taking it. The configuration machine keeps documents, history, audit trail, answers, leases and decisions; nodes pull from control hosts or relays, and each lease ends within one lease time of the leader that stood behind it.

--- /dev/null
+++ b/tamarackthread/control/configuration.py
@@ -0,0 +1,251 @@
+"""Hold the replicated state of the configuration group.
+
+It is made of documents with their history, the audit trail, the answers kept
+for resends, leases and decisions.  A revision is the place in the log of the
+change that led to it, so that revisions grow and are never reused.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import logging
+import types
+
+from tamarackthread.control import (
+    answers,
+    decisions,
+    history,
+    leases,
+    machine,
+    references,
+    trail,
+)
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import catalogue, errors, wire
+
+ACCEPTED = 'accepted'
+CONFLICT = 'conflict'
+INVALID = 'invalid'
+_OUTCOMES: types.MappingProxyType[int, str] = types.MappingProxyType(
+    {
+        messages.ChangeStatus.ACCEPTED: ACCEPTED,
+        messages.ChangeStatus.CONFLICT: CONFLICT,
+        messages.ChangeStatus.INVALID: INVALID,
+    },
+)
+_log = logging.getLogger('tamarackthread.control')
+
+Watcher = collections.abc.Callable[[int], None]
+
+
+class Configuration(machine.Machine):
+    """Apply changes, hand-overs of leases and decisions in their order."""
+
+    def __init__(self, audit_records: int = trail.RECORDS_LIMIT) -> None:
+        """Start empty; ``audit_records`` bounds the audit trail."""
+        self._audit_records = audit_records
+        self._watchers: list[Watcher] = []
+        self._reset()
+
+    @property
+    def documents(self) -> catalogue.Catalogue:
+        """Give the documents as they are now."""
+        return self._documents
+
+    @property
+    def history(self) -> history.History:
+        """Give the earlier versions of documents."""
+        return self._history
+
+    @property
+    def trail(self) -> trail.Trail:
+        """Give the audit trail."""
+        return self._trail
+
+    @property
+    def table(self) -> leases.LeaseTable:
+        """Give who holds each lease."""
+        return self._table
+
+    @property
+    def decisions(self) -> decisions.Decisions:
+        """Give the decisions on switches."""
+        return self._decisions
+
+    def watch(self, watcher: Watcher) -> None:
+        """Call ``watcher`` with each new revision, right after it applies."""
+        self._watchers.append(watcher)
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a command; one that makes no sense is answered so."""
+        try:
+            parsed = wire.decode(messages.ConfigCommand, command)
+        except errors.FrameInvalid as exc:
+            _log.error('control: command %d makes no sense, %s', index, exc)
+            return wire.encode(_refusal(exc))
+        self._clock_ms += max(parsed.elapsed_ms or 0, 0)
+        self._answers.forget(self._clock_ms)
+        return wire.encode(self._dispatch(index, parsed))
+
+    def snapshot(self) -> bytes:
+        """Serialise the whole state."""
+        return wire.encode(
+            messages.ConfigSnapshot(
+                clock_ms=self._clock_ms,
+                floor=self._documents.floor,
+                revision=self._documents.revision,
+                documents=list(self._documents.everything()),
+                history=self._history.everything(),
+                audit=self._trail.everything(),
+                answers=self._answers.everything(),
+                leases=self._table.everything(),
+                decisions=self._decisions.everything(),
+            ),
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Take the state of a snapshot; empty data is the empty state."""
+        self._reset()
+        if data:
+            self._restore(wire.decode(messages.ConfigSnapshot, data))
+        self._notify()
+
+    def _reset(self) -> None:
+        self._clock_ms = 0
+        self._documents = catalogue.Catalogue()
+        self._history = history.History()
+        self._trail = trail.Trail(self._audit_records)
+        self._answers = answers.Answers()
+        self._table = leases.LeaseTable()
+        self._decisions = decisions.Decisions(self._table)
+
+    def _restore(self, state: messages.ConfigSnapshot) -> None:
+        self._clock_ms = state.clock_ms
+        self._documents.replace(state.documents, state.revision, state.floor)
+        self._history.replace(state.history)
+        self._trail.replace(state.audit)
+        self._answers.replace(state.answers)
+        self._table.replace(state.leases)
+        self._decisions.replace(state.decisions)
+
+    def _dispatch(
+        self,
+        index: int,
+        command: messages.ConfigCommand,
+    ) -> messages.Reply:
+        if command.change is not None:
+            reply = self._change(index, command)
+            return messages.Reply(change=reply)
+        if command.lease is not None:
+            return messages.Reply(lease=self._table.apply(command.lease))
+        if command.decision is not None:
+            decided = self._decisions.decide(command.decision)
+            return messages.Reply(decision=decided)
+        return _refusal(errors.RequestUnsupported('empty command'))
+
+    def _change(
+        self,
+        index: int,
+        command: messages.ConfigCommand,
+    ) -> messages.ChangeReply:
+        change = command.change
+        kept = self._answers.find(change)
+        if kept is not None:
+            if not kept.repeated:
+                self._record(index, command, INVALID)
+            return kept
+        reply = self._judge(change, command.findings or [])
+        self._record(index, command, _OUTCOMES[reply.status])
+        if reply.status == messages.ChangeStatus.ACCEPTED:
+            self._accept(index, change, reply)
+        reply.revision = self._documents.revision
+        self._answers.keep(change, reply, self._clock_ms)
+        if reply.status == messages.ChangeStatus.ACCEPTED:
+            self._notify()
+        return reply
+
+    def _judge(
+        self,
+        change: messages.ChangeRequest,
+        findings: list[messages.Finding],
+    ) -> messages.ChangeReply:
+        latest = self._documents.latest(change.kind, change.name)
+        version = 0 if latest is None else latest.version
+        based_on = change.based_on or 0
+        deleted = latest is None or not latest.body
+        if based_on != version and not (deleted and based_on == 0):
+            return messages.ChangeReply(
+                status=messages.ChangeStatus.CONFLICT,
+                version=version,
+                current=latest,
+                findings=findings,
+                repeated=False,
+            )
+        findings = findings + references.check(self._documents, change)
+        status = messages.ChangeStatus.ACCEPTED
+        if findings:
+            status = messages.ChangeStatus.INVALID
+        return messages.ChangeReply(
+            status=status,
+            version=version,
+            findings=findings,
+            repeated=False,
+        )
+
+    def _accept(
+        self,
+        index: int,
+        change: messages.ChangeRequest,
+        reply: messages.ChangeReply,
+    ) -> None:
+        latest = self._documents.latest(change.kind, change.name)
+        # A name whose deletion is forgotten starts above any version that
+        # it can have had, or an old version number would fit a new document.
+        before = self._documents.floor
+        if latest is not None:
+            before = latest.version
+            self._history.add(latest)
+        reply.version = before + 1
+        self._documents.put(
+            messages.Document(
+                kind=change.kind,
+                name=change.name,
+                version=reply.version,
+                body=change.body,
+                revision=index,
+            ),
+        )
+        self._documents.advance(index)
+
+    def _record(
+        self,
+        index: int,
+        command: messages.ConfigCommand,
+        outcome: str,
+    ) -> None:
+        change = command.change
+        held = self._documents.latest(change.kind, change.name)
+        self._trail.append(
+            messages.AuditRecord(
+                revision=index,
+                actor=change.actor,
+                origin=change.origin,
+                kind=change.kind,
+                name=change.name,
+                change_id=change.change_id,
+                before='' if held is None else held.body,
+                after=change.body,
+                outcome=outcome,
+                unix_ms=command.unix_ms,
+            ),
+        )
+
+    def _notify(self) -> None:
+        for watcher in self._watchers:
+            watcher(self._documents.revision)
+
+
+def _refusal(exc: errors.CodedError) -> messages.Reply:
+    return messages.Reply(
+        failure=messages.Failure(code=exc.code, text=str(exc)),
+    )
--- /dev/null
+++ b/tamarackthread/control/decisions.py
@@ -0,0 +1,107 @@
+"""Keep the first decision on each switch of a group's expert map.
+
+A switch is decided once.  Ranks that hold at the switch step ask what was
+decided, so a second, different decision would split the group.
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+
+from tamarackthread.control import leases
+from tamarackthread.generated.messages import ttypes as messages
+
+KEPT_FOR_EACH_GROUP = 16
+
+
+class Decisions:
+    """Hold the latest decisions of each group by switch."""
+
+    def __init__(self, table: leases.LeaseTable) -> None:
+        """Check fencing numbers against the leases of ``table``.
+
+        A group's owner holds the lease that has the group's name.
+        """
+        self._table = table
+        self._groups: dict[
+            str,
+            collections.OrderedDict[int, messages.DecisionRequest],
+        ] = {}
+
+    def known(
+        self,
+        request: messages.DecisionRequest,
+    ) -> messages.DecisionReply:
+        """Say what is decided about a switch; an empty decision is none.
+
+        ``recorded`` tells whether it is the asker's own, so that an owner
+        that lost the answer learns that its decision stands.
+        """
+        record = self._groups.get(request.group, {}).get(request.switch_id)
+        if record is None:
+            return _reply(request.switch_id)
+        own = (record.decision, record.fence) == (
+            request.decision,
+            request.fence,
+        )
+        return _reply(request.switch_id, record.decision, record.body, own)
+
+    def decide(
+        self,
+        request: messages.DecisionRequest,
+    ) -> messages.DecisionReply:
+        """Record a decision unless there is one; reply with the one in force.
+
+        An owner whose fencing number is no longer the group's decides
+        nothing: it may act on what it knew before it was cut off.
+        """
+        found = self.known(request)
+        if found.decision or not request.decision:
+            return found
+        record = self._table.get(request.group)
+        if record is None or record.fence != request.fence:
+            return found
+        group = self._groups.setdefault(
+            request.group,
+            collections.OrderedDict(),
+        )
+        group[request.switch_id] = request
+        if len(group) > KEPT_FOR_EACH_GROUP:
+            group.popitem(last=False)
+        return self.known(request)
+
+    def everything(self) -> list[messages.DecisionRequest]:
+        """List all decisions that are kept."""
+        return [
+            record
+            for group in self._groups.values()
+            for record in group.values()
+        ]
+
+    def replace(
+        self,
+        records: collections.abc.Iterable[messages.DecisionRequest],
+    ) -> None:
+        """Take the decisions of a snapshot."""
+        self._groups.clear()
+        for record in records:
+            group = self._groups.setdefault(
+                record.group,
+                collections.OrderedDict(),
+            )
+            group[record.switch_id] = record
+
+
+def _reply(
+    switch: int,
+    decision: str = '',
+    body: str = '',
+    recorded: bool = False,
+) -> messages.DecisionReply:
+    return messages.DecisionReply(
+        decision=decision,
+        switch_id=switch,
+        body=body,
+        recorded=recorded,
+    )
--- /dev/null
+++ b/tamarackthread/control/targets.py
@@ -0,0 +1,205 @@
+"""Keep the target documents true to what agents announce.
+
+A document is written when a target joins, changes, drains or leaves.  That a
+target lives is known from the feed, where its agent is a node like any other,
+so that thousands of targets at rest cost no write.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import attrs
+
+from tamarackthread.control import configuration, proposer
+from tamarackthread.generated import documents as generated
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import documents, errors, subtree
+
+TRIES = 4
+OWN_ACTOR = 'control'
+
+
+class TargetUnknown(errors.CodedError):
+    """Target is not known to the control hosts."""
+
+    code = 'TT3501'
+    status = 404
+
+
+class TargetBusy(errors.CodedError):
+    """Target document kept changing; nothing was done."""
+
+    code = 'TT3502'
+    status = 409
+
+
+class AnnouncementInvalid(errors.CodedError):
+    """Announcement does not make a valid target."""
+
+    code = 'TT3503'
+    status = 400
+
+
+class Targets:
+    """Announce, drain and forget targets as the leader."""
+
+    def __init__(
+        self,
+        machine: configuration.Configuration,
+        propose: proposer.Proposer,
+    ) -> None:
+        """Write through ``propose``; ``machine`` shows what is committed."""
+        self._machine = machine
+        self._propose = propose
+
+    async def announce(
+        self,
+        announced: messages.Announcement,
+        node: str,
+    ) -> int:
+        """Record a target as announced; give the revision that holds it."""
+        for _ in range(TRIES):
+            held, version = self._held(announced.target)
+            wanted = _merge(announced, held)
+            if wanted is None or wanted == held:
+                return self._machine.documents.revision
+            body = _body(wanted)
+            if await self._write(announced.target, body, version, node):
+                return self._machine.documents.revision
+        raise TargetBusy(announced.target)
+
+    async def drain(self, request: messages.DrainRequest, origin: str) -> int:
+        """Mark a target as leaving, or take the mark back."""
+        leaving = not request.cancel
+        for _ in range(TRIES):
+            held, version = self._held(request.target)
+            if held is None:
+                raise TargetUnknown(request.target)
+            if held.leaving == leaving:
+                return self._machine.documents.revision
+            body = _body(attrs.evolve(held, leaving=leaving))
+            actor = request.actor or origin
+            if await self._write(
+                request.target,
+                body,
+                version,
+                actor,
+                origin,
+            ):
+                return self._machine.documents.revision
+        raise TargetBusy(request.target)
+
+    def address_of(self, name: str) -> str:
+        """Give where a target's agent listens, empty if it is unknown."""
+        held, _ = self._held(name)
+        return '' if held is None else held.address
+
+    async def forget(self, name: str, version: int) -> None:
+        """Delete a target whose agent has gone, unless it changed since."""
+        await self._write(name, '', version, OWN_ACTOR)
+
+    def _held(self, name: str) -> tuple[generated.Target | None, int]:
+        latest = self._machine.documents.latest(documents.TARGET, name)
+        if latest is None:
+            return None, 0
+        if not latest.body:
+            return None, latest.version
+        return documents.parse(documents.TARGET, latest.body), latest.version
+
+    async def _write(
+        self,
+        name: str,
+        body: str,
+        version: int,
+        actor: str,
+        origin: str = '',
+    ) -> bool:
+        change = messages.ChangeRequest(
+            change_id='',
+            actor=actor,
+            origin=origin or actor,
+            kind=documents.TARGET,
+            name=name,
+            based_on=version,
+            body=body,
+        )
+        reply = await self._propose.change(change)
+        if reply.status == messages.ChangeStatus.INVALID:
+            text = '; '.join(found.text for found in reply.findings)
+            raise AnnouncementInvalid(text)
+        return reply.status == messages.ChangeStatus.ACCEPTED
+
+
+class LivenessSweep:
+    """Forget the targets whose agents have not been seen for some time."""
+
+    def __init__(
+        self,
+        machine: configuration.Configuration,
+        below: subtree.Subtree,
+        targets: Targets,
+        gone_seconds: float,
+    ) -> None:
+        """Forget a target ``gone_seconds`` after its agent was last seen."""
+        self._machine = machine
+        self._below = below
+        self._targets = targets
+        self._gone_seconds = gone_seconds
+        self._unseen_since: dict[str, float] = {}
+
+    def restart(self) -> None:
+        """Count anew, because a new leader has not heard of anybody yet."""
+        self._unseen_since.clear()
+
+    async def sweep(self) -> None:
+        """Look once at all targets."""
+        now = asyncio.get_running_loop().time()
+        self._below.expire(now)
+        seen = {state.address for state in self._below.nodes().values()}
+        unseen: dict[str, float] = {}
+        overdue = []
+        for document in self._machine.documents.each(documents.TARGET):
+            target = documents.parse(documents.TARGET, document.body)
+            if target.address in seen:
+                continue
+            since = self._unseen_since.get(document.name, now)
+            unseen[document.name] = since
+            if now - since >= self._gone_seconds:
+                overdue.append(document)
+        self._unseen_since = unseen
+        for document in overdue:
+            await self._targets.forget(document.name, document.version)
+
+
+def _merge(
+    announced: messages.Announcement,
+    held: generated.Target | None,
+) -> generated.Target | None:
+    """Build the target, or ``None`` for news from a process that is over.
+
+    A drain mark outlives announcements of the process that it was set for; a
+    process that starts anew takes work again.
+    """
+    same_start = held is not None and held.incarnation == announced.incarnation
+    leaving = bool(announced.leaving)
+    if leaving and not same_start:
+        return None
+    if held is not None and same_start:
+        leaving = leaving or held.leaving
+    return generated.Target(
+        service=announced.service_name,
+        region=announced.region,
+        zone=announced.zone,
+        address=announced.address,
+        group=announced.group or '',
+        ranks=announced.ranks or 1,
+        incarnation=announced.incarnation or 0,
+        leaving=leaving,
+        checks_fencing=bool(announced.checks_fencing),
+    )
+
+
+def _body(target: generated.Target) -> str:
+    return json.dumps(attrs.asdict(target), separators=(',', ':'))
--- /dev/null
+++ b/tamarackthread/shared/parents.py
@@ -0,0 +1,52 @@
+"""Choose where a node takes its configuration from."""
+
+from __future__ import annotations
+
+import abc
+import collections
+import collections.abc
+import random
+
+
+class Parents(abc.ABC):
+    """Be the rule by which the next parent is chosen."""
+
+    @abc.abstractmethod
+    def choose(self) -> str | None:
+        """Give the address to ask next, ``None`` if there is none now."""
+
+    def redirect(self, addresses: collections.abc.Sequence[str]) -> None:
+        """Take the addresses that a parent named in its place."""
+
+
+class AnyParent(Parents):
+    """Ask control hosts in a random order, and whom they name instead.
+
+    Each failure leads to another address, so a node looks through all ways
+    to a quorum before its lease ends.
+    """
+
+    def __init__(
+        self,
+        addresses: collections.abc.Sequence[str],
+        rng: random.Random,
+    ) -> None:
+        """Start with the addresses of control hosts from the settings."""
+        self._order = list(addresses)
+        rng.shuffle(self._order)
+        self._named: collections.deque[str] = collections.deque()
+        self._position = 0
+
+    def choose(self) -> str | None:
+        """Prefer an address that was named, else the next control host."""
+        if self._named:
+            return self._named.popleft()
+        if not self._order:
+            return None
+        chosen = self._order[self._position % len(self._order)]
+        self._position += 1
+        return chosen
+
+    def redirect(self, addresses: collections.abc.Sequence[str]) -> None:
+        """Ask these next, in the order in which they were named."""
+        self._named = collections.deque(addresses)
