--- /dev/null
+++ b/tamarackthread/cli/application.py
@@ -0,0 +1,84 @@
+"""Put the command line together."""
+
+from __future__ import annotations
+
+import collections.abc
+import sys
+
+import cleo.application
+from cleo import exceptions
+from cleo.commands import command
+from cleo.io.inputs import argv_input
+
+import tamarackthread
+from tamarackthread.cli import exit_codes
+from tamarackthread.cli.commands import (
+    check,
+    documents,
+    members,
+    roles,
+    system,
+    targets,
+)
+
+NAME = 'tamarackthread'
+_WRITTEN_KINDS = ('profile', 'service', 'organisation')
+
+
+_HELP = """\
+<b>{name}</b> {version}: balance calls over model groups and plain services.
+
+  Run a role     tamarackthread check FILE, then entry|agent|control -s FILE
+  Change things  tamarackthread profile show NAME -s FILE > my.json
+                 edit my.json, then profile apply NAME my.json -s FILE --wait
+  Undo           tamarackthread profile history NAME, then profile rollback
+  Look           tamarackthread status, audit, target list, control members
+  Learn more     tamarackthread COMMAND --help"""
+
+
+class Application(cleo.application.Application):
+    """Be the command line, with a first help for newcomers."""
+
+    @property
+    def help(self) -> str:
+        """Show the usual ways before the list of commands."""
+        return _HELP.format(name=self.name, version=self.version)
+
+
+def build() -> Application:
+    """Make the application with all of its commands."""
+    application = Application(NAME, tamarackthread.VERSION)
+    application.auto_exits(auto_exits=False)
+    application.catch_exceptions(catch_exceptions=False)
+    for added in _commands():
+        application.add(added)
+    return application
+
+
+def main(arguments: collections.abc.Sequence[str] | None = None) -> int:
+    """Run one command line and return its exit code."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    try:
+        return build().run(argv_input.ArgvInput([NAME, *given]))
+    except exceptions.CleoError as exc:
+        sys.stderr.write(f'{exc}\nAsk "{NAME} help" or "{NAME} list".\n')
+        return int(exit_codes.ExitCode.USAGE)
+    except KeyboardInterrupt:
+        return int(exit_codes.ExitCode.REFUSED)
+
+
+def _commands() -> collections.abc.Iterator[command.Command]:
+    yield roles.EntryCommand()
+    yield roles.AgentCommand()
+    yield roles.ControlCommand()
+    yield check.CheckCommand()
+    for kind in _WRITTEN_KINDS:
+        yield from documents.for_kind(kind)
+    yield targets.TargetListCommand()
+    yield targets.TargetDrainCommand()
+    yield system.StatusCommand()
+    yield system.AuditCommand()
+    yield members.MembersCommand()
+    yield members.AddCommand()
+    yield members.RemoveCommand()
+    yield members.ReplaceCommand()
--- /dev/null
+++ b/tamarackthread/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Define the commands, one module for each part."""
--- /dev/null
+++ b/tamarackthread/cli/commands/check.py
@@ -0,0 +1,40 @@
+"""Check settings files without starting anything."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+from cleo import helpers
+
+from tamarackthread.cli import exit_codes, render
+from tamarackthread.cli.commands import base
+from tamarackthread.shared import settings
+
+
+class CheckCommand(base.BaseCommand):
+    """Report everything that is wrong with settings files."""
+
+    name = 'check'
+    description = 'Report everything that is wrong with settings files.'
+    help = 'Each finding has its file, line and column, a code and a hint.'
+    arguments: typing.ClassVar = [
+        helpers.argument('file', 'Settings file.', multiple=True),
+    ]
+    options: typing.ClassVar = [base.JSON_OPTION]
+
+    def perform(self) -> exit_codes.ExitCode:
+        """Print the findings of all files."""
+        found = []
+        for name in self.argument('file'):
+            found.extend(settings.check(name))
+        if self.option('json'):
+            self.say(render.as_json([attrs.asdict(one) for one in found]))
+        else:
+            for one in found:
+                self.say(str(one))
+        if found:
+            return exit_codes.ExitCode.INVALID
+        if not self.option('json'):
+            self.say('no findings')
+        return exit_codes.ExitCode.DONE
--- /dev/null
+++ b/tamarackthread/cli/commands/roles.py
@@ -0,0 +1,102 @@
+"""Start the long-running roles."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import collections.abc
+import importlib
+import typing
+
+from cleo import helpers
+
+from tamarackthread.cli import exit_codes, failures, render
+from tamarackthread.cli.commands import base
+from tamarackthread.generated import settings as generated
+from tamarackthread.shared import errors, findings, logs, process, settings
+
+_Run = collections.abc.Callable[
+    [generated.Settings, process.Announce | None],
+    collections.abc.Coroutine[None, None, None],
+]
+
+
+class RoleCommand(base.BaseCommand, abc.ABC):
+    """Run one role in this process until it is asked to stop."""
+
+    role = ''
+    options: typing.ClassVar = [
+        helpers.option(
+            'settings',
+            's',
+            'Settings file, JSON with comments.',
+            flag=False,
+        ),
+        helpers.option(
+            'print-addresses',
+            None,
+            'Print the addresses in use as a line of JSON.',
+        ),
+    ]
+    help = (
+        'SIGTERM stops it without cutting off a call, SIGHUP reads the '
+        'settings again.  "tamarackthread check FILE" checks a file first.'
+    )
+
+    def perform(self) -> exit_codes.ExitCode:
+        """Load the settings and run; return after the planned stop."""
+        name = self.option('settings')
+        if not name:
+            raise failures.OptionInvalid('say --settings FILE')
+        loaded = settings.load(name)
+        if loaded.role != self.role:
+            raise failures.OptionInvalid(
+                f'{name} is for role "{loaded.role}", not "{self.role}"',
+            )
+        writer = logs.start(loaded.logs)
+        try:
+            asyncio.run(self._run(loaded))
+        except findings.InvalidError:
+            raise
+        except (errors.CodedError, OSError) as exc:
+            self.complain(f'{self.role} could not run: {exc}')
+            return exit_codes.ExitCode.START_FAILED
+        finally:
+            writer.close()
+        return exit_codes.ExitCode.DONE
+
+    async def _run(self, loaded: generated.Settings) -> None:
+        # Only the role that runs is imported: an agent's process then holds
+        # neither the entry's nor control's code in its memory.
+        module = importlib.import_module(f'tamarackthread.{self.role}.role')
+        run: _Run = module.run
+        announce = self._announce if self.option('print-addresses') else None
+        await run(loaded, announce)
+
+    def _announce(self, addresses: dict[str, str]) -> None:
+        self.say(render.as_json(addresses))
+        self.io.output.flush()
+
+
+class EntryCommand(RoleCommand):
+    """Run an entry."""
+
+    name = 'entry'
+    role = 'entry'
+    description = "Run an entry: take callers' calls and route them."
+
+
+class AgentCommand(RoleCommand):
+    """Run an agent."""
+
+    name = 'agent'
+    role = 'agent'
+    description = 'Run an agent: guard the target beside it.'
+
+
+class ControlCommand(RoleCommand):
+    """Run a control host."""
+
+    name = 'control'
+    role = 'control'
+    description = 'Run a control host: keep the replicated state.'
