Build the program as one executable file

The product ships as one binary whose process starts no other and writes only where the settings say. The file is a zip of the program and its libraries; its first code unpacks the libraries into the cache that the settings name, syncs them before they get their final name, and runs the program in the same process.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # The compiler's version decides what the generated code looks like.
 THRIFT_PACKAGE := thrift-compiler=0.17.0-2+b2
 
-.PHONY: test lint format bench demo binary check-binary generate docs setup compiler
+.PHONY: test lint format bench demo binary generate docs setup compiler
 
 test: $(STAMP) compiler
 	@$(PY) -m tools.run_tests
@@ -26,6 +26,10 @@
 demo: $(STAMP)
 	@$(PY) -m bench demo
 
+# One executable file, dist/tamarackthread; it needs Python 3.11 on its host.
+binary: $(STAMP)
+	@$(PY) -m binary.build
+
 generate: $(STAMP) compiler
 	@tools/generate_messages.sh
 	@if [ -f tools/generate_settings.py ]; then $(PY) -m tools.generate_settings; fi
--- /dev/null
+++ b/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Build the one executable file that the product ships as."""
--- /dev/null
+++ b/binary/start.py
@@ -0,0 +1,158 @@
+"""Unpack the program's libraries into a cache folder once, then run it.
+
+This is the first code of the executable file, which is a zip.  Compiled
+libraries can't be loaded from a zip, so they are unpacked; all goes on in the
+one process.  Nothing but the standard library is there yet.
+
+The cache folder is the first that is named of: ``TAMARACKTHREAD_CACHE``, the
+settings' ``cache_folder``, ``cache`` in the settings' data folder, and the
+file's own path with ``.cache`` added.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import json
+import os
+import pathlib
+import re
+import shutil
+import sys
+import zipfile
+
+VARIABLE = 'TAMARACKTHREAD_CACHE'
+BUILD_FILE = 'BUILD'
+LIBRARIES = 'libraries/'
+EXIT_REFUSED = 73
+PYTHON = (3, 11)
+
+_TOKEN = re.compile(
+    r'"(?:[^"\\]|\\.)*"|//[^\n]*|/\*[\s\S]*?\*/|[^\s"/]+?|.',
+)
+
+
+class CacheUnusable(Exception):
+    """The cache folder can't be written."""
+
+
+def settings_path(arguments: collections.abc.Sequence[str]) -> str:
+    """Find the value of ``--settings`` or ``-s``, empty when not given."""
+    for number, argument in enumerate(arguments):
+        if argument.startswith('--settings='):
+            return argument.partition('=')[2]
+        if argument in {'--settings', '-s'}:
+            return ''.join(arguments[number + 1 : number + 2])
+        if argument.startswith('-s'):
+            return argument.removeprefix('-s')
+    return ''
+
+
+def named_string(text: str, key: str) -> str:
+    """Find a key's string in JSON with comments, without checking the rest.
+
+    The settings are checked later by the program itself, which isn't unpacked
+    yet.  A file that makes no sense gives an empty string here.
+    """
+    tokens = [
+        token
+        for token in _TOKEN.findall(text)
+        if token.strip() and not token.startswith(('//', '/*'))
+    ]
+    quoted = json.dumps(key)
+    for name, colon, value in zip(tokens, tokens[1:], tokens[2:], strict=False):
+        if name != quoted or colon != ':' or not value.startswith('"'):
+            continue
+        with contextlib.suppress(ValueError):
+            return str(json.loads(value))
+    return ''
+
+
+def cache_folder(
+    archive: pathlib.Path,
+    arguments: collections.abc.Sequence[str],
+    environment: collections.abc.Mapping[str, str],
+) -> pathlib.Path:
+    """Choose the folder to unpack into."""
+    text = ''
+    if environment.get(VARIABLE):
+        return pathlib.Path(environment[VARIABLE])
+    with contextlib.suppress(OSError, UnicodeDecodeError):
+        text = pathlib.Path(settings_path(arguments)).read_text('utf-8')
+    named = named_string(text, 'cache_folder')
+    if named:
+        return pathlib.Path(named)
+    data_folder = named_string(text, 'data_folder')
+    if data_folder:
+        return pathlib.Path(data_folder) / 'cache'
+    return archive.with_name(f'{archive.name}.cache')
+
+
+def unpack(archive: pathlib.Path, folder: pathlib.Path) -> pathlib.Path:
+    """Unpack this build unless it is there; raise ``CacheUnusable``.
+
+    A host that loses power while a cache is written comes back with files of
+    length zero, and the program would fail at each start until someone found
+    the cause.  So all is synced before the folder gets its final name: what
+    has that name is whole.  Processes that unpack at once each write a folder
+    of their own, and the first to rename wins.
+    """
+    with zipfile.ZipFile(archive) as opened:
+        build = opened.read(BUILD_FILE).decode()
+        final = folder / f'tamarackthread-{build}'
+        if final.is_dir():
+            return final / LIBRARIES
+        scratch = folder / f'unpacking-{build}-{os.getpid()}'
+        try:
+            _fill(opened, scratch, final)
+        except OSError as exc:
+            raise CacheUnusable(f'{folder}: {exc.strerror}') from exc
+        finally:
+            shutil.rmtree(scratch, ignore_errors=True)
+    return final / LIBRARIES
+
+
+def _fill(
+    opened: zipfile.ZipFile, scratch: pathlib.Path, final: pathlib.Path
+) -> None:
+    scratch.mkdir(parents=True)
+    members = [name for name in opened.namelist() if name.startswith(LIBRARIES)]
+    opened.extractall(scratch, members)
+    os.sync()
+    try:
+        scratch.rename(final)
+    except OSError:
+        if not final.is_dir():
+            raise
+
+
+def _refuse(reason: str) -> int:
+    sys.stderr.write(f'tamarackthread: {reason}\n')
+    return EXIT_REFUSED
+
+
+def main() -> int:
+    """Unpack, import the program and run it; return its exit code."""
+    if sys.version_info[:2] != PYTHON:
+        needed = '.'.join(map(str, PYTHON))
+        return _refuse(f'needs Python {needed}')
+    archive = pathlib.Path(sys.argv[0]).resolve()
+    folder = cache_folder(archive, sys.argv[1:], os.environ)
+    try:
+        libraries = unpack(archive, folder)
+    except CacheUnusable as exc:
+        return _refuse(
+            f'cannot unpack into {exc}; name a folder that can be written '
+            f'by {VARIABLE} or by cache_folder in the settings',
+        )
+    # The libraries are compiled already; a write beside them would only
+    # make the cache differ from what was synced.
+    sys.dont_write_bytecode = True
+    sys.path.insert(0, str(libraries))
+    from tamarackthread import __main__  # noqa: WPS433 - unpacked just now
+
+    return __main__.main()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
