--- a/tamarackthread/policy/forecast.py
+++ b/tamarackthread/policy/forecast.py
@@ -22,10 +22,12 @@
     """Hold the constants of a forecast; times are in seconds."""
 
     window_seconds: float = 300.0
-    level_weight: float = 0.7
+    level_weight: float = 1
     trend_weight: float = 0.3
     trend_damping: float = 0.8
     error_weight: float = 0.2
+    day_strength: float = 0.5
+    day_smoothing: int = 6
     trust_error: float = 0.25
     longest_trust_seconds: float = 3600.0
 
@@ -112,11 +114,14 @@
     """Expect the change that followed this hour on the day before.
 
     The level carries the slow turn of the season; only the ratio between two
-    hours of yesterday is taken over, and never more than twofold.
+    times of yesterday is taken over, damped, and never more than twofold.
+    Both times are means of the windows around, since a single window's
+    wandering does not come again.
     """
 
     def __init__(self, settings: ForecastSettings) -> None:
         """Start with no day known."""
+        self._settings = settings
         self._level = LevelModel(settings.level_weight)
         self._period = round(_DAY_SECONDS / settings.window_seconds)
         self._windows: dict[int, numpy.ndarray] = {}
@@ -128,7 +133,7 @@
         self._windows[window] = shares.astype(numpy.float32)
         self._window = window
         for old in list(self._windows):
-            if old >= window - self._period - 2:
+            if old >= window - self._period - self._settings.day_smoothing:
                 break
             self._windows.pop(old)
 
@@ -136,12 +141,21 @@
         """Return the level turned by yesterday's change."""
         level = self._level.predict(ahead)
         then = self._window - self._period
-        before = self._windows.get(then)
-        after = self._windows.get(then + round(ahead))
+        before = self._around(then)
+        after = self._around(then + round(ahead))
         if before is None or after is None:
             return level
         ratio = (after + _TINY) / (before + _TINY)
-        return level * ratio.clip(0.5, 2)
+        return level * ratio.clip(0.5, 2) ** self._settings.day_strength
+
+    def _around(self, window: int) -> numpy.ndarray | None:
+        reach = self._settings.day_smoothing
+        numbers = range(window - reach, window + reach + 1)
+        found = [self._windows.get(number) for number in numbers]
+        known = [shares for shares in found if shares is not None]
+        if len(known) <= reach:
+            return None
+        return numpy.mean(known, axis=0)
 
 
 class Forecaster:
--- a/tamarackthread/policy/local_search.py
+++ b/tamarackthread/policy/local_search.py
@@ -17,6 +17,11 @@
 _NO_GAIN = -1.0
 _SWAP_COST = 2
 _LOAD_COST = 1
+# Relative variance of one expert's tokens against the forecast, from its
+# error and from each step's own draw.  Without it the search is content with
+# a hot expert on one rank that the forecast happens to even out, and that
+# rank stands out as soon as the expert wanders.
+_VARIANCE = 0.1
 
 
 @attrs.frozen(eq=False)
@@ -200,9 +205,14 @@
         shed, fresh, count, weighted = self._loaded_terms(loaded)
         taken, size, others, rest = self._dropped_terms(dropped)
         own = fresh - size
+        # The share of an expert varies as a whole: variance falls with the
+        # count of its replicas.
+        spread = taken * size * (others + 1) - shed * fresh * (count + 1)
         linear = taken * (rest - rank_load) - shed * weighted + own * rank_load
         squares = shed**2 * count + taken**2 * others + own**2
-        return 2 * (linear - shed * taken * overlap) + squares
+        return (
+            2 * (linear - shed * taken * overlap) + squares + _VARIANCE * spread
+        )
 
     def _loaded_terms(self, loaded: numpy.ndarray) -> list[numpy.ndarray]:
         count = self._counts
--- a/tamarackthread/policy/placement.py
+++ b/tamarackthread/policy/placement.py
@@ -21,6 +21,12 @@
 )
 
 
+_LEAST_FALL = 1e-5
+# Larger arrays leave the processor's cache, and each call on them keeps other
+# threads, the event loop's too, waiting for longer.
+_LAYERS_AT_ONCE = 16
+
+
 @attrs.frozen
 class BalanceWeights:
     """Be a profile's trade-off between evenness and moves.
@@ -35,8 +41,8 @@
     moves_a_layer: int
 
 
-EVEN = BalanceWeights(move_seconds=0.3, least_gain=0.02, moves_a_layer=60)
-FEW_MOVES = BalanceWeights(move_seconds=8, least_gain=0.15, moves_a_layer=12)
+EVEN = BalanceWeights(move_seconds=0.3, least_gain=0.005, moves_a_layer=90)
+FEW_MOVES = BalanceWeights(move_seconds=4, least_gain=0.1, moves_a_layer=16)
 
 
 @attrs.frozen(eq=False)
@@ -116,7 +122,7 @@
 class IncrementalPlanner(Planner):
     """Change today's map as long as a change is worth its moves."""
 
-    def __init__(self, weights: BalanceWeights, rounds: int = 48) -> None:
+    def __init__(self, weights: BalanceWeights, rounds: int = 64) -> None:
         """Set the trade-off; ``rounds`` bounds the time of one plan."""
         self._weights = weights
         self._rounds = rounds
@@ -133,12 +139,13 @@
         # Below the least gain no change could pay: the layer is left alone.
         uneven = expert_map.skew(loads) > self._weights.least_gain
         layers = numpy.flatnonzero(uneven)
-        if layers.size:
-            part = slots[layers][expert_map.ALL, alive]
-            trail = self._search(part, outlook.shares[layers])
-            price = self._weights.move_seconds / outlook.trust_seconds
+        price = self._weights.move_seconds / outlook.trust_seconds
+        for start in range(0, layers.size, _LAYERS_AT_ONCE):
+            few = layers[start : start + _LAYERS_AT_ONCE]
+            part = slots[few][expert_map.ALL, alive]
+            trail = self._search(part, outlook.shares[few])
             chosen = trail.best_slots(price, self._weights.least_gain)
-            slots[numpy.ix_(layers, alive)] = chosen
+            slots[numpy.ix_(few, alive)] = chosen
         return expert_map.ExpertMap(covered.shape, slots)
 
     def _search(self, slots: numpy.ndarray, shares: numpy.ndarray) -> '_Trail':
@@ -157,9 +164,6 @@
         return trail
 
 
-_LEAST_FALL = 1e-5
-
-
 class _Trail:
     """Keep a search's steps, to go back to where each layer was best."""
 
