Make the page of errors from the catalogue

Codes are spread over many modules, so a page kept by hand would drift. make docs imports every module and writes the table; a test compares it and asks a meaning of each error. The executable file can now be run by every account.

--- a/binary/build.py
+++ b/binary/build.py
@@ -25,6 +25,7 @@
 # Zip keeps times from 1980 on; one fixed time keeps the bytes equal.
 FIXED_TIME = 315_532_800 + 86_400
 BUILD_CHARACTERS = 16
+MODE = 0o755
 
 
 class WrongVersion(Exception):
@@ -58,6 +59,7 @@
         destination.parent.mkdir(parents=True, exist_ok=True)
         waiting = destination.with_name(f'{destination.name}.new')
         shutil.move(packed, waiting)
+        waiting.chmod(MODE)
         waiting.replace(destination)
 
 
--- /dev/null
+++ b/tests/test_errors_page.py
@@ -0,0 +1,26 @@
+"""Prove that the page of errors tells what the code does."""
+
+import unittest
+
+from tools import generate_errors
+
+from tamarackthread.shared import errors
+
+
+class TestErrorsPage(unittest.TestCase):
+    """Compare page and catalogue."""
+
+    def test_page_matches(self) -> None:
+        """The committed page is what ``make docs`` writes."""
+        self.assertEqual(
+            generate_errors.PAGE.read_text(), generate_errors.page()
+        )
+
+    def test_meanings(self) -> None:
+        """Every error has a meaning of its own and a code of the scheme."""
+        generate_errors.import_all()
+        for kind in errors.catalogue():
+            with self.subTest(code=kind.code):
+                self.assertTrue(kind.__dict__.get('__doc__'))
+                self.assertRegex(kind.code, r'\ATT\d{4}\Z')
+                self.assertIn(kind.status // 100, {2, 4, 5})
