Put reloaded settings in force without a restart

A role copies its settings at the start, so a reload would have said 'changed' and changed nothing. Roles now get a live view; the schema marks what is read anew at each use, secrets and certificates among it, and links that are open stay open.

--- a/tamarackthread/cli/commands/roles.py
+++ b/tamarackthread/cli/commands/roles.py
@@ -13,7 +13,15 @@
 from tamarackthread.cli import exit_codes, failures, render
 from tamarackthread.cli.commands import base
 from tamarackthread.generated import settings as generated
-from tamarackthread.shared import errors, findings, logs, process, settings
+from tamarackthread.shared import (
+    errors,
+    findings,
+    live,
+    logs,
+    process,
+    reload,
+    settings,
+)
 
 _Run = collections.abc.Callable[
     [generated.Settings, process.Announce | None],
@@ -55,8 +63,10 @@
                 f'{name} is for role "{loaded.role}", not "{self.role}"',
             )
         writer = logs.start(loaded.logs)
+        source = live.Source(loaded)
+        source.watch(lambda: writer.change(source.current.logs))
         try:
-            asyncio.run(self._run(loaded))
+            asyncio.run(self._run(reload.Reloader(name, source), source))
         except findings.InvalidError:
             raise
         except (errors.CodedError, OSError) as exc:
@@ -66,12 +76,17 @@
             writer.close()
         return exit_codes.ExitCode.DONE
 
-    async def _run(self, loaded: generated.Settings) -> None:
+    async def _run(
+        self,
+        reloader: reload.Reloader,
+        source: live.Source,
+    ) -> None:
         # Only the role that runs is imported: an agent's process then holds
         # neither the entry's nor control's code in its memory.
         run: _Run = importlib.import_module(self.module).run
         announce = self._announce if self.option('print-addresses') else None
-        await run(loaded, announce)
+        reloader.watch()
+        await run(source.settings, announce)
 
     def _announce(self, addresses: dict[str, str]) -> None:
         self.say(render.as_json(addresses))
--- a/tamarackthread/shared/reload.py
+++ b/tamarackthread/shared/reload.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections.abc
 import logging
 import signal
 import typing
@@ -16,12 +15,10 @@
 import attrs
 
 from tamarackthread.generated import settings as generated
-from tamarackthread.shared import findings, security, settings
+from tamarackthread.shared import findings, live, security, settings
 
 _log = logging.getLogger('tamarackthread.settings')
 
-OnChange = collections.abc.Callable[[generated.Settings], None]
-
 
 @attrs.frozen
 class Merged:
@@ -37,27 +34,16 @@
 
 
 class Reloader:
-    """Read the settings file again on SIGHUP and tell the role.
+    """Read the settings file again on SIGHUP.
 
-    ``on_change`` gets the settings at each sound reload, also when none
-    differ, because the files that they name may have new contents.
+    Watchers are told at each sound reload, also when no setting differs,
+    because the files that the settings name may have new contents.
     """
 
-    def __init__(
-        self,
-        path: str,
-        current: generated.Settings,
-        on_change: OnChange,
-    ) -> None:
-        """Start from the settings that the process was started with."""
+    def __init__(self, path: str, source: live.Source) -> None:
+        """Reload a file into the source of the settings in force."""
         self._path = path
-        self._current = current
-        self._on_change = on_change
-
-    @property
-    def current(self) -> generated.Settings:
-        """Give the settings that are in force."""
-        return self._current
+        self._source = source
 
     def watch(self) -> None:
         """Reload at each SIGHUP; call it from inside the running loop."""
@@ -69,7 +55,8 @@
         try:
             merged = self._read()
         except findings.InvalidError as exc:
-            _log.error('settings: kept the old ones: %s', exc)
+            for found in exc.findings:
+                _log.error('settings: kept the old ones, %s', found)
             return False
         for name in merged.waiting:
             _log.warning(
@@ -77,19 +64,15 @@
                 findings.RestartNeeded.code,
                 name,
             )
-        self._current = merged.settings
-        self._on_change(merged.settings)
-        _log.info(
-            'settings: reloaded, changed %s',
-            ', '.join(merged.changed) or 'nothing',
-        )
+        self._source.replace(merged.settings)
+        changed = ', '.join(merged.changed) or 'nothing'
+        _log.info('settings: reloaded, changed %s', changed)
         return True
 
     def _read(self) -> Merged:
-        fresh = settings.load(self._path)
-        merged = merge(self._current, fresh)
+        merged = merge(self._source.current, settings.load(self._path))
         # A key file or certificate that can't be used is found here, before
-        # the role has taken over half of the change.
+        # half of the change is taken over.
         secrets = merged.settings.security
         security.read_keys(secrets.key_files)
         if secrets.tls is not None:
--- a/tamarackthread/shared/security.py
+++ b/tamarackthread/shared/security.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 import collections.abc
+import functools
 import pathlib
 import ssl
+import typing
 
 import attrs
 
 from tamarackthread.generated import settings as generated
-from tamarackthread.shared import findings
+from tamarackthread.shared import findings, live
 
 MIN_KEY_BYTES = 16
 
@@ -26,12 +28,42 @@
     listen: ssl.SSLContext
 
 
-def read_keys(files: collections.abc.Iterable[str]) -> tuple[bytes, ...]:
+class Keyring(collections.abc.Sequence):
+    """Hold the shared secrets in force: the first signs, any is accepted.
+
+    With live settings the files are read again at each reload.  Links that
+    are open go on, because a secret is used in the greeting only.
+    """
+
+    def __init__(self, files: collections.abc.Sequence[str]) -> None:
+        """Read the files; raise ``InvalidError`` naming each bad one."""
+        self._files = files
+        self._keys = _read(files)
+        live.watch(files, self.refresh)
+
+    def __getitem__(self, index: typing.Any) -> typing.Any:
+        """Give a secret in force."""
+        return self._keys[index]
+
+    def __len__(self) -> int:
+        """Count the secrets in force."""
+        return len(self._keys)
+
+    def refresh(self) -> None:
+        """Read the files again; on ``InvalidError`` the old secrets stay."""
+        self._keys = _read(self._files)
+
+
+def read_keys(files: collections.abc.Sequence[str]) -> Keyring:
     """Read shared secrets; raise ``InvalidError`` naming each bad file.
 
     White space at both ends is not part of a secret, because editors add a
     line end.
     """
+    return Keyring(files)
+
+
+def _read(files: collections.abc.Iterable[str]) -> tuple[bytes, ...]:
     keys = []
     found = []
     for name in files:
@@ -49,7 +81,10 @@
 
 
 def make_contexts(tls: generated.Tls) -> Contexts:
-    """Make contexts that ask the other side for a certificate too."""
+    """Make contexts that ask the other side for a certificate too.
+
+    With live settings the certificates are read again at each reload.
+    """
     dial = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     # Peers are reached by IP number and name themselves in their greeting;
     # the authority, which signs this system's nodes only, is what counts.
@@ -58,6 +93,7 @@
     listen.verify_mode = ssl.CERT_REQUIRED
     contexts = Contexts(dial=dial, listen=listen)
     refresh(contexts, tls)
+    live.watch(tls, functools.partial(refresh, contexts, tls))
     return contexts
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,14 @@
 import unittest
 
 from tamarackthread.generated import settings as generated
-from tamarackthread.shared import findings, jsonc, reload, settings
+from tamarackthread.shared import (
+    findings,
+    jsonc,
+    live,
+    reload,
+    security,
+    settings,
+)
 
 SOUND = types.MappingProxyType(
     {
@@ -137,17 +144,24 @@
 
     def test_reload_takes_what_may_change_and_names_the_rest(self):
         self.write()
-        seen = []
-        reloader = reload.Reloader(
-            str(self.path), settings.load(self.path), seen.append
+        source = live.Source(settings.load(self.path))
+        entry = source.settings.entry
+        reloader = reload.Reloader(str(self.path), source)
+        self.write(
+            logs={'level': 'debug'},
+            cache_folder='elsewhere',
+            entry={'body_limit_bytes': 5000, 'call_limit': 7},
         )
-        self.write(logs={'level': 'debug'}, cache_folder='/tmp/elsewhere')
         logged = self.assertLogs('tamarackthread.settings')
         with logged:
             self.assertTrue(reloader.reload())
-        self.assertEqual(seen[-1].logs.level, 'debug')
-        self.assertEqual(reloader.current.cache_folder, '')
-        self.assertIn('TT2013 cache_folder', ' '.join(logged.watcher.output))
+        self.assertEqual(source.settings.logs.level, 'debug')
+        self.assertEqual(source.current.cache_folder, '')
+        self.assertEqual(entry.body_limit_bytes, 5000)
+        self.assertEqual(entry.call_limit, generated.Entry().call_limit)
+        said = ' '.join(logged.watcher.output)
+        self.assertIn('TT2013 cache_folder', said)
+        self.assertIn('TT2013 entry.call_limit', said)
 
     def test_bad_file_leaves_the_old_settings_in_force(self):
         """The process goes on as before and the log says why.
@@ -157,9 +171,9 @@
         mix that nobody wrote.
         """
         self.write()
-        seen = []
         old = settings.load(self.path)
-        reloader = reload.Reloader(str(self.path), old, seen.append)
+        source = live.Source(old)
+        reloader = reload.Reloader(str(self.path), source)
         for changed in (
             {'logs': {'level': 'loud'}},
             {'security': {'key_files': ['key', 'none']}},
@@ -167,5 +181,15 @@
             self.write(**changed)
             with self.assertLogs('tamarackthread.settings', 'ERROR'):
                 self.assertFalse(reloader.reload())
-        self.assertIs(reloader.current, old)
-        self.assertEqual(seen, [])
+        self.assertIs(source.current, old)
+
+    def test_replaced_key_signs_from_the_next_greeting_on(self):
+        self.write()
+        source = live.Source(settings.load(self.path))
+        keys = security.read_keys(source.settings.security.key_files)
+        (self.path.parent / 'new').write_bytes(b'n' * 32)
+        self.write(security={'key_files': ['new', 'key']})
+        reloader = reload.Reloader(str(self.path), source)
+        with self.assertLogs('tamarackthread.settings'):
+            reloader.reload()
+        self.assertEqual(list(keys), [b'n' * 32, b'k' * 32])
--- a/tools/generate_reference.py
+++ b/tools/generate_reference.py
@@ -126,8 +126,9 @@
 
 
 def _unit(field: Schema) -> str:
-    if 'enum' in field:
-        return ', '.join(f'`{choice}`' for choice in field['enum'])
+    choices = field.get('enum')
+    if choices is not None:
+        return ', '.join(f'`{choice}`' for choice in choices)
     words = [field.get('x-unit', field.get('type', ''))]
     for key, word in _BOUNDS:
         bound = field.get(key)
