--- /dev/null
+++ b/bench/surge/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the parts of the surge experiment."""
--- a/tamarackthread/policy/admission.py
+++ b/tamarackthread/policy/admission.py
@@ -26,6 +26,7 @@
 
 _TICK_SECONDS = 0.01
 _SHED_SECONDS = 0.05
+_LAST_SECONDS = 0.1
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -33,14 +34,16 @@
     """Hold the bounds of a service's queue, times in seconds.
 
     ``first_token_seconds`` is how soon after its arrival a call should get
-    its first token; one that can't is refused.  ``background_weight`` is the
-    weight of background calls against normal ones of the same organisation.
+    its first token; one that can't is refused.  ``lookahead`` is how many of
+    the next calls compete for a free slot by what its target has cached, and
+    ``most_passes`` how often that may pass a call over.
     """
 
     first_token_seconds: float = 0.45
     queue_limit: int = 512
     organisation_limit: int = 128
-    background_weight: float = 0.25
+    lookahead: int = 8
+    most_passes: int = 4
 
 
 class Ticket:
@@ -117,10 +120,7 @@
         self._preempt = preempt or preemption.NewestDraft()
         self._retry_times = pace.RetryTimes(generator)
         self._meter = pace.DrainMeter()
-        self._line = waiting.WaitingLine(
-            shares,
-            self._settings.background_weight,
-        )
+        self._line = waiting.WaitingLine(shares)
         self._running: dict[int, Ticket] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._shed_at: float = 0
@@ -232,7 +232,7 @@
 
     def _serve(self, now: float) -> None:
         while True:
-            entry = self._line.head()
+            entry = self._next(now)
             if entry is None:
                 return
             if entry.item.latest_start <= now:
@@ -241,6 +241,31 @@
             if not self._place(entry, now):
                 return
 
+    def _next(self, now: float) -> waiting.WaitingEntry | None:
+        """Pick the next call, or one just behind it with a cached prefix.
+
+        In a full service only one target has room at a time, so the routing
+        can't follow the caches; the order of the queue can, a little.
+        """
+        head = self._line.head()
+        if head is None or self._must_go(head, now):
+            return head
+        entries = self._line.first(self._settings.lookahead)
+        best = entries[
+            self._room.pick([entry.item.call for entry in entries], now)
+        ]
+        if best is not head:
+            head.item.passed_over += 1
+        return best
+
+    def _must_go(self, head: waiting.WaitingEntry, now: float) -> bool:
+        item = head.item
+        if item.call.priority == calls.Priority.URGENT:
+            return True
+        if item.passed_over >= self._settings.most_passes:
+            return True
+        return item.latest_start - now < _LAST_SECONDS
+
     def _place(self, entry: waiting.WaitingEntry, now: float) -> bool:
         call = entry.item.call
         try:
--- a/tamarackthread/policy/fairness.py
+++ b/tamarackthread/policy/fairness.py
@@ -1,14 +1,15 @@
 """Share a queue fairly among organisations.
 
-Start-time fair queueing: each call gets a start tag in virtual time, and the
-lowest tag goes first.  An organisation that sends ten times its share waits
-behind its own calls and nobody else does.
+Start-time fair queueing: each flow, an organisation, has a start tag in
+virtual time, and the flow with the lowest tag is served next.  One that sends
+ten times its share waits behind its own calls, and nobody else does.  Within
+a flow a lower rank goes first.
 """
 
 from __future__ import annotations
 
 import abc
-import heapq
+import bisect
 import itertools
 import typing
 
@@ -51,28 +52,41 @@
 
     item: _Item
     flow: str
-    start: float
+    rank: int
     cost: float
-    weight: float
+    order: int = 0
     removed: bool = False
 
+    @property
+    def place(self) -> tuple[int, int]:
+        """Return what orders the item within its flow."""
+        return self.rank, self.order
+
 
-@attrs.define(slots=True)
-class _Flow:
-    finish: float = 0
+@attrs.define(slots=True, eq=False)
+class _Flow(typing.Generic[_Item]):
+    start: float
+    weight: float
+    entries: list[Entry[_Item]] = attrs.field(factory=list)
     backlog: float = 0
-    length: int = 0
-    weight: float = 1
+
+    def cost_before(self, rank: int) -> float:
+        """Return the cost queued in front of a new item of that rank."""
+        return sum(entry.cost for entry in self.entries if entry.rank <= rank)
 
 
 class FairQueue(typing.Generic[_Item]):
-    """Queue items of many flows and serve them by weight."""
+    """Queue items of many flows and serve them by weight.
+
+    Choosing the next flow costs a pass over the flows that wait.  They are
+    bounded by the queue's length, and only served items pay for it.
+    """
 
     def __init__(self) -> None:
         """Start empty at virtual time 0."""
-        self._heap: list[tuple[float, int, Entry[_Item]]] = []
         self._order = itertools.count()
-        self._flows: dict[str, _Flow] = {}
+        self._flows: dict[str, _Flow[_Item]] = {}
+        self._used: dict[str, float] = {}
         self._virtual: float = 0
         self._length = 0
         self._backlog: float = 0
@@ -89,87 +103,97 @@
     def flow_length(self, flow: str) -> int:
         """Count the queued items of one flow."""
         known = self._flows.get(flow)
-        return known.length if known else 0
-
-    def push(
-        self,
-        item: _Item,
-        flow: str,
-        weight: float,
-        cost: float,
-    ) -> Entry[_Item]:
-        """Add an item at the end of its flow."""
-        known = self._flows.setdefault(flow, _Flow())
-        start = max(self._virtual, known.finish)
-        known.finish = start + cost / weight
-        known.backlog += cost
-        known.length += 1
-        known.weight = weight
-        entry = Entry(item, flow, start, cost, weight)
-        heapq.heappush(self._heap, (start, next(self._order), entry))
+        return len(known.entries) if known else 0
+
+    def push(self, entry: Entry[_Item], weight: float) -> None:
+        """Add an item behind those of its flow with the same rank."""
+        flow = self._flows.get(entry.flow)
+        if flow is None:
+            flow = _Flow(start=self._start(entry.flow), weight=weight)
+            self._flows[entry.flow] = flow
+        entry.order = next(self._order)
+        bisect.insort(flow.entries, entry, key=_place)
+        flow.backlog += entry.cost
         self._length += 1
-        self._backlog += cost
-        return entry
+        self._backlog += entry.cost
 
     def head(self) -> Entry[_Item] | None:
         """Return the next item without taking it."""
-        while self._heap:
-            entry = self._heap[0][2]
-            if not entry.removed:
-                return entry
-            heapq.heappop(self._heap)
-        return None
+        if not self._flows:
+            return None
+        return min(self._flows.values(), key=_start).entries[0]
+
+    def first(self, count: int) -> list[Entry[_Item]]:
+        """List the next items in the order in which they'd be served."""
+        tagged = []
+        for flow in self._flows.values():
+            tag = flow.start
+            for entry in flow.entries[:count]:
+                tagged.append((tag, entry.order, entry))
+                tag += entry.cost / flow.weight
+        tagged.sort()
+        return [row[2] for row in tagged[:count]]
 
     def take(self, entry: Entry[_Item]) -> None:
-        """Take an item to serve it, which moves virtual time on."""
-        self._virtual = max(self._virtual, entry.start)
-        self._drop(entry)
+        """Take an item to serve it, which its flow pays for."""
+        flow = self._flows[entry.flow]
+        lowest = min(other.start for other in self._flows.values())
+        self._virtual = max(self._virtual, lowest)
+        flow.start += entry.cost / flow.weight
+        self._used[entry.flow] = flow.start
+        self.remove(entry)
         if not self._length:
             self._restart()
 
     def remove(self, entry: Entry[_Item]) -> None:
-        """Take an item out unserved and give its cost back to its flow."""
+        """Take an item out unserved, which its flow doesn't pay for."""
         if entry.removed:
             return
+        entry.removed = True
         flow = self._flows[entry.flow]
-        flow.finish -= entry.cost / entry.weight
-        self._drop(entry)
+        place = bisect.bisect_left(flow.entries, entry.place, key=_place)
+        flow.entries.pop(place)
+        flow.backlog -= entry.cost
+        self._length -= 1
+        self._backlog -= entry.cost
+        if not flow.entries:
+            self._flows.pop(entry.flow)
 
-    def ahead(self, flow: str, weight: float) -> float:
+    def ahead(self, flow: str, weight: float, rank: int) -> float:
         """Return the cost that is served before a new item of the flow."""
         known = self._flows.get(flow)
-        start = max(self._virtual, known.finish if known else 0)
-        total: float = 0
-        for other in self._flows.values():
-            until = other.weight * (start - self._virtual)
-            total += min(other.backlog, until)
+        own = known.cost_before(rank) if known else 0
+        start = known.start if known else self._start(flow)
+        start += own / weight
+        total = own
+        for name, other in self._flows.items():
+            if name == flow:
+                continue
+            until = other.weight * (start - other.start)
+            total += min(other.backlog, max(0, until))
         return total
 
     def share(self, flow: str, weight: float) -> float:
         """Return the part, from 0 to 1, that a flow gets while all wait."""
         total = weight
         for name, other in self._flows.items():
-            if other.length and name != flow:
+            if name != flow:
                 total += other.weight
         return weight / total
 
-    def entries(self) -> list[Entry[_Item]]:
-        """List the queued items in the order in which they'd be served."""
-        return [row[2] for row in sorted(self._heap) if not row[2].removed]
-
-    def _drop(self, entry: Entry[_Item]) -> None:
-        entry.removed = True
-        self._length -= 1
-        self._backlog -= entry.cost
-        flow = self._flows[entry.flow]
-        flow.length -= 1
-        flow.backlog -= entry.cost
-        if not flow.length and flow.finish <= self._virtual:
-            self._flows.pop(entry.flow)
+    def _start(self, flow: str) -> float:
+        return max(self._virtual, self._used.get(flow, 0))
 
     def _restart(self) -> None:
         """Let an idle queue forget, so that past use costs nobody later."""
-        self._flows.clear()
-        self._heap.clear()
+        self._used.clear()
         self._backlog = 0
         self._virtual = 0
+
+
+def _place(entry: Entry) -> tuple[int, int]:
+    return entry.place
+
+
+def _start(flow: _Flow) -> float:
+    return flow.start
--- a/tamarackthread/policy/load.py
+++ b/tamarackthread/policy/load.py
@@ -113,6 +113,11 @@
         """Return how many prompt tokens the engine takes in one step."""
         return self._settings.chunk_tokens
 
+    @property
+    def portion(self) -> int:
+        """Return the slots that this entry may always use."""
+        return math.ceil(self.slots / self._settings.entries)
+
     @property
     def own_rate(self) -> float:
         """Return the calls a second that this entry's portion would allow."""
@@ -195,8 +200,9 @@
         after = self.occupancy(now) + 1
         if after + entries - 1 <= slots:
             return True
-        portion = math.ceil(slots / entries)
-        return self._open < portion and after <= slots + self._settings.slack
+        if self._open >= self.portion:
+            return False
+        return after <= slots + self._settings.slack
 
     def overdue(self, now: float) -> float:
         """Return how long the oldest own call waits for its first token."""
--- a/tamarackthread/policy/room.py
+++ b/tamarackthread/policy/room.py
@@ -43,6 +43,14 @@
         ``DeadlineTooClose`` when none that has room could answer in time.
         """
 
+    @abc.abstractmethod
+    def pick(
+        self,
+        waiting: collections.abc.Sequence[calls.CallFacts],
+        now: float,
+    ) -> int:
+        """Return which of some calls fits the free room best, 0 if in doubt."""
+
     @abc.abstractmethod
     def rate(self, now: float) -> float:
         """Estimate how many calls a second this entry may place."""
@@ -113,6 +121,22 @@
         view.prefixes.sent(call.prefixes)
         return Placement(view, view.load.sent(tokens, now))
 
+    def pick(
+        self,
+        waiting: collections.abc.Sequence[calls.CallFacts],
+        now: float,
+    ) -> int:
+        """Return the call with the largest part of its prompt cached."""
+        usable = routing.usable_targets(waiting[0], self._targets)
+        roomy = self._roomy(waiting[0], usable, now)
+        best = 0
+        most: float = 0
+        for index, call in enumerate(waiting):
+            part = _cached_part(call, roomy)
+            if part > most:
+                best, most = index, part
+        return best
+
     def rate(self, now: float) -> float:
         """Estimate from the slots and how long own calls hold one."""
         total: float = 0
@@ -139,7 +163,13 @@
         reserve = self._settings.reserved_slots
         if call.priority == calls.Priority.URGENT:
             reserve = -self._settings.urgent_extra
-        return [view for view in usable if view.load.has_room(now, reserve)]
+        roomy = []
+        for view in usable:
+            if _is_over_share(view):
+                continue
+            if view.load.has_room(now, reserve):
+                roomy.append(view)
+        return roomy
 
     def _median_step(self) -> float:
         steps = sorted(view.load.step_seconds for view in self._targets)
@@ -152,6 +182,40 @@
         return self._median_step() * (1 + tokens / chunk)
 
 
+def _cached_part(
+    call: calls.CallFacts,
+    views: list[routing.TargetView],
+) -> float:
+    if not call.prompt_tokens:
+        return 0
+    most: float = 0
+    for view in views:
+        most = max(most, view.prefixes.cached_tokens(call.prefixes))
+    return most / call.prompt_tokens
+
+
+def _is_over_share(view: routing.TargetView) -> bool:
+    """Tell whether a target on its return has all that it should get.
+
+    Sampling alone would not hold calls back: in a full service the returning
+    target is the only one with room.
+    """
+    if view.share >= 1:
+        return False
+    return view.load.own_calls >= max(1, view.share * view.load.portion)
+
+
+def _is_probe(call: calls.CallFacts, view: routing.TargetView) -> bool:
+    """Tell whether a call may find out how a returning target does.
+
+    An idle target reports its last step, which was slow; taken at its word it
+    would never get a call again and never show that it has recovered.
+    """
+    if view.share >= 1 or call.priority == calls.Priority.URGENT:
+        return False
+    return not view.load.own_calls and not view.load.last_report.running
+
+
 def _timely(
     call: calls.CallFacts,
     views: list[routing.TargetView],
@@ -159,6 +223,9 @@
 ) -> list[routing.TargetView]:
     timely = []
     for view in views:
+        if _is_probe(call, view):
+            timely.append(view)
+            continue
         cached = view.prefixes.cached_tokens(call.prefixes)
         uncached = max(0, call.prompt_tokens - cached)
         answer = view.load.expected_answer(uncached, call.answer_tokens, now)
--- a/tamarackthread/policy/subsets.py
+++ b/tamarackthread/policy/subsets.py
@@ -88,7 +88,7 @@
         return rank
 
     def _score(self, entry: Place, target: Place) -> float:
-        digest = xxhash.xxh64_intdigest(f'{entry.name}\n{target.name}')
+        digest = xxhash.xxh64_intdigest(f'{entry.name}\n{target.name}'.encode())
         drawn = (digest + 1) / (_HASH_RANGE + 1)
         weight = self._settings.zone_pull if entry.zone == target.zone else 1
         return drawn ** (1 / weight)
--- a/tamarackthread/policy/waiting.py
+++ b/tamarackthread/policy/waiting.py
@@ -21,6 +21,7 @@
     granted: asyncio.Future
     latest_start: float
     preempting: bool = False
+    passed_over: int = 0
 
 
 WaitingEntry = fairness.Entry[WaitingCall]
@@ -29,19 +30,14 @@
 class WaitingLine:
     """Be one fair queue for urgent calls and one for all others behind it.
 
-    Urgent calls are few and are served strictly first.  Background calls
-    share the second queue at a low weight, so that they go on slowly instead
-    of starving.
+    Urgent calls are few and are served strictly first.  The other calls of an
+    organisation share its place, the normal ones before the background ones,
+    so that nobody gains by calling work background.
     """
 
-    def __init__(
-        self,
-        shares: fairness.Shares,
-        background_weight: float,
-    ) -> None:
+    def __init__(self, shares: fairness.Shares) -> None:
         """Start empty."""
         self._shares = shares
-        self._background_weight = background_weight
         self._urgent: fairness.FairQueue[WaitingCall] = fairness.FairQueue()
         self._other: fairness.FairQueue[WaitingCall] = fairness.FairQueue()
 
@@ -52,17 +48,24 @@
     def push(self, waiting: WaitingCall) -> WaitingEntry:
         """Let a call wait behind its organisation's calls of its priority."""
         call = waiting.call
-        return self._queue(call).push(
-            waiting,
-            flow_name(call),
-            self.weight(call),
-            call.cost,
+        entry = fairness.Entry(
+            item=waiting,
+            flow=call.organisation,
+            rank=call.priority,
+            cost=call.cost,
         )
+        weight = self._shares.weight(call.organisation)
+        self._queue(call).push(entry, weight)
+        return entry
 
     def head(self) -> WaitingEntry | None:
         """Return the call that goes next."""
         return self._urgent.head() or self._other.head()
 
+    def first(self, count: int) -> list[WaitingEntry]:
+        """List the next calls, all of them urgent or none."""
+        return self._urgent.first(count) or self._other.first(count)
+
     def take(self, entry: WaitingEntry) -> None:
         """Take out a call that is served."""
         self._queue(entry.item.call).take(entry)
@@ -73,33 +76,31 @@
 
     def entries(self) -> list[WaitingEntry]:
         """List the calls in the order in which they'd be served."""
-        return self._urgent.entries() + self._other.entries()
+        return self.urgent() + self._other.first(len(self._other))
 
     def urgent(self) -> list[WaitingEntry]:
         """List the urgent calls."""
-        return self._urgent.entries()
+        return self._urgent.first(len(self._urgent))
 
     def ahead(self, call: calls.CallFacts) -> float:
         """Return the cost that is served before a new call like this."""
-        own = self._queue(call).ahead(flow_name(call), self.weight(call))
+        own = self._queue(call).ahead(
+            call.organisation,
+            self._shares.weight(call.organisation),
+            call.priority,
+        )
         if call.priority == calls.Priority.URGENT:
             return own
         return own + self._urgent.backlog
 
     def organisation_length(self, call: calls.CallFacts) -> int:
-        """Count the waiting calls of the same organisation and priority."""
-        return self._queue(call).flow_length(flow_name(call))
+        """Count the waiting calls of the same organisation."""
+        return self._queue(call).flow_length(call.organisation)
 
     def share(self, call: calls.CallFacts) -> float:
         """Return the call's part, from 0 to 1, of what its queue is served."""
-        return self._queue(call).share(flow_name(call), self.weight(call))
-
-    def weight(self, call: calls.CallFacts) -> float:
-        """Return the weight of the call's organisation and priority."""
         weight = self._shares.weight(call.organisation)
-        if call.priority == calls.Priority.BACKGROUND:
-            return weight * self._background_weight
-        return weight
+        return self._queue(call).share(call.organisation, weight)
 
     def _queue(
         self,
@@ -108,8 +109,3 @@
         if call.priority == calls.Priority.URGENT:
             return self._urgent
         return self._other
-
-
-def flow_name(call: calls.CallFacts) -> str:
-    """Name the flow that a call belongs to."""
-    return f'{call.organisation}/{call.priority:d}'
