Serve a request from caller to engine through separate processes

A leader began to replicate behind its own opening entry, so its followers never got it, nothing was committed and every change timed out. It now sends that entry first. Ruled out: the disk (all synced) and the links (heartbeats answered). Before: no change accepted in 20 s.

--- a/tamarackthread/control/disk.py
+++ b/tamarackthread/control/disk.py
@@ -118,7 +118,9 @@
         """Let the threads end, without waiting for a stalled disk."""
         self._threads.shutdown(wait=False, cancel_futures=True)
 
-    async def _run(self, work: collections.abc.Callable[[], _Result]) -> _Result:
+    async def _run(
+        self, work: collections.abc.Callable[[], _Result]
+    ) -> _Result:
         loop = asyncio.get_running_loop()
         try:
             return await loop.run_in_executor(self._threads, work)
--- /dev/null
+++ b/tamarackthread/control/election.py
@@ -0,0 +1,133 @@
+"""Stand for election when no leader is heard."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import logging
+
+from tamarackthread.control import formation, membership, replica, role, voting
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors
+
+_log = logging.getLogger('tamarackthread.control.election')
+
+
+async def run(
+    state: replica.Replica,
+    lead: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+) -> None:
+    """Follow, stand when the leader is silent, and ``lead`` when elected."""
+    while True:
+        wait = state.election_at - state.now
+        if wait > 0:
+            await asyncio.sleep(wait)
+            continue
+        state.put_off_election()
+        if state.is_blank:
+            await formation.attempt(state)
+        if not _may_stand(state):
+            continue
+        if await _would_win(state) and await _win(state):
+            await lead()
+
+
+def _may_stand(state: replica.Replica) -> bool:
+    if not state.is_voter or state.log.is_full:
+        return False
+    return not state.log.is_stalled(state.now)
+
+
+async def _would_win(state: replica.Replica) -> bool:
+    """Ask for votes without a new term.
+
+    A member that was cut off would otherwise come back with a higher term
+    and depose a leader that all others hear.
+    """
+    term = state.hard.term
+    granted = await _collect(state, _request(state, term + 1, pre_vote=True))
+    return granted and term == state.hard.term
+
+
+async def _win(state: replica.Replica) -> bool:
+    if state.role.state != role.FOLLOWER or not _may_stand(state):
+        return False
+    # The leader may have been heard again while the others were asked.  Its
+    # lease then rests on this member too, whose own vote would break it.
+    if voting.hears_leader(state):
+        return False
+    term = state.hard.term + 1
+    state.adopt_term(term, state.parts.node)
+    state.role.move('stand')
+    # The own vote must last like any other: after a crash this member could
+    # vote for somebody else in the same term.
+    await state.hard.settle()
+    granted = False
+    if state.hard.term == term:
+        granted = await _collect(state, _request(state, term))
+    if state.hard.term != term or state.role.state != role.CANDIDATE:
+        return False
+    if not granted:
+        state.step_down('too few votes')
+    return granted
+
+
+async def _collect(
+    state: replica.Replica, request: messages.VoteRequest
+) -> bool:
+    """Ask all other voters at once; return as soon as a quorum agrees."""
+    members = state.membership
+    asked = [
+        asyncio.create_task(_ask(state, voter, request))
+        for voter in members.voters
+        if voter.node != state.parts.node
+    ]
+    votes = 1
+    try:
+        for answer in asyncio.as_completed(asked):
+            if votes >= members.quorum:
+                break
+            votes += await answer
+    finally:
+        for task in asked:
+            task.cancel()
+    return votes >= members.quorum
+
+
+async def _ask(
+    state: replica.Replica,
+    voter: membership.Member,
+    request: messages.VoteRequest,
+) -> int:
+    timeout = state.parts.times.election_min / 2
+    try:
+        reply = await state.parts.transport.call(
+            voter.node, messages.Request(vote=request), timeout
+        )
+    except errors.CodedError:
+        return 0
+    vote = reply.vote
+    if vote is None:
+        return 0
+    if vote.term > state.hard.term:
+        state.adopt_term(vote.term)
+    # A host whose disk was wiped has forgotten its votes and its log.  Its
+    # vote as its old self could elect a leader without the last changes.
+    if vote.disk_id != voter.disk_id:
+        _log.warning('election: %s votes from another disk', voter.node)
+        return 0
+    return int(vote.granted)
+
+
+def _request(
+    state: replica.Replica, term: int, pre_vote: bool = False
+) -> messages.VoteRequest:
+    return messages.VoteRequest(
+        group=state.parts.group,
+        term=term,
+        candidate=state.parts.node,
+        last_index=state.log.last_index,
+        last_term=state.log.last_term,
+        pre_vote=pre_vote,
+        disk_id=state.hard.disk_id,
+    )
--- /dev/null
+++ b/tamarackthread/control/following.py
@@ -0,0 +1,96 @@
+"""Answer a leader's entries and heartbeats."""
+
+from __future__ import annotations
+
+import math
+
+from tamarackthread.control import failures, replica
+from tamarackthread.generated.messages import ttypes as messages
+
+
+async def answer(
+    state: replica.Replica, request: messages.AppendRequest
+) -> messages.AppendReply:
+    """Take entries from the leader of the term; acknowledged ones last.
+
+    Raises ``DiskFull`` if there is no room for them.
+    """
+    if request.term < state.hard.term or request.term == 0:
+        return _reply(state, request, success=False)
+    state.adopt_term(request.term)
+    state.hear(request.leader)
+    await state.hard.settle()
+    if state.hard.term != request.term:
+        return _reply(state, request, success=False)
+    if request.release_lease:
+        _release(state, request)
+    conflict = _conflict(state, request)
+    if conflict:
+        return _reply(state, request, success=False, conflict=conflict)
+    if request.entries:
+        await state.log.synced(_take(state, request))
+    if state.hard.term != request.term:
+        return _reply(state, request, success=False)
+    matched = request.previous_index + len(request.entries)
+    state.verify(matched)
+    state.commit(request.commit_index)
+    return _reply(state, request, success=True, last_index=matched)
+
+
+def _release(state: replica.Replica, request: messages.AppendRequest) -> None:
+    """Let others be elected at once, because the leader holds no lease."""
+    state.heard_at = -math.inf
+    if request.campaign and state.is_voter:
+        state.election_at = state.now
+
+
+def _conflict(state: replica.Replica, request: messages.AppendRequest) -> int:
+    """Return where the leader should look for agreement, 0 if it has it."""
+    previous = request.previous_index
+    # What is committed agrees with every later leader's log, and may be
+    # compacted here so that its term is no longer known.
+    if previous <= state.commit_index:
+        return 0
+    if previous > state.log.last_index:
+        return state.log.last_index + 1
+    if state.log.term_at(previous) == request.previous_term:
+        return 0
+    return max(state.log.first_of_term(previous), state.commit_index + 1)
+
+
+def _take(state: replica.Replica, request: messages.AppendRequest) -> int:
+    """Add the entries that are missing and return the ticket to wait for.
+
+    Entries already held are passed over: a doubled or late request must not
+    void what came after it.
+    """
+    if state.log.is_full:
+        raise failures.DiskFull
+    fresh = []
+    for entry in request.entries:
+        if entry.index <= state.commit_index:
+            continue
+        held = state.log.term_at(entry.index)
+        if held == entry.term and not fresh:
+            continue
+        if held is not None and not fresh:
+            state.truncate(entry.index)
+        fresh.append(entry)
+    return state.append(fresh)
+
+
+def _reply(
+    state: replica.Replica,
+    request: messages.AppendRequest,
+    success: bool,
+    last_index: int | None = None,
+    conflict: int = 0,
+) -> messages.AppendReply:
+    return messages.AppendReply(
+        term=state.hard.term,
+        success=success,
+        last_index=state.log.last_index if last_index is None else last_index,
+        conflict_index=conflict,
+        round=request.round,
+        disk_id=state.hard.disk_id,
+    )
--- /dev/null
+++ b/tamarackthread/control/leading.py
@@ -0,0 +1,177 @@
+"""Lead a group for one term."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+
+from tamarackthread.control import (
+    reconfiguration,
+    reign,
+    replica,
+    replication,
+    segments,
+)
+
+_log = logging.getLogger('tamarackthread.control.leading')
+
+
+class Leadership:
+    """Run what only a leader does, from its election until it steps down."""
+
+    def __init__(self, state: replica.Replica) -> None:
+        """Begin without a term."""
+        self._state = state
+        self._peers: dict[str, replication.PeerTasks] = {}
+        self._tasks: dict[str, asyncio.Future[list[None]]] = {}
+
+    @property
+    def peers(self) -> dict[str, replication.PeerTasks]:
+        """Return the tasks for each other member, empty when not leading."""
+        return self._peers
+
+    async def lead(self) -> None:
+        """Lead until the term ends for this member."""
+        state = self._state
+        term = reign.Reign(
+            state.parts.node, state.hard.term, state.parts.times, state.now
+        )
+        state.role.move('win')
+        state.reign = term
+        state.leader = state.parts.node
+        _log.info(
+            'consensus: %s leads %s in term %d',
+            state.parts.node,
+            state.parts.group,
+            term.term,
+        )
+        term.first_index = state.append_own(segments.Kind.NOOP, b'')
+        try:
+            await self._watch(term)
+        finally:
+            self._end_peers()
+
+    async def hand_over(self) -> None:
+        """Let the best other voter lead; return when this member doesn't.
+
+        What somebody was promised about the lease is kept: it's given up only
+        after the latest end that was told.
+        """
+        term = self._state.reign
+        if term is None:
+            return
+        term.handing_over = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._state.parts.times.handover):
+                await asyncio.sleep(
+                    max(0, term.promised_until - self._state.now)
+                )
+                await self._release(term)
+                await term.over.wait()
+        if self._state.reign is term:
+            self._state.step_down('hands over')
+
+    async def _watch(self, term: reign.Reign) -> None:
+        while not term.over.is_set():
+            self._start_peers(term)
+            self._raise_failures()
+            why = self._why_not(term)
+            if why:
+                await self._give_up(term, why)
+                continue
+            reconfiguration.advance(self._state, term)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(
+                    self._state.parts.times.heartbeat / 2
+                ):
+                    await term.over.wait()
+
+    def _why_not(self, term: reign.Reign) -> str:
+        """Return why this member must not go on leading, empty if it may."""
+        state = self._state
+        if term.is_abandoned(state.membership, state.now):
+            return 'no quorum answers'
+        # A leader whose own disk stalls still answers heartbeats and looks
+        # alive, while it can neither vote nor begin a term after a failure.
+        # Callers see slow changes for as long as it leads.
+        if state.log.is_stalled(state.now):
+            return 'own disk stalls'
+        if state.log.is_full:
+            return 'own disk is full'
+        settled = state.membership_index <= state.commit_index
+        if settled and not state.is_voter:
+            return 'is no longer a voter'
+        return ''
+
+    async def _give_up(self, term: reign.Reign, why: str) -> None:
+        if not term.handing_over:
+            term.handing_over = True
+            wait = term.promised_until - self._state.now
+            if 0 < wait <= self._state.parts.times.lease:
+                await asyncio.sleep(wait)
+            await self._release(term)
+        if self._state.reign is term:
+            self._state.step_down(why)
+
+    async def _release(self, term: reign.Reign) -> None:
+        """Tell all voters that the lease is void, and the best one to stand."""
+        best = await self._best_peer(term)
+        term.is_released = True
+        calls = []
+        for node, peer in self._peers.items():
+            calls.append(peer.release(campaign=node == best))
+        await asyncio.gather(*calls)
+
+    async def _best_peer(self, term: reign.Reign) -> str:
+        """Return the voter with the longest log, given a moment to catch up."""
+        times = self._state.parts.times
+        patience = self._state.now + times.heartbeat_timeout
+        while True:
+            best, matched = self._longest(term)
+            caught_up = matched >= self._state.log.last_index
+            if caught_up or self._state.now >= patience:
+                return best
+            await asyncio.sleep(times.heartbeat / 2)
+
+    def _longest(self, term: reign.Reign) -> tuple[str, int]:
+        best, matched = '', -1
+        for voter in self._state.membership.voters:
+            held = term.progress.get(voter.node)
+            if held is None or held.is_full:
+                continue
+            if held.match_index > matched:
+                best, matched = voter.node, held.match_index
+        return best, matched
+
+    def _start_peers(self, term: reign.Reign) -> None:
+        state = self._state
+        wanted = {
+            member.node
+            for members in (
+                state.membership,
+                state.members_at(state.commit_index),
+            )
+            for member in members.members
+        }
+        wanted.discard(state.parts.node)
+        for node in wanted.difference(self._peers):
+            peer = replication.PeerTasks(state, term, node)
+            self._peers[node] = peer
+            self._tasks[node] = asyncio.gather(peer.beat(), peer.replicate())
+        for gone in set(self._peers).difference(wanted):
+            self._peers.pop(gone)
+            term.progress.pop(gone, None)
+            self._tasks.pop(gone).cancel()
+
+    def _raise_failures(self) -> None:
+        """Halt on a fault in a peer's task, which else nobody would see."""
+        for running in self._tasks.values():
+            if running.done() and not running.cancelled():
+                running.result()
+
+    def _end_peers(self) -> None:
+        for running in self._tasks.values():
+            running.cancel()
+        self._tasks = {}
+        self._peers = {}
--- /dev/null
+++ b/tamarackthread/control/proposing.py
@@ -0,0 +1,161 @@
+"""Propose commands and confirm reads, here or at the leader."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import attrs
+
+from tamarackthread.control import (
+    applying,
+    failures,
+    leading,
+    reign,
+    replica,
+    segments,
+)
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors
+
+
+@attrs.frozen
+class ProposeResult:
+    """Be a committed command's place in the log and the machine's result."""
+
+    index: int
+    result: bytes
+
+
+class Proposer:
+    """Take commands and reads on behalf of callers on this host."""
+
+    def __init__(
+        self,
+        state: replica.Replica,
+        applier: applying.Applier,
+        leadership: leading.Leadership,
+    ) -> None:
+        """Share the member's state."""
+        self._state = state
+        self._applier = applier
+        self._leadership = leadership
+
+    async def propose(
+        self, command: bytes, timeout_seconds: float
+    ) -> ProposeResult:
+        """Commit and apply a command as the leader."""
+        term = self._require_reign()
+        self._require_room(term)
+        index = self._state.append_own(segments.Kind.COMMAND, command)
+        waiter = term.expect(index)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return ProposeResult(index, await waiter)
+        except TimeoutError as exc:
+            raise failures.OutcomeUnknown from exc
+
+    async def submit(
+        self, command: bytes, timeout_seconds: float
+    ) -> ProposeResult:
+        """Propose here if this member leads, else at the leader."""
+        if self._state.role.leads:
+            return await self.propose(command, timeout_seconds)
+        try:
+            reply = await self._ask_leader(command, timeout_seconds)
+        except (errors.RequestTimeout, errors.LinkLost) as exc:
+            raise failures.OutcomeUnknown from exc
+        return ProposeResult(reply.index, reply.result)
+
+    async def read_index(self, timeout_seconds: float) -> int:
+        """Return an index that holds all changes accepted before the call."""
+        if not self._state.role.leads:
+            reply = await self._ask_leader(b'', timeout_seconds)
+            return reply.index
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await self._confirm(self._require_reign())
+        except TimeoutError as exc:
+            raise failures.NoQuorum from exc
+
+    async def answer(
+        self, request: messages.ProposeRequest, timeout_seconds: float
+    ) -> messages.Reply:
+        """Answer another member; an empty command asks for a read's index."""
+        self._require_reign()
+        if not request.command:
+            index = await self.read_index(timeout_seconds)
+            return messages.Reply(
+                propose=messages.ProposeReply(result=b'', index=index)
+            )
+        done = await self.propose(request.command, timeout_seconds)
+        return messages.Reply(
+            propose=messages.ProposeReply(result=done.result, index=done.index)
+        )
+
+    async def _ask_leader(
+        self, command: bytes, timeout_seconds: float
+    ) -> messages.ProposeReply:
+        leader = self._state.leader
+        if not leader or leader == self._state.parts.node:
+            raise failures.NotLeader('no leader is known')
+        request = messages.ProposeRequest(
+            group=self._state.parts.group, command=command
+        )
+        reply = await self._state.parts.transport.call(
+            leader, messages.Request(propose=request), timeout_seconds
+        )
+        if reply.propose is None:
+            raise errors.FrameInvalid('leader answered something else')
+        return reply.propose
+
+    async def _confirm(self, term: reign.Reign) -> int:
+        """Prove that this member still leads, by its lease or by asking."""
+        await self._applier.wait(term.first_index)
+        if term.over.is_set():
+            raise failures.NotLeader(leader=self._state.leader)
+        index = self._state.commit_index
+        began = self._state.now
+        if term.lease_until(self._state.membership, began) > began:
+            return index
+        rounds = [
+            asyncio.create_task(peer.confirm())
+            for peer in self._leadership.peers.values()
+        ]
+        try:
+            await self._await_quorum(term, began)
+        finally:
+            for task in rounds:
+                task.cancel()
+        return index
+
+    async def _await_quorum(self, term: reign.Reign, began: float) -> None:
+        while True:
+            if term.over.is_set():
+                raise failures.NotLeader(leader=self._state.leader)
+            members = self._state.membership
+            if term.quorum_heard_at(members, self._state.now) >= began:
+                return
+            term.answered.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._state.parts.times.heartbeat):
+                    await term.answered.wait()
+
+    def _require_reign(self) -> reign.Reign:
+        term = self._state.reign
+        if term is None:
+            raise failures.NotLeader(leader=self._state.leader)
+        abandoned = term.is_abandoned(self._state.membership, self._state.now)
+        if term.handing_over or abandoned:
+            raise failures.NotLeader('leadership is ending')
+        return term
+
+    def _require_room(self, term: reign.Reign) -> None:
+        state = self._state
+        if term.waiting >= state.parts.times.pending_proposals:
+            raise failures.TooManyProposals
+        room = state.parts.files.free_bytes()
+        if state.log.is_full or room < state.parts.times.reserve_bytes:
+            raise failures.DiskFull(f'{room} bytes are free')
+        if not term.has_room(state.membership):
+            raise failures.DiskFull('too few members have room')
--- /dev/null
+++ b/tamarackthread/control/reconfiguration.py
@@ -0,0 +1,164 @@
+"""Change the members of a group, one voter at a time."""
+
+from __future__ import annotations
+
+import logging
+
+import attrs
+
+from tamarackthread.control import (
+    failures,
+    membership,
+    reign,
+    replica,
+    segments,
+)
+from tamarackthread.generated.messages import ttypes as messages
+
+_log = logging.getLogger('tamarackthread.control.reconfiguration')
+
+
+def add(state: replica.Replica, node: str, address: str) -> None:
+    """Add a learner, to be made a voter once it has caught up."""
+    _require_settled(state)
+    if state.membership.find(node) is not None:
+        raise failures.MemberChangeRefused(f'{node} is a member already')
+    fresh = membership.Member(node=node, address=address)
+    _write(state, state.membership.put(fresh), f'{node} is added as a learner')
+
+
+def remove(state: replica.Replica, node: str) -> None:
+    """Remove a member, voter or learner."""
+    _require_settled(state)
+    if state.membership.find(node) is None:
+        raise failures.MemberChangeRefused(f'{node} is not a member')
+    left = state.membership.drop(node)
+    if not left.voters:
+        raise failures.MemberChangeRefused('the last voter stays')
+    _write(state, left, f'{node} is removed')
+
+
+def replace(state: replica.Replica, old: str, node: str, address: str) -> None:
+    """Add a learner that takes an old member's place once it has caught up.
+
+    With the same node on both sides the member gives up its vote and earns it
+    again: that is how a host returns after its disk was put right.
+    """
+    _require_settled(state)
+    former = state.membership.find(old)
+    if former is None:
+        raise failures.MemberChangeRefused(f'{old} is not a member')
+    if old == node:
+        _require_other_voter(state, former)
+        fresh = membership.Member(node=node, address=address or former.address)
+    else:
+        if state.membership.find(node) is not None:
+            raise failures.MemberChangeRefused(f'{node} is a member already')
+        fresh = membership.Member(node=node, address=address, replaces=old)
+    _write(state, state.membership.put(fresh), f'{node} is to replace {old}')
+
+
+def advance(state: replica.Replica, term: reign.Reign) -> None:
+    """Take the next step towards the members that were asked for.
+
+    The wish is in the log, so that the next leader goes on with it.  A step
+    waits until the one before is committed: two changes of voters at once
+    could leave two quorums that share no member.
+    """
+    if not _is_settled(state) or term.handing_over or state.log.is_full:
+        return
+    for member in state.membership.members:
+        wanted, why = _next_step(state, term, member)
+        if wanted is not None:
+            _write(state, wanted, why)
+            return
+
+
+def listing(state: replica.Replica) -> messages.MemberReply:
+    """Describe the members as this one sees them."""
+    rows = []
+    for member in state.membership.members:
+        row = messages.Member(
+            node=member.node,
+            address=member.address,
+            voter=member.voter,
+            match_index=0,
+            leader=member.node == state.leader,
+            reachable=member.node == state.parts.node,
+        )
+        _fill_progress(state, row)
+        rows.append(row)
+    return messages.MemberReply(
+        members=rows,
+        term=state.hard.term,
+        commit_index=state.commit_index,
+        text='',
+    )
+
+
+def _fill_progress(state: replica.Replica, row: messages.Member) -> None:
+    if row.node == state.parts.node:
+        row.match_index = state.log.durable_index
+        return
+    if state.reign is None:
+        return
+    held = state.reign.progress.get(row.node)
+    if held is None:
+        return
+    row.match_index = held.match_index
+    row.reachable = held.acked_at + state.parts.times.lease > state.now
+
+
+def _next_step(
+    state: replica.Replica, term: reign.Reign, member: membership.Member
+) -> tuple[membership.Membership | None, str]:
+    held = term.progress.get(member.node)
+    members = state.membership
+    if member.voter and member.replaces:
+        settled = attrs.evolve(member, replaces='')
+        left = members.put(settled).drop(member.replaces)
+        return left, f'{member.node} has replaced {member.replaces}'
+    if held is None or not held.disk_id:
+        return None, ''
+    if held.disk_id != member.disk_id:
+        # The host came back with another disk and none of its promises.  It
+        # counts again only after it has caught up as a learner.
+        learner = attrs.evolve(member, disk_id=held.disk_id, voter=False)
+        return members.put(learner), f'{member.node} has a new disk'
+    if not member.voter and held.match_index >= state.commit_index:
+        voter = attrs.evolve(member, voter=True)
+        return members.put(voter), f'{member.node} has caught up and votes'
+    return None, ''
+
+
+def _require_other_voter(
+    state: replica.Replica, former: membership.Member
+) -> None:
+    if former.node == state.parts.node:
+        raise failures.MemberChangeRefused('the leader can not rejoin itself')
+    if former.voter and len(state.membership.voters) == 1:
+        raise failures.MemberChangeRefused('the last voter stays')
+
+
+def _is_settled(state: replica.Replica) -> bool:
+    term = state.reign
+    if term is None:
+        return False
+    # Without a committed entry of its own term a leader may not know of a
+    # change of members that an older leader has begun.
+    oldest = max(state.membership_index, term.first_index)
+    return oldest <= state.commit_index
+
+
+def _require_settled(state: replica.Replica) -> None:
+    if state.reign is None:
+        raise failures.NotLeader(leader=state.leader)
+    if not _is_settled(state):
+        raise failures.MemberChangeRefused('another change is under way')
+
+
+def _write(
+    state: replica.Replica, members: membership.Membership, why: str
+) -> None:
+    state.append_own(segments.Kind.MEMBERS, members.encode())
+    _log.info('members: %s: %s', state.parts.group, why)
--- /dev/null
+++ b/tamarackthread/control/reign.py
@@ -0,0 +1,165 @@
+"""Hold what a leader knows during one term: progress, lease, proposals."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+import attrs
+
+from tamarackthread.control import failures, membership, timing
+
+
+@attrs.define(eq=False)
+class Progress:
+    """Be how far one other member has got, as the leader has heard.
+
+    ``acked_at`` is when the newest answered message was sent, by the leader's
+    own clock; ``disk_id`` is the disk that all this is true of.
+    """
+
+    next_index: int
+    match_index: int = 0
+    acked_at: float = -math.inf
+    disk_id: bytes = b''
+    is_full: bool = False
+    wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    round_at: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def note_disk(self, disk_id: bytes, last_index: int) -> None:
+        """Begin again if the member answers from another disk."""
+        if disk_id == self.disk_id:
+            return
+        if self.disk_id:
+            self.next_index = last_index + 1
+        self.disk_id = disk_id
+        self.match_index = 0
+        self.acked_at = -math.inf
+        self.wake.set()
+
+
+class Reign:
+    """Be a leader's term, from its election until it steps down."""
+
+    def __init__(
+        self, node: str, term: int, times: timing.Timing, now: float
+    ) -> None:
+        """Begin without a lease; there is time for a first answered round."""
+        self.node = node
+        self.term = term
+        self.first_index = 0
+        self.over = asyncio.Event()
+        self.answered = asyncio.Event()
+        self.progress: dict[str, Progress] = {}
+        self.handing_over = False
+        self.is_released = False
+        self._times = times
+        self._began_at = now
+        self._promised_until = -math.inf
+        self._proposals: dict[int, asyncio.Future[bytes]] = {}
+
+    @property
+    def promised_until(self) -> float:
+        """Return the latest lease end that somebody was told, loop time."""
+        return self._promised_until
+
+    @property
+    def waiting(self) -> int:
+        """Return how many proposals wait for their commit."""
+        return len(self._proposals)
+
+    def end(self) -> None:
+        """End the term; what was proposed and not seen committed is open."""
+        self.over.set()
+        for waiter in self._proposals.values():
+            if not waiter.done():
+                waiter.set_exception(failures.OutcomeUnknown())
+        self._proposals = {}
+
+    def expect(self, index: int) -> asyncio.Future[bytes]:
+        """Return a future for the machine's result at an index."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._proposals[index] = waiter
+        return waiter
+
+    def resolve(self, index: int, result: bytes) -> None:
+        """Give a proposer the machine's result."""
+        waiter = self._proposals.pop(index, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(result)
+
+    def promise(self, until: float) -> None:
+        """Remember that somebody counts on no other leader until then."""
+        self._promised_until = max(self._promised_until, until)
+
+    def wake_all(self) -> None:
+        """Have every peer's task look for something to send."""
+        for progress in self.progress.values():
+            progress.wake.set()
+
+    def quorum_index(
+        self, members: membership.Membership, own_durable: int
+    ) -> int:
+        """Return the index up to which a quorum has synced the log."""
+        reached: dict[str, float] = {}
+        for voter in members.voters:
+            reached[voter.node] = self._match_of(voter, own_durable)
+        return int(members.reached(reached)) if reached else 0
+
+    def quorum_heard_at(
+        self, members: membership.Membership, now: float
+    ) -> float:
+        """Return a time since which a quorum has answered a message."""
+        heard: dict[str, float] = {}
+        for voter in members.voters:
+            heard[voter.node] = self._heard_of(voter, now)
+        return members.reached(heard) if heard else -math.inf
+
+    def lease_until(self, members: membership.Membership, now: float) -> float:
+        """Return when the lease ends, in loop time.
+
+        A quorum answered messages sent since the returned time less the
+        lease, and voters refuse to vote for ``election_min`` after hearing a
+        leader.  Any later election needs one of them, so none can end before.
+        The lease is shorter by the clocks' possible drift.
+        """
+        if self.handing_over:
+            return -math.inf
+        return self.quorum_heard_at(members, now) + self._times.lease
+
+    def is_abandoned(self, members: membership.Membership, now: float) -> bool:
+        """Say whether the leader must step down for want of a quorum.
+
+        It does so when its lease ends: an isolated leader must know that it
+        leads no longer before another can be elected.
+        """
+        if now < self._began_at + self._times.election_min:
+            return False
+        return self.quorum_heard_at(members, now) + self._times.lease <= now
+
+    def has_room(self, members: membership.Membership) -> bool:
+        """Say whether a quorum of disks takes entries, by their answers."""
+        room: dict[str, float] = {}
+        for voter in members.voters:
+            held = self.progress.get(voter.node)
+            room[voter.node] = 0 if held is not None and held.is_full else 1
+        return members.reached(room) > 0
+
+    def _match_of(self, voter: membership.Member, own_durable: int) -> int:
+        if voter.node == self.node:
+            return own_durable
+        held = self.progress.get(voter.node)
+        # A wiped disk's acknowledgements are not the voter's.  Counting them
+        # would commit entries on fewer disks than the quorum was meant to
+        # have, and the next loss would lose an accepted change.
+        if held is None or held.disk_id != voter.disk_id:
+            return 0
+        return held.match_index
+
+    def _heard_of(self, voter: membership.Member, now: float) -> float:
+        if voter.node == self.node:
+            return now
+        held = self.progress.get(voter.node)
+        if held is None or held.disk_id != voter.disk_id:
+            return -math.inf
+        return held.acked_at
--- /dev/null
+++ b/tamarackthread/control/voting.py
@@ -0,0 +1,69 @@
+"""Answer requests for a vote."""
+
+from __future__ import annotations
+
+from tamarackthread.control import replica
+from tamarackthread.generated.messages import ttypes as messages
+
+
+async def answer(
+    state: replica.Replica, request: messages.VoteRequest
+) -> messages.VoteReply:
+    """Grant or refuse a vote; a granted one lasts before it is answered."""
+    if request.pre_vote:
+        return _reply(state, _would_vote(state, request))
+    # While a leader may hold a lease that this voter supports, a candidate is
+    # not even told of a newer term: it would depose a working leader, and two
+    # leaders would hold a lease at once.
+    if hears_leader(state):
+        return _reply(state, granted=False)
+    if request.term > state.hard.term:
+        state.adopt_term(request.term)
+    if _may_vote(state, request):
+        state.hard.advance(request.term, request.candidate)
+        state.put_off_election()
+    await state.hard.settle()
+    granted = (state.hard.term, state.hard.vote) == (
+        request.term,
+        request.candidate,
+    )
+    return _reply(state, granted)
+
+
+def hears_leader(state: replica.Replica) -> bool:
+    """Say whether a leader's lease may still rest on this voter."""
+    if state.role.leads and state.reign is not None:
+        return not state.reign.handing_over
+    return state.now < state.heard_at + state.parts.times.election_min
+
+
+def is_up_to_date(
+    state: replica.Replica, last_term: int, last_index: int
+) -> bool:
+    """Say whether a candidate's log has all that this one may have."""
+    return (last_term, last_index) >= (
+        state.log.last_term,
+        state.log.last_index,
+    )
+
+
+def _would_vote(state: replica.Replica, request: messages.VoteRequest) -> bool:
+    if hears_leader(state) or request.term <= state.hard.term:
+        return False
+    return is_up_to_date(state, request.last_term, request.last_index)
+
+
+def _may_vote(state: replica.Replica, request: messages.VoteRequest) -> bool:
+    if request.term < state.hard.term:
+        return False
+    if state.hard.vote not in {'', request.candidate}:
+        return False
+    if state.role.leads:
+        return False
+    return is_up_to_date(state, request.last_term, request.last_index)
+
+
+def _reply(state: replica.Replica, granted: bool) -> messages.VoteReply:
+    return messages.VoteReply(
+        term=state.hard.term, granted=granted, disk_id=state.hard.disk_id
+    )
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -149,7 +149,11 @@
         self.claims = shards.connect(self.shard_links, name)
         self.keyed = keyed.KeyedCalls(
             self.claims,
-            takeover.Takeover(takeover.LinkProber(self.peers), GRACE),
+            takeover.Takeover(
+                self.claims,
+                takeover.LinkProber(self.peers),
+                GRACE,
+            ),
         )
         self.runner = calls.Runner(
             self.fleet,
--- /dev/null
+++ b/tests/test_call_path.py
@@ -0,0 +1,260 @@
+"""Prove what callers are told when the way to the target fails."""
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from bench import load
+from bench.engines import batch, journal, plain, replica
+from tests import stage
+
+QUICK = batch.EngineOptions(step_seconds=0.001)
+CHAT = load.Chat(prompt='two sows, one barn', tokens=40)
+
+
+class Booking:
+    """Be a plain target that counts what it started."""
+
+    def __init__(self, answer=None):
+        self.started = []
+        self._answer = answer
+
+    def application(self):
+        app = web.Application()
+        app.router.add_get('/load', self._load)
+        app.router.add_route('*', '/{path:.*}', self._book)
+        return app
+
+    async def _load(self, request):
+        figures = {'running': 0, 'queued': 0, 'batch_slots': 8}
+        return web.json_response(figures)
+
+    async def _book(self, request):
+        self.started.append(await request.text())
+        if self._answer is not None:
+            return await self._answer(request)
+        return web.json_response({'booked': self.started[-1]})
+
+
+def engine(name, options=QUICK):
+    emulated = replica.Replica(options, journal.Journal(None))
+    app = emulated.application()
+    return stage.Agent(name, app, kind='model', service='draft')
+
+
+async def cut(request):
+    request.transport.abort()
+    await asyncio.Event().wait()
+
+
+class WholePathCase(unittest.IsolatedAsyncioTestCase):
+    async def test_stream_comes_back_whole(self):
+        async with stage.running([engine('a')]) as (entry, caller):
+            answer = await caller.chat(entry.address, CHAT)
+        self.assertEqual(answer.outcome, load.Outcome.COMPLETE)
+        self.assertEqual(answer.text, load.expected_text(CHAT))
+
+    async def test_plain_call_runs_once(self):
+        service = plain.PlainService(journal.Journal(None), 0)
+        agent = stage.Agent('s', service.application())
+        async with stage.running([agent]) as (entry, caller):
+            answer = await caller.plain(
+                entry.address,
+                'POST',
+                '/stock/order',
+                'feed',
+            )
+        self.assertEqual(answer.outcome, load.Outcome.COMPLETE)
+        self.assertIn('feed', answer.text)
+
+    async def test_unknown_credential_and_path(self):
+        async with stage.running([]) as (entry, caller):
+            wrong = await caller.plain(entry.address, 'GET', '/nowhere')
+            caller._token = 'other'
+            unknown = await caller.plain(entry.address, 'GET', '/stock')
+        self.assertEqual((wrong.status, wrong.code), (404, 'TT7002'))
+        self.assertEqual((unknown.status, unknown.code), (401, 'TT7001'))
+
+
+class OrderLostCase(unittest.IsolatedAsyncioTestCase):
+    async def test_lost_after_hand_over_is_not_repeated(self):
+        """The caller of a keyless order is told that it may have run.
+
+        The target takes the order and cuts the connection before it answers.
+        A second target stands ready, but the order is not sent again: nobody
+        can know whether the first one booked it.
+        """
+        first = Booking(cut)
+        second = Booking(cut)
+        agents = [
+            stage.Agent('a', first.application()),
+            stage.Agent('b', second.application()),
+        ]
+        async with stage.running(agents) as (entry, caller):
+            answer = await caller.plain(
+                entry.address,
+                'POST',
+                '/stock/order',
+                'feed',
+            )
+        self.assertEqual(answer.outcome, load.Outcome.MAY_HAVE_RUN)
+        self.assertEqual(len(first.started) + len(second.started), 1)
+
+    async def test_lookup_is_repeated_elsewhere(self):
+        """The caller of a lookup gets its answer though a target broke.
+
+        One target cuts each connection; the lookup may be repeated, so the
+        entry asks the other target within its retry budget.
+        """
+        broken = Booking(cut)
+        sound = Booking()
+        agents = [
+            stage.Agent('a', broken.application()),
+            stage.Agent('b', sound.application()),
+        ]
+        async with stage.running(agents) as (entry, caller):
+            answers = [
+                await caller.plain(entry.address, 'GET', '/stock')
+                for _ in range(4)
+            ]
+        outcomes = {answer.outcome for answer in answers}
+        self.assertEqual(outcomes, {load.Outcome.COMPLETE})
+        self.assertTrue(broken.started)
+
+    async def test_uncertain_attempt_makes_the_whole_uncertain(self):
+        """The caller is not told 'not run' after an attempt that was lost.
+
+        The first attempt of a lookup is lost after the hand-over, the second
+        one is refused as not run by a target that leaves.  Only the last
+        refusal looks certain; the answer must speak for both.
+        """
+        broken = Booking(cut)
+        agents = [stage.Agent('a', broken.application())]
+        async with stage.running(agents) as (entry, caller):
+
+            async def cut_and_leave(request):
+                agents[0].gate.leave()
+                await cut(request)
+
+            broken._answer = cut_and_leave
+            answer = await caller.plain(entry.address, 'GET', '/stock')
+        self.assertTrue(broken.started)
+        self.assertEqual(answer.outcome, load.Outcome.MAY_HAVE_RUN)
+
+    async def test_deadline_after_hand_over_may_have_run(self):
+        """The caller whose deadline passes in the target is told the truth.
+
+        The order was handed over and never answered.  Told 'not run', the
+        caller would send it again.
+        """
+
+        async def silent(request):
+            await asyncio.Event().wait()
+
+        booking = Booking(silent)
+        agents = [stage.Agent('a', booking.application())]
+        async with stage.running(agents) as (entry, caller):
+            answer = await caller.plain(
+                entry.address,
+                'POST',
+                '/stock',
+                'feed',
+                X_Deadline_Ms='300',
+            )
+        self.assertEqual(answer.code, 'TT7009')
+        self.assertEqual(answer.outcome, load.Outcome.MAY_HAVE_RUN)
+
+
+class LeavingCase(unittest.IsolatedAsyncioTestCase):
+    async def test_leaving_target_gets_no_new_call(self):
+        """The caller notices nothing while a target leaves.
+
+        The gate refuses at once, before any entry has heard of it; the entry
+        takes 'not run' and sends the order to the other target.
+        """
+        leaving = Booking()
+        staying = Booking()
+        agents = [
+            stage.Agent('a', leaving.application()),
+            stage.Agent('b', staying.application()),
+        ]
+        async with stage.running(agents) as (entry, caller):
+            agents[0].gate._leaving = True
+            for number in range(6):
+                answer = await caller.plain(
+                    entry.address,
+                    'POST',
+                    '/stock',
+                    str(number),
+                )
+                self.assertEqual(answer.outcome, load.Outcome.COMPLETE)
+        self.assertEqual(leaving.started, [])
+        self.assertEqual(len(staying.started), 6)
+
+    async def test_leaving_agent_waits_for_its_streams(self):
+        async with stage.running([engine('a')]) as (entry, caller):
+            agent = entry.fleet.contact('draft', 'a')
+            self.assertTrue(agent.is_linked)
+            asking = asyncio.ensure_future(
+                caller.chat(entry.address, CHAT),
+            )
+            while not agent.view.load.own_calls:
+                await asyncio.sleep(0)
+            agent.held.notify(stage.messages.Request())
+            answer = await asking
+        self.assertEqual(answer.outcome, load.Outcome.COMPLETE)
+
+
+class BrokenStreamCase(unittest.IsolatedAsyncioTestCase):
+    async def test_stream_resumes_on_another_target(self):
+        """The caller of a broken stream gets every token once.
+
+        The agent that relays the stream vanishes in the middle; the entry
+        asks the other engine to go on after the last whole event.
+        """
+        agents = [engine('a'), engine('b')]
+        long = load.Chat(prompt='go on', tokens=400)
+        async with stage.running(agents) as (entry, caller):
+            asking = asyncio.ensure_future(caller.chat(entry.address, long))
+            busy = [agent for agent in agents if agent.gate.open_calls]
+            while not busy:
+                await asyncio.sleep(0)
+                busy = [agent for agent in agents if agent.gate.open_calls]
+            for _ in range(200):
+                await asyncio.sleep(0)
+            busy[0].listener.close()
+            answer = await asking
+        self.assertEqual(answer.outcome, load.Outcome.COMPLETE)
+        self.assertEqual(answer.text, load.expected_text(long))
+
+    async def test_break_without_resume_is_visible(self):
+        """The caller of a stream that can't go on sees it broken.
+
+        The only target closes its connection cleanly in the middle of an
+        event stream.  A short answer that looks whole would be taken for
+        all of it; the caller sees an error event and a cut connection.
+        """
+
+        async def half(request):
+            response = web.StreamResponse(
+                headers={'Content-Type': 'text/event-stream'},
+            )
+            await response.prepare(request)
+            token = '{"choices": [{"delta": {"content": "x"}}]}'
+            await response.write(f'data: {token}\n\n'.encode())
+            await response.write_eof()
+            return response
+
+        target = Booking(half)
+        agent = stage.Agent(
+            'a',
+            target.application(),
+            kind='model',
+            service='draft',
+        )
+        profile = {'resume': {'enabled': False}}
+        async with stage.running([agent], profile) as (entry, caller):
+            answer = await caller.chat(entry.address, CHAT)
+        self.assertEqual(answer.outcome, load.Outcome.BROKEN)
+        self.assertTrue(target.started)
