--- a/tamarackthread/entry/role.py
+++ b/tamarackthread/entry/role.py
@@ -86,16 +86,15 @@
                 most_calls=self._own.call_limit,
             ),
         )
+        client = claims.ShardClaims(
+            self._peers,
+            self._shards,
+            settings.node.id,
+            rng,
+        )
         self._claimed = keyed.KeyedCalls(
-            claims.ShardClaims(
-                self._peers,
-                self._shards,
-                settings.node.id,
-                rng,
-            ),
-            takeover.Takeover(
-                takeover.LinkProber(self._peers),
-            ),
+            client,
+            takeover.Takeover(client, takeover.LinkProber(self._peers)),
         )
         self._front = front.Front(
             self._own,
--- a/tests/shards.py
+++ b/tests/shards.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import async_solipsism
+
 from tamarackthread.control import claim_service, claims
 from tamarackthread.entry import claims as client
 from tamarackthread.shared import claim_errors, claim_keys
@@ -52,14 +54,13 @@
 
     def __init__(self, shards):
         self._shards = shards
-        self.silent = False
+        self.is_dead = False
         self.lose_answers = 0
         self.asked = []
 
     async def request(self, address, request, timeout_seconds):
-        if self.silent:
-            await asyncio.sleep(timeout_seconds)
-            raise claim_errors.ClaimsUnavailable
+        if self.is_dead:
+            await asyncio.Event().wait()
         reply = await self._dispatch(request)
         if self.lose_answers:
             self.lose_answers -= 1
@@ -97,3 +98,15 @@
         if reply.known:
             return reply
     return None
+
+
+def paused(work):
+    """Run a test method on a clock that only moves when all wait."""
+
+    def run(case):
+        with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+            runner.run(work(case))
+
+    run.__doc__ = work.__doc__
+    run.__name__ = work.__name__
+    return run
--- /dev/null
+++ b/tests/test_keyed_calls.py
@@ -0,0 +1,384 @@
+"""Prove over real sockets that a keyed order runs at most once."""
+
+import asyncio
+import contextlib
+import unittest
+
+import aiohttp
+from aiohttp import web
+
+from bench import load
+from tamarackthread.control import failures
+from tamarackthread.generated.messages import ttypes as messages
+from tests import shards, stage
+
+State = messages.ClaimState
+Outcome = load.Outcome
+
+
+class Orders:
+    """Be a target that books orders, each when it is let go."""
+
+    def __init__(self):
+        self.started = []
+        self.begun = asyncio.Event()
+        self.free = asyncio.Event()
+        self.free.set()
+        self.status = 201
+        self.cut = False
+
+    def application(self):
+        app = web.Application()
+        app.router.add_get('/load', self._load)
+        app.router.add_route('*', '/{path:.*}', self._book)
+        return app
+
+    async def _load(self, request):
+        return web.json_response({'running': 0, 'queued': 0})
+
+    async def _book(self, request):
+        body = await request.text()
+        self.started.append(body)
+        self.begun.set()
+        # A real target books the order even if its caller goes away.
+        await asyncio.shield(self.free.wait())
+        if self.cut:
+            request.transport.abort()
+            await asyncio.Event().wait()
+        return web.json_response({'booked': body}, status=self.status)
+
+
+@contextlib.asynccontextmanager
+async def two_entries(*targets):
+    """Put two entries with the same shards before these targets."""
+    agents = [
+        stage.Agent(f'target-{number}', target.application())
+        for number, target in enumerate(targets)
+    ]
+    async with stage.running(agents) as (first, caller):
+        second = stage.Entry('entry-2', first.shards)
+        await second.start(agents)
+        try:
+            yield first, second, caller, agents
+        finally:
+            for target in targets:
+                target.free.set()
+            await second.stop()
+
+
+def order(caller, entry, body='starter feed', **headers):
+    """Send the order with its key."""
+    headers = {'Idempotency_Key': 'order-7', **headers}
+    return caller.plain(entry.address, 'POST', '/stock', body, **headers)
+
+
+def state(entry):
+    return shards.find(entry.shards, 'o', 'order-7')
+
+
+def die(entry, trying=None):
+    """Have an entry do nothing more, as one that was killed."""
+    entry.shard_links.is_dead = True
+    entry.keyed.later = lambda work: work.close()
+    entry.peers.close()
+    if trying is not None:
+        trying.cancel()
+
+
+def take_targets(entry, agents):
+    """Have all targets leave the configuration of an entry."""
+    entry.directory.apply(
+        messages.Document(kind='target', name=agent.name, body='')
+        for agent in agents
+    )
+    entry.fleet.update()
+
+
+async def settled(entry, wanted):
+    """Wait until the key's claim has a state."""
+    while state(entry) is None or state(entry).state != wanted:
+        await asyncio.sleep(0.001)
+
+
+class SecondTryCase(unittest.IsolatedAsyncioTestCase):
+    async def test_after_the_answer(self):
+        """The second try gets the first one's answer from another entry."""
+        target = Orders()
+        async with two_entries(target) as (first, second, caller, _):
+            answered = await order(caller, first)
+            await settled(first, State.COMPLETE)
+            again = await order(caller, second)
+        self.assertEqual(answered.outcome, Outcome.COMPLETE)
+        self.assertEqual((again.status, again.text), (201, answered.text))
+        self.assertEqual(again.headers['X-Tamarackthread-Replayed'], 'true')
+        self.assertEqual(target.started, ['starter feed'])
+
+    async def test_while_it_runs(self):
+        """The second try waits for the first and gets the same answer."""
+        target = Orders()
+        target.free.clear()
+        async with two_entries(target) as (first, second, caller, _):
+            trying = asyncio.ensure_future(order(caller, first))
+            await target.begun.wait()
+            again = asyncio.ensure_future(order(caller, second))
+            while 'claim' not in second.shard_links.asked:
+                await asyncio.sleep(0)
+            target.free.set()
+            texts = {(await trying).text, (await again).text}
+        self.assertEqual(len(texts), 1)
+        self.assertEqual(target.started, ['starter feed'])
+
+    async def test_key_of_another_order(self):
+        target = Orders()
+        async with two_entries(target) as (first, second, caller, _):
+            await order(caller, first)
+            reused = await order(caller, second, body='sow feed')
+        self.assertEqual((reused.status, reused.code), (422, 'TT4502'))
+        self.assertEqual(target.started, ['starter feed'])
+
+    async def test_refusal_after_a_run_says_so(self):
+        """A second try that finds no target isn't told 'not run'.
+
+        The order ran, its answer was lost, and now the targets leave.  A
+        caller that is told 'not run' would order under another key.
+        """
+        target = Orders()
+        async with two_entries(target) as (first, second, caller, agents):
+            await order(caller, first)
+            await settled(first, State.COMPLETE)
+            take_targets(second, agents)
+            again = await order(caller, second, X_Deadline_Ms='300')
+        self.assertEqual(again.outcome, Outcome.MAY_HAVE_RUN)
+
+    async def test_refusal_of_a_fresh_key_is_not_run(self):
+        target = Orders()
+        async with two_entries(target) as (first, _, caller, agents):
+            take_targets(first, agents)
+            refused = await order(caller, first, X_Deadline_Ms='300')
+        self.assertEqual(refused.outcome, Outcome.REFUSED)
+        self.assertEqual(target.started, [])
+
+
+class DeathCase(unittest.IsolatedAsyncioTestCase):
+    async def test_entry_dies_before_hand_over(self):
+        """The second try runs the order, once.
+
+        The first entry's claim is granted and the entry dies before the call
+        leaves it.  The agent has not seen the claim and seals it.
+        """
+        target = Orders()
+        async with two_entries(target) as (first, second, caller, _):
+            secured = asyncio.Event()
+            claiming = first.claims.claim
+
+            async def claim_and_die(ask, handover):
+                reply = await claiming(ask, handover)
+                secured.set()
+                await asyncio.Event().wait()
+                return reply
+
+            first.claims.claim = claim_and_die
+            trying = asyncio.ensure_future(order(caller, first))
+            await secured.wait()
+            die(first, trying)
+            again = await order(caller, second)
+        self.assertEqual(again.outcome, Outcome.COMPLETE)
+        self.assertEqual(target.started, ['starter feed'])
+
+    async def test_entry_dies_while_it_runs(self):
+        """The second try gets the answer of the call that went on.
+
+        The entry dies after the hand-over; the agent lets the call run to
+        its end and keeps its answer.
+        """
+        target = Orders()
+        target.free.clear()
+        async with two_entries(target) as (first, second, caller, _):
+            trying = asyncio.ensure_future(order(caller, first))
+            await target.begun.wait()
+            die(first, trying)
+            again = asyncio.ensure_future(order(caller, second))
+            while 'lookup' not in second.shard_links.asked:
+                await asyncio.sleep(0)
+            target.free.set()
+            answered = await again
+        self.assertEqual((answered.status, answered.code), (201, ''))
+        self.assertEqual(target.started, ['starter feed'])
+
+    async def test_entry_dies_before_it_records_the_answer(self):
+        target = Orders()
+        async with two_entries(target) as (first, second, caller, _):
+            first.keyed.later = lambda work: work.close()
+            answered = await order(caller, first)
+            die(first)
+            again = await order(caller, second)
+        self.assertEqual((again.status, again.text), (201, answered.text))
+        self.assertEqual(target.started, ['starter feed'])
+
+    async def test_target_dies_while_it_runs(self):
+        """Both tries are told 'may have run' and nothing runs again.
+
+        The target takes the order and cuts the connection.  A second target
+        stands ready, but nobody can know whether the order was booked.
+        """
+        targets = (Orders(), Orders())
+        for target in targets:
+            target.cut = True
+        async with two_entries(*targets) as (first, second, caller, _):
+            lost = await order(caller, first)
+            again = await order(caller, second)
+        self.assertEqual(lost.outcome, Outcome.MAY_HAVE_RUN)
+        self.assertEqual(again.outcome, Outcome.MAY_HAVE_RUN)
+        started = targets[0].started + targets[1].started
+        self.assertEqual(started, ['starter feed'])
+
+    async def test_agent_dies_while_it_runs(self):
+        """Both tries are told 'may have run'.
+
+        The agent dies with the call at its target; nobody is left who could
+        prove anything.
+        """
+        target = Orders()
+        target.free.clear()
+        async with two_entries(target) as (first, second, caller, agents):
+            limits = {'X_Deadline_Ms': '4000'}
+            trying = asyncio.ensure_future(order(caller, first, **limits))
+            await target.begun.wait()
+            agents[0].listener.close()
+            again = await order(caller, second, **limits)
+            lost = await trying
+        self.assertEqual(lost.outcome, Outcome.MAY_HAVE_RUN)
+        self.assertEqual(again.outcome, Outcome.MAY_HAVE_RUN)
+        self.assertEqual(target.started, ['starter feed'])
+
+    async def test_caller_leaves_while_it_runs(self):
+        target = Orders()
+        target.free.clear()
+        async with two_entries(target) as (first, second, caller, _):
+            trying = asyncio.ensure_future(order(caller, first))
+            await target.begun.wait()
+            trying.cancel()
+            again = asyncio.ensure_future(order(caller, second))
+            while 'lookup' not in second.shard_links.asked:
+                await asyncio.sleep(0)
+            target.free.set()
+            answered = await again
+        self.assertEqual(answered.outcome, Outcome.COMPLETE)
+        self.assertEqual(target.started, ['starter feed'])
+
+
+def losing(agent, lost):
+    """Make an agent's gate that loses the first call of all with its link."""
+    serve = agent.gate.serve
+
+    async def lose(call, opening):
+        if lost:
+            await serve(call, opening)
+            return
+        lost.append(opening.target)
+        for held in agent.listener.links:
+            held.close('broken on the way')
+
+    return lose
+
+
+class LostLinkCase(unittest.IsolatedAsyncioTestCase):
+    async def test_link_breaks_while_it_runs(self):
+        """The caller gets its answer although the link broke.
+
+        The connection to the agent drops after the hand-over.  The call runs
+        on; the entry asks the agent over a new connection.
+        """
+        target = Orders()
+        target.free.clear()
+        async with two_entries(target) as (first, _, caller, agents):
+            trying = asyncio.ensure_future(order(caller, first))
+            await target.begun.wait()
+            for held in agents[0].listener.links:
+                held.close('broken on the way')
+            while 'lookup' not in first.shard_links.asked:
+                await asyncio.sleep(0)
+            target.free.set()
+            answered = await trying
+        self.assertEqual((answered.status, answered.code), (201, ''))
+        self.assertEqual(target.started, ['starter feed'])
+
+    async def test_link_breaks_before_the_agent_read_the_call(self):
+        """The caller gets its answer from another target.
+
+        The connection drops right after the bytes left, and the agent never
+        had them.  It says so under seal, and the order goes elsewhere.
+        """
+        targets = (Orders(), Orders())
+        async with two_entries(*targets) as (first, _, caller, agents):
+            lost = []
+            for agent in agents:
+                agent.gate.serve = losing(agent, lost)
+            answered = await order(caller, first)
+        self.assertEqual(len(lost), 1)
+        self.assertEqual((answered.status, answered.code), (201, ''))
+        started = targets[0].started + targets[1].started
+        self.assertEqual(started, ['starter feed'])
+
+
+class RefusedCase(unittest.IsolatedAsyncioTestCase):
+    async def test_leaving_target_moves_the_claim(self):
+        targets = (Orders(), Orders())
+        async with two_entries(*targets) as (first, _, caller, agents):
+            agents[0].gate._leaving = True
+            for number in range(4):
+                key = {'Idempotency_Key': f'order-{number}'}
+                answer = await order(caller, first, **key)
+                self.assertEqual(answer.outcome, Outcome.COMPLETE)
+        self.assertEqual(targets[0].started, [])
+        self.assertEqual(len(targets[1].started), 4)
+
+    async def test_refused_order_may_be_sent_again(self):
+        """The caller of a refused order sends it again and it runs once."""
+        target = Orders()
+        async with two_entries(target) as (first, second, caller, agents):
+            agents[0].gate._leaving = True
+            refused = await order(caller, first, X_Deadline_Ms='500')
+            self.assertEqual(state(first).state, State.RELEASED)
+            agents[0].gate._leaving = False
+            answered = await order(caller, second)
+        self.assertEqual(refused.outcome, Outcome.REFUSED)
+        self.assertEqual(answered.outcome, Outcome.COMPLETE)
+        self.assertEqual(target.started, ['starter feed'])
+
+    async def test_shard_without_quorum(self):
+        """The caller is told 'may have run' and nothing is handed over.
+
+        The claim can't be recorded.  Handed over all the same, a second try
+        would find no claim and run the order again.
+        """
+        target = Orders()
+        async with two_entries(target) as (first, _, caller, _):
+            for shard in first.shards.values():
+                shard.group.failure = failures.NotLeader()
+            refused = await order(caller, first, X_Deadline_Ms='300')
+        self.assertEqual(refused.outcome, Outcome.MAY_HAVE_RUN)
+        self.assertEqual(target.started, [])
+
+    async def test_lookup_and_keyless_order_claim_nothing(self):
+        target = Orders()
+        async with two_entries(target) as (first, _, caller, _):
+            key = {'Idempotency_Key': 'order-7'}
+            await caller.plain(first.address, 'GET', '/stock', **key)
+            await caller.plain(first.address, 'POST', '/stock', 'feed')
+            self.assertEqual(first.shard_links.asked, [])
+        self.assertEqual(len(target.started), 2)
+
+
+class ErrorAnswerCase(unittest.IsolatedAsyncioTestCase):
+    async def test_error_of_the_target_is_an_answer_too(self):
+        target = Orders()
+        target.status = 409
+        async with two_entries(target) as (first, second, caller, _):
+            answers = [await order(caller, first)]
+            await settled(first, State.COMPLETE)
+            answers.append(await order(caller, second))
+        self.assertEqual({answer.status for answer in answers}, {409})
+        self.assertEqual(len(target.started), 1)
+        self.assertIsInstance(answers[0], load.Answer)
+        self.assertTrue(aiohttp.hdrs.CONTENT_TYPE in answers[1].headers)
