Change members in every replicated group, and name what failed

A control host that is added to the configuration alone keeps no claims, so the member commands go through all groups. Failures say what their code stands for.

--- a/tamarackthread/cli/client.py
+++ b/tamarackthread/cli/client.py
@@ -260,7 +260,7 @@
     def _failure(self) -> failures.CommandFailed:
         reason = 'no time was given'
         if self._last is not None:
-            reason = f'{self._last.code} {self._last}'
+            reason = f'last reason {failures.describe(self._last)}'
         if self._may_be_done and _changes(self._request):
             return failures.ChangeOutcomeUnknown(reason)
         return failures.ControlUnreachable(reason)
--- a/tamarackthread/cli/commands/base.py
+++ b/tamarackthread/cli/commands/base.py
@@ -72,10 +72,10 @@
                 self.complain(str(found))
             return int(exit_codes.ExitCode.INVALID)
         except failures.CommandFailed as exc:
-            self.complain(f'{exc.code} {exc}')
+            self.complain(failures.describe(exc))
             return int(exc.exit_code)
         except errors.CodedError as exc:
-            self.complain(f'{exc.code} {exc}')
+            self.complain(failures.describe(exc))
             return int(exit_codes.ExitCode.REFUSED)
 
     @abc.abstractmethod
--- a/tamarackthread/cli/commands/members.py
+++ b/tamarackthread/cli/commands/members.py
@@ -7,18 +7,18 @@
 
 from cleo import helpers
 
-from tamarackthread.cli import client, exit_codes, render
+from tamarackthread.cli import client, exit_codes, failures, render
 from tamarackthread.cli.commands import base
 from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import documents, errors
 
 CONFIG_GROUP = 'config'
 
 _GROUP = helpers.option(
     'group',
     'g',
-    'Replicated group: config, or claims-0 and so on.',
+    'Only this replicated group: config, claims-0 and so on; else all.',
     flag=False,
-    default=CONFIG_GROUP,
 )
 _NODE = helpers.argument('node', 'Name of the control host.')
 _ADDRESS = helpers.argument('address', 'Its address for links, HOST:PORT.')
@@ -26,15 +26,38 @@
 
 
 class MemberCommand(base.OperatorCommand, abc.ABC):
-    """Be a command that asks a group for its members."""
+    """Be a command that asks replicated groups, each for its members."""
 
     async def act(self, operator: client.Operator) -> exit_codes.ExitCode:
-        """Send the request and print the members that the answer names."""
-        request = self.request()
-        request.group = self.option('group')
-        reply = await operator.member(request)
-        self.show(render.members_values(reply), render.members_text(reply))
-        return exit_codes.ExitCode.DONE
+        """Ask each group; one that refuses does not keep the others back."""
+        replies = {}
+        code = exit_codes.ExitCode.DONE
+        for group in await self._groups(operator):
+            request = self.request()
+            request.group = group
+            try:
+                replies[group] = await operator.member(request)
+            except errors.CodedError as exc:
+                self.complain(f'{group}: {failures.describe(exc)}')
+                code = getattr(exc, 'exit_code', exit_codes.ExitCode.REFUSED)
+        values = {
+            name: render.members_values(reply)
+            for name, reply in replies.items()
+        }
+        self.show(values, render.members_text(replies))
+        return code
+
+    async def _groups(self, operator: client.Operator) -> list[str]:
+        """Name the groups: configuration first, then each shard of claims."""
+        chosen = self.option('group')
+        if chosen:
+            return [chosen]
+        shards = await operator.documents('shard')
+        groups = {
+            documents.parse(held.kind, held.body).group
+            for held in shards.documents
+        }
+        return [CONFIG_GROUP, *sorted(groups)]
 
     @abc.abstractmethod
     def request(self) -> messages.MemberRequest:
--- a/tamarackthread/cli/commands/roles.py
+++ b/tamarackthread/cli/commands/roles.py
@@ -69,7 +69,12 @@
             asyncio.run(self._run(reload.Reloader(name, source), source))
         except findings.InvalidError:
             raise
-        except (errors.CodedError, OSError) as exc:
+        except errors.CodedError as exc:
+            self.complain(
+                f'{self.role} could not run: {failures.describe(exc)}'
+            )
+            return exit_codes.ExitCode.START_FAILED
+        except OSError as exc:
             self.complain(f'{self.role} could not run: {exc}')
             return exit_codes.ExitCode.START_FAILED
         finally:
--- a/tamarackthread/cli/failures.py
+++ b/tamarackthread/cli/failures.py
@@ -61,3 +61,12 @@
     code = 'TT2106'
     status = 504
     exit_code = exit_codes.ExitCode.NOT_IN_FORCE
+
+
+def describe(exc: errors.CodedError) -> str:
+    """Say what failed: the code, what it stands for, and the particulars."""
+    meaning = (type(exc).__doc__ or '').partition('\n')[0]
+    particulars = str(exc)
+    if particulars in {'', type(exc).__doc__}:
+        return f'{exc.code} {meaning}'
+    return f'{exc.code} {meaning.rstrip(".")}: {particulars}'
--- a/tamarackthread/cli/render.py
+++ b/tamarackthread/cli/render.py
@@ -174,10 +174,21 @@
     }
 
 
-def members_text(reply: messages.MemberReply) -> str:
-    """Show the members of a group in a table."""
-    rows = [
+def members_text(
+    groups: collections.abc.Mapping[str, messages.MemberReply],
+) -> str:
+    """Show the members of each group in one table."""
+    rows = []
+    for group, reply in groups.items():
+        rows.extend(_member_rows(group, reply))
+    heads = ('group', 'node', 'address', 'part', 'leads', 'reachable', 'index')
+    return table(heads, rows)
+
+
+def _member_rows(group: str, reply: messages.MemberReply) -> Rows:
+    return [
         (
+            group,
             member.node,
             member.address,
             'voter' if member.voter else 'learner',
@@ -187,5 +198,3 @@
         )
         for member in reply.members or ()
     ]
-    heads = ('node', 'address', 'part', 'leads', 'reachable', 'index')
-    return table(heads, rows)
