Send small frames at once on accepted connections

Callers of keyed calls waited 40 ms for nothing: the listening socket was made without the protocol's number, so asyncio left Nagle's delay on for accepted connections. The claim service now takes the replicated log's result as it is.

--- a/tamarackthread/control/claim_service.py
+++ b/tamarackthread/control/claim_service.py
@@ -139,7 +139,7 @@
             operations=[waiting.operation for waiting in batch],
         )
         try:
-            answer = await self._group.propose(wire.encode(command))
+            done = await self._group.propose(wire.encode(command))
         except errors.CodedError as exc:
             self._fail(batch, exc)
             return
@@ -150,7 +150,7 @@
             _log.exception('claims: a proposal failed')
             self._fail(batch, errors.PeerFailure('internal fault'))
             return
-        replies = wire.decode(messages.ClaimResults, answer).replies
+        replies = wire.decode(messages.ClaimResults, done.result).replies
         for waiting, reply in zip(batch, replies, strict=True):
             if not waiting.answered.done():
                 waiting.answered.set_result(reply)
--- a/tamarackthread/shared/listener.py
+++ b/tamarackthread/shared/listener.py
@@ -81,7 +81,10 @@
 def bind(host: str, port: int) -> socket.socket:
     """Bind a socket, so that its address is known before it is greeted with."""
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    bound = socket.socket(family)
+    # Without the protocol's number asyncio takes the accepted connections for
+    # something other than TCP and leaves them with delayed small writes: a
+    # reply waits some 40 ms for the peer's acknowledgement of the one before.
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         bound.bind((host, port))
--- a/tests/shards.py
+++ b/tests/shards.py
@@ -4,7 +4,7 @@
 
 import async_solipsism
 
-from tamarackthread.control import claim_service, claims
+from tamarackthread.control import claim_service, claims, proposing
 from tamarackthread.entry import claims as client
 from tamarackthread.shared import claim_errors, claim_keys
 
@@ -29,11 +29,13 @@
             raise self.failure
         self.proposals += 1
         self.index += 1
-        return self.machine.apply(self.index, command)
+        answer = self.machine.apply(self.index, command)
+        return proposing.ProposeResult(self.index, answer)
 
     async def read_barrier(self):
         if self.failure is not None:
             raise self.failure
+        return self.index
 
 
 class Shard:
