--- /dev/null
+++ b/bench/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Check recorded histories against what the product promises."""
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -102,9 +102,19 @@
 class Cluster:
     """Hold the processes of one experiment and their settings files."""
 
-    def __init__(self, folder: pathlib.Path, zones: int = 3) -> None:
-        """Keep everything under one folder."""
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        zones: int = 3,
+        advertised: str = HOST,
+    ) -> None:
+        """Keep everything under one folder.
+
+        Processes listen on ``HOST`` and tell their peers to dial the same
+        port of ``advertised``, where a relay of the experiment may stand.
+        """
         self.folder = folder
+        self.advertised = advertised
         self.zones = zones
         self.processes: dict[str, Process] = {}
         self.controls: dict[str, str] = {}
@@ -129,7 +139,8 @@
     async def start_controls(self, count: int = 3, **extra: typing.Any) -> None:
         """Start the control hosts as the first voters."""
         for number in range(count):
-            self.controls[f'control-{number}'] = f'{HOST}:{free_port()}'
+            address = f'{self.advertised}:{free_port()}'
+            self.controls[f'control-{number}'] = address
         members = [
             {'node': node, 'address': address}
             for node, address in self.controls.items()
@@ -228,7 +239,7 @@
         zone: int,
         **sections: typing.Any,
     ) -> Process:
-        body = {
+        body: dict[str, typing.Any] = {
             'role': role,
             'node': {'id': name, 'region': 'region-0', 'zone': f'zone-{zone}'},
             'listen': {'host': HOST, 'port': 0},
@@ -236,6 +247,7 @@
             'security': {'key_files': [str(self._key)]},
             **sections,
         }
+        body['listen']['advertise_host'] = self.advertised
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(body, indent=2))
         arguments = [
--- a/bench/engines/journal.py
+++ b/bench/engines/journal.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import time
 import typing
 
 
@@ -22,8 +23,9 @@
             self._file = path.open('ab', buffering=0)
 
     def record(self, event: str, **details: typing.Any) -> None:
-        """Write one event with its details."""
+        """Write one event with its details and the host's monotonic time."""
         if self._file is None:
             return
-        line = json.dumps({'event': event, **details})
+        at = time.monotonic()
+        line = json.dumps({'event': event, 'at': at, **details})
         self._file.write(f'{line}\n'.encode())
--- /dev/null
+++ b/bench/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Break processes and connections under load and record what happens."""
