--- a/tamarackthread/control/election.py
+++ b/tamarackthread/control/election.py
@@ -10,6 +10,7 @@
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors
 
+_LEAST_SLEEP_SECONDS = 0.001
 _log = logging.getLogger('tamarackthread.control.election')
 
 
@@ -21,7 +22,7 @@
     while True:
         wait = state.election_at - state.now
         if wait > 0:
-            await asyncio.sleep(wait)
+            await asyncio.sleep(max(wait, _LEAST_SLEEP_SECONDS))
             continue
         state.put_off_election()
         if state.is_blank:
@@ -83,11 +84,13 @@
         if voter.node != state.parts.node
     ]
     votes = 1
+    waiting = set(asked)
     try:
-        for answer in asyncio.as_completed(asked):
-            if votes >= members.quorum:
-                break
-            votes += await answer
+        while waiting and votes < members.quorum:
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            votes += sum(task.result() for task in done)
     finally:
         for task in asked:
             task.cancel()
--- a/tamarackthread/control/leading.py
+++ b/tamarackthread/control/leading.py
@@ -24,7 +24,7 @@
         """Begin without a term."""
         self._state = state
         self._peers: dict[str, replication.PeerTasks] = {}
-        self._tasks: dict[str, asyncio.Future[list[None]]] = {}
+        self._tasks: dict[str, list[asyncio.Task[None]]] = {}
 
     @property
     def peers(self) -> dict[str, replication.PeerTasks]:
@@ -158,20 +158,29 @@
         for node in wanted.difference(self._peers):
             peer = replication.PeerTasks(state, term, node)
             self._peers[node] = peer
-            self._tasks[node] = asyncio.gather(peer.beat(), peer.replicate())
+            self._tasks[node] = [
+                asyncio.create_task(peer.beat()),
+                asyncio.create_task(peer.replicate()),
+            ]
         for gone in set(self._peers).difference(wanted):
             self._peers.pop(gone)
             term.progress.pop(gone, None)
-            self._tasks.pop(gone).cancel()
+            _cancel(self._tasks.pop(gone))
 
     def _raise_failures(self) -> None:
         """Halt on a fault in a peer's task, which else nobody would see."""
         for running in self._tasks.values():
-            if running.done() and not running.cancelled():
-                running.result()
+            for task in running:
+                if task.done() and not task.cancelled():
+                    task.result()
 
     def _end_peers(self) -> None:
         for running in self._tasks.values():
-            running.cancel()
+            _cancel(running)
         self._tasks = {}
         self._peers = {}
+
+
+def _cancel(running: list[asyncio.Task[None]]) -> None:
+    for task in running:
+        task.cancel()
--- a/tamarackthread/control/replication.py
+++ b/tamarackthread/control/replication.py
@@ -69,7 +69,7 @@
         )
 
     def _is_behind(self) -> bool:
-        return self._progress.next_index <= self._state.log.last_index
+        return self._progress.match_index < self._state.log.last_index
 
     async def _send_missing(self) -> None:
         sent = False
--- a/tamarackthread/control/role.py
+++ b/tamarackthread/control/role.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import logging
+
 import transitions
 
+# The library notes each move at INFO, which says nothing of group or term.
+logging.getLogger('transitions').setLevel(logging.WARNING)
+
 FOLLOWER = 'follower'
 CANDIDATE = 'candidate'
 LEADER = 'leader'
