Switch expert maps at one step, by a durable decision

Ranks that switch when a message arrives, or restart with the map they were started with, send tokens to ranks without the expert.

--- /dev/null
+++ b/bench/engines/switch_world.py
@@ -0,0 +1,338 @@
+"""Build a group with agents, owners and control on one paused clock.
+
+Everything but the engines, the network and control's log is the product's
+own code.  Control keeps its real tables of leases and decisions, on one node
+that never forgets.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import collections.abc
+import random
+
+import attrs
+import numpy
+
+from bench.engines import group, network
+from tamarackthread.agent import (
+    control_client,
+    engine,
+    loading,
+    maps,
+    order_errors,
+    orders,
+    owner,
+    ranks,
+    store_slots,
+    switch,
+    switch_record,
+    switching,
+)
+from tamarackthread.control import decisions, leases
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import expert_map, moves
+from tamarackthread.shared import errors
+
+GROUP = 'group-1'
+CONTROL = 'control'
+_COMMIT_SECONDS = 0.004
+_CONTROL_TIMEOUT = 0.3
+
+
+@attrs.frozen
+class WorldSettings:
+    """Hold the sizes of a world and the planted faults of tests."""
+
+    seed: int
+    ranks: int = 8
+    owners: int = 2
+    checks_fencing: bool = False
+    engine_class: type[group.RankEngine] = group.RankEngine
+    desk_class: type[orders.OrderDesk] = orders.OrderDesk
+    links: network.NetworkSettings = network.NetworkSettings()
+
+
+class Control:
+    """Keep leases and decisions as the control hosts' machine does."""
+
+    def __init__(self) -> None:
+        """Start with nothing granted."""
+        self._table = leases.LeaseTable()
+        self._decisions = decisions.Decisions(self._table)
+        self._keeper = leases.LeaseKeeper(
+            lambda: self._table,
+            self._commit,
+            lambda: asyncio.get_running_loop().time(),
+        )
+        self.records: list[switch_record.SwitchRecord] = []
+
+    async def lease(
+        self,
+        request: messages.LeaseRequest,
+    ) -> messages.LeaseReply:
+        """Answer about a lease."""
+        return await self._keeper.request(request)
+
+    async def decide(
+        self,
+        request: messages.DecisionRequest,
+    ) -> messages.DecisionReply:
+        """Record or read a decision; id 0 reads the latest."""
+        if request.switch_id == switch_record.LATEST:
+            return self._latest(request.group)
+        if request.decision:
+            await asyncio.sleep(_COMMIT_SECONDS)
+        reply = self._decisions.decide(request)
+        if reply.recorded:
+            self._note(reply)
+        return reply
+
+    async def _commit(
+        self,
+        request: messages.LeaseRequest,
+    ) -> messages.LeaseReply:
+        await asyncio.sleep(_COMMIT_SECONDS)
+        return self._table.apply(request)
+
+    def _latest(self, name: str) -> messages.DecisionReply:
+        kept = [
+            record
+            for record in self._decisions.everything()
+            if record.group == name
+        ]
+        if not kept:
+            return messages.DecisionReply(decision='', switch_id=0)
+        last = max(kept, key=lambda record: record.switch_id)
+        return messages.DecisionReply(
+            decision=last.decision,
+            switch_id=last.switch_id,
+            body=last.body,
+        )
+
+    def _note(self, reply: messages.DecisionReply) -> None:
+        record = switch_record.from_reply(reply)
+        if record is not None and record not in self.records:
+            self.records.append(record)
+
+
+class NodeControl(control_client.ControlClient):
+    """Reach control over the network from one node."""
+
+    def __init__(
+        self,
+        node: str,
+        links: network.Network,
+        control: Control,
+    ) -> None:
+        """Call as ``node``."""
+        self._node = node
+        self._links = links
+        self._control = control
+
+    async def lease(
+        self,
+        request: messages.LeaseRequest,
+    ) -> messages.LeaseReply:
+        """Answer about a lease."""
+        return await self._ask(lambda: self._control.lease(request))
+
+    async def decide(
+        self,
+        request: messages.DecisionRequest,
+    ) -> messages.DecisionReply:
+        """Record or read a decision."""
+        return await self._ask(lambda: self._control.decide(request))
+
+    async def _ask(self, work: collections.abc.Callable) -> object:
+        try:
+            return await self._links.call(
+                self._node,
+                CONTROL,
+                work,
+                _CONTROL_TIMEOUT,
+            )
+        except errors.RequestTimeout as exc:
+            raise order_errors.ControlUnreachable(str(exc)) from exc
+
+
+class NodeRanks(ranks.RankTransport):
+    """Reach the hosts' desks over the network from one node."""
+
+    def __init__(self, node: str, world: 'World') -> None:
+        """Call as ``node``."""
+        self._node = node
+        self._world = world
+
+    @property
+    def ranks(self) -> collections.abc.Sequence[int]:
+        """Number all ranks."""
+        return range(len(self._world.hosts))
+
+    async def send(
+        self,
+        rank: int,
+        order: messages.GroupOrder,
+        timeout_seconds: float,
+    ) -> messages.GroupOrderReply:
+        """Hand the order to the desk that is there when it arrives."""
+        host = self._world.hosts[rank]
+        return await self._world.links.call(
+            self._node,
+            host.node,
+            lambda: host.desk.handle_order(order),
+            timeout_seconds,
+        )
+
+
+class Host:
+    """Be one rank's host: the engine, and the agent beside it."""
+
+    def __init__(self, rank: int, world: 'World') -> None:
+        """Start neither."""
+        self.rank = rank
+        self.node = f'rank-{rank}'
+        self._world = world
+        settings = world.settings
+        self.engine = settings.engine_class(
+            rank,
+            world.group,
+            settings.checks_fencing,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._build()
+
+    def start_agent(self) -> None:
+        """Run the agent's tasks."""
+        self._tasks = [
+            asyncio.create_task(self.desk.start()),
+            asyncio.create_task(self.switch.run()),
+        ]
+        if self.rank < self._world.settings.owners:
+            self._tasks.append(asyncio.create_task(self.owner.run()))
+            self._tasks.append(asyncio.create_task(self._lead()))
+
+    async def restart_agent(self, seconds: float) -> None:
+        """Lose the agent's memory and start it again."""
+        for task in self._tasks:
+            task.cancel()
+        self.switch.close()
+        self._world.links.stall(self.node, seconds)
+        await asyncio.sleep(seconds)
+        self._build()
+        self.start_agent()
+
+    def _build(self) -> None:
+        world = self._world
+        control = NodeControl(self.node, world.links, world.control)
+        transport = NodeRanks(self.node, world)
+        book = maps.MapBook(world.initial, ranks.PeerMaps(GROUP, transport))
+        self.urgent = loading.UrgentSignal(moves.UrgentWatch())
+        loader = loading.WeightLoader(
+            self.engine,
+            self.urgent,
+            store_slots.OpenStore(),
+        )
+        self.switch = switch.RankSwitch(
+            GROUP,
+            self.rank,
+            self.engine,
+            control,
+            book,
+            loader,
+        )
+        self.desk = world.settings.desk_class(
+            GROUP,
+            control,
+            self.engine,
+            self.switch,
+            book,
+        )
+        self.owner = owner.GroupOwner(
+            owner.OwnerSettings(
+                GROUP,
+                self.node,
+                checks_fencing=world.settings.checks_fencing,
+            ),
+            control,
+            transport,
+        )
+        self.driver = switching.SwitchDriver(self.owner)
+
+    async def _lead(self) -> None:
+        """Switch to new maps and give other orders as long as we own."""
+        rng = random.Random(self._world.settings.seed * 1000 + self.rank)
+        while True:
+            await self.owner.wait_owner()
+            self._world.note_order(await self._order(rng))
+            await asyncio.sleep(rng.uniform(0.05, 0.3))
+            if not self.owner.is_owner or not self._world.wants_switch():
+                continue
+            try:
+                await self.driver.switch_to(self._world.next_map())
+            except errors.CodedError as exc:
+                self._world.reasons[exc.code] += 1
+
+    async def _order(self, rng: random.Random) -> int:
+        name = f'adapter-{rng.randrange(1 << 30)}'
+        states = await self.owner.order_all('load_adapter', name, '{}')
+        return sum(
+            not isinstance(state, errors.CodedError)
+            for state in states.values()
+        )
+
+
+class World:
+    """Hold the parts and run them for a while."""
+
+    def __init__(self, settings: WorldSettings) -> None:
+        """Build everything; needs a running loop."""
+        self.settings = settings
+        self._random = random.Random(settings.seed)
+        self._numbers = numpy.random.default_rng(settings.seed)
+        self.shape = expert_map.GroupShape(
+            layers=1,
+            experts=2 * settings.ranks,
+            ranks=settings.ranks,
+            slots=3,
+        )
+        self.initial = expert_map.cold_start(self.shape)
+        self.links = network.Network(self._random, settings.links)
+        self.control = Control()
+        tokens = numpy.full((1, self.shape.experts), 1000)
+        self.group = group.LockStepGroup(tokens, token_seconds=3e-6)
+        self.group.add_map(self.initial)
+        self.reasons: collections.Counter[str] = collections.Counter()
+        self.hosts: list[Host] = []
+        for rank in range(settings.ranks):
+            self.hosts.append(Host(rank, self))
+        self.group.engines = [host.engine for host in self.hosts]
+        self.switching = True
+
+    def start(self) -> asyncio.Task[None]:
+        """Start all agents and the group; return the group's task."""
+        for host in self.hosts:
+            host.start_agent()
+        return asyncio.create_task(self.group.run())
+
+    def next_map(self) -> expert_map.ExpertMap:
+        """Draw a map at random."""
+        shape = self.shape
+        base = self._numbers.permutation(shape.experts)
+        first = base.reshape(shape.ranks, -1)
+        spare = numpy.roll(first, 1, axis=0)[..., 0]
+        slots = numpy.column_stack((first, spare)).astype(numpy.int16)
+        return expert_map.ExpertMap(shape, slots.reshape(1, shape.ranks, -1))
+
+    def wants_switch(self) -> bool:
+        """Tell whether another switch should begin."""
+        return self.switching
+
+    def note_order(self, accepted: int) -> None:
+        """Count orders that ranks accepted."""
+        self.reasons['orders'] += accepted
+
+    def engine_of(self, rank: int) -> engine.Engine:
+        """Return a rank's engine."""
+        return self.hosts[rank].engine
--- /dev/null
+++ b/tamarackthread/agent/orders.py
@@ -0,0 +1,266 @@
+"""Take orders for one rank's engine and let no stale one through.
+
+Orders are checked here because some engines ignore fencing numbers and some
+do not ask who gives an order.  Sending an order again under the same id is
+how its sender asks for progress, and resumes one that failed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import collections.abc
+import json
+import logging
+
+import attrs
+
+from tamarackthread.agent import (
+    control_client,
+    engine,
+    maps,
+    order_errors,
+    order_state,
+    switch,
+    switch_record,
+)
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import expert_map
+from tamarackthread.shared import errors
+
+_log = logging.getLogger('tamarackthread.orders')
+_KEPT_ORDERS = 256
+_RETRY_SECONDS = 0.2
+_UNFENCED = frozenset((order_state.STATUS, order_state.MAP_GET))
+
+
+@attrs.define(eq=False)
+class _Job:
+    """Be a long order: its task and its state as last reported."""
+
+    order: messages.GroupOrder
+    state: order_state.OrderState
+    task: asyncio.Task[None] | None = None
+
+
+class OrderDesk:
+    """Check, execute and remember the orders of one rank."""
+
+    def __init__(
+        self,
+        group: str,
+        control: control_client.ControlClient,
+        rank_engine: engine.Engine,
+        rank_switch: switch.RankSwitch,
+        book: maps.MapBook,
+    ) -> None:
+        """Refuse every fenced order until ``start`` has learnt the number."""
+        self._group = group
+        self._control = control
+        self._engine = rank_engine
+        self._switch = rank_switch
+        self._book = book
+        self._highest: int | None = None
+        self._jobs: collections.OrderedDict[str, _Job] = (
+            collections.OrderedDict()
+        )
+        self._relay = asyncio.Lock()
+
+    @property
+    def highest_fence(self) -> int:
+        """Return the highest fencing number seen, 0 if none is."""
+        return self._highest or 0
+
+    async def start(self) -> None:
+        """Learn the highest fencing number from control, however long.
+
+        The failure: an agent restarts, forgets that a new owner has taken
+        over, and relays a late order of the old one.  Control gave the new
+        number out before the new owner's first order, so it is at least as
+        high as any that was forgotten.
+        """
+        while self._highest is None:
+            try:
+                fence = await self._control.fence(self._group)
+            except errors.CodedError as exc:
+                _log.warning('orders: fencing number unknown, %s', exc)
+                await asyncio.sleep(_RETRY_SECONDS)
+                continue
+            self._highest = max(self._highest or 0, fence)
+
+    async def handle_order(
+        self,
+        order: messages.GroupOrder,
+    ) -> messages.GroupOrderReply:
+        """Execute an order or tell why not; raises nothing coded.
+
+        The deadline counts from the order's arrival here.  A body with state
+        ``refused`` means that nothing was done.
+        """
+        now = asyncio.get_running_loop().time()
+        expires_at = now + (order.deadline_ms or 0) / 1000
+        try:
+            state = await self._handle(order, expires_at)
+        except errors.CodedError as exc:
+            state = order_state.from_failure(exc, order_state.REFUSED)
+        return messages.GroupOrderReply(
+            accepted=state.state != order_state.REFUSED,
+            body=state.to_json(),
+            highest_fence=self.highest_fence,
+        )
+
+    async def _handle(
+        self,
+        order: messages.GroupOrder,
+        expires_at: float,
+    ) -> order_state.OrderState:
+        if order.group != self._group:
+            raise order_errors.OrderInvalid(f'not of group {order.group}')
+        if order.action in _UNFENCED:
+            return await self._read(order)
+        # Orders are relayed one at a time, and checked again once it is
+        # their turn: one that waited behind a newer owner's must not follow.
+        async with self._relay:
+            self._check(order, expires_at)
+            return await self._relay_one(order)
+
+    def _check(self, order: messages.GroupOrder, expires_at: float) -> None:
+        if self._highest is None:
+            raise order_errors.FenceUnknown()
+        if order.fence < self._highest:
+            raise order_errors.OrderStale(
+                f'{order.fence} is older than {self._highest}',
+            )
+        if asyncio.get_running_loop().time() >= expires_at:
+            raise order_errors.OrderExpired()
+        self._highest = order.fence
+
+    async def _relay_one(
+        self,
+        order: messages.GroupOrder,
+    ) -> order_state.OrderState:
+        if order.action == order_state.FENCE:
+            return _done()
+        if order.action == order_state.CANCEL:
+            return self._cancel(_fields(order)['order_id'])
+        if order.action == order_state.MAP_ARM:
+            record = switch_record.from_json(order.body)
+            await self._switch.arm(record, order.fence)
+            return _done()
+        if order.action == order_state.MAP_OUTCOME:
+            await self._switch.learn(switch_record.from_json(order.body))
+            return _done()
+        return self._long(order)
+
+    async def _read(
+        self,
+        order: messages.GroupOrder,
+    ) -> order_state.OrderState:
+        if order.action == order_state.MAP_GET:
+            found = self._book.known(_fields(order)['digest'])
+            if found is None:
+                raise order_errors.MapUnknown()
+            return _done(found.to_json())
+        status = await self._engine.status()
+        jobs = {name: job.state.state for name, job in self._jobs.items()}
+        fields = attrs.asdict(status)
+        fields.update(
+            state=self._switch.state,
+            switch=self._switch.record.number,
+            map=self._switch.record.settled_map,
+            orders=jobs,
+        )
+        return _done(json.dumps(fields))
+
+    def _long(self, order: messages.GroupOrder) -> order_state.OrderState:
+        """Start or resume a long order, or tell how far it has come."""
+        work = self._work_of(order)
+        job = self._jobs.get(order.order_id)
+        if job is None:
+            state = order_state.OrderState(order_state.RUNNING)
+            job = _Job(order, state)
+            self._remember(order.order_id, job)
+        elif job.state.state != order_state.FAILED:
+            work.close()
+            return job.state
+        job.state = attrs.evolve(job.state, state=order_state.RUNNING)
+        job.task = asyncio.create_task(self._execute(job, work))
+        return job.state
+
+    def _work_of(
+        self,
+        order: messages.GroupOrder,
+    ) -> collections.abc.Coroutine[None, None, str]:
+        def report(done: float) -> None:  # noqa: WPS430
+            job = self._jobs[order.order_id]
+            job.state = attrs.evolve(job.state, done=round(done, 4))
+
+        if order.action == order_state.MAP_LOAD:
+            target = expert_map.from_json(order.body)
+            return self._load_map(target, report)
+        if order.action in order_state.ENGINE_ACTIONS:
+            return self._engine.execute(
+                order.action,
+                order.body,
+                order.fence,
+                report,
+            )
+        raise order_errors.OrderInvalid(f'unknown action {order.action}')
+
+    async def _load_map(
+        self,
+        target: expert_map.ExpertMap,
+        report: engine.Report,
+    ) -> str:
+        await self._switch.load(target, report)
+        return target.digest()
+
+    async def _execute(
+        self,
+        job: _Job,
+        work: collections.abc.Coroutine[None, None, str],
+    ) -> None:
+        try:
+            result = await work
+        except errors.CodedError as exc:
+            failed = order_state.from_failure(exc, order_state.FAILED)
+            job.state = attrs.evolve(failed, done=job.state.done)
+        except asyncio.CancelledError:
+            job.state = attrs.evolve(job.state, state=order_state.CANCELLED)
+        else:
+            job.state = _done(result)
+
+    def _cancel(self, order_id: str) -> order_state.OrderState:
+        job = self._jobs.get(order_id)
+        if job is None:
+            # Remembered, so that the order is refused if it comes later.
+            state = order_state.OrderState(order_state.CANCELLED)
+            self._remember(order_id, _Job(messages.GroupOrder(), state))
+            return _done()
+        if job.task is not None:
+            job.task.cancel()
+        if job.state.state in {order_state.RUNNING, order_state.FAILED}:
+            job.state = attrs.evolve(job.state, state=order_state.CANCELLED)
+        return _done()
+
+    def _remember(self, order_id: str, job: _Job) -> None:
+        self._jobs[order_id] = job
+        for name, old in list(self._jobs.items()):
+            if len(self._jobs) <= _KEPT_ORDERS:
+                break
+            if old.state.state != order_state.RUNNING:
+                self._jobs.pop(name)
+
+
+def _done(result: str = '') -> order_state.OrderState:
+    return order_state.OrderState(order_state.DONE, done=1, result=result)
+
+
+def _fields(order: messages.GroupOrder) -> dict[str, str]:
+    try:
+        fields = json.loads(order.body)
+    except ValueError as exc:
+        raise order_errors.OrderInvalid(str(exc)) from exc
+    if not isinstance(fields, dict):
+        raise order_errors.OrderInvalid('body is not an object')
+    return collections.defaultdict(str, fields)
--- /dev/null
+++ b/tamarackthread/agent/ranks.py
@@ -0,0 +1,101 @@
+"""Send orders to the agents of a group's ranks."""
+
+from __future__ import annotations
+
+import abc
+import collections.abc
+import json
+
+from tamarackthread.agent import maps, order_errors, order_state
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import expert_map
+from tamarackthread.shared import errors, peers
+
+
+class RankTransport(abc.ABC):
+    """Reach the agents of one group by rank."""
+
+    @property
+    @abc.abstractmethod
+    def ranks(self) -> collections.abc.Sequence[int]:
+        """Number the ranks that are part of the group now."""
+
+    @abc.abstractmethod
+    async def send(
+        self,
+        rank: int,
+        order: messages.GroupOrder,
+        timeout_seconds: float,
+    ) -> messages.GroupOrderReply:
+        """Hand an order to a rank's agent; raise a coded error on silence."""
+
+
+class PeersTransport(RankTransport):
+    """Reach agents over links; addresses follow the target documents."""
+
+    def __init__(
+        self,
+        connections: peers.Peers,
+        addresses: collections.abc.Callable[[], dict[int, str]],
+    ) -> None:
+        """Ask ``addresses`` each time, because ranks come and go."""
+        self._peers = connections
+        self._addresses = addresses
+
+    @property
+    def ranks(self) -> collections.abc.Sequence[int]:
+        """Number the ranks that have announced themselves."""
+        return sorted(self._addresses())
+
+    async def send(
+        self,
+        rank: int,
+        order: messages.GroupOrder,
+        timeout_seconds: float,
+    ) -> messages.GroupOrderReply:
+        """Send the order over the link to the rank's agent."""
+        address = self._addresses().get(rank)
+        if address is None:
+            raise errors.AddressUnreachable(f'rank {rank} is not announced')
+        request = messages.Request(order=order)
+        reply = await self._peers.request(address, request, timeout_seconds)
+        return reply.order
+
+
+class PeerMaps(maps.MapSource):
+    """Ask the other ranks' agents for a map."""
+
+    def __init__(
+        self,
+        group: str,
+        transport: RankTransport,
+        timeout_seconds: float = 1,
+    ) -> None:
+        """Use the transport of the group's orders."""
+        self._group = group
+        self._transport = transport
+        self._timeout_seconds = timeout_seconds
+
+    async def fetch(self, digest: str) -> expert_map.ExpertMap:
+        """Ask one rank after the other."""
+        order = messages.GroupOrder(
+            group=self._group,
+            fence=0,
+            order_id=f'map-{digest}',
+            action=order_state.MAP_GET,
+            body=json.dumps({'digest': digest}),
+            deadline_ms=int(self._timeout_seconds * 1000),
+        )
+        for rank in self._transport.ranks:
+            try:
+                reply = await self._transport.send(
+                    rank,
+                    order,
+                    self._timeout_seconds,
+                )
+            except errors.CodedError:
+                continue
+            state = order_state.from_json(reply.body)
+            if state.state == order_state.DONE:
+                return expert_map.from_json(state.result)
+        raise order_errors.MapUnknown(digest)
--- /dev/null
+++ b/tamarackthread/agent/switch.py
@@ -0,0 +1,313 @@
+"""Switch one rank's expert map at the step that was agreed, or not at all.
+
+A rank loads what the new map adds while the old one serves, and arms.  From
+then on its engine holds at the switch step until the outcome is known, so it
+passes that step only with the map that control recorded.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import attrs
+import numpy
+import transitions
+
+from tamarackthread.agent import (
+    control_client,
+    engine,
+    loading,
+    maps,
+    order_errors,
+    switch_record,
+)
+from tamarackthread.policy import expert_map, moves
+from tamarackthread.shared import errors
+
+_log = logging.getLogger('tamarackthread.switch')
+
+UNPLACED = 'unplaced'
+STEADY = 'steady'
+LOADED = 'loaded'
+ARMED = 'armed'
+
+
+@attrs.frozen
+class SwitchSettings:
+    """Hold the constants of a rank's switch; times are in seconds.
+
+    The outcome normally comes by message within ``patience_seconds``; only
+    after that does the rank ask control itself.
+    """
+
+    patience_seconds: float = 0.3
+    poll_seconds: float = 0.1
+    retry_seconds: float = 0.1
+
+
+class _Lifecycle:
+    """Be the rank's state; a restart of the engine leads to UNPLACED."""
+
+    state = UNPLACED
+
+    def __init__(self) -> None:
+        self._machine = transitions.Machine(
+            model=self,
+            states=[UNPLACED, STEADY, LOADED, ARMED],
+            initial=UNPLACED,
+            auto_transitions=False,
+            transitions=[
+                ['lose', '*', UNPLACED],
+                ['place', UNPLACED, STEADY],
+                ['load', [STEADY, LOADED], LOADED],
+                ['arm', [LOADED, UNPLACED], ARMED],
+                ['settle', ARMED, STEADY],
+            ],
+        )
+
+
+class RankSwitch:
+    """Keep one engine on the map that control recorded for each step."""
+
+    def __init__(
+        self,
+        group: str,
+        rank: int,
+        rank_engine: engine.Engine,
+        control: control_client.ControlClient,
+        book: maps.MapBook,
+        loader: loading.WeightLoader,
+        settings: SwitchSettings | None = None,
+    ) -> None:
+        """Do nothing before ``run``."""
+        self._group = group
+        self._rank = rank
+        self._engine = rank_engine
+        self._control = control
+        self._book = book
+        self._loader = loader
+        self._settings = settings or SwitchSettings()
+        self._life = _Lifecycle()
+        self._record = self._first_record()
+        self._loaded_map = ''
+        self._fence = 0
+        self._lock = asyncio.Lock()
+        self._watch: asyncio.Task[None] | None = None
+
+    @property
+    def state(self) -> str:
+        """Return the state's name, for reports and operators."""
+        return self._life.state
+
+    @property
+    def record(self) -> switch_record.SwitchRecord:
+        """Return the switch that the engine follows."""
+        return self._record
+
+    async def run(self) -> None:
+        """Place the engine at each of its starts, for ever."""
+        incarnation = 0
+        while True:
+            incarnation = await self._engine.wait_started(incarnation)
+            async with self._lock:
+                self._lose()
+                await self._recover()
+
+    def close(self) -> None:
+        """Stop asking for an outcome, when the agent stops."""
+        self._stop_watch()
+
+    async def load(
+        self,
+        target: expert_map.ExpertMap,
+        report: engine.Report,
+    ) -> None:
+        """Load what a map adds for this rank, keeping the one that serves."""
+        if self.state not in {STEADY, LOADED}:
+            raise order_errors.RankNotReady(f'rank is {self.state}')
+        serving = self._record.settled_map
+        current = await self._book.get(serving)
+        added = target.holds() & ~current.holds()
+        digest = self._book.add(target)
+        await self._engine.add_map(target)
+        await self._loader.load(self._moves(added), report)
+        if self._record.settled_map != serving or self.state == UNPLACED:
+            raise order_errors.RankNotReady('rank restarted during the load')
+        self._loaded_map = digest
+        self._life.trigger('load')
+
+    async def arm(
+        self,
+        record: switch_record.SwitchRecord,
+        fence: int,
+    ) -> None:
+        """Arm the engine for an open switch; arming again does nothing."""
+        async with self._lock:
+            if record.number <= self._record.number and self.state != UNPLACED:
+                self._check_known(record)
+                return
+            fits = record.base == self._record.settled_map
+            if self.state != LOADED or record.target != self._loaded_map:
+                raise order_errors.RankNotReady(f'rank is {self.state}')
+            if not fits or not await self._is_past_last_switch():
+                raise order_errors.RankNotReady('rank serves another map')
+            self._fence = max(self._fence, fence)
+            await self._engine.follow(record, self._fence)
+            self._record = record
+            self._life.trigger('arm')
+            self._start_watch()
+
+    async def learn(self, record: switch_record.SwitchRecord) -> None:
+        """Take the outcome of the switch that the rank is armed for."""
+        async with self._lock:
+            if self.state == ARMED:
+                await self._settle(record)
+
+    async def _is_past_last_switch(self) -> bool:
+        if self._record.stage is not switch_record.Stage.COMMITTED:
+            return True
+        status = await self._engine.status()
+        return status.step >= self._record.from_step
+
+    def _check_known(self, record: switch_record.SwitchRecord) -> None:
+        if record.number < self._record.number:
+            raise order_errors.SwitchAborted('rank knows of a later switch')
+        if self._record.stage is switch_record.Stage.ABORTED:
+            raise order_errors.SwitchAborted()
+
+    async def _settle(self, latest: switch_record.SwitchRecord) -> None:
+        decided = _outcome(self._record, latest)
+        if decided is None:
+            return
+        await self._engine.follow(decided, self._fence)
+        self._record = decided
+        self._loaded_map = ''
+        self._life.trigger('settle')
+        await self._drop_unused()
+        _log.info('switch: %d is %s', decided.number, decided.stage.value)
+
+    async def _recover(self) -> None:
+        """Bring an engine that has started back with what control knows.
+
+        The failure: a rank that armed restarts before the switch step and
+        comes up with the map that it was started with, while the others
+        switch; tokens then go to ranks that do not have the expert.  Control
+        recorded the intent before this rank could arm, so a read made after
+        the restart finds it, and the engine runs no step before that read.
+        """
+        while True:
+            try:
+                self._record = await self._place()
+            except errors.CodedError as exc:
+                _log.warning('switch: cannot place rank, %s %s', exc.code, exc)
+                await asyncio.sleep(self._settings.retry_seconds)
+                continue
+            self._life.trigger('arm' if self._record.is_open else 'place')
+            if self._record.is_open:
+                self._start_watch()
+            return
+
+    async def _place(self) -> switch_record.SwitchRecord:
+        self._fence = await self._control.fence(self._group)
+        record = await self._control.latest(self._group)
+        record = record or self._first_record()
+        digests = {record.base, record.settled_map}
+        if record.is_open:
+            digests.add(record.target)
+        for digest in sorted(digests):
+            placement = await self._book.get(digest)
+            await self._engine.add_map(placement)
+            wanted = self._moves(placement.holds(), urgent=True)
+            await self._loader.load(wanted, _no_report)
+        await self._engine.follow(record, self._fence)
+        return record
+
+    def _start_watch(self) -> None:
+        self._stop_watch()
+        self._watch = asyncio.create_task(self._watch_outcome())
+
+    def _stop_watch(self) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+
+    async def _watch_outcome(self) -> None:
+        """Ask control for the outcome when no message brought it."""
+        await asyncio.sleep(self._settings.patience_seconds)
+        while self.state == ARMED:
+            try:
+                latest = await self._control.latest(self._group)
+            except errors.CodedError:
+                latest = None
+            if latest is not None:
+                await self._try_learn(latest)
+            await asyncio.sleep(self._settings.poll_seconds)
+
+    async def _try_learn(self, latest: switch_record.SwitchRecord) -> None:
+        try:
+            await self.learn(latest)
+        except errors.CodedError as exc:
+            _log.warning('switch: engine did not follow, %s', exc)
+
+    def _lose(self) -> None:
+        self._stop_watch()
+        self._life.trigger('lose')
+        self._loaded_map = ''
+        self._loader.forget()
+
+    async def _drop_unused(self) -> None:
+        serving = await self._book.get(self._record.settled_map)
+        self._loader.keep(self._moves(serving.holds()))
+
+    def _moves(
+        self,
+        held: numpy.ndarray,
+        urgent: bool = False,
+    ) -> list[moves.Move]:
+        return rank_moves(held, self._rank, urgent=urgent)
+
+    def _first_record(self) -> switch_record.SwitchRecord:
+        initial = self._book.initial_digest
+        return switch_record.SwitchRecord(
+            number=0,
+            stage=switch_record.Stage.ABORTED,
+            from_step=0,
+            base=initial,
+            target=initial,
+        )
+
+
+def rank_moves(
+    held: numpy.ndarray,
+    rank: int,
+    urgent: bool,
+) -> list[moves.Move]:
+    """List one rank's (layer, expert) pairs as moves."""
+    pairs = numpy.argwhere(numpy.take(held, rank, axis=1))
+    return [
+        moves.Move(int(layer), rank, int(expert), urgent)
+        for layer, expert in pairs
+    ]
+
+
+def _outcome(
+    own: switch_record.SwitchRecord,
+    latest: switch_record.SwitchRecord,
+) -> switch_record.SwitchRecord | None:
+    """Work out how the own switch ended from the latest record.
+
+    No later switch can have been committed without this rank, so the map
+    that a later one starts from is the one that the own switch ended with.
+    """
+    if latest.number < own.number:
+        return None
+    if latest.number == own.number:
+        return None if latest.is_open else latest
+    if latest.base == own.target:
+        return own.decided(switch_record.Stage.COMMITTED)
+    return own.decided(switch_record.Stage.ABORTED)
+
+
+def _no_report(done: float) -> None:
+    """Take no notice of progress."""
--- /dev/null
+++ b/tamarackthread/agent/switching.py
@@ -0,0 +1,188 @@
+"""Lead a group from one expert map to the next, as its owner."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import logging
+
+import attrs
+
+from tamarackthread.agent import (
+    order_errors,
+    order_state,
+    owner,
+    switch_record,
+)
+from tamarackthread.policy import expert_map
+from tamarackthread.shared import errors
+
+_log = logging.getLogger('tamarackthread.owner')
+
+
+@attrs.frozen
+class SwitchingSettings:
+    """Hold the constants of a switch.
+
+    ``ahead_steps`` lie between the last step seen and the switch step: long
+    enough for arming and the decision, so that no rank has to hold.
+    """
+
+    ahead_steps: int = 50
+    arm_seconds: float = 0.25
+    load_seconds: float = 600
+    poll_seconds: float = 0.1
+
+
+class SwitchDriver:
+    """Run one switch after the other for an owner."""
+
+    def __init__(
+        self,
+        group_owner: owner.GroupOwner,
+        settings: SwitchingSettings | None = None,
+    ) -> None:
+        """Act only while ``group_owner`` is the owner."""
+        self._owner = group_owner
+        self._settings = settings or SwitchingSettings()
+        self._busy = False
+
+    async def switch_to(
+        self,
+        target: expert_map.ExpertMap,
+    ) -> switch_record.SwitchRecord:
+        """Switch the group and return the committed record.
+
+        Raises ``SwitchAborted`` when the old map stays, and ``NotOwner``
+        when the outcome is left to the next owner.
+        """
+        if self._busy:
+            raise order_errors.SwitchUnderWay()
+        self._busy = True
+        try:
+            return await self._switch(target)
+        finally:
+            self._busy = False
+
+    async def _switch(
+        self,
+        target: expert_map.ExpertMap,
+    ) -> switch_record.SwitchRecord:
+        if not self._owner.is_owner:
+            raise order_errors.NotOwner()
+        latest = await self._owner.control.latest(self._owner.group)
+        number = 1 if latest is None else latest.number + 1
+        await self._load(number, target)
+        base, step = await self._settled_state(latest)
+        intent = switch_record.SwitchRecord(
+            number=number,
+            stage=switch_record.Stage.PREPARED,
+            from_step=step + self._settings.ahead_steps,
+            base=base,
+            target=target.digest(),
+        )
+        return await self._decide(intent)
+
+    async def _load(self, number: int, target: expert_map.ExpertMap) -> None:
+        """Have every rank load; sending the order again asks how far it is."""
+        order_id = f'load-{number}-{target.digest()}'
+        body = target.to_json()
+        end = asyncio.get_running_loop().time() + self._settings.load_seconds
+        while asyncio.get_running_loop().time() < end:
+            states = await self._owner.order_all(
+                order_state.MAP_LOAD,
+                order_id,
+                body,
+            )
+            if _all_done(states.values()):
+                return
+            _raise_refusal(states.values())
+            await asyncio.sleep(self._settings.poll_seconds)
+        raise order_errors.SwitchAborted('weights were not loaded in time')
+
+    async def _settled_state(
+        self,
+        latest: switch_record.SwitchRecord | None,
+    ) -> tuple[str, int]:
+        """Wait for the last switch to lie behind; return map and step.
+
+        The failure: the intent of a switch is recorded while some rank is
+        still before the step of the switch before.  A rank that reads only
+        the newer record would serve the steps in between with a map that is
+        not due yet.
+        """
+        passed = 0
+        if latest is not None:
+            is_committed = latest.stage is switch_record.Stage.COMMITTED
+            passed = latest.from_step if is_committed else 0
+        while True:
+            found = await self._statuses()
+            if min(status['step'] for status in found) >= passed:
+                break
+            await asyncio.sleep(self._settings.poll_seconds)
+        served = {status['map'] for status in found}
+        if latest is not None:
+            served.add(latest.settled_map)
+        if len(served) != 1:
+            raise order_errors.SwitchAborted('ranks serve another map')
+        return served.pop(), max(status['step'] for status in found)
+
+    async def _statuses(self) -> list[dict]:
+        states = await self._owner.order_all(order_state.STATUS, 'status')
+        found = [status for _, status in owner.read_status(states)]
+        if len(found) < len(states):
+            raise order_errors.SwitchAborted('a rank gave no status')
+        return found
+
+    async def _decide(
+        self,
+        intent: switch_record.SwitchRecord,
+    ) -> switch_record.SwitchRecord:
+        """Record the intent, arm all ranks, record and tell the outcome."""
+        if await self._owner.record(intent) != intent:
+            raise order_errors.SwitchAborted('control refused the intent')
+        stage = switch_record.Stage.ABORTED
+        if await self._arm(intent):
+            stage = switch_record.Stage.COMMITTED
+        wanted = intent.decided(stage)
+        decided = await self._owner.record(wanted)
+        if decided is None:
+            raise order_errors.NotOwner('another owner decides the switch')
+        _log.info('owner: switch %d is %s', decided.number, decided.stage.value)
+        await self._owner.tell_outcome(decided)
+        if decided.stage is not switch_record.Stage.COMMITTED:
+            raise order_errors.SwitchAborted('not every rank armed in time')
+        return decided
+
+    async def _arm(self, intent: switch_record.SwitchRecord) -> bool:
+        """Tell whether every rank has armed within the time for it."""
+        arming = self._owner.order_all(
+            order_state.MAP_ARM,
+            f'arm-{intent.number}',
+            intent.to_json(),
+        )
+        try:
+            states = await asyncio.wait_for(arming, self._settings.arm_seconds)
+        except TimeoutError:
+            return False
+        return _all_done(states.values())
+
+
+_States = collections.abc.Iterable[order_state.OrderState | errors.CodedError]
+
+
+def _all_done(states: _States) -> bool:
+    return all(
+        isinstance(state, order_state.OrderState)
+        and state.state == order_state.DONE
+        for state in states
+    )
+
+
+def _raise_refusal(states: _States) -> None:
+    """Raise what cannot get better by asking again."""
+    for state in states:
+        if isinstance(state, order_errors.NotOwner | order_errors.OrderStale):
+            raise state
+        if isinstance(state, order_errors.OrderInvalid):
+            raise state
