Let the agent settle keyless orders whose link was lost

The caller of a keyless order was told 'may have run' whenever the link to the agent broke, though the agent knew better. Such a call now carries a claim of its own, kept at the agent alone: it is answered, or sealed as not run and sent elsewhere, without a quorum write.

--- a/tamarackthread/agent/claims.py
+++ b/tamarackthread/agent/claims.py
@@ -66,7 +66,7 @@
         """Remember it for the whole period after this time."""
         self.forget_at_ms = max(
             self.forget_at_ms,
-            time_ms + claim_times.REMEMBER_MS,
+            time_ms + claim_times.remember_ms(self.fence),
         )
 
 
@@ -143,7 +143,7 @@
         """Tell whether a claim started here, and seal it on request."""
         self._forget_old()
         handover = ask.handover
-        if not self._can_tell(handover):
+        if not self._can_tell(handover, ask.fence):
             return messages.ClaimProof(
                 known=False,
                 reached=False,
@@ -180,10 +180,15 @@
             and handover.incarnation == self._incarnation
         )
 
-    def _can_tell(self, handover: messages.Handover | None) -> bool:
+    def _can_tell(
+        self,
+        handover: messages.Handover | None,
+        fence: int,
+    ) -> bool:
         if handover is None or not self._is_own(handover):
             return False
-        return _now_ms() < handover.until_ms + claim_times.REMEMBER_MS
+        period = claim_times.remember_ms(fence)
+        return _now_ms() < handover.until_ms + period
 
     def _remember(
         self,
@@ -193,7 +198,7 @@
     ) -> _Known:
         if len(self._known) >= self._max_claims:
             raise claim_errors.GateFull
-        forget_at = handover.until_ms + claim_times.REMEMBER_MS
+        forget_at = handover.until_ms + claim_times.remember_ms(fence)
         known = _Known(fence, _State.WAITING, forget_at)
         self._known[key] = known
         heapq.heappush(self._forgets, (forget_at, key))
--- a/tamarackthread/entry/calls.py
+++ b/tamarackthread/entry/calls.py
@@ -9,7 +9,14 @@
 
 import attrs
 
-from tamarackthread.entry import answers, attempt, failures, fleet, keyed
+from tamarackthread.entry import (
+    answers,
+    attempt,
+    claimed,
+    failures,
+    fleet,
+    keyed,
+)
 from tamarackthread.generated import documents as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import admission, calls, refusals, retries
@@ -44,7 +51,7 @@
         return self.kind == 'model'
 
     @property
-    def is_claimed(self) -> bool:
+    def is_keyed(self) -> bool:
         """Tell whether the call must not repeat and has a key to ensure it."""
         return bool(self.key) and not self.facts.idempotent
 
@@ -60,7 +67,7 @@
     attempts: int = 0
     resumed: int = 0
     may_have_run: bool = False
-    claim: keyed.KeyedCall | None = None
+    claim: claimed.ClaimedCall | None = None
 
 
 class Runner:
@@ -89,14 +96,14 @@
         life = _Life(call, sink, attempt.Progress())
         loop = asyncio.get_running_loop()
         self._budget(call).earn(loop.time())
-        if call.is_claimed:
-            await self._run_claimed(life)
+        if call.facts.idempotent:
+            await self._run_in_time(life)
             return
-        await self._run_in_time(life)
+        await self._run_claimed(life)
 
     async def refuse(self, call: Call, failure: errors.CodedError) -> None:
         """Make a refusal before the run truthful for another try's key."""
-        if call.is_claimed:
+        if call.is_keyed:
             await self._claim_of(call).fail(failure)
 
     async def _run_in_time(self, life: _Life) -> None:
@@ -120,7 +127,9 @@
             raise
         claim.succeed()
 
-    def _claim_of(self, call: Call) -> keyed.KeyedCall:
+    def _claim_of(self, call: Call) -> claimed.ClaimedCall:
+        if not call.is_keyed:
+            return self._claimed.start_unkeyed(call.facts.deadline)
         return self._claimed.start(
             keyed.Request(
                 facts=call.facts,
@@ -147,7 +156,8 @@
         try:
             await self._attempt(life)
         except keyed.ClaimedElsewhere as exc:
-            return await self._settle(life, exc.reply)
+            settled = await self._settle(life, exc.reply)
+            return settled is not None and not settled.granted
         except attempt.AttemptFailed as exc:
             return await self._weigh_claimed(life, exc)
         return True
@@ -192,7 +202,7 @@
 
     async def _secure(
         self,
-        claim: keyed.KeyedCall,
+        claim: claimed.ClaimedCall,
         opening: messages.OpenCall,
         contact: fleet.Contact,
     ) -> None:
@@ -259,14 +269,13 @@
         self,
         life: _Life,
         reply: messages.ClaimReply | None,
-    ) -> bool:
-        """Settle the key's claim; tell whether its answer has been given."""
+    ) -> messages.ClaimReply | None:
+        """Settle the call's claim and give the caller its answer, if any."""
         assert life.claim is not None
         settled = await life.claim.settle(reply)
-        if settled.granted:
-            return False
-        await keyed.replay(settled, life.sink)
-        return True
+        if settled is not None and not settled.granted:
+            await claimed.replay(settled, life.sink)
+        return settled
 
     async def _weigh_claimed(
         self,
@@ -278,10 +287,15 @@
         if life.claim is not None and is_lost and not life.sink.started:
             # The agent goes on with a claimed call whose link has broken,
             # and can tell its outcome or prove that it never came.
-            if await self._settle(life, None):
-                return True
-            failed.ran = messages.Ran.NOT_RUN
-            failed.cause.ran = messages.Ran.NOT_RUN
+            before = life.may_have_run
+            life.may_have_run = True
+            settled = await self._settle(life, None)
+            if settled is not None:
+                life.may_have_run = before
+                failed.ran = messages.Ran.NOT_RUN
+                failed.cause.ran = messages.Ran.NOT_RUN
+                if not settled.granted:
+                    return True
         await self._weigh(life, failed)
         return False
 
--- a/tamarackthread/entry/keyed.py
+++ b/tamarackthread/entry/keyed.py
@@ -15,21 +15,20 @@
 
 from tamarackthread.entry import (
     answers,
+    claimed,
     claims,
-    failures,
     fleet,
     recording,
     takeover,
+    unkeyed,
 )
 from tamarackthread.generated import documents as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import calls
 from tamarackthread.shared import claim_errors, claim_keys, claim_times, errors
 
-HANDOVER_SECONDS = 10.0
 SETTLE_SECONDS = 1.0
 COLLECT_SECONDS = 60.0
-REPLAY_HEADER = ('X-Tamarackthread-Replayed', 'true')
 _State = messages.ClaimState
 _log = logging.getLogger('tamarackthread.claims')
 
@@ -60,7 +59,7 @@
     body: bytes
 
 
-class KeyedCall:
+class KeyedCall(claimed.ClaimedCall):
     """Be the claim of one call over all its attempts."""
 
     def __init__(
@@ -97,7 +96,7 @@
 
         Raises ``ClaimedElsewhere`` when the call is not, or no longer, ours.
         """
-        handover = window(contact, self._ask.deadline)
+        handover = claimed.window(contact, self._ask.deadline)
         reply = await self._secure(handover)
         if not reply.granted:
             self._held = None
@@ -110,7 +109,7 @@
     async def settle(
         self,
         reply: messages.ClaimReply | None = None,
-    ) -> messages.ClaimReply:
+    ) -> messages.ClaimReply | None:
         """Wait for the truth about the key, or take its claim over.
 
         Without ``reply`` the claim is our own and its call got lost on the
@@ -240,6 +239,10 @@
         )
         return KeyedCall(self, ask, rules)
 
+    def start_unkeyed(self, deadline: float) -> unkeyed.UnkeyedCall:
+        """Prepare a call that has no key, for its hand-over."""
+        return unkeyed.UnkeyedCall(self._settler.prober, deadline)
+
     def later(
         self,
         work: collections.abc.Coroutine[None, None, None],
@@ -255,33 +258,6 @@
             await asyncio.wait(tuple(self._tasks), timeout=seconds)
 
 
-def window(contact: fleet.Contact, deadline: float) -> messages.Handover:
-    """Say where and until when a call may start, on the agent's clock.
-
-    Raises ``ConnectionSilent`` when the agent's clock isn't known.
-    """
-    held = contact.held
-    clock = held.peer_clock_ms() if held and not held.is_closed else None
-    if held is None or clock is None:
-        raise failures.ConnectionSilent(contact.name)
-    left = deadline - asyncio.get_running_loop().time()
-    seconds = min(left, HANDOVER_SECONDS)
-    return messages.Handover(
-        target=contact.name,
-        address=contact.details.address,
-        incarnation=held.peer.incarnation,
-        until_ms=clock + int(seconds * claim_times.MILLISECONDS),
-    )
-
-
-async def replay(reply: messages.ClaimReply, sink: answers.Sink) -> None:
-    """Give the kept answer of an earlier try."""
-    headers = [(kept.name, kept.value) for kept in reply.headers or ()]
-    headers.append(REPLAY_HEADER)
-    head = answers.Head(status=reply.status, headers=tuple(headers))
-    await sink.whole(head, reply.body or b'')
-
-
 async def _logged(
     work: collections.abc.Coroutine[None, None, None],
 ) -> None:
--- a/tamarackthread/entry/takeover.py
+++ b/tamarackthread/entry/takeover.py
@@ -75,6 +75,11 @@
         self._prober = prober
         self._grace_seconds = grace_seconds
 
+    @property
+    def prober(self) -> Prober:
+        """Give the way to the agents."""
+        return self._prober
+
     async def settle(
         self,
         ask: claims.Ask,
--- a/tamarackthread/shared/claim_times.py
+++ b/tamarackthread/shared/claim_times.py
@@ -13,7 +13,17 @@
 WINDOW_MS = 30_000
 # How long an agent remembers a claim after its window or its end.
 REMEMBER_MS = 600_000
+# The same for a call without a key, which only its own entry asks about.
+REMEMBER_UNKEYED_MS = 60_000
+UNKEYED_FENCE = 0
 # How long a claim is kept after its last change, at least and at most.
 MIN_KEEP_MS = 2 * REMEMBER_MS
 DEFAULT_KEEP_MS = 3 * MIN_KEEP_MS
 MAX_KEEP_MS = 14 * 24 * 3600 * MILLISECONDS
+
+
+def remember_ms(fence: int) -> int:
+    """Give how long an agent remembers a claim with this fence."""
+    if fence == UNKEYED_FENCE:
+        return REMEMBER_UNKEYED_MS
+    return REMEMBER_MS
--- a/tests/test_claim_gate.py
+++ b/tests/test_claim_gate.py
@@ -159,6 +159,19 @@
             gate.probe(probe(key=b'other'))
         self.refused(gate, call(fence=2))
 
+    @shards.paused
+    async def test_keyless_call_is_forgotten_sooner(self):
+        gate = claims.ClaimGate('a', 1)
+        ran = call(fence=claim_times.UNKEYED_FENCE)
+        gate.admit(ran)
+        gate.finish(ran, None)
+        asked = probe(fence=claim_times.UNKEYED_FENCE, window=ran.handover)
+        await asyncio.sleep(claim_times.REMEMBER_UNKEYED_MS / 1000 - 1)
+        self.assertTrue(gate.probe(asked).reached)
+        await asyncio.sleep(WINDOW / 1000 + 2)
+        self.assertFalse(gate.probe(asked).known)
+        self.assertEqual(len(gate), 0)
+
     @shards.paused
     async def test_full_gate_refuses_and_seals_by_time_only(self):
         gate = claims.ClaimGate('a', 1, max_claims=1)
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -321,6 +321,56 @@
         self.assertEqual(started, ['starter feed'])
 
 
+class KeylessCase(unittest.IsolatedAsyncioTestCase):
+    def send(self, caller, entry):
+        return caller.plain(entry.address, 'POST', '/stock', 'starter feed')
+
+    async def test_link_breaks_while_it_runs(self):
+        """The caller of a keyless order gets its answer all the same.
+
+        The connection drops after the hand-over; the entry asks the agent
+        over a new one instead of telling the caller that it may have run.
+        """
+        target = Orders()
+        target.free.clear()
+        async with two_entries(target) as (first, _, caller, agents):
+            trying = asyncio.ensure_future(self.send(caller, first))
+            await target.begun.wait()
+            for held in agents[0].listener.links:
+                held.close('broken on the way')
+            target.free.set()
+            answered = await trying
+        self.assertEqual((answered.status, answered.code), (201, ''))
+        self.assertEqual(target.started, ['starter feed'])
+
+    async def test_link_breaks_before_the_agent_read_the_call(self):
+        """The order runs once, at another target.
+
+        The first agent never had the call and seals it, so its late arrival
+        there could start nothing.
+        """
+        targets = (Orders(), Orders())
+        async with two_entries(*targets) as (first, _, caller, agents):
+            lost = []
+            for agent in agents:
+                agent.gate.serve = losing(agent, lost)
+            answered = await self.send(caller, first)
+        self.assertEqual(len(lost), 1)
+        self.assertEqual((answered.status, answered.code), (201, ''))
+        started = targets[0].started + targets[1].started
+        self.assertEqual(started, ['starter feed'])
+
+    async def test_target_dies_while_it_runs(self):
+        targets = (Orders(), Orders())
+        for target in targets:
+            target.cut = True
+        async with two_entries(*targets) as (first, _, caller, _):
+            lost = await self.send(caller, first)
+        self.assertEqual(lost.outcome, Outcome.MAY_HAVE_RUN)
+        started = targets[0].started + targets[1].started
+        self.assertEqual(started, ['starter feed'])
+
+
 class RefusedCase(unittest.IsolatedAsyncioTestCase):
     async def test_leaving_target_moves_the_claim(self):
         targets = (Orders(), Orders())
