--- /dev/null
+++ b/bench/fuzzing/__init__.py
@@ -0,0 +1,1 @@
+"""Feed nonsense to whatever reads bytes from outside or from disk."""
--- /dev/null
+++ b/bench/fuzzing/parsers.py
@@ -0,0 +1,187 @@
+"""Fuzz what reads one piece of bytes: messages, documents, settings, events."""
+
+from __future__ import annotations
+
+import pathlib
+import random
+import tempfile
+
+from bench.fuzzing import mutations, report, samples
+from tamarackthread.control import claims, configuration
+from tamarackthread.control import machine as machines
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import documents, events, settings, wire
+
+_COMMANDS_EACH = 20
+_SETTINGS = """{
+  // An entry with everything set.
+  "role": "entry",
+  "node": {"id": "entry-1", "region": "east", "zone": "a"},
+  "listen": {"host": "127.0.0.1", "port": 7000},
+  "control_addresses": ["127.0.0.1:7100", "127.0.0.1:7101"],
+  "security": {"key_files": ["cluster.key"]},
+  "link": {"heartbeat_seconds": 0.5, "timeout_seconds": 2.0},
+  "logs": {"level": "info", "json": true}, /* metrics */
+  "statsd": {"host": "127.0.0.1", "port": 8125, "prefix": "tt"},
+  "entry": {"health_grace_seconds": 5.0},
+}
+"""
+_BODY = '{"routing": {}, "configuration": {"lapse": "refuse"}, "retries": {}}'
+
+
+class FindingWithoutPlace(Exception):
+    """A finding has no place, code or text."""
+
+
+class CutsDiffer(Exception):
+    """Events depend on how their bytes came in pieces."""
+
+
+class CheckedBodyUnreadable(Exception):
+    """A body without findings can't be parsed."""
+
+
+def fuzz_messages(seed: int, runs: int) -> report.Report:
+    """Decode mutated messages; what is accepted must encode again."""
+    counted = report.Report('messages')
+    kinds = samples.kinds()
+    for number in range(runs):
+        rng = random.Random(f'messages {seed} {number}')
+        kind = rng.choice(kinds)
+        payload = wire.encode(samples.message(rng, kind))
+        mutated = mutations.some(rng, payload)
+        with counted.run(number):
+            wire.encode(wire.decode(kind, mutated))
+    return counted
+
+
+def fuzz_headers(seed: int, runs: int) -> report.Report:
+    """Read mutated frame headers."""
+    counted = report.Report('headers')
+    for number in range(runs):
+        rng = random.Random(f'headers {seed} {number}')
+        kind = rng.choice(list(wire.Kind))
+        header = wire.pack(kind, b'', rng.getrandbits(32))
+        mutated = mutations.some(rng, header).ljust(wire.HEADER_BYTES, b'\xff')
+        with counted.run(number):
+            wire.unpack_header(mutated[: wire.HEADER_BYTES])
+    return counted
+
+
+def fuzz_settings(seed: int, runs: int) -> report.Report:
+    """Load mutated settings files."""
+    counted = report.Report('settings')
+    with tempfile.TemporaryDirectory() as scratch:
+        path = pathlib.Path(scratch) / 'settings.json'
+        for number in range(runs):
+            rng = random.Random(f'settings {seed} {number}')
+            path.write_bytes(mutations.some(rng, _SETTINGS.encode()))
+            with counted.run(number):
+                _need_places(settings.check(path))
+                settings.load(path)
+    return counted
+
+
+def fuzz_documents(seed: int, runs: int) -> report.Report:
+    """Check and parse mutated bodies of documents."""
+    counted = report.Report('documents')
+    for number in range(runs):
+        rng = random.Random(f'documents {seed} {number}')
+        body = mutations.some(rng, _BODY.encode())
+        text = body.decode(errors='replace')
+        kind = rng.choice((*documents.KINDS, 'unknown'))
+        with counted.run(number):
+            _check_document(kind, text)
+    return counted
+
+
+def fuzz_machines(seed: int, runs: int) -> report.Report:
+    """Apply mutated commands; an exception would halt every member.
+
+    The state after them must also survive a snapshot.
+    """
+    counted = report.Report('machines')
+    for number in range(runs // _COMMANDS_EACH):
+        rng = random.Random(f'machines {seed} {number}')
+        with counted.run(number):
+            if rng.random() < 0.5:
+                held = configuration.Configuration()
+                _apply_some(rng, held, messages.ConfigCommand)
+                configuration.Configuration().restore(held.snapshot())
+            else:
+                claimed = claims.ClaimsMachine()
+                _apply_some(rng, claimed, messages.ClaimCommand)
+                claims.ClaimsMachine().restore(claimed.snapshot())
+    return counted
+
+
+def fuzz_restores(seed: int, runs: int) -> report.Report:
+    """Restore machines from mutated snapshots."""
+    counted = report.Report('restores')
+    for number in range(runs):
+        rng = random.Random(f'restores {seed} {number}')
+        state = samples.message(rng, messages.ConfigSnapshot)
+        claimed = samples.message(rng, messages.ClaimSnapshot)
+        with counted.run(number):
+            configuration.Configuration().restore(
+                mutations.some(rng, wire.encode(state))
+            )
+            claims.ClaimsMachine().restore(
+                mutations.some(rng, wire.encode(claimed))
+            )
+    return counted
+
+
+def fuzz_events(seed: int, runs: int) -> report.Report:
+    """Cut event streams; pieces must not change what comes out."""
+    counted = report.Report('events')
+    for number in range(runs):
+        rng = random.Random(f'events {seed} {number}')
+        parts = [
+            rng.choice((b'data: x', b'\n', b'\n\n', b'\r\n', b'data: [DONE]'))
+            for _ in range(rng.randint(1, 30))
+        ]
+        sent = mutations.some(rng, b''.join(parts))
+        with counted.run(number):
+            _compare_cuts(rng, sent)
+    return counted
+
+
+def _need_places(found: list) -> None:
+    for finding in found:
+        if not (finding.place and finding.code and finding.text):
+            raise FindingWithoutPlace(str(finding))
+
+
+def _check_document(kind: str, body: str) -> None:
+    found = documents.check(kind, 'name', body)
+    _need_places(found)
+    if found or not body:
+        documents.parse(kind, body)
+        return
+    try:
+        documents.parse(kind, body)
+    except Exception as exc:
+        raise CheckedBodyUnreadable(body) from exc
+
+
+def _apply_some(rng: random.Random, held: machines.Machine, kind: type) -> None:
+    for index in range(1, _COMMANDS_EACH + 1):
+        command = wire.encode(samples.message(rng, kind))
+        if rng.random() < 0.5:
+            command = mutations.some(rng, command)
+        held.apply(index, command)
+
+
+def _compare_cuts(rng: random.Random, sent: bytes) -> None:
+    whole = events.EventCutter()
+    expected = whole.cut(sent)
+    cutter = events.EventCutter()
+    pieces = bytearray()
+    start = 0
+    while start < len(sent):
+        end = start + rng.randint(1, 9)
+        pieces += cutter.cut(sent[start:end])
+        start = end
+    if (bytes(pieces), cutter.count) != (expected, whole.count):
+        raise CutsDiffer(repr(sent))
