--- a/tamarackthread/control/claim_record.py
+++ b/tamarackthread/control/claim_record.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import collections.abc
+import struct
+
 import attrs
 
 from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import wire
 
-# What a record takes in memory beside its own bytes, as measured by
-# bench.checks.claim_cost with the answer left empty.
-RECORD_OVERHEAD_BYTES = 900
+# What a packed record takes in memory beside its own bytes: its places in the
+# table of keys and among the expiries, as ``make bench NAME=claims`` measures.
+OVERHEAD_BYTES = 400
+KEY_BYTES = 16
+# Expiry, then the key padded to its length; the rest is a ``ClaimRecord``.
+_PREFIX = struct.Struct(f'>qB{KEY_BYTES}s')
+_LENGTH = struct.Struct('>I')
 
 _State = messages.ClaimState
 _OPEN = frozenset((_State.GRANTED, _State.RUNNING))
@@ -44,11 +52,6 @@
     headers: tuple[messages.Header, ...] = ()
     body: bytes = b''
 
-    @property
-    def size(self) -> int:
-        """Count the bytes that this record stands for."""
-        return RECORD_OVERHEAD_BYTES + len(self.body) + _size(self.headers)
-
     @property
     def is_open(self) -> bool:
         """Tell whether a holder may still be at work on it."""
@@ -112,16 +115,14 @@
             move=self.move,
         )
 
-    def message(self) -> messages.ClaimRecord:
-        """Give the record as a snapshot holds it."""
-        return messages.ClaimRecord(
-            key=self.key,
+    def pack(self) -> bytes:
+        """Give the record as it is kept and as a snapshot holds it."""
+        message = messages.ClaimRecord(
             digest=self.digest,
             claim=self.claim,
             holder=self.holder,
             fence=self.fence,
             state=self.state,
-            expires_ms=self.expires_ms,
             keep_ms=self.keep_ms,
             move=self.move,
             handover=self.handover,
@@ -129,6 +130,8 @@
             headers=list(self.headers),
             body=self.body,
         )
+        prefix = _PREFIX.pack(self.expires_ms, len(self.key), self.key)
+        return prefix + wire.encode(message)
 
     def _move(self, ask: messages.ClaimFinish, now_ms: int) -> bool:
         # A resent move can be applied after a newer one.  Taken by number,
@@ -169,16 +172,17 @@
         self.expires_ms = max(self.expires_ms, now_ms + self.keep_ms)
 
 
-def from_message(message: messages.ClaimRecord) -> Record:
-    """Read a record from a snapshot."""
+def unpack(packed: bytes) -> Record:
+    """Read a record from its bytes."""
+    message = wire.decode(messages.ClaimRecord, packed[_PREFIX.size :])
     return Record(
-        key=message.key,
+        key=key_of(packed),
         digest=message.digest or b'',
         claim=message.claim or b'',
         holder=message.holder or '',
         fence=message.fence or 0,
         state=_State(message.state),
-        expires_ms=message.expires_ms or 0,
+        expires_ms=expiry_of(packed),
         keep_ms=message.keep_ms or 0,
         move=message.move or 0,
         handover=message.handover,
@@ -188,5 +192,41 @@
     )
 
 
+def key_of(packed: bytes) -> bytes:
+    """Read only the key of a record."""
+    _, length, key = _PREFIX.unpack_from(packed)
+    return key[:length]
+
+
+def expiry_of(packed: bytes) -> int:
+    """Read only the time at which a record expires."""
+    return int(_PREFIX.unpack_from(packed)[0])
+
+
+def size_of(packed: bytes) -> int:
+    """Count the memory that a record takes."""
+    return OVERHEAD_BYTES + len(packed)
+
+
+def join(state: bytes, records: collections.abc.Iterable[bytes]) -> bytes:
+    """Build a snapshot from the machine's own state and its records."""
+    parts = [_LENGTH.pack(len(state)), state]
+    for packed in records:
+        parts.append(_LENGTH.pack(len(packed)))
+        parts.append(packed)
+    return b''.join(parts)
+
+
+def split(data: bytes) -> tuple[bytes, list[bytes]]:
+    """Read a snapshot's state and records."""
+    parts = []
+    place = 0
+    while place < len(data):
+        start = place + _LENGTH.size
+        place = start + _LENGTH.unpack_from(data, place)[0]
+        parts.append(data[start:place])
+    return parts[0], parts[1:]
+
+
 def _size(headers: tuple[messages.Header, ...]) -> int:
     return sum(len(header.name) + len(header.value) for header in headers)
--- a/tamarackthread/control/claims.py
+++ b/tamarackthread/control/claims.py
@@ -8,6 +8,10 @@
 the difference of two stamps in a row from one proposer, since the clocks of
 two hosts have nothing in common: the clock may run late after a change of
 leader, never fast, so no claim is forgotten before its keep time.
+
+Records are kept as the bytes that a snapshot consists of.  As objects they
+took twice the memory, and a snapshot of all of them held up heartbeats for
+longer than a leader's lease.
 """
 
 from __future__ import annotations
@@ -20,8 +24,8 @@
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import claim_errors, claim_times, errors, wire
 
-MAX_CLAIMS = 200_000
-MAX_BYTES = 128 * 1024 * 1024
+MAX_CLAIMS = 100_000
+MAX_BYTES = 48 * 1024 * 1024
 MAX_ANSWER_BYTES = 16 * 1024
 
 _Record = claim_record.Record
@@ -43,7 +47,7 @@
     def __init__(self, limits: Limits | None = None) -> None:
         """Start empty."""
         self._limits = limits or Limits()
-        self._records: dict[bytes, _Record] = {}
+        self._records: dict[bytes, bytes] = {}
         self._expiries: list[tuple[int, bytes]] = []
         self._clock_ms = 0
         self._proposer = ''
@@ -85,40 +89,37 @@
 
     def lookup(self, key: bytes) -> messages.ClaimReply:
         """Tell what is known of a key without a write."""
-        record = self._records.get(key)
+        record = self._find(key)
         if record is None:
             return messages.ClaimReply(granted=False, known=False)
         return record.reply(granted=False)
 
     def snapshot(self) -> bytes:
         """Serialise all claims with the clock and the highest fence."""
-        return wire.encode(
-            messages.ClaimSnapshot(
-                clock_ms=self._clock_ms,
-                proposer=self._proposer,
-                stamp_ms=self._stamp_ms,
-                fence=self._fence,
-                records=[record.message() for record in self._records.values()],
-            ),
+        state = messages.ClaimSnapshot(
+            clock_ms=self._clock_ms,
+            proposer=self._proposer,
+            stamp_ms=self._stamp_ms,
+            fence=self._fence,
         )
+        return claim_record.join(wire.encode(state), self._records.values())
 
     def restore(self, data: bytes) -> None:
         """Replace all claims by those of a snapshot; empty means none."""
         held = messages.ClaimSnapshot()
+        packed: list[bytes] = []
         if data:
-            held = wire.decode(messages.ClaimSnapshot, data)
+            state, packed = claim_record.split(data)
+            held = wire.decode(messages.ClaimSnapshot, state)
         self._clock_ms = held.clock_ms or 0
         self._proposer = held.proposer or ''
         self._stamp_ms = held.stamp_ms or 0
         self._fence = held.fence or 0
-        self._records = {}
-        self._record_bytes = 0
-        for message in held.records or ():
-            record = claim_record.from_message(message)
-            self._records[record.key] = record
-            self._record_bytes += record.size
+        self._records = {claim_record.key_of(row): row for row in packed}
+        self._record_bytes = sum(map(claim_record.size_of, packed))
         self._expiries = [
-            (record.expires_ms, record.key) for record in self._records.values()
+            (claim_record.expiry_of(row), key)
+            for key, row in self._records.items()
         ]
         heapq.heapify(self._expiries)
 
@@ -130,14 +131,28 @@
         self._proposer = proposer
         self._stamp_ms = stamp_ms
 
+    def _find(self, key: bytes) -> _Record | None:
+        packed = self._records.get(key)
+        return None if packed is None else claim_record.unpack(packed)
+
+    def _store(self, record: _Record) -> None:
+        packed = record.pack()
+        old = self._records.get(record.key)
+        if old is not None:
+            self._record_bytes -= claim_record.size_of(old)
+        self._record_bytes += claim_record.size_of(packed)
+        self._records[record.key] = packed
+        self._watcher.changed(record.key)
+
     def _forget_expired(self) -> None:
         while self._expiries and self._expiries[0][0] <= self._clock_ms:
             key = heapq.heappop(self._expiries)[1]
-            record = self._records[key]
-            if record.expires_ms > self._clock_ms:
-                heapq.heappush(self._expiries, (record.expires_ms, key))
+            packed = self._records[key]
+            expires_ms = claim_record.expiry_of(packed)
+            if expires_ms > self._clock_ms:
+                heapq.heappush(self._expiries, (expires_ms, key))
                 continue
-            self._record_bytes -= record.size
+            self._record_bytes -= claim_record.size_of(packed)
             self._records.pop(key)
 
     def _operate(
@@ -153,9 +168,9 @@
         return messages.ClaimReply(code=claim_errors.ClaimInvalid.code)
 
     def _claim(self, ask: messages.ClaimRequest) -> messages.ClaimReply:
-        if not ask.key or not ask.claim or not _is_keep_valid(ask):
+        if not _is_valid(ask):
             return messages.ClaimReply(code=claim_errors.ClaimInvalid.code)
-        record = self._records.get(ask.key)
+        record = self._find(ask.key)
         if record is None:
             return self._grant_first(ask)
         if record.digest != (ask.digest or b''):
@@ -173,13 +188,11 @@
         return record.reply(granted=is_own)
 
     def _grant_first(self, ask: messages.ClaimRequest) -> messages.ClaimReply:
-        record = _Record(key=ask.key, digest=ask.digest or b'')
-        used = self._record_bytes + record.size
+        used = self._record_bytes + claim_record.OVERHEAD_BYTES
         is_full = len(self._records) >= self._limits.claims
         if is_full or used > self._limits.record_bytes:
             return messages.ClaimReply(code=claim_errors.ClaimsFull.code)
-        self._record_bytes = used
-        self._records[ask.key] = record
+        record = _Record(key=ask.key, digest=ask.digest or b'')
         reply = self._grant(record, ask)
         heapq.heappush(self._expiries, (record.expires_ms, record.key))
         return reply
@@ -190,23 +203,19 @@
         ask: messages.ClaimRequest,
     ) -> messages.ClaimReply:
         self._fence += 1
-        before = record.size
         record.grant(ask, self._fence, self._clock_ms)
-        self._record_bytes += record.size - before
-        self._watcher.changed(record.key)
+        self._store(record)
         return record.reply(granted=True)
 
     def _finish(self, ask: messages.ClaimFinish) -> messages.ClaimReply:
-        record = self._records.get(ask.key)
+        record = self._find(ask.key)
         if record is None:
             return messages.ClaimReply(granted=False, known=False)
         if record.fence != ask.fence:
             return record.reply(granted=False)
-        before = record.size
         done = record.finish(ask, self._clock_ms, self._answer_room())
-        self._record_bytes += record.size - before
         if done:
-            self._watcher.changed(record.key)
+            self._store(record)
         return record.reply(granted=done)
 
     def _answer_room(self) -> int:
@@ -214,6 +223,8 @@
         return max(0, min(free, self._limits.answer_bytes))
 
 
-def _is_keep_valid(ask: messages.ClaimRequest) -> bool:
+def _is_valid(ask: messages.ClaimRequest) -> bool:
+    if not ask.claim or not 0 < len(ask.key or b'') <= claim_record.KEY_BYTES:
+        return False
     keep_ms = ask.keep_ms or 0
     return claim_times.MIN_KEEP_MS <= keep_ms <= claim_times.MAX_KEEP_MS
