--- a/tamarackthread/shared/feed.py
+++ b/tamarackthread/shared/feed.py
@@ -36,6 +36,7 @@
 MAX_RETRY_DOUBLINGS = 3
 GATHER_SECONDS = 0.02
 FAREWELL_SECONDS = 0.3
+LEAST_SLEEP_SECONDS = 0.001
 _log = logging.getLogger('tamarackthread.feed')
 
 Subscriber = collections.abc.Callable[[catalogue.Catalogue], None]
@@ -182,7 +183,10 @@
                 ask_at_once = reply.more or reply.ask_whole
                 wait_seconds = 0 if ask_at_once else self._wait_seconds
         except (errors.CodedError, TimeoutError) as exc:
-            _log.info('feed: parent %s failed, %s', address, exc)
+            # Once for each parent that is lost; the attempts that follow
+            # would drown it.
+            level = logging.INFO if self._parent else logging.DEBUG
+            _log.log(level, 'feed: parent %s failed, %s', address, exc)
         self._parent = None
         self._state.abandon_snapshot()
 
@@ -282,7 +286,7 @@
         while True:
             remaining = self.lease_remaining()
             if remaining:
-                await asyncio.sleep(remaining)
+                await asyncio.sleep(max(remaining, LEAST_SLEEP_SECONDS))
                 continue
             # Children hold requests here; they look for another parent the
             # sooner they know that this one has nothing to pass on.
--- a/tamarackthread/shared/relay.py
+++ b/tamarackthread/shared/relay.py
@@ -132,14 +132,15 @@
         if renewals:
             wait_seconds *= RELAY_PATIENCE
         loop = asyncio.get_running_loop()
-        while loop.time() < came_at + wait_seconds:
+        woken = loop.time() < came_at + wait_seconds
+        while woken:
             if self._source.documents.revision > request.after:
                 return
             if self._source.renewals != renewals:
                 return
             if not self._source.grant().remaining:
                 return
-            await self._source.changed.wait(came_at + wait_seconds)
+            woken = await self._source.changed.wait(came_at + wait_seconds)
 
     def _reply(
         self,
