Give the claim service the replicated log itself

Claims were refused for want of an answer since the host and the service each took the machine's answer out of the log's result. The service does it alone, and a fault there now fails the batch at once instead of leaving it waiting.

--- a/tamarackthread/control/claim_service.py
+++ b/tamarackthread/control/claim_service.py
@@ -139,7 +139,7 @@
             operations=[waiting.operation for waiting in batch],
         )
         try:
-            done = await self._group.propose(wire.encode(command))
+            replies = await self._replies(command)
         except errors.CodedError as exc:
             self._fail(batch, exc)
             return
@@ -150,11 +150,20 @@
             _log.exception('claims: a proposal failed')
             self._fail(batch, errors.PeerFailure('internal fault'))
             return
-        replies = wire.decode(messages.ClaimResults, done.result).replies
         for waiting, reply in zip(batch, replies, strict=True):
             if not waiting.answered.done():
                 waiting.answered.set_result(reply)
 
+    async def _replies(
+        self,
+        command: messages.ClaimCommand,
+    ) -> list[messages.ClaimReply]:
+        done = await self._group.propose(wire.encode(command))
+        replies = wire.decode(messages.ClaimResults, done.result).replies
+        if len(replies or ()) != len(command.operations):
+            raise errors.FrameInvalid('claims: wrong number of replies')
+        return replies
+
     def _fail(self, batch: list[_Pending], failure: errors.CodedError) -> None:
         for waiting in batch:
             if not waiting.answered.done():
--- a/tamarackthread/control/host.py
+++ b/tamarackthread/control/host.py
@@ -46,23 +46,6 @@
 _log = logging.getLogger('tamarackthread.control')
 
 
-class ClaimGroup:
-    """Give the service of claims the machine's answers alone."""
-
-    def __init__(self, group: consensus.Consensus) -> None:
-        """Propose to ``group``."""
-        self._group = group
-
-    async def propose(self, command: bytes) -> bytes:
-        """Replicate a command and give the machine's answer."""
-        done = await self._group.propose(command)
-        return done.result
-
-    async def read_barrier(self) -> None:
-        """Return once the local machine is known to be current."""
-        await self._group.read_barrier()
-
-
 class Host:
     """Hold the parts of a control host's process."""
 
@@ -188,7 +171,7 @@
             machine = claims.ClaimsMachine()
             services[name] = claim_service.ClaimService(
                 machine,
-                ClaimGroup(self._group(name, machine)),
+                self._group(name, machine),
                 f'{self._node}/{incarnation}',
             )
         return services
