--- a/tamarackthread/control/election.py
+++ b/tamarackthread/control/election.py
@@ -6,7 +6,14 @@
 import collections.abc
 import logging
 
-from tamarackthread.control import formation, membership, replica, role, voting
+from tamarackthread.control import (
+    failures,
+    formation,
+    membership,
+    replica,
+    role,
+    voting,
+)
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors
 
@@ -25,14 +32,26 @@
             await asyncio.sleep(max(wait, _LEAST_SLEEP_SECONDS))
             continue
         state.put_off_election()
-        if state.is_blank:
-            await formation.attempt(state)
-        if not _may_stand(state):
+        try:
+            elected = await _stand(state)
+        except failures.DiskFull as exc:
+            # The vote can't be made to last, so this member doesn't stand;
+            # it goes on following, and tries again when its turn comes.
+            _log.error('election: %s can not stand: %s', state.parts.node, exc)
+            state.step_down('own disk is full')
             continue
-        if await _would_win(state) and await _win(state):
+        if elected:
             await lead()
 
 
+async def _stand(state: replica.Replica) -> bool:
+    if state.is_blank:
+        await formation.attempt(state)
+    if not _may_stand(state):
+        return False
+    return await _would_win(state) and await _win(state)
+
+
 def _may_stand(state: replica.Replica) -> bool:
     if not state.is_voter or state.log.is_full:
         return False
--- a/tamarackthread/control/leading.py
+++ b/tamarackthread/control/leading.py
@@ -155,14 +155,14 @@
             for member in members.members
         }
         wanted.discard(state.parts.node)
-        for node in wanted.difference(self._peers):
+        for node in sorted(wanted.difference(self._peers)):
             peer = replication.PeerTasks(state, term, node)
             self._peers[node] = peer
             self._tasks[node] = [
                 asyncio.create_task(peer.beat()),
                 asyncio.create_task(peer.replicate()),
             ]
-        for gone in set(self._peers).difference(wanted):
+        for gone in sorted(set(self._peers).difference(wanted)):
             self._peers.pop(gone)
             term.progress.pop(gone, None)
             _cancel(self._tasks.pop(gone))
--- a/tamarackthread/control/snapshots.py
+++ b/tamarackthread/control/snapshots.py
@@ -105,14 +105,13 @@
         """Put the snapshot that has arrived in place; ``None`` if damaged."""
         name = _incoming_name(request)
         data = await self._files.read(name)
-        await self._files.remove(name)
+        await self._drop_incoming()
         if records.checksum(data) != request.checksum:
             return None
         snapshot = parse(data)
         async with self._lock:
             await self._files.replace(FILE, data)
             self._meta = snapshot.meta
-        await self._drop_incoming()
         return snapshot
 
     async def _held(self, name: str) -> int:
