--- a/binary/start.py
+++ b/binary/start.py
@@ -22,6 +22,7 @@
 import zipfile
 
 VARIABLE = 'TAMARACKTHREAD_CACHE'
+SETTINGS_VARIABLE = 'TAMARACKTHREAD_SETTINGS'
 BUILD_FILE = 'BUILD'
 LIBRARIES = 'libraries/'
 EXIT_REFUSED = 73
@@ -73,18 +74,24 @@
     arguments: collections.abc.Sequence[str],
     environment: collections.abc.Mapping[str, str],
 ) -> pathlib.Path:
-    """Choose the folder to unpack into."""
-    text = ''
+    """Choose the folder to unpack into.
+
+    A relative path in the settings is taken from the file's own folder, as
+    the program itself does.
+    """
     if environment.get(VARIABLE):
         return pathlib.Path(environment[VARIABLE])
+    given = settings_path(arguments) or environment.get(SETTINGS_VARIABLE, '')
+    settings = pathlib.Path(given)
+    text = ''
     with contextlib.suppress(OSError, UnicodeDecodeError):
-        text = pathlib.Path(settings_path(arguments)).read_text('utf-8')
+        text = settings.read_text('utf-8')
     named = named_string(text, 'cache_folder')
-    if named:
-        return pathlib.Path(named)
     data_folder = named_string(text, 'data_folder')
-    if data_folder:
-        return pathlib.Path(data_folder) / 'cache'
+    if data_folder and not named:
+        named = f'{data_folder}/cache'
+    if named:
+        return settings.absolute().parent / named
     return archive.with_name(f'{archive.name}.cache')
 
 
--- a/tests/test_binary_start.py
+++ b/tests/test_binary_start.py
@@ -40,6 +40,14 @@
         self.assertEqual(self._choose('{}'), '/opt/tamarackthread.cache')
         self.assertEqual(self._choose('"cache'), '/opt/tamarackthread.cache')
 
+    def test_other_ways_to_the_settings(self) -> None:
+        """Settings may come by the environment, and paths may be relative."""
+        self._settings.write_text('{"cache_folder": "here"}')
+        environment = {start.SETTINGS_VARIABLE: str(self._settings)}
+        archive = pathlib.Path('/opt/tamarackthread')
+        chosen = start.cache_folder(archive, ['status'], environment)
+        self.assertEqual(chosen, self._folder / 'here')
+
     def test_comments(self) -> None:
         """A key in a comment or in another string isn't the setting."""
         text = r"""{
