Move late streams, refuse early, and let an ejected target back

Idle reports no longer count. - Twelve calls that ran on the stalled group when it stalled ended late. The entry sees the pace of its own streams; a stream that would end late and is idempotent now asks to go on elsewhere, within a budget. - A slow target was the only one with room, and calls were refused as too close to their deadline though the others could answer them. - Background calls were passed by newer ones until they expired. The wait is now also judged by how fast an organisation's calls of that priority were served, and no call waits longer than half of the time to its deadline. - Every urgent call that found no slot at once pre-empted a draft; the engine's priority would have served it within one call's end.

--- a/bench/surge/engine.py
+++ b/bench/surge/engine.py
@@ -22,6 +22,7 @@
 SECONDS_PER_CALL = 0.00005
 SECONDS_PER_PROMPT_TOKEN = 0.00001
 CHUNK_TOKENS = 512
+PROGRESS_TOKENS = 4
 
 
 @attrs.define(slots=True, eq=False)
@@ -34,6 +35,7 @@
     prefixes: tuple[int, ...]
     on_first: collections.abc.Callable[[], None]
     on_end: collections.abc.Callable[[], None]
+    on_progress: collections.abc.Callable[[int], object] | None = None
     prompt_left: int = 0
     decoded: int = 0
     cancelled: bool = False
@@ -209,6 +211,8 @@
         if job.decoded == 1:
             self._remember(job.prefixes)
             job.on_first()
+        if job.on_progress and job.decoded % PROGRESS_TOKENS == 0:
+            job.on_progress(PROGRESS_TOKENS)
         if job.decoded >= job.answer_tokens:
             job.on_end()
 
--- a/bench/surge/fleet.py
+++ b/bench/surge/fleet.py
@@ -21,7 +21,7 @@
 MOST_LAG_SECONDS = 0.3
 LOST_SHARE = 0.02
 DOUBLED_SHARE = 0.02
-STALL = engine.Stall(start=5, stop=12, factor=6)
+STALL = engine.Stall(start=6, stop=20, factor=6)
 
 NEAR_SECONDS = 0.0002
 FAR_SECONDS = 0.0015
--- a/bench/surge/own.py
+++ b/bench/surge/own.py
@@ -11,9 +11,10 @@
 from bench.surge import fleet, players, views, workload
 from tamarackthread.policy import (
     admission,
-    calls,
     ejection,
     fairness,
+    migration,
+    retries,
     room,
     routing,
 )
@@ -21,6 +22,14 @@
 from tamarackthread.shared import errors
 
 
+def _admission_settings() -> dict[str, admission.AdmissionSettings]:
+    """Give the plain service the longer wait that its calls can bear."""
+    return {
+        workload.MODEL: admission.AdmissionSettings(),
+        workload.PLAIN: admission.AdmissionSettings(first_token_seconds=1),
+    }
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class OwnSettings:
     """Hold the settings of the product in the experiment."""
@@ -28,8 +37,8 @@
     load: target_load.LoadSettings = attrs.field(
         factory=functools.partial(target_load.LoadSettings, entries=3),
     )
-    admission: admission.AdmissionSettings = attrs.field(
-        factory=admission.AdmissionSettings,
+    admission: dict[str, admission.AdmissionSettings] = attrs.field(
+        factory=_admission_settings,
     )
     room: room.RoomSettings = attrs.field(factory=room.RoomSettings)
     routing: routing.RoutingSettings = attrs.field(
@@ -62,7 +71,9 @@
             self._views.append(known)
             self._admissions.append(
                 {
-                    service: _admission(zone, listed, generator, settings)
+                    service: _admission(
+                        service, zone, listed, generator, settings
+                    )
                     for service, listed in known.items()
                 },
             )
@@ -87,23 +98,25 @@
     async def answer(self, call: workload.Offered, deadline: float) -> None:
         """Wait for a ticket, run the call, run it again when pre-empted."""
         gate = self._admissions[call.entry][call.service]
+        wanted = views.facts(call, deadline)
         done = False
         while not done:
-            ticket = await gate.submit(views.facts(call, deadline))
+            ticket = await gate.submit(wanted)
             try:
                 done = await self._run(call, ticket)
             finally:
                 ticket.release()
+            wanted = ticket.resumed
 
     async def _run(
         self,
         call: workload.Offered,
         ticket: admission.Ticket,
     ) -> bool:
-        transfer = await self._send(call, ticket.target, ticket.first_token)
+        transfer = await self._send(call, ticket.target, ticket)
         if transfer is None:
             raise errors.CodedError('full', retry_after=1)
-        if call.priority < calls.Priority.BACKGROUND:
+        if call.service == workload.PLAIN:
             await self._wait(transfer)
             return True
         watch = asyncio.ensure_future(ticket.preempted.wait())
@@ -120,6 +133,7 @@
 
 
 def _admission(
+    service: str,
     zone: str,
     targets: list[routing.TargetView],
     generator: random.Random,
@@ -128,9 +142,11 @@
     policy = routing.ExpectedFirstToken(zone, generator, settings.routing)
     place = room.TargetRoom(policy, settings.room)
     place.set_targets(targets)
+    budget = retries.RetryBudget(retries.RetrySettings(), 0)
     return admission.Admission(
         place,
         fairness.EqualShares(),
         generator,
-        settings.admission,
+        settings.admission[service],
+        move=migration.LateStreams(budget),
     )
--- a/bench/surge/players.py
+++ b/bench/surge/players.py
@@ -8,13 +8,13 @@
 
 import abc
 import asyncio
-import collections.abc
 import enum
 import functools
 
 import attrs
 
 from bench.surge import engine, fleet, workload
+from tamarackthread.policy import tickets
 from tamarackthread.shared import errors
 
 
@@ -84,7 +84,9 @@
             async with asyncio.timeout_at(deadline - fleet.CALLER_SECONDS):
                 await self.answer(call, deadline - fleet.CALLER_SECONDS)
         except errors.CodedError as exc:
-            outcome = Outcome.REFUSED
+            # A call that has begun to answer can't be refused any more.
+            begun = id(call) in self._first
+            outcome = Outcome.LATE if begun else Outcome.REFUSED
             retry_after = exc.retry_after
         except TimeoutError:
             outcome = Outcome.LATE
@@ -105,7 +107,7 @@
         self,
         call: workload.Offered,
         target: str,
-        on_first: collections.abc.Callable[[], None] | None = None,
+        ticket: tickets.Ticket | None = None,
     ) -> Transfer | None:
         """Hand a call to an engine; return ``None`` when it refuses."""
         loop = asyncio.get_running_loop()
@@ -122,10 +124,18 @@
                 hop,
                 self._note_first,
                 call,
-                on_first,
+                ticket,
             ),
             on_end=functools.partial(loop.call_later, hop, _finish, ended),
         )
+        if ticket is not None:
+            job.on_progress = functools.partial(
+                loop.call_later,
+                hop,
+                ticket.advance,
+            )
+            job.answer_tokens -= ticket.start
+            job.prompt_tokens += ticket.start
         await asyncio.sleep(hop)
         if replica.submit(job):
             return Transfer(job, replica, hop, ended)
@@ -148,12 +158,12 @@
     def _note_first(
         self,
         call: workload.Offered,
-        on_first: collections.abc.Callable[[], None] | None,
+        ticket: tickets.Ticket | None,
     ) -> None:
         loop = asyncio.get_running_loop()
         self._first.setdefault(id(call), loop.time())
-        if on_first is not None:
-            on_first()
+        if ticket is not None:
+            ticket.first_token()
 
 
 def _finish(ended: asyncio.Future[None]) -> None:
--- a/bench/surge/scores.py
+++ b/bench/surge/scores.py
@@ -6,6 +6,8 @@
 
 from bench.surge import capacity, players, workload
 
+AT_ONCE_SECONDS = 0.02
+
 
 def score(
     results: list[players.Result],
@@ -32,6 +34,10 @@
         'on_time': _count(results, players.Outcome.ON_TIME),
         'refused': len(refused),
         'refusal_p95_ms': 1000 * percentile(refused, 0.95),
+        'refused_at_once_share': (
+            sum(seconds < AT_ONCE_SECONDS for seconds in refused)
+            / max(1, len(refused))
+        ),
     }
 
 
--- a/bench/surge/views.py
+++ b/bench/surge/views.py
@@ -11,7 +11,6 @@
 from tamarackthread.policy import admission, calls, ejection, routing
 from tamarackthread.policy import load as target_load
 
-
 NONE_TRIED: frozenset[str] = frozenset()
 
 
@@ -33,6 +32,7 @@
         prompt_tokens=call.prompt_tokens,
         answer_tokens=answer,
         prefixes=call.prefixes,
+        idempotent=call.service == workload.MODEL,
         excluded=tried,
     )
 
@@ -84,7 +84,12 @@
         judge = self.ejections.get(service)
         if judge is None:
             return
-        judge.report(view.name, report.step_ms, now)
+        judge.report(
+            view.name,
+            view.load.step_seconds * 1000,
+            report.running,
+            now,
+        )
         for other in self.views[service]:
             other.share = judge.share(other.name, now)
         self.admissions[service].wake()
--- a/bench/surge/workload.py
+++ b/bench/surge/workload.py
@@ -30,7 +30,7 @@
 
     before: float = 3.0
     rise: float = 2.0
-    hold: float = 8.0
+    hold: float = 24.0
     fall: float = 2.0
     after: float = 3.0
     base: float = 0.7
--- a/tamarackthread/policy/admission.py
+++ b/tamarackthread/policy/admission.py
@@ -16,10 +16,12 @@
     buckets,
     calls,
     fairness,
-    pace,
+    migration,
+    outlook,
     preemption,
     refusals,
     room,
+    tickets,
     waiting,
 )
 from tamarackthread.shared import errors
@@ -27,6 +29,7 @@
 _TICK_SECONDS = 0.01
 _SHED_SECONDS = 0.05
 _LAST_SECONDS = 0.1
+_SWEEP_SECONDS = 0.05
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -34,71 +37,28 @@
     """Hold the bounds of a service's queue, times in seconds.
 
     ``first_token_seconds`` is how soon after its arrival a call should get
-    its first token; one that can't is refused.  ``lookahead`` is how many of
+    its first token; one that can't is refused.  An organisation that used
+    less than its share may catch up by ``credit``, in calls.  A call waits
+    for at most ``most_wait_share`` of the time to its deadline, so that a
+    refusal leaves its caller time to act, and is queued if its expected wait
+    is at most ``caution`` of that.  An urgent call that has waited ``preempt_seconds``
+    pre-empts.  ``lookahead`` is how many of
     the next calls compete for a free slot by what its target has cached, and
     ``most_passes`` how often that may pass a call over.
     """
 
-    first_token_seconds: float = 0.45
+    first_token_seconds: float = 0.5
     queue_limit: int = 512
     organisation_limit: int = 128
+    credit: float = 8.0
+    most_wait_share: float = 0.5
+    caution: float = 0.6
+    preempt_seconds: float = 0.05
     lookahead: int = 8
     most_passes: int = 4
 
 
-class Ticket:
-    """Be the permission to run one call at one target."""
-
-    def __init__(
-        self,
-        admission: Admission,
-        call: calls.CallFacts,
-        placement: room.Placement,
-    ) -> None:
-        """Hold the placement until ``release``."""
-        self._admission = admission
-        self._call = call
-        self._placement = placement
-        self._admitted_at = _now()
-        self._released = False
-        self._preempted = asyncio.Event()
-
-    @property
-    def call(self) -> calls.CallFacts:
-        """Return the call that was admitted."""
-        return self._call
-
-    @property
-    def target(self) -> str:
-        """Return the name of the target to send the call to."""
-        return self._placement.target.name
-
-    @property
-    def preempted(self) -> asyncio.Event:
-        """Return the event that asks to cancel the call and to release."""
-        return self._preempted
-
-    def first_token(self) -> None:
-        """Note that the target began to answer."""
-        self._placement.first_token(_now())
-
-    def release(self) -> None:
-        """Give the place back, at the end or when the call was not sent."""
-        if self._released:
-            return
-        self._released = True
-        self._placement.release(_now())
-        self._admission.forget(self)
-
-    def describe(self) -> preemption.RunningCall:
-        """Tell the pre-emption policy about the call."""
-        return preemption.RunningCall(
-            key=id(self),
-            target=self.target,
-            organisation=self._call.organisation,
-            priority=self._call.priority,
-            started_at=self._admitted_at,
-        )
+Ticket = tickets.Ticket
 
 
 class Admission:
@@ -112,19 +72,20 @@
         settings: AdmissionSettings | None = None,
         portions: buckets.Portions | None = None,
         preempt: preemption.PreemptionPolicy | None = None,
+        move: migration.MovePolicy | None = None,
     ) -> None:
         """Start empty; must be used from within a running loop."""
         self._settings = settings or AdmissionSettings()
         self._room = place
         self._portions = portions or buckets.Portions()
         self._preempt = preempt or preemption.NewestDraft()
-        self._retry_times = pace.RetryTimes(generator)
-        self._meter = pace.DrainMeter()
-        self._line = waiting.WaitingLine(shares)
+        self._move = move or migration.StayPut()
+        self._line = waiting.WaitingLine(shares, self._settings.credit)
+        self._outlook = outlook.Outlook(place, self._line, generator)
         self._running: dict[int, Ticket] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._shed_at: float = 0
-        self._mean_cost = 1.0
+        self._swept_at: float = 0
 
     @property
     def queued(self) -> int:
@@ -145,11 +106,11 @@
         budget = self._budget(call, now)
         self._check_limits(call, budget, now)
         self._charge(call, now)
-        self._mean_cost += (call.cost - self._mean_cost) / 64
         granted = asyncio.get_running_loop().create_future()
         entry = self._line.push(
-            waiting.WaitingCall(call, granted, now + budget),
+            waiting.WaitingCall(call, granted, now + budget, now),
         )
+        self._outlook.arrived(call, now)
         self.wake()
         return await self._wait(entry)
 
@@ -157,17 +118,13 @@
         """Place what can be placed; call it after each load report."""
         now = _now()
         self._serve(now)
-        self._meter.observe(self.queued > 0, now)
         if self.queued and now >= self._shed_at:
             self._shed_at = now + _SHED_SECONDS
             self._shed(now)
         self._make_room(now)
-        if self.queued and self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(_TICK_SECONDS, self._tick)
+        self._schedule()
 
-    def forget(self, ticket: Ticket) -> None:
-        """Drop a released ticket and use its place; called by the ticket."""
+    def _forget(self, ticket: Ticket) -> None:
         self._running.pop(id(ticket), None)
         self.wake()
 
@@ -190,17 +147,19 @@
             if granted.exception() is None:
                 granted.result().release()
             return
-        self._line.remove(entry)
+        self._drop(entry)
 
     def _budget(self, call: calls.CallFacts, now: float) -> float:
         """Return how long the call may wait and still be in time."""
         until_end = call.deadline - now - self._room.answer_seconds(call, now)
         if until_end <= 0:
             raise refusals.DeadlineTooClose()
-        if call.priority == calls.Priority.URGENT:
+        if call.is_ahead:
             return until_end
+        settings = self._settings
         first = self._room.first_token_seconds(call, now)
-        return min(until_end, self._settings.first_token_seconds - first)
+        most = settings.most_wait_share * (call.deadline - now)
+        return min(until_end, settings.first_token_seconds - first, most)
 
     def _check_limits(
         self,
@@ -209,22 +168,27 @@
         now: float,
     ) -> None:
         settings = self._settings
-        if self.queued >= settings.queue_limit:
-            raise refusals.QueueFull(retry_after=self._retry(call, now))
         length = self._line.organisation_length(call)
         if length >= settings.organisation_limit:
-            raise refusals.ShareExceeded(retry_after=self._retry(call, now))
-        if not self.queued or call.priority == calls.Priority.URGENT:
+            retry = self._outlook.retry(call, now)
+            raise refusals.ShareExceeded(retry_after=retry)
+        if call.is_ahead:
+            return
+        if self.queued >= settings.queue_limit:
+            retry = self._outlook.retry(call, now)
+            raise refusals.QueueFull(retry_after=retry)
+        if not self.queued:
             return
-        if self._line.ahead(call) <= budget * self._rate(now):
+        if self._outlook.wait(call, now) <= budget * settings.caution:
             return
+        retry = self._outlook.retry(call, now)
         if length:
-            raise refusals.ShareExceeded(retry_after=self._retry(call, now))
-        raise refusals.AdmissionRefused(retry_after=self._retry(call, now))
+            raise refusals.ShareExceeded(retry_after=retry)
+        raise refusals.AdmissionRefused(retry_after=retry)
 
     def _charge(self, call: calls.CallFacts, now: float) -> None:
         portion = self._portions.find(call.organisation)
-        if portion is None:
+        if portion is None or call.start or call.goes_first:
             return
         wait = portion.take(1, now)
         if wait:
@@ -235,6 +199,11 @@
             entry = self._next(now)
             if entry is None:
                 return
+            if entry.item.granted.done():
+                # The caller left in this turn of the loop.  Its ticket would
+                # have no holder and keep its place for good.
+                self._drop(entry)
+                continue
             if entry.item.latest_start <= now:
                 self._refuse(entry, now)
                 continue
@@ -260,7 +229,7 @@
 
     def _must_go(self, head: waiting.WaitingEntry, now: float) -> bool:
         item = head.item
-        if item.call.priority == calls.Priority.URGENT:
+        if item.call.is_ahead:
             return True
         if item.passed_over >= self._settings.most_passes:
             return True
@@ -275,9 +244,9 @@
             return True
         if placement is None:
             return False
-        ticket = Ticket(self, call, placement)
+        ticket = Ticket(call, placement, self._forget)
         self._line.take(entry)
-        self._meter.served(call.cost)
+        self._outlook.left(call, is_served=True, now=now)
         self._running[id(ticket)] = ticket
         entry.item.granted.set_result(ticket)
         return True
@@ -288,7 +257,7 @@
         The queue drains more slowly than expected after a target is lost.
         Without this, the calls would be held until they expire.
         """
-        rate = self._rate(now)
+        rate = self._outlook.rate(now)
         ahead: float = 0
         for entry in self._line.entries():
             start = now + ahead / rate
@@ -298,7 +267,7 @@
             ahead += entry.cost
 
     def _refuse(self, entry: waiting.WaitingEntry, now: float) -> None:
-        retry = self._retry(entry.item.call, now)
+        retry = self._outlook.retry(entry.item.call, now)
         self._answer(entry, refusals.AdmissionRefused(retry_after=retry))
 
     def _answer(
@@ -306,16 +275,24 @@
         entry: waiting.WaitingEntry,
         refusal: errors.CodedError,
     ) -> None:
-        self._line.remove(entry)
+        self._drop(entry)
         portion = self._portions.find(entry.item.call.organisation)
         if portion is not None:
             portion.give_back(1)
-        entry.item.granted.set_exception(refusal)
+        if not entry.item.granted.done():
+            entry.item.granted.set_exception(refusal)
+
+    def _drop(self, entry: waiting.WaitingEntry) -> None:
+        if entry.removed:
+            return
+        self._line.remove(entry)
+        self._outlook.left(entry.item.call, is_served=False, now=_now())
 
     def _make_room(self, now: float) -> None:
         running = None
         for entry in self._line.urgent():
-            if entry.item.preempting:
+            waited = now - entry.item.entered_at
+            if entry.item.preempting or waited < self._settings.preempt_seconds:
                 continue
             if running is None:
                 running = self._preemptible()
@@ -333,26 +310,34 @@
                 found.append(ticket.describe())
         return found
 
-    def _rate(self, now: float) -> float:
-        prior = max(1, self._room.rate(now)) * self._mean_cost
-        return max(0.1, self._meter.rate(prior))
-
-    def _retry(self, call: calls.CallFacts, now: float) -> float:
-        rate = self._rate(now)
-        wait = self._line.ahead(call) / rate
-        share = rate * self._line.share(call)
-        return self._retry_times.book(
-            call.organisation,
-            call.cost,
-            share,
-            wait,
-            now,
-        )
+    def _schedule(self) -> None:
+        if self._timer is not None or not (self.queued or self._running):
+            return
+        loop = asyncio.get_running_loop()
+        delay = _TICK_SECONDS if self.queued else _SWEEP_SECONDS
+        self._timer = loop.call_later(delay, self._tick)
 
     def _tick(self) -> None:
         self._timer = None
+        now = _now()
+        if now >= self._swept_at + _SWEEP_SECONDS:
+            self._swept_at = now
+            self._sweep(now)
         self.wake()
 
+    def _sweep(self, now: float) -> None:
+        """Ask late streams to move."""
+        for ticket in self._running.values():
+            if not ticket.call.idempotent or ticket.preempted.is_set():
+                continue
+            place = migration.Comparison(
+                step=ticket.step_seconds,
+                elsewhere=self._room.answer_seconds(ticket.resumed, now),
+            )
+            progress = ticket.progress
+            if self._move.should_move(ticket.call, progress, place, now):
+                ticket.move()
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tamarackthread/policy/ejection.py
+++ b/tamarackthread/policy/ejection.py
@@ -27,10 +27,10 @@
     slow_seconds: float = 0.3
     smoothing: float = 0.5
     most_share: float = 0.25
-    out_seconds: float = 2.0
-    most_out_seconds: float = 60.0
+    out_seconds: float = 1.0
+    most_out_seconds: float = 10.0
     first_share: float = 0.1
-    return_seconds: float = 5.0
+    return_seconds: float = 3.0
     failures: int = 5
 
 
@@ -52,10 +52,20 @@
         self._settings = settings or EjectionSettings()
         self._targets: dict[str, _Health] = {}
 
-    def report(self, target: str, step_ms: float, now: float) -> None:
-        """Take in a reported step time; 0 means that no step ran."""
+    def report(
+        self,
+        target: str,
+        step_ms: float,
+        running: int,
+        now: float,
+    ) -> None:
+        """Take in a step time and the number of calls that it was for.
+
+        An idle target reports its last step again and again.  An ejected one
+        is idle, so counting that would keep it out for good.
+        """
         health = self._targets.setdefault(target, _Health())
-        if step_ms <= 0:
+        if not running or step_ms <= 0 or health.out_until is not None:
             return
         if not health.step_ms:
             health.step_ms = step_ms
@@ -123,11 +133,10 @@
         target after the other and leave the last to take everything.
         """
         settings = self._settings
-        if health.out_until is None and not self._may_eject(now):
+        if health.out_until is not None or not self._may_eject(now):
             return
-        if health.out_until is None:
-            doubled = min(settings.most_out_seconds, 2 * health.out_seconds)
-            health.out_seconds = max(settings.out_seconds, doubled)
+        doubled = min(settings.most_out_seconds, 2 * health.out_seconds)
+        health.out_seconds = max(settings.out_seconds, doubled)
         health.out_until = now + health.out_seconds
         health.back_since = None
 
@@ -143,6 +152,7 @@
         if health.out_until is not None and now >= health.out_until:
             health.out_until = None
             health.slow_since = None
+            health.step_ms = 0
             health.back_since = now
         if health.back_since is None:
             return
--- a/tamarackthread/policy/fairness.py
+++ b/tamarackthread/policy/fairness.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+_MOST_REMEMBERED = 4096
+
 _Item = typing.TypeVar('_Item')
 
 
@@ -82,8 +84,14 @@
     bounded by the queue's length, and only served items pay for it.
     """
 
-    def __init__(self) -> None:
-        """Start empty at virtual time 0."""
+    def __init__(self, credit: float = 0) -> None:
+        """Start empty at virtual time 0.
+
+        A flow that used less than its share may catch up by ``credit``, the
+        cost at weight 1.  Without it, a small flow with three calls at once
+        waits three turns although it is far under its share.
+        """
+        self._credit = credit
         self._order = itertools.count()
         self._flows: dict[str, _Flow[_Item]] = {}
         self._used: dict[str, float] = {}
@@ -142,6 +150,7 @@
         flow.start += entry.cost / flow.weight
         self._used[entry.flow] = flow.start
         self.remove(entry)
+        self._tidy()
         if not self._length:
             self._restart()
 
@@ -173,6 +182,13 @@
             total += min(other.backlog, max(0, until))
         return total
 
+    def rank_cost(self, flow: str, rank: int) -> float:
+        """Return the cost of a flow's queued items of one rank."""
+        known = self._flows.get(flow)
+        if known is None:
+            return 0
+        return sum(entry.cost for entry in known.entries if entry.rank == rank)
+
     def share(self, flow: str, weight: float) -> float:
         """Return the part, from 0 to 1, that a flow gets while all wait."""
         total = weight
@@ -182,7 +198,16 @@
         return weight / total
 
     def _start(self, flow: str) -> float:
-        return max(self._virtual, self._used.get(flow, 0))
+        earliest = self._virtual - self._credit
+        return max(earliest, self._used.get(flow, earliest))
+
+    def _tidy(self) -> None:
+        if len(self._used) < _MOST_REMEMBERED:
+            return
+        earliest = self._virtual - self._credit
+        for flow in list(self._used):
+            if self._used[flow] <= earliest:
+                self._used.pop(flow)
 
     def _restart(self) -> None:
         """Let an idle queue forget, so that past use costs nobody later."""
--- a/tamarackthread/policy/load.py
+++ b/tamarackthread/policy/load.py
@@ -23,7 +23,9 @@
     Times are in seconds.  ``chunk_tokens`` is how many prompt tokens an
     engine takes in one step, ``hold_seconds`` how long a call holds its slot
     until own calls have shown it.  ``entries`` is how many entries send to
-    the target; ``trust_seconds`` is the age at which a report counts half.
+    the target; ``trust_seconds`` is the age at which a report counts half.  A
+    target may have ``queue_seconds`` of work waiting, which covers the way there
+    and back.
     """
 
     entries: int = 1
@@ -33,7 +35,7 @@
     hold_seconds: float = 1.0
     trust_seconds: float = 1.0
     restart_seconds: float = 3.0
-    slack: int = 1
+    queue_seconds: float = 0.03
 
 
 @attrs.define(slots=True, eq=False)
@@ -80,6 +82,8 @@
         self._others = 0
         self._others_tokens = 0
         self._hold = self._settings.hold_seconds
+        self._pace: float = 0
+        self._paced_at = -math.inf
 
     @property
     def last_report(self) -> messages.LoadReport:
@@ -98,7 +102,13 @@
 
     @property
     def step_seconds(self) -> float:
-        """Return the time of one step as last reported."""
+        """Return the time of one step, as own streams show it or as reported.
+
+        Own streams show a stalled rank a few tokens after it stalls; a report
+        shows it hundreds of milliseconds later.
+        """
+        if self._pace and self._paced_at > self._taken_at:
+            return self._pace
         if not self._report.step_ms:
             return self._settings.step_seconds
         return self._report.step_ms / 1000
@@ -118,6 +128,11 @@
         """Return the slots that this entry may always use."""
         return math.ceil(self.slots / self._settings.entries)
 
+    @property
+    def slack(self) -> int:
+        """Return the calls that may wait at the target to keep it busy."""
+        return math.ceil(self._settings.queue_seconds * self.slots / self._hold)
+
     @property
     def own_rate(self) -> float:
         """Return the calls a second that this entry's portion would allow."""
@@ -157,6 +172,14 @@
         self._waiting_tokens += tokens
         return flight
 
+    def paced(self, pace: float, now: float) -> None:
+        """Take in the pace of an own stream, in seconds an event; 0 is none."""
+        if not pace:
+            return
+        known = self._pace or pace
+        self._pace = known + (pace - known) / 8
+        self._paced_at = now
+
     def first_token(self, flight: Flight, now: float) -> None:
         """Note the first token of a call; a second note changes nothing."""
         if flight.started_at is not None:
@@ -202,7 +225,7 @@
             return True
         if self._open >= self.portion:
             return False
-        return after <= slots + self._settings.slack
+        return after <= slots + self.slack
 
     def overdue(self, now: float) -> float:
         """Return how long the oldest own call waits for its first token."""
--- /dev/null
+++ b/tamarackthread/policy/outlook.py
@@ -0,0 +1,91 @@
+"""Estimate how long a call will wait, and when a refused one may return."""
+
+from __future__ import annotations
+
+import random
+
+from tamarackthread.policy import calls, pace, room, waiting
+
+_LEAST_RATE = 0.1
+_MOST_FLOWS = 4096
+
+
+class Outlook:
+    """Judge the queue of one service by how fast it drains."""
+
+    def __init__(
+        self,
+        place: room.Room,
+        line: waiting.WaitingLine,
+        generator: random.Random,
+    ) -> None:
+        """Watch ``line``, which drains into ``place``."""
+        self._room = place
+        self._line = line
+        self._retry_times = pace.RetryTimes(generator)
+        self._meter = pace.DrainMeter()
+        self._flows: dict[str, pace.DrainMeter] = {}
+        self._mean_cost: float = 1
+
+    def arrived(self, call: calls.CallFacts, now: float) -> None:
+        """Note a call that now waits in the line."""
+        self._mean_cost += (call.cost - self._mean_cost) / 64
+        if _flow(call) not in self._flows:
+            self._tidy(now)
+            self._flows[_flow(call)] = pace.DrainMeter()
+        self._flows[_flow(call)].observe(True, now)
+        self._meter.observe(True, now)
+
+    def left(self, call: calls.CallFacts, is_served: bool, now: float) -> None:
+        """Note a call that left the line, served or not."""
+        flow = self._flows.get(_flow(call))
+        if flow is not None:
+            flow.left(call.cost if is_served else 0)
+            flow.observe(self._line.alike(call) > 0, now)
+        self._meter.left(call.cost if is_served else 0)
+        self._meter.observe(len(self._line) > 0, now)
+
+    def rate(self, now: float) -> float:
+        """Return the cost a second that the whole line drains."""
+        prior = max(1, self._room.rate(now)) * self._mean_cost
+        return max(_LEAST_RATE, self._meter.rate(prior, now))
+
+    def wait(self, call: calls.CallFacts, now: float) -> float:
+        """Return seconds until a new call like this would be served.
+
+        Two estimates count: the fair order of what waits now, and how fast
+        the organisation's calls of this priority were served lately.  The
+        first knows nothing of calls still to come, which pass a background
+        call again and again until it would have to be refused late.
+        """
+        rate = self.rate(now)
+        wait = self._line.ahead(call) / rate
+        flow = self._flows.get(_flow(call))
+        if flow is None:
+            return wait
+        own = self._line.alike(call)
+        if call.priority == calls.Priority.BACKGROUND:
+            own += call.cost
+        prior = rate * self._line.share(call)
+        return max(wait, own / max(_LEAST_RATE, flow.rate(prior, now)))
+
+    def retry(self, call: calls.CallFacts, now: float) -> float:
+        """Return seconds after which a refused call will find room."""
+        return self._retry_times.book(
+            call.organisation,
+            call.cost,
+            self.rate(now) * self._line.share(call),
+            self.wait(call, now),
+            now,
+        )
+
+    def _tidy(self, now: float) -> None:
+        if len(self._flows) < _MOST_FLOWS:
+            return
+        for flow in list(self._flows):
+            if self._flows[flow].is_idle(now):
+                self._flows.pop(flow)
+
+
+def _flow(call: calls.CallFacts) -> str:
+    return f'{call.organisation}/{call.priority:d}'
--- a/tamarackthread/policy/pace.py
+++ b/tamarackthread/policy/pace.py
@@ -32,27 +32,37 @@
         self._settings = settings or PaceSettings()
         self._busy: float = 0
         self._served: float = 0
-        self._seen_at: float | None = None
+        self._is_waiting = False
+        self._seen_at: float = 0
 
-    def served(self, cost: float) -> None:
-        """Count a served call, if the queue was waiting."""
-        if self._seen_at is not None:
-            self._served += cost
+    def left(self, cost: float) -> None:
+        """Count the cost of a call that left the waiting queue; 0 unserved."""
+        self._served += cost
 
     def observe(self, is_waiting: bool, now: float) -> None:
         """Note whether the queue waits from now on."""
-        if self._seen_at is not None:
-            passed = now - self._seen_at
+        passed = now - self._seen_at
+        keep = max(0, 1 - passed / self._settings.window_seconds)
+        if self._is_waiting:
             self._busy += passed
-            keep = max(0, 1 - passed / self._settings.window_seconds)
-            self._busy *= keep
-            self._served *= keep
-        self._seen_at = now if is_waiting else None
+        self._busy *= keep
+        self._served *= keep
+        self._is_waiting = is_waiting
+        self._seen_at = now
 
-    def rate(self, prior: float) -> float:
+    def rate(self, prior: float, now: float) -> float:
         """Return cost a second; ``prior`` counts while little is measured."""
         weight = self._settings.prior_seconds
-        return (self._served + prior * weight) / (self._busy + weight)
+        busy = self._busy
+        if self._is_waiting:
+            busy += now - self._seen_at
+        return (self._served + prior * weight) / (busy + weight)
+
+    def is_idle(self, now: float) -> bool:
+        """Tell whether nothing has waited for as long as it remembers."""
+        if self._is_waiting:
+            return False
+        return now - self._seen_at > self._settings.window_seconds
 
 
 class RetryTimes:
--- a/tamarackthread/policy/room.py
+++ b/tamarackthread/policy/room.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from tamarackthread.policy import calls, refusals, routing
+from tamarackthread.policy import calls, migration, refusals, routing
 from tamarackthread.policy import load as target_load
 
 
@@ -23,9 +23,10 @@
     target: routing.TargetView
     flight: target_load.Flight
 
-    def first_token(self, now: float) -> None:
-        """Note that the first token came."""
+    def advance(self, progress: migration.Progress, now: float) -> None:
+        """Note that more of the stream came."""
         self.target.load.first_token(self.flight, now)
+        self.target.load.paced(progress.pace, now)
 
     def release(self, now: float) -> None:
         """Give the place back; a second time changes nothing."""
@@ -40,7 +41,7 @@
         """Place a call, or return ``None`` while there is no room.
 
         Raises ``NoTarget`` when no target takes calls and
-        ``DeadlineTooClose`` when none that has room could answer in time.
+        ``DeadlineTooClose`` when none could answer in time.
         """
 
     @abc.abstractmethod
@@ -112,6 +113,10 @@
             return None
         timely = _timely(call, roomy, now)
         if not timely:
+            # A slow target is often the only one with room.  Refusing for it
+            # would turn away calls that the others can answer in a moment.
+            if _timely(call, usable, now):
+                return None
             raise refusals.DeadlineTooClose()
         view = self._policy.choose(call, timely, now)
         if view is None:
@@ -161,7 +166,7 @@
         now: float,
     ) -> list[routing.TargetView]:
         reserve = self._settings.reserved_slots
-        if call.priority == calls.Priority.URGENT:
+        if call.is_ahead:
             reserve = -self._settings.urgent_extra
         roomy = []
         for view in usable:
--- a/tamarackthread/policy/waiting.py
+++ b/tamarackthread/policy/waiting.py
@@ -13,13 +13,14 @@
 class WaitingCall:
     """Be a call in the queue.
 
-    ``granted`` gets the ticket or the refusal.  After ``latest_start``, in
-    the loop's seconds, starting it would be too late.
+    ``granted`` gets the ticket or the refusal.  After ``latest_start``
+    starting it would be too late.  Times are the loop's seconds.
     """
 
     call: calls.CallFacts
     granted: asyncio.Future
     latest_start: float
+    entered_at: float
     preempting: bool = False
     passed_over: int = 0
 
@@ -35,11 +36,15 @@
     so that nobody gains by calling work background.
     """
 
-    def __init__(self, shares: fairness.Shares) -> None:
-        """Start empty."""
+    def __init__(self, shares: fairness.Shares, credit: float) -> None:
+        """Start empty; ``credit`` is what an organisation may catch up."""
         self._shares = shares
-        self._urgent: fairness.FairQueue[WaitingCall] = fairness.FairQueue()
-        self._other: fairness.FairQueue[WaitingCall] = fairness.FairQueue()
+        self._urgent: fairness.FairQueue[WaitingCall] = fairness.FairQueue(
+            credit
+        )
+        self._other: fairness.FairQueue[WaitingCall] = fairness.FairQueue(
+            credit
+        )
 
     def __len__(self) -> int:
         """Count the waiting calls."""
@@ -89,10 +94,14 @@
             self._shares.weight(call.organisation),
             call.priority,
         )
-        if call.priority == calls.Priority.URGENT:
+        if call.is_ahead:
             return own
         return own + self._urgent.backlog
 
+    def alike(self, call: calls.CallFacts) -> float:
+        """Return the cost of the organisation's calls of the same priority."""
+        return self._queue(call).rank_cost(call.organisation, call.priority)
+
     def organisation_length(self, call: calls.CallFacts) -> int:
         """Count the waiting calls of the same organisation."""
         return self._queue(call).flow_length(call.organisation)
@@ -106,6 +115,6 @@
         self,
         call: calls.CallFacts,
     ) -> fairness.FairQueue[WaitingCall]:
-        if call.priority == calls.Priority.URGENT:
+        if call.is_ahead:
             return self._urgent
         return self._other
