--- a/tamarackthread/cli/client.py
+++ b/tamarackthread/cli/client.py
@@ -21,6 +21,7 @@
 PAUSE_SECONDS = 0.1
 POLL_SECONDS = 0.05
 AUDIT_PAGE = 100
+LIST_MEMBERS = 'members'
 
 # The request reached nobody, or somebody who certainly did nothing with it.
 _NOTHING_DONE = (
@@ -163,8 +164,15 @@
         self,
         request: messages.MemberRequest,
     ) -> messages.MemberReply:
-        """List or change the members of a replicated group."""
+        """List or change the members of a replicated group.
+
+        Each host answers with what it sees itself, and only the leader hears
+        from all members, so its list is taken where it can be had.
+        """
         reply = await self.ask(messages.Request(member=request))
+        for member in reply.member.members or ():
+            if member.leader and request.action == LIST_MEMBERS:
+                return await self._leader_view(member, request, reply.member)
         return reply.member
 
     async def drain(self, target: str, cancel: bool) -> None:
@@ -184,6 +192,19 @@
             ATTEMPT_SECONDS,
         )
 
+    async def _leader_view(
+        self,
+        leader: messages.Member,
+        request: messages.MemberRequest,
+        seen: messages.MemberReply,
+    ) -> messages.MemberReply:
+        asked = messages.Request(member=request)
+        try:
+            reply = await self.send(leader.address, asked, ATTEMPT_SECONDS)
+        except errors.CodedError:
+            return seen
+        return reply.member
+
     @property
     def patience_seconds(self) -> float:
         """Give how long an answer is waited for."""
@@ -268,7 +289,7 @@
 
 def _changes(request: messages.Request) -> bool:
     if request.member is not None:
-        return request.member.action != 'members'
+        return request.member.action != LIST_MEMBERS
     return request.change is not None
 
 
--- a/tamarackthread/cli/commands/members.py
+++ b/tamarackthread/cli/commands/members.py
@@ -73,7 +73,7 @@
 
     def request(self) -> messages.MemberRequest:
         """Ask for the list."""
-        return messages.MemberRequest(action='members')
+        return messages.MemberRequest(action=client.LIST_MEMBERS)
 
 
 class AddCommand(MemberCommand):
--- a/tamarackthread/shared/reload.py
+++ b/tamarackthread/shared/reload.py
@@ -66,7 +66,7 @@
             )
         self._source.replace(merged.settings)
         changed = ', '.join(merged.changed) or 'nothing'
-        _log.info('settings: reloaded, changed %s', changed)
+        _log.info('settings: reloaded with secrets, changed %s', changed)
         return True
 
     def _read(self) -> Merged:
