--- a/bench/faults/stand.py
+++ b/bench/faults/stand.py
@@ -8,6 +8,7 @@
 import signal
 
 import aiohttp
+import attrs
 
 from bench import cluster, operator
 from bench.checks import calls
@@ -24,16 +25,79 @@
 AFTERMATH_SECONDS = 6.0
 
 
+@attrs.frozen
+class Site:
+    """Be one target, its fake and its agent."""
+
+    name: str
+    fake: str
+    service: str
+    kind: str
+    zone: int
+
+    @property
+    def module(self) -> str:
+        """Name the fake's module."""
+        return 'replica' if self.kind == 'model' else 'plain'
+
+    @property
+    def options(self) -> tuple[str, str]:
+        """Give the fake's options."""
+        if self.kind == 'model':
+            return ('--step-ms', '6')
+        return ('--work-ms', WORK_MS)
+
+
+def drafting(number: int) -> Site:
+    """Describe a model target."""
+    return Site(
+        name=f'draft-{number}',
+        fake=f'engine-{number}',
+        service='drafting',
+        kind='model',
+        zone=number,
+    )
+
+
+def ordering(number: int) -> Site:
+    """Describe a plain target whose calls may not repeat."""
+    return Site(
+        name=f'order-{number}',
+        fake=f'stock-{number}',
+        service='stock',
+        kind='plain',
+        zone=number,
+    )
+
+
+def both_kinds() -> tuple[Site, ...]:
+    """Describe as many targets of each kind as there are zones."""
+    sites = []
+    for number in range(TARGETS):
+        sites.extend((drafting(number), ordering(number)))
+    return tuple(sites)
+
+
 class Stand:
     """Hold the processes, the relays and the windows of stops."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        """Start nothing yet."""
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        sites: tuple[Site, ...] | None = None,
+    ) -> None:
+        """Start nothing yet; without ``sites`` there are three of each kind."""
+        self._sites = both_kinds() if sites is None else sites
         self.relays = relays.Relays()
         self.windows: list[calls.Window] = []
         self._cluster = cluster.Cluster(folder, advertised=relays.RELAY_HOST)
         self._balancer: callers.Balancer | None = None
 
+    @property
+    def running(self) -> cluster.Cluster:
+        """Give the cluster of processes."""
+        return self._cluster
+
     @property
     def entries(self) -> list[str]:
         """Name the entries."""
@@ -42,10 +106,7 @@
     @property
     def agents(self) -> list[str]:
         """Name the agents, of models and of orders."""
-        names = []
-        for number in range(TARGETS):
-            names.extend((f'draft-{number}', f'order-{number}'))
-        return names
+        return [site.name for site in self._sites]
 
     @property
     def controls(self) -> list[str]:
@@ -65,8 +126,8 @@
         for name, address in self._cluster.controls.items():
             await self.relays.open(name, int(address.rpartition(':')[2]))
         await starting
-        for number in range(TARGETS):
-            await self._start_target(number)
+        for site in self._sites:
+            await self._start_target(site)
         for number, name in enumerate(self.entries):
             await self._cluster.start_entry(name, number)
             await self._relay(name)
@@ -117,9 +178,8 @@
     def starts(self) -> list[calls.Start]:
         """Read from the journals what the targets have started."""
         found = []
-        for number in range(TARGETS):
-            for name in (f'engine-{number}', f'stock-{number}'):
-                found.extend(_starts(self._cluster.journal(name)))
+        for site in self._sites:
+            found.extend(_starts(self._cluster.journal(site.fake)))
         return found
 
     def _watch(self, name: str) -> None:
@@ -132,31 +192,20 @@
         port = int(process.addresses['link'].rpartition(':')[2])
         await self.relays.open(name, port)
 
-    async def _start_target(self, number: int) -> None:
-        engine = await self._cluster.start_engine(
-            f'engine-{number}',
-            '--step-ms',
-            '6',
+    async def _start_target(self, site: Site) -> None:
+        fake = await self._cluster.start_engine(
+            site.fake,
+            *site.options,
+            module=site.module,
         )
-        plain = await self._cluster.start_engine(
-            f'stock-{number}',
-            '--work-ms',
-            WORK_MS,
-            module='plain',
+        await self._cluster.start_agent(
+            site.name,
+            f'http://{fake.addresses["http"]}',
+            site.service,
+            site.zone,
+            kind=site.kind,
         )
-        for process, name, service, kind in (
-            (engine, f'draft-{number}', 'drafting', 'model'),
-            (plain, f'order-{number}', 'stock', 'plain'),
-        ):
-            url = f'http://{process.addresses["http"]}'
-            await self._cluster.start_agent(
-                name,
-                url,
-                service,
-                number,
-                kind=kind,
-            )
-            await self._relay(name)
+        await self._relay(site.name)
 
     async def _configure(self) -> None:
         acting = operator.Operator(self._cluster)
