Bound the check of a document, and read long lists page by page

A body of 256 KB could hold tens of thousands of values, which the leader checks on its event loop, and a list of all organisations came in one page only.

--- a/tamarackthread/cli/changes.py
+++ b/tamarackthread/cli/changes.py
@@ -128,8 +128,8 @@
     name: str,
 ) -> list[messages.Document]:
     """List all kept versions of a document, the oldest first."""
-    reply = await operator.documents(kind, name, history=True)
-    found = {document.version: document for document in reply.documents}
+    past = await operator.versions(kind, name)
+    found = {document.version: document for document in past}
     return [found[version] for version in sorted(found)]
 
 
--- a/tamarackthread/cli/client.py
+++ b/tamarackthread/cli/client.py
@@ -79,21 +79,29 @@
         """Return the first answer; raise what the leader refused with."""
         return await _Asking(self, request).run()
 
-    async def documents(
+    async def versions(
         self,
         kind: str,
-        name: str = '',
-        history: bool = False,
-    ) -> messages.ReadReply:
-        """Read documents of a kind, or one with all its versions."""
-        read = messages.ReadRequest(kind=kind, name=name, history=history)
-        reply = await self.ask(messages.Request(documents=read))
-        return reply.documents
+        name: str,
+    ) -> list[messages.Document]:
+        """Read the kept versions of one document."""
+        return await self._named(kind, name, history=True)
+
+    async def everything(self, kind: str) -> list[messages.Document]:
+        """Read all documents of a kind by name, page after page."""
+        found: list[messages.Document] = []
+        more = True
+        while more:
+            after = found[-1].name if found else ''
+            read = messages.ReadRequest(kind=kind, after=after)
+            reply = await self.ask(messages.Request(documents=read))
+            found.extend(reply.documents.documents)
+            more = bool(reply.documents.more)
+        return found
 
     async def document(self, kind: str, name: str) -> messages.Document | None:
         """Read one document, or return ``None`` if there is none."""
-        reply = await self.documents(kind, name)
-        for document in reply.documents:
+        for document in await self._named(kind, name, history=False):
             if document.name == name and document.body:
                 return document
         return None
@@ -192,6 +200,16 @@
             ATTEMPT_SECONDS,
         )
 
+    async def _named(
+        self,
+        kind: str,
+        name: str,
+        history: bool,
+    ) -> list[messages.Document]:
+        read = messages.ReadRequest(kind=kind, name=name, history=history)
+        reply = await self.ask(messages.Request(documents=read))
+        return reply.documents.documents
+
     async def _leader_view(
         self,
         leader: messages.Member,
--- a/tamarackthread/cli/commands/members.py
+++ b/tamarackthread/cli/commands/members.py
@@ -52,10 +52,9 @@
         chosen = self.option('group')
         if chosen:
             return [chosen]
-        shards = await operator.documents('shard')
         groups = {
             documents.parse(held.kind, held.body).group
-            for held in shards.documents
+            for held in await operator.everything('shard')
         }
         return [CONFIG_GROUP, *sorted(groups)]
 
--- a/tamarackthread/cli/commands/targets.py
+++ b/tamarackthread/cli/commands/targets.py
@@ -27,9 +27,8 @@
 
     async def act(self, operator: client.Operator) -> exit_codes.ExitCode:
         """Print a table, or all target documents as JSON."""
-        reply = await operator.documents('target')
         chosen = []
-        for held in sorted(reply.documents, key=lambda held: held.name):
+        for held in await operator.everything('target'):
             service = json.loads(held.body).get('service')
             if self.option('service') in {None, service}:
                 chosen.append(render.document_values(held))
--- a/tamarackthread/cli/edited.py
+++ b/tamarackthread/cli/edited.py
@@ -16,7 +16,13 @@
 import attrs
 
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import documents, findings, jsonc, settings
+from tamarackthread.shared import (
+    documents,
+    findings,
+    jsonc,
+    settings,
+    validation,
+)
 
 _HEADER = re.compile(
     r'\s*//\s*(?P<kind>[a-z]+) (?P<name>\S+) version (?P<version>[0-9]+)\s*$',
@@ -46,7 +52,9 @@
             ],
         ) from exc
     text = jsonc.parse(content)
-    broken = documents.violations(kind, text.value) if text.positions else []
+    broken: list[validation.Violation] = []
+    if text.positions:
+        broken.extend(documents.violations(kind, text.value))
     found = settings.locate(str(path), text, broken)
     if found:
         raise findings.InvalidError(found)
--- a/tamarackthread/shared/documents.py
+++ b/tamarackthread/shared/documents.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections.abc
+import itertools
 import json
 import math
 import re
@@ -39,7 +40,9 @@
     },
 )
 KINDS = tuple(CLASSES)
-MAX_BODY_BYTES = 256 * 1024
+MAX_BODY_BYTES = 64 * 1024
+MAX_VALUES = 2048
+MAX_FINDINGS = 100
 _NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
 _ROOT = '$'
 
@@ -76,21 +79,36 @@
         text = f'"{name}" must be up to 63 letters, digits and "._-"'
         found.append(_finding('name', findings.NameInvalid, text))
     if body:
-        found.extend(_check_body(kind, body))
+        found.extend(itertools.islice(_check_body(kind, body), MAX_FINDINGS))
     return found
 
 
-def violations(kind: str, value: typing.Any) -> list[validation.Violation]:
-    """Return the broken rules of a body that is already parsed."""
+def violations(
+    kind: str,
+    value: typing.Any,
+) -> collections.abc.Iterator[validation.Violation]:
+    """Yield the broken rules of a body that is already parsed.
+
+    The leader checks on its event loop.  A body of tens of thousands of
+    values would hold it up for longer than its lease, and every change would
+    cost an election; so a body over the limit gets no further look.
+    """
+    if _exceeds(value, MAX_VALUES):
+        text = f'more than {MAX_VALUES} values'
+        yield validation.Violation(
+            (),
+            findings.DocumentTooLarge.code,
+            text,
+        )
+        return
     class_name = CLASSES[kind].__name__
     schema = {
         '$ref': f'#/$defs/{class_name}',
         '$defs': generated.SCHEMA['$defs'],
     }
-    found = validation.check(schema, value)
+    yield from validation.check(schema, value)
     if isinstance(value, dict):
-        found.extend(_cross_check(kind, value))
-    return found
+        yield from _cross_check(kind, value)
 
 
 def place(path: jsonc.Path) -> str:
@@ -101,6 +119,20 @@
     return ''.join(parts)
 
 
+def _exceeds(value: typing.Any, limit: int) -> bool:
+    """Count the values in a body, no further than to the limit."""
+    waiting = [value]
+    count = 0
+    while waiting and count <= limit:
+        part = waiting.pop()
+        count += 1
+        if isinstance(part, dict):
+            waiting.extend(part.values())
+        elif isinstance(part, list):
+            waiting.extend(part)
+    return count > limit
+
+
 def _check_body(
     kind: str,
     body: str,
--- a/tamarackthread/shared/settings.py
+++ b/tamarackthread/shared/settings.py
@@ -60,7 +60,7 @@
 def _violations(text: jsonc.Text) -> list[validation.Violation]:
     if not text.positions:
         return []
-    found = validation.check(generated.SCHEMA, text.value)
+    found = list(validation.check(generated.SCHEMA, text.value))
     if isinstance(text.value, dict):
         found.extend(settings_rules.check(_sound_part(text.value, found)))
     return found
--- a/tamarackthread/shared/validation.py
+++ b/tamarackthread/shared/validation.py
@@ -47,13 +47,11 @@
 def check(
     schema: dict[str, typing.Any],
     value: typing.Any,
-) -> list[Violation]:
-    """Return every broken rule, in the order of the schema's walk."""
+) -> collections.abc.Iterator[Violation]:
+    """Yield every broken rule, in the order of the schema's walk."""
     validator = jsonschema.Draft202012Validator(schema)
-    found: list[Violation] = []
     for error in validator.iter_errors(value):
-        found.extend(_violations(error))
-    return found
+        yield from _violations(error)
 
 
 def _violations(
--- a/tests/fake_control.py
+++ b/tests/fake_control.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from tamarackthread.control import configuration, failures
+from tamarackthread.control import configuration, failures, reads
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import documents, errors, link, wire
 
@@ -29,13 +29,14 @@
         if request.change is not None:
             return self._change(held, request.change)
         if request.documents is not None:
-            return self._read(request.documents)
+            read = reads.read(self.machine, request.documents)
+            return messages.Reply(documents=read)
         if request.status is not None:
             return self._status()
         if request.audit is not None:
-            asked = request.audit
-            records = self.machine.trail.after(asked.after, asked.limit)
-            return messages.Reply(audit=messages.AuditReply(records=records))
+            return messages.Reply(
+                audit=reads.audit(self.machine, request.audit),
+            )
         if request.member is not None:
             raise failures.MemberChangeRefused('one change at a time')
         raise errors.RequestUnsupported
@@ -51,20 +52,6 @@
             held.close('cut by the test')
         return wire.decode(messages.Reply, encoded)
 
-    def _read(self, read):
-        held = self.machine.documents
-        found = [
-            document
-            for document in held.everything()
-            if document.kind == read.kind and read.name in {'', document.name}
-        ]
-        if read.history:
-            found = self.machine.history.of(read.kind, read.name) + found
-        else:
-            found = [document for document in found if document.body]
-        reply = messages.ReadReply(documents=found, revision=held.revision)
-        return messages.Reply(documents=reply)
-
     def _status(self):
         revision = self.machine.documents.revision
         laggard = messages.NodeState(node='e2', zone='z', revision=0)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -34,19 +34,26 @@
         )
 
     def test_refused_as_a_whole(self):
+        many = ','.join('1' for _ in range(3000))
         for kind, name, body, place, code in (
             ('profil', 'n', '', '$', 'TT2020'),
             ('profile', 'a b', '', 'name', 'TT2021'),
             ('profile', 'n', '{', '$', 'TT2002'),
-            ('profile', 'n', '[' * 99_999, '$', 'TT2002'),
+            ('profile', 'n', '[' * 60_000, '$', 'TT2002'),
             ('profile', 'n', '{"drain":{"seconds":NaN}}', '$', 'TT2002'),
-            ('profile', 'n', ' ' * 300_000, '$', 'TT2022'),
+            ('profile', 'n', ' ' * 70_000, '$', 'TT2022'),
+            ('service', 'n', f'{{"models":[{many}]}}', '$', 'TT2022'),
             ('service', 'n', '{}', '$', 'TT2005'),
             ('service', 'n', '{"profile":"p","kind":"model"}', '$', 'TT2005'),
         ):
             found = self.found(kind, body, name)
             self.assertEqual(found, [(place, code)], (kind, body[:30]))
 
+    def test_findings_are_bounded(self):
+        unknown = {f'key{number}': 1 for number in range(1000)}
+        found = self.found('profile', json.dumps(unknown))
+        self.assertEqual(len(found), documents.MAX_FINDINGS)
+
     def test_newer_keys_are_passed_over_by_nodes(self):
         body = '{"drain": {"seconds": 7, "newer": 1}, "newest": {}}'
         parsed = documents.parse('profile', body)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -149,6 +149,16 @@
         same = await changes.apply(self.operator, wish('{ }'))
         self.assertEqual(same.outcome, changes.Outcome.UNCHANGED)
 
+    async def test_list_longer_than_a_page_is_read_whole(self):
+        for number in range(5000):
+            name = f'o{number:04}'
+            change = client.Change(name, 'organisation', name, 0, '{}')
+            await self.operator.change(change)
+        found = await self.operator.everything('organisation')
+        names = [held.name for held in found]
+        self.assertEqual(len(names), 5000)
+        self.assertEqual(names, sorted(set(names)))
+
     async def test_newest_audit_reads_back_far_enough(self):
         for base in range(7):
             body = f'{{"drain":{{"seconds":{base + 1}}}}}'
