--- a/bench/experiments/switch.py
+++ b/bench/experiments/switch.py
@@ -7,14 +7,17 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import logging
 import random
+import typing
 
 import async_solipsism
 
 from bench.engines import network, switch_checker, switch_world
 
 _SEEDS = tuple(range(1, 13))
+_LONGEST_SECONDS = 600
 _DISTURBED = network.NetworkSettings(
     late_share=0.01,
     late_seconds=1.5,
@@ -78,9 +81,16 @@
     calm: bool = False,
 ) -> switch_checker.Findings:
     """Run one world on a paused clock and check its history."""
+    return run_paused(lambda: _run(settings, seconds, calm))
+
+
+def run_paused(scene: collections.abc.Callable) -> typing.Any:
+    """Run a coroutine function on a paused clock, and end its tasks."""
     loop = async_solipsism.EventLoop()
     try:
-        return loop.run_until_complete(_run(settings, seconds, calm))
+        return loop.run_until_complete(
+            asyncio.wait_for(scene(), _LONGEST_SECONDS),
+        )
     finally:
         _cancel_all(loop)
         loop.close()
