Run each service by the profile that is in force

An entry built its queues once from defaults, so a changed profile changed nothing on the request path. A pool now takes routing, ejection, admission, reserve and moves from the profile and replaces them when it changes, while admitted calls end under the old one. Agents tell how many entries share them. A stream gives its place up to an urgent call and goes on at its position: with one slot, four urgent notices were answered while a 1500 token draft ran, and the draft came back whole.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -76,6 +76,7 @@
   11: bool stuck,
   12: list<PrefixNote> prefixes,
   13: i64 prefix_sequence,
+  14: i32 entries,           // entries that hold a link to this agent
 }
 
 // ---- consensus ----------------------------------------------------------
--- a/tamarackthread/agent/reports.py
+++ b/tamarackthread/agent/reports.py
@@ -107,6 +107,7 @@
             leaving=self._leaving,
             stuck=not self.is_fresh,
             tokens_per_second=self._tokens_per_second,
+            entries=len(self._entries),
             prefixes=[
                 messages.PrefixNote(prefix=prefix, held=held)
                 for prefix, held in notes
--- a/tamarackthread/entry/attempt.py
+++ b/tamarackthread/entry/attempt.py
@@ -9,7 +9,7 @@
 
 from tamarackthread.entry import answers, failures, fleet
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.policy import admission, outcomes
+from tamarackthread.policy import admission, outcomes, refusals
 from tamarackthread.shared import errors, events, link, stream
 
 FRESH_SECONDS = 1.25
@@ -55,6 +55,7 @@
         self._progress = progress
         self._point = outcomes.Point.CONNECTING
         self._call: stream.Stream | None = None
+        self._gave_way = False
         self._cutter = events.EventCutter()
 
     @property
@@ -77,6 +78,11 @@
         if self._call is not None:
             self._call.cancel(reason)
 
+    def give_way(self) -> None:
+        """End the attempt, so that the call goes on at another place."""
+        self._gave_way = True
+        self.cancel(refusals.CallPreempted.code)
+
     async def _run(self, opening: messages.OpenCall, body: bytes) -> None:
         held = self._fresh_link(opening.idempotent)
         self._call = held.open(opening)
@@ -106,7 +112,6 @@
             raise self._ended(call)
         self._check_identity(call, head.call_id)
         self._point = outcomes.Point.HEAD_SEEN
-        self._ticket.first_token()
         found = answers.head_of(head)
         if _is_event_stream(head):
             await self._relay_events(call, found)
@@ -121,9 +126,15 @@
         self._progress.is_events = True
         if not self._sink.started:
             await self._sink.start(head)
-        async for received in _pieces(call):
-            await self._pass_on(received)
-        self._check_end(call)
+        try:
+            async for received in _pieces(call):
+                await self._pass_on(received)
+            self._check_end(call)
+        except errors.StreamBroken:
+            # After the engine's closing event nothing is missing, whatever
+            # became of the link.
+            if not self._progress.whole:
+                raise
         await self._finish()
 
     async def _pass_on(self, received: bytes) -> None:
@@ -132,7 +143,10 @@
         if not whole:
             return
         await self._sink.write(whole)
-        self._progress.events += self._cutter.count - before
+        events = self._cutter.count - before
+        if events:
+            self._ticket.advance(events)
+        self._progress.events += events
         self._progress.whole = self._cutter.done
 
     async def _relay_plain(
@@ -141,6 +155,7 @@
         head: answers.Head,
     ) -> None:
         kept = bytearray()
+        self._ticket.first_token()
         async for received in _pieces(call):
             if self._sink.started:
                 await self._sink.write(received)
@@ -189,6 +204,8 @@
         return _Ended(ended)
 
     def _failed(self, failure: errors.CodedError) -> AttemptFailed:
+        if self._gave_way:
+            return AttemptFailed(refusals.CallPreempted(), known(self))
         if isinstance(failure, _Ended):
             return AttemptFailed(failure.cause, failure.cause.ran)
         self.cancel(failure.code)
--- a/tamarackthread/entry/calls.py
+++ b/tamarackthread/entry/calls.py
@@ -63,6 +63,7 @@
     call: Call
     sink: answers.Sink
     progress: attempt.Progress
+    facts: calls.CallFacts
     excluded: frozenset[str] = frozenset()
     attempts: int = 0
     resumed: int = 0
@@ -93,7 +94,7 @@
         Raises the coded error that the caller must see, with ``ran`` set to
         what is known over all attempts.
         """
-        life = _Life(call, sink, attempt.Progress())
+        life = _Life(call, sink, attempt.Progress(), call.facts)
         loop = asyncio.get_running_loop()
         self._budget(call).earn(loop.time())
         if call.facts.idempotent:
@@ -166,12 +167,20 @@
         pool = self._fleet.pool(life.call.service)
         if life.excluded.issuperset(pool.contacts):
             life.excluded = frozenset()
-        facts = attrs.evolve(life.call.facts, excluded=life.excluded)
+        facts = attrs.evolve(life.facts, excluded=life.excluded)
         ticket = await pool.admission.submit(facts)
         try:
             await self._hand_over(life, pool, ticket)
+        except attempt.AttemptFailed as exc:
+            life.facts = attrs.evolve(
+                ticket.resumed,
+                start=life.progress.events,
+            )
+            pool.answered(ticket.target, is_good=not _is_broken(exc))
+            raise
         finally:
             ticket.release()
+        pool.answered(ticket.target, is_good=True)
 
     async def _hand_over(
         self,
@@ -219,28 +228,15 @@
         opening: messages.OpenCall,
     ) -> None:
         body = life.call.body
-        if life.call.facts.priority != calls.Priority.BACKGROUND:
+        if not life.call.is_model:
             await running.run(opening, body)
             return
         loop = asyncio.get_running_loop()
-        work = loop.create_task(running.run(opening, body))
-        giving_way = loop.create_task(ticket.preempted.wait())
+        watching = loop.create_task(_watch(ticket, running))
         try:
-            await asyncio.wait(
-                (work, giving_way),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if work.done():
-                await work
-                return
+            await running.run(opening, body)
         finally:
-            giving_way.cancel()
-            work.cancel()
-        await asyncio.wait((work,))
-        raise attempt.AttemptFailed(
-            refusals.CallPreempted(),
-            attempt.known(running),
-        )
+            watching.cancel()
 
     def _opening(self, life: _Life, target: str) -> messages.OpenCall:
         call = life.call
@@ -309,6 +305,9 @@
             raise _truthful(life, cause) from failed
         if life.sink.started:
             self._check_resume(life, failed)
+        if isinstance(cause, refusals.CallPreempted):
+            life.attempts -= 1
+            return
         pause = self._retry(life).delay(
             life.call.facts,
             failed.ran,
@@ -355,6 +354,26 @@
         return found
 
 
+async def _watch(
+    ticket: admission.Ticket,
+    running: attempt.Attempt,
+) -> None:
+    """Have an attempt give its place up when its ticket asks for it."""
+    await ticket.preempted.wait()
+    running.give_way()
+
+
+def _is_broken(failed: attempt.AttemptFailed) -> bool:
+    """Tell whether a failure speaks against the target that it happened at.
+
+    A target that refuses because it leaves or is full does as it should.
+    """
+    return isinstance(
+        failed.cause,
+        errors.StreamBroken | errors.LinkLost,
+    ) or failed.cause.code in {'TT6002', 'TT6003', 'TT6004'}
+
+
 def _truthful(life: _Life, failure: errors.CodedError) -> errors.CodedError:
     """Let the last failure speak for all attempts.
 
--- /dev/null
+++ b/tamarackthread/entry/pools.py
@@ -0,0 +1,250 @@
+"""Build a service's queue, routing and ejection as its profile says."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import random
+
+import attrs
+
+from tamarackthread.entry import directory
+from tamarackthread.generated import documents as generated
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import (
+    admission,
+    affinity,
+    buckets,
+    ejection,
+    fairness,
+    load,
+    migration,
+    preemption,
+    retries,
+    room,
+    routing,
+)
+from tamarackthread.shared import link
+
+
+@attrs.define(eq=False)
+class Contact:
+    """Be one target that this entry keeps a link to."""
+
+    name: str
+    details: generated.Target
+    view: routing.TargetView
+    held: link.Link | None = None
+    keeper: asyncio.Task[None] | None = None
+
+    @property
+    def is_linked(self) -> bool:
+        """Tell whether there is an open link to the target's agent."""
+        return self.held is not None and not self.held.is_closed
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether new calls may be sent there."""
+        return self.is_linked and not self.details.leaving
+
+
+class OrganisationShares(fairness.Shares):
+    """Give each organisation the weight that its document says."""
+
+    def __init__(self, known: directory.Directory) -> None:
+        """Look weights up in the directory at each use."""
+        self._directory = known
+
+    def weight(self, organisation: str) -> float:
+        """Return the weight, 1 for an organisation that is gone."""
+        found = self._directory.organisations.get(organisation)
+        return 1 if found is None else found.weight
+
+
+@attrs.frozen
+class Surroundings:
+    """Be what every pool of an entry shares."""
+
+    zone: str
+    directory: directory.Directory
+    portions: buckets.Portions
+    rng: random.Random
+
+
+class Pool:
+    """Hold the targets of one service and the queue in front of them.
+
+    A new profile replaces the queue and the rules for calls that come from
+    then on; calls that were admitted or wait under the old one end there.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        profile: generated.Profile,
+        around: Surroundings,
+    ) -> None:
+        """Start without targets."""
+        self._service = service
+        self._around = around
+        self._contacts: dict[str, Contact] = {}
+        self._apply(profile)
+
+    @property
+    def service(self) -> str:
+        """Give the service's name."""
+        return self._service
+
+    @property
+    def profile(self) -> generated.Profile:
+        """Give the profile in use."""
+        return self._profile
+
+    @property
+    def admission(self) -> admission.Admission:
+        """Give the queue for new calls."""
+        return self._admission
+
+    @property
+    def contacts(self) -> collections.abc.Mapping[str, Contact]:
+        """Give the targets by name."""
+        return self._contacts
+
+    def follow(self, profile: generated.Profile) -> None:
+        """Put a profile in use if it differs from the one in use."""
+        if profile != self._profile:
+            self._apply(profile)
+
+    def add(self, name: str, details: generated.Target) -> Contact:
+        """Add a target that is not linked yet."""
+        rules = self._profile.routing
+        view = routing.TargetView(
+            name=name,
+            zone=details.zone,
+            load=load.TargetLoad(
+                load.LoadSettings(
+                    trust_seconds=rules.report_age_limit_seconds / 2,
+                ),
+            ),
+            prefixes=affinity.PrefixView(),
+        )
+        contact = Contact(name=name, details=details, view=view)
+        self._contacts[name] = contact
+        return contact
+
+    def remove(self, name: str) -> None:
+        """Drop a target; its calls in flight go on."""
+        contact = self._contacts.pop(name)
+        self._ejection.forget(name)
+        if contact.keeper is not None:
+            contact.keeper.cancel()
+
+    def refresh(self) -> None:
+        """Offer the linked targets to new calls and serve the queue."""
+        self._place.set_targets(
+            [
+                contact.view
+                for contact in self._contacts.values()
+                if contact.is_open
+            ],
+        )
+        self._admission.wake()
+
+    def report(self, report: messages.LoadReport) -> None:
+        """Take in a target's report of its load."""
+        contact = self._contacts.get(report.target)
+        if contact is None:
+            return
+        now = asyncio.get_running_loop().time()
+        view = contact.view
+        if not view.load.report(report, now):
+            return
+        view.prefixes.observe(
+            report.prefixes or (),
+            report.prefix_sequence or 0,
+        )
+        step_ms = view.load.step_seconds * 1000
+        self._ejection.report(view.name, step_ms, report.running or 0, now)
+        self._share(now)
+        self._admission.wake()
+
+    def answered(self, target: str, is_good: bool) -> None:
+        """Count how a call ended at a target."""
+        now = asyncio.get_running_loop().time()
+        self._ejection.answered(target, is_good, now)
+        self._share(now)
+
+    def _share(self, now: float) -> None:
+        for contact in self._contacts.values():
+            contact.view.share = self._ejection.share(contact.name, now)
+
+    def _apply(self, profile: generated.Profile) -> None:
+        self._profile = profile
+        self._ejection = ejection.Ejection(_ejection_settings(profile))
+        self._place = room.TargetRoom(
+            self._routing(profile),
+            room.RoomSettings(
+                reserved_share=profile.admission.urgent_reserve_share,
+            ),
+        )
+        self._admission = admission.Admission(
+            self._place,
+            OrganisationShares(self._around.directory),
+            self._around.rng,
+            admission.AdmissionSettings(
+                first_token_seconds=profile.admission.first_token_seconds,
+                queue_limit=profile.admission.queue_limit,
+            ),
+            portions=self._around.portions,
+            preempt=_preemption(profile),
+            move=_moves(profile),
+        )
+        self.refresh()
+
+    def _routing(self, profile: generated.Profile) -> routing.RoutingPolicy:
+        rules = profile.routing
+        rng = self._around.rng
+        if rules.policy == 'round_robin':
+            return routing.RoundRobin()
+        if rules.policy == 'least_load':
+            return routing.LeastReportedLoad(rng)
+        return routing.ExpectedFirstToken(
+            self._around.zone,
+            rng,
+            routing.RoutingSettings(
+                extra_load=rules.affinity_load_ratio,
+                zone_seconds=rules.zone_spill_seconds,
+            ),
+        )
+
+
+def _ejection_settings(
+    profile: generated.Profile,
+) -> ejection.EjectionSettings:
+    rules = profile.ejection
+    return ejection.EjectionSettings(
+        slow_factor=rules.step_ratio,
+        slow_seconds=rules.observe_seconds,
+        most_share=rules.share_limit,
+        return_seconds=max(rules.return_seconds, 1e-3),
+    )
+
+
+def _preemption(profile: generated.Profile) -> preemption.PreemptionPolicy:
+    if profile.admission.preemption and profile.resume.enabled:
+        return preemption.NewestDraft()
+    return preemption.NoPreemption()
+
+
+def _moves(profile: generated.Profile) -> migration.MovePolicy:
+    if not profile.resume.enabled:
+        return migration.StayPut()
+    rules = profile.retries
+    budget = retries.RetryBudget(
+        retries.RetrySettings(
+            share=rules.budget_share,
+            least_rate=rules.budget_per_second,
+        ),
+        asyncio.get_running_loop().time(),
+    )
+    return migration.LateStreams(budget)
--- a/tamarackthread/entry/reading.py
+++ b/tamarackthread/entry/reading.py
@@ -22,7 +22,7 @@
 MAX_KEY_LENGTH = 255
 MAX_DEADLINE_SECONDS = 3600
 CHARACTERS_PER_TOKEN = 4
-DEFAULT_ANSWER_TOKENS = 256
+TYPICAL_ANSWER_TOKENS = 256
 _OWN_HEADERS = frozenset(
     (
         'authorization',
@@ -46,6 +46,7 @@
     model: str = ''
     text: bytes = b''
     answer_tokens: int = 0
+    is_stream: bool = False
 
 
 class Reader:
@@ -79,7 +80,7 @@
         details = self._directory.services[service]
         profile = self._directory.profile(service)
         now = asyncio.get_running_loop().time()
-        seconds = stated or profile.admission.default_deadline_seconds
+        seconds = stated or _own_deadline(prompt, profile)
         return calls.Call(
             request_id=request_id,
             service=service,
@@ -199,6 +200,7 @@
         model=str(asked.get('model', '')),
         text=_text(asked),
         answer_tokens=_answer_tokens(asked),
+        is_stream=asked.get('stream') is True,
     )
 
 
@@ -214,7 +216,15 @@
 
 
 def _answer_tokens(asked: dict[str, typing.Any]) -> int:
-    limit = asked.get('max_tokens', DEFAULT_ANSWER_TOKENS)
+    limit = asked.get('max_tokens', TYPICAL_ANSWER_TOKENS)
     if isinstance(limit, bool) or not isinstance(limit, int) or limit < 1:
         raise failures.BodyInvalid('max_tokens must be a whole number above 0')
-    return limit
+    # The limit is what the caller allows, and most answers end well before
+    # it.  Taken for the length, it would refuse calls that end in time.
+    return min(limit, TYPICAL_ANSWER_TOKENS)
+
+
+def _own_deadline(prompt: _Prompt, profile: generated.Profile) -> float:
+    if prompt.is_stream:
+        return profile.timeouts.stream_seconds
+    return profile.admission.default_deadline_seconds
--- a/tamarackthread/policy/load.py
+++ b/tamarackthread/policy/load.py
@@ -123,10 +123,15 @@
         """Return how many prompt tokens the engine takes in one step."""
         return self._settings.chunk_tokens
 
+    @property
+    def entries(self) -> int:
+        """Return how many entries send to the target, as its agent counts."""
+        return self._report.entries or self._settings.entries
+
     @property
     def portion(self) -> int:
         """Return the slots that this entry may always use."""
-        return math.ceil(self.slots / self._settings.entries)
+        return math.ceil(self.slots / self.entries)
 
     @property
     def slack(self) -> int:
@@ -136,7 +141,7 @@
     @property
     def own_rate(self) -> float:
         """Return the calls a second that this entry's portion would allow."""
-        return self.slots / self._settings.entries / self._hold
+        return self.slots / self.entries / self._hold
 
     @property
     def takes_calls(self) -> bool:
@@ -202,9 +207,8 @@
 
     def occupancy(self, now: float) -> float:
         """Estimate how many calls the target holds, running or queued."""
-        settings = self._settings
         trust = self._trust(now)
-        alike = self._open * (settings.entries - 1)
+        alike = self._open * (self.entries - 1)
         return self._open + trust * self._others + (1 - trust) * alike
 
     def waiting_tokens(self, now: float) -> float:
@@ -218,7 +222,7 @@
         leaves one slot to each other entry, because all of them see the same
         old report and would take the same free slot.
         """
-        entries = self._settings.entries
+        entries = self.entries
         slots = self.slots - reserve
         after = self.occupancy(now) + 1
         if after + entries - 1 <= slots:
--- a/tamarackthread/policy/room.py
+++ b/tamarackthread/policy/room.py
@@ -9,6 +9,7 @@
 
 import abc
 import collections.abc
+import math
 
 import attrs
 
@@ -69,12 +70,12 @@
 class RoomSettings:
     """Hold how full targets are kept.
 
-    ``reserved_slots`` of each target are kept free of work that isn't urgent,
-    and ``urgent_extra`` calls more than it has slots may be urgent: the
+    ``reserved_share`` of each target's slots, rounded up, is kept free of
+    work that isn't urgent, and ``urgent_extra`` calls more than it has slots may be urgent: the
     engine's own priorities put them first.
     """
 
-    reserved_slots: int = 0
+    reserved_share: float = 0
     urgent_extra: int = 2
 
 
@@ -165,17 +166,23 @@
         usable: list[routing.TargetView],
         now: float,
     ) -> list[routing.TargetView]:
-        reserve = self._settings.reserved_slots
-        if call.is_ahead:
-            reserve = -self._settings.urgent_extra
         roomy = []
         for view in usable:
             if _is_over_share(view):
                 continue
-            if view.load.has_room(now, reserve):
+            if view.load.has_room(now, self._reserve(call, view)):
                 roomy.append(view)
         return roomy
 
+    def _reserve(
+        self,
+        call: calls.CallFacts,
+        view: routing.TargetView,
+    ) -> int:
+        if call.is_ahead:
+            return -self._settings.urgent_extra
+        return math.ceil(self._settings.reserved_share * view.load.slots)
+
     def _median_step(self) -> float:
         steps = sorted(view.load.step_seconds for view in self._targets)
         return steps[len(steps) // 2] if steps else 0
--- /dev/null
+++ b/tests/test_profiles_in_use.py
@@ -0,0 +1,75 @@
+"""Prove that an entry behaves by the profile that is in force."""
+
+import asyncio
+import unittest
+
+from bench import load
+from bench.engines import batch
+from tamarackthread.policy import routing
+from tests import stage, test_call_path
+
+ONE_SLOT = batch.EngineOptions(step_seconds=0.002, slots=1)
+
+
+class ProfileCase(unittest.IsolatedAsyncioTestCase):
+    async def test_new_profile_replaces_the_rules(self):
+        agents = [test_call_path.engine('a')]
+        async with stage.running(agents) as (entry, caller):
+            pool = entry.fleet.pool('draft')
+            before = pool.admission
+            view = pool.contacts['a'].view
+            changed = {'routing': {'policy': 'round_robin'}}
+            entry.directory.apply([stage.document('profile', 'p', changed)])
+            entry.fleet.update()
+            answer = await caller.chat(entry.address, test_call_path.CHAT)
+            self.assertIsNot(pool.admission, before)
+            self.assertIs(pool.contacts['a'].view, view)
+            self.assertIsInstance(
+                pool._place._policy,
+                routing.RoundRobin,
+            )
+        self.assertEqual(answer.outcome, load.Outcome.COMPLETE)
+
+    async def test_unchanged_profile_keeps_the_queue(self):
+        agents = [test_call_path.engine('a')]
+        async with stage.running(agents) as (entry, caller):
+            before = entry.fleet.pool('draft').admission
+            entry.fleet.update()
+            self.assertIs(entry.fleet.pool('draft').admission, before)
+
+
+class UrgentCase(unittest.IsolatedAsyncioTestCase):
+    async def test_urgent_notice_does_not_queue_behind_a_draft(self):
+        """An urgent notice is answered while a long draft holds the slot.
+
+        The draft gives its place up, the notice runs, and the draft goes on
+        at its position: its caller gets every token once.
+        """
+        draft = load.Chat(prompt='a long narrative', tokens=1500)
+        notice = load.Chat(prompt='aurora now', tokens=5)
+        agents = [test_call_path.engine('a', ONE_SLOT)]
+        async with stage.running(agents) as (entry, caller):
+            drafting = asyncio.ensure_future(
+                caller.chat(entry.address, draft, X_Priority='background'),
+            )
+            view = entry.fleet.contact('draft', 'a').view
+            while view.load.own_calls < 1:
+                await asyncio.sleep(0)
+            urgent = []
+            for _ in range(4):
+                urgent.append(
+                    asyncio.ensure_future(
+                        caller.chat(
+                            entry.address,
+                            notice,
+                            X_Priority='urgent',
+                        ),
+                    ),
+                )
+            answers = await asyncio.gather(*urgent)
+            self.assertFalse(drafting.done())
+            answer = await drafting
+        outcomes = {told.outcome for told in answers}
+        self.assertEqual(outcomes, {load.Outcome.COMPLETE})
+        self.assertEqual(answer.outcome, load.Outcome.COMPLETE)
+        self.assertEqual(answer.text, load.expected_text(draft))
