--- a/bench/engines/switch_world.py
+++ b/bench/engines/switch_world.py
@@ -117,6 +117,28 @@
             self.records.append(record)
 
 
+class LocalControl(control_client.ControlClient):
+    """Reach control at once."""
+
+    def __init__(self, control: Control) -> None:
+        """Ask this one."""
+        self._control = control
+
+    async def lease(
+        self,
+        request: messages.LeaseRequest,
+    ) -> messages.LeaseReply:
+        """Answer about a lease."""
+        return await self._control.lease(request)
+
+    async def decide(
+        self,
+        request: messages.DecisionRequest,
+    ) -> messages.DecisionReply:
+        """Record or read a decision."""
+        return await self._control.decide(request)
+
+
 class NodeControl(control_client.ControlClient):
     """Reach control over the network from one node."""
 
--- a/bench/experiments/switch.py
+++ b/bench/experiments/switch.py
@@ -124,7 +124,8 @@
     tasks = asyncio.all_tasks(loop)
     for task in tasks:
         task.cancel()
-    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    if tasks:
+        loop.run_until_complete(asyncio.wait(tasks))
 
 
 class Disturber:
--- a/tamarackthread/agent/orders.py
+++ b/tamarackthread/agent/orders.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import collections.abc
+import functools
 import json
 import logging
 
@@ -34,6 +35,9 @@
 _UNFENCED = frozenset((order_state.STATUS, order_state.MAP_GET))
 
 
+_Work = collections.abc.Callable[[], collections.abc.Awaitable[str]]
+
+
 @attrs.define(eq=False)
 class _Job:
     """Be a long order: its task and its state as last reported."""
@@ -181,7 +185,6 @@
             job = _Job(order, state)
             self._remember(order.order_id, job)
         elif job.state.state != order_state.FAILED:
-            work.close()
             return job.state
         job.state = attrs.evolve(job.state, state=order_state.RUNNING)
         job.task = asyncio.create_task(self._execute(job, work))
@@ -190,16 +193,17 @@
     def _work_of(
         self,
         order: messages.GroupOrder,
-    ) -> collections.abc.Coroutine[None, None, str]:
+    ) -> _Work:
         def report(done: float) -> None:  # noqa: WPS430
             job = self._jobs[order.order_id]
             job.state = attrs.evolve(job.state, done=round(done, 4))
 
         if order.action == order_state.MAP_LOAD:
             target = expert_map.from_json(order.body)
-            return self._load_map(target, report)
+            return functools.partial(self._load_map, target, report)
         if order.action in order_state.ENGINE_ACTIONS:
-            return self._engine.execute(
+            return functools.partial(
+                self._engine.execute,
                 order.action,
                 order.body,
                 order.fence,
@@ -218,10 +222,10 @@
     async def _execute(
         self,
         job: _Job,
-        work: collections.abc.Coroutine[None, None, str],
+        work: _Work,
     ) -> None:
         try:
-            result = await work
+            result = await work()
         except errors.CodedError as exc:
             failed = order_state.from_failure(exc, order_state.FAILED)
             job.state = attrs.evolve(failed, done=job.state.done)
