--- a/tamarackthread/cli/client.py
+++ b/tamarackthread/cli/client.py
@@ -14,7 +14,7 @@
 from tamarackthread.cli import failures
 from tamarackthread.control import failures as control_failures
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import addresses, documents, errors, peers
+from tamarackthread.shared import addresses, errors, peers
 
 DEFAULT_PATIENCE_SECONDS = 10.0
 ATTEMPT_SECONDS = 3.0
@@ -183,22 +183,20 @@
                 return await self._leader_view(member, request, reply.member)
         return reply.member
 
-    async def drain(self, target: str, cancel: bool) -> None:
-        """Ask the target's agent to take no new work, or to take it again."""
-        document = await self.document('target', target)
-        if document is None:
+    async def drain(self, target: str, cancel: bool) -> int:
+        """Take a target out of service, or back, and return the revision.
+
+        Control records it and tells the agent, which refuses new calls.
+        """
+        if await self.document('target', target) is None:
             raise failures.DocumentNotFound(f'target {target}')
-        address = _agent_address(document)
         request = messages.DrainRequest(
             target=target,
             actor=self._author.actor,
             cancel=cancel,
         )
-        await self._peers.request(
-            address,
-            messages.Request(drain=request),
-            ATTEMPT_SECONDS,
-        )
+        reply = await self.ask(messages.Request(drain=request))
+        return reply.done.value
 
     async def _named(
         self,
@@ -308,8 +306,4 @@
 def _changes(request: messages.Request) -> bool:
     if request.member is not None:
         return request.member.action != LIST_MEMBERS
-    return request.change is not None
-
-
-def _agent_address(document: messages.Document) -> str:
-    return documents.parse(document.kind, document.body).address
+    return request.change is not None or request.drain is not None
--- a/tamarackthread/cli/commands/targets.py
+++ b/tamarackthread/cli/commands/targets.py
@@ -38,7 +38,7 @@
 
 
 class TargetDrainCommand(base.OperatorCommand):
-    """Ask a target's agent to refuse new work."""
+    """Take a target out of service, or back."""
 
     name = 'target drain'
     description = 'Let a target finish its work and take no new work.'
@@ -51,6 +51,7 @@
     ]
     options: typing.ClassVar = [
         helpers.option('cancel', None, 'Take new work again.'),
+        base.WAIT_OPTION,
         base.JSON_OPTION,
     ]
 
@@ -58,12 +59,14 @@
         """Ask the agent and say what it now does."""
         name = self.argument('name')
         cancel = bool(self.option('cancel'))
-        await operator.drain(name, cancel)
+        revision = await operator.drain(name, cancel)
         state = 'takes new work' if cancel else 'takes no new work'
         self.show(
-            {'target': name, 'leaving': not cancel},
-            f'target {name} {state}',
+            {'target': name, 'leaving': not cancel, 'revision': revision},
+            f'target {name} {state}, revision {revision}',
         )
+        if self.option('wait'):
+            return await self.settle(operator, revision)
         return exit_codes.ExitCode.DONE
 
 
--- a/tests/fake_control.py
+++ b/tests/fake_control.py
@@ -37,6 +37,8 @@
             return messages.Reply(
                 audit=reads.audit(self.machine, request.audit),
             )
+        if request.drain is not None:
+            return messages.Reply(done=messages.Done(value=41))
         if request.member is not None:
             raise failures.MemberChangeRefused('one change at a time')
         raise errors.RequestUnsupported
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -262,6 +262,21 @@
         self.assertEqual(found[0], codes.ExitCode.UNREACHABLE)
         self.assertEqual((await self.run_plain('entry'))[0], 2)
 
+    async def test_drain_names_the_actor_and_can_be_taken_back(self):
+        body = (
+            '{"service": "s", "region": "r", "zone": "z", '
+            '"address": "10.0.0.1:7"}'
+        )
+        announced = client.Change('1', 'target', 't1', 0, body)
+        await self.operator.change(announced)
+        for more, cancel in (((), False), (('--cancel',), True)):
+            words = ('target', 'drain', 't1', '--actor', 'eve', *more)
+            code, said, _ = await self.run_command(*words)
+            self.assertEqual(code, codes.ExitCode.DONE)
+            self.assertIn('revision 41', said)
+            drained = self.control.asked[-1].drain
+            self.assertEqual((drained.actor, drained.cancel), ('eve', cancel))
+
     async def test_wrong_key_is_named(self):
         self.key.write_bytes(b'quite another key')
         code, _, said = await self.run_command('status', patience='1')
