Put the group's parts together for the agent

The agent needs one object with handle_order; an owner needs the loop that observes, plans and switches.

--- a/bench/engines/group.py
+++ b/bench/engines/group.py
@@ -208,6 +208,7 @@
         self._tokens = tokens
         self._token_seconds = token_seconds
         self._durations: dict[str, float] = {}
+        self._maps: dict[str, expert_map.ExpertMap] = {}
         self._reports: collections.deque[numpy.ndarray] = collections.deque(
             maxlen=3,
         )
@@ -228,6 +229,13 @@
         loads = placement.rank_loads(self._tokens).max(axis=1)
         seconds = float(loads.sum()) * self._token_seconds
         self._durations[placement.digest()] = seconds
+        self._maps[placement.digest()] = placement
+
+    def retune(self, tokens: numpy.ndarray) -> None:
+        """Change the load: tokens for each layer and expert in one step."""
+        self._tokens = tokens
+        for placement in tuple(self._maps.values()):
+            self.add_map(placement)
 
     def token_report(self) -> numpy.ndarray | None:
         """Return an old count of tokens, and at times nothing."""
--- a/bench/engines/switch_world.py
+++ b/bench/engines/switch_world.py
@@ -18,21 +18,15 @@
 from bench.engines import group, network
 from tamarackthread.agent import (
     control_client,
-    engine,
-    loading,
-    maps,
+    group_part,
     order_errors,
     orders,
-    owner,
     ranks,
-    store_slots,
-    switch,
     switch_record,
-    switching,
 )
 from tamarackthread.control import decisions, leases
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.policy import expert_map, moves
+from tamarackthread.policy import expert_map
 from tamarackthread.shared import errors
 
 GROUP = 'group-1'
@@ -41,6 +35,10 @@
 _CONTROL_TIMEOUT = 0.3
 
 
+def _plant_nothing(desk: orders.OrderDesk) -> None:
+    """Leave the desk as it is."""
+
+
 @attrs.frozen
 class WorldSettings:
     """Hold the sizes of a world and the planted faults of tests."""
@@ -50,7 +48,7 @@
     owners: int = 2
     checks_fencing: bool = False
     engine_class: type[group.RankEngine] = group.RankEngine
-    desk_class: type[orders.OrderDesk] = orders.OrderDesk
+    plant: collections.abc.Callable[[orders.OrderDesk], None] = _plant_nothing
     links: network.NetworkSettings = network.NetworkSettings()
 
 
@@ -203,7 +201,7 @@
         return await self._world.links.call(
             self._node,
             host.node,
-            lambda: host.desk.handle_order(order),
+            lambda: host.part.handle_order(order),
             timeout_seconds,
         )
 
@@ -222,24 +220,20 @@
             world.group,
             settings.checks_fencing,
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._leading: asyncio.Task[None] | None = None
         self._build()
 
     def start_agent(self) -> None:
         """Run the agent's tasks."""
-        self._tasks = [
-            asyncio.create_task(self.desk.start()),
-            asyncio.create_task(self.switch.run()),
-        ]
+        self.part.start()
         if self.rank < self._world.settings.owners:
-            self._tasks.append(asyncio.create_task(self.owner.run()))
-            self._tasks.append(asyncio.create_task(self._lead()))
+            self._leading = asyncio.create_task(self._lead())
 
     async def restart_agent(self, seconds: float) -> None:
         """Lose the agent's memory and start it again."""
-        for task in self._tasks:
-            task.cancel()
-        self.switch.close()
+        self.part.abandon()
+        if self._leading is not None:
+            self._leading.cancel()
         self._world.links.stall(self.node, seconds)
         await asyncio.sleep(seconds)
         self._build()
@@ -247,58 +241,38 @@
 
     def _build(self) -> None:
         world = self._world
-        control = NodeControl(self.node, world.links, world.control)
-        transport = NodeRanks(self.node, world)
-        book = maps.MapBook(world.initial, ranks.PeerMaps(GROUP, transport))
-        self.urgent = loading.UrgentSignal(moves.UrgentWatch())
-        loader = loading.WeightLoader(
-            self.engine,
-            self.urgent,
-            store_slots.OpenStore(),
-        )
-        self.switch = switch.RankSwitch(
-            GROUP,
-            self.rank,
-            self.engine,
-            control,
-            book,
-            loader,
-        )
-        self.desk = world.settings.desk_class(
-            GROUP,
-            control,
-            self.engine,
-            self.switch,
-            book,
-        )
-        self.owner = owner.GroupOwner(
-            owner.OwnerSettings(
+        self.part = group_part.GroupPart(
+            group_part.GroupSettings(
                 GROUP,
+                self.rank,
                 self.node,
+                world.initial,
+                candidate=self.rank < world.settings.owners,
                 checks_fencing=world.settings.checks_fencing,
             ),
-            control,
-            transport,
+            NodeControl(self.node, world.links, world.control),
+            NodeRanks(self.node, world),
+            self.engine,
         )
-        self.driver = switching.SwitchDriver(self.owner)
+        world.settings.plant(self.part.desk)
 
     async def _lead(self) -> None:
         """Switch to new maps and give other orders as long as we own."""
         rng = random.Random(self._world.settings.seed * 1000 + self.rank)
         while True:
-            await self.owner.wait_owner()
+            await self.part.owner.wait_owner()
             self._world.note_order(await self._order(rng))
             await asyncio.sleep(rng.uniform(0.05, 0.3))
-            if not self.owner.is_owner or not self._world.wants_switch():
+            if not self.part.owner.is_owner or not self._world.wants_switch():
                 continue
             try:
-                await self.driver.switch_to(self._world.next_map())
+                await self.part.driver.switch_to(self._world.next_map())
             except errors.CodedError as exc:
                 self._world.reasons[exc.code] += 1
 
     async def _order(self, rng: random.Random) -> int:
         name = f'adapter-{rng.randrange(1 << 30)}'
-        states = await self.owner.order_all('load_adapter', name, '{}')
+        states = await self.part.owner.order_all('load_adapter', name, '{}')
         return sum(
             not isinstance(state, errors.CodedError)
             for state in states.values()
@@ -354,7 +328,3 @@
     def note_order(self, accepted: int) -> None:
         """Count orders that ranks accepted."""
         self.reasons['orders'] += accepted
-
-    def engine_of(self, rank: int) -> engine.Engine:
-        """Return a rank's engine."""
-        return self.hosts[rank].engine
--- a/bench/experiments/switch.py
+++ b/bench/experiments/switch.py
@@ -161,7 +161,7 @@
 
     def _owner(self) -> switch_world.Host:
         for host in self._world.hosts:
-            if host.owner.is_owner:
+            if host.part.owner.is_owner:
                 return host
         return self._world.hosts[0]
 
--- /dev/null
+++ b/tamarackthread/agent/balancer.py
@@ -0,0 +1,137 @@
+"""Keep a group's ranks even: observe, plan, and switch when it pays.
+
+Runs beside each owner of a group; only the one that holds the lease plans
+and switches.  Others go on observing, so that a new owner does not start
+from nothing.
+"""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import collections.abc
+import logging
+import typing
+
+import attrs
+import numpy
+
+from tamarackthread.agent import maps, owner, switching
+from tamarackthread.policy import expert_map, forecast, placement
+from tamarackthread.shared import errors
+
+_log = logging.getLogger('tamarackthread.balancer')
+
+
+@attrs.frozen(eq=False)
+class TokenWindow:
+    """Be the tokens ``[layer, expert]`` of a window; seconds of the loop."""
+
+    tokens: numpy.ndarray
+    started: float
+
+
+class TokenSource(abc.ABC):
+    """Give the token counts that engines report, late and with gaps."""
+
+    @abc.abstractmethod
+    async def windows(self) -> list[TokenWindow]:
+        """Return the windows that came since the last call."""
+
+
+@attrs.frozen
+class BalancerSettings:
+    """Hold the constants; a plan is for the time ``ahead_seconds`` from it."""
+
+    interval_seconds: float = 300
+    ahead_seconds: float = 300
+
+
+_InThread = collections.abc.Callable[..., collections.abc.Awaitable[typing.Any]]
+
+
+class Balancer:
+    """Run the planning loop of one group."""
+
+    def __init__(
+        self,
+        group_owner: owner.GroupOwner,
+        driver: switching.SwitchDriver,
+        planner: placement.Planner,
+        source: TokenSource,
+        book: maps.MapBook,
+        settings: BalancerSettings,
+        in_thread: _InThread = asyncio.to_thread,
+    ) -> None:
+        """Plan by ``in_thread``, because a plan takes up to seconds."""
+        self._owner = group_owner
+        self._driver = driver
+        self._planner = planner
+        self._source = source
+        self._book = book
+        self._settings = settings
+        self._in_thread = in_thread
+        self._forecaster = forecast.Forecaster(
+            forecast.ForecastSettings(
+                window_seconds=settings.interval_seconds,
+            ),
+        )
+        self._last: placement.Plan | None = None
+        self._held = False
+
+    @property
+    def last_plan(self) -> placement.Plan | None:
+        """Return the last plan made, for operators."""
+        return self._last
+
+    def hold(self, held: bool) -> None:
+        """Stop planning, or go on; a switch under way is not touched."""
+        self._held = held
+
+    def use(self, planner: placement.Planner) -> None:
+        """Plan from now on as another profile wants it."""
+        self._planner = planner
+
+    async def run(self) -> None:
+        """Observe and plan at each interval, for ever."""
+        while True:
+            await asyncio.sleep(self._settings.interval_seconds)
+            for window in await self._source.windows():
+                self._forecaster.observe(window.tokens, window.started)
+            if self._may_plan():
+                await self._try_balance()
+
+    def _may_plan(self) -> bool:
+        if self._held or self._forecaster.is_cold:
+            return False
+        return self._owner.is_owner
+
+    async def _try_balance(self) -> None:
+        try:
+            await self._balance()
+        except errors.CodedError as exc:
+            _log.warning('balancer: no switch, %s %s', exc.code, exc)
+
+    async def _balance(self) -> None:
+        today = await self._today()
+        now = asyncio.get_running_loop().time()
+        outlook = self._forecaster.outlook(now + self._settings.ahead_seconds)
+        present = set(self._owner.transport.ranks)
+        lost = set(range(today.shape.ranks)) - present
+        plan = await self._in_thread(self._planner.plan, today, outlook, lost)
+        self._last = plan
+        if not plan.is_change:
+            return
+        _log.info(
+            'balancer: %d moves for skew %.3f to %.3f',
+            len(plan.moves),
+            plan.skew_before,
+            plan.skew_after,
+        )
+        await self._driver.switch_to(plan.target)
+
+    async def _today(self) -> expert_map.ExpertMap:
+        latest = await self._owner.control.latest(self._owner.group)
+        if latest is None:
+            return await self._book.get(self._book.initial_digest)
+        return await self._book.get(latest.settled_map)
--- a/tamarackthread/agent/order_state.py
+++ b/tamarackthread/agent/order_state.py
@@ -32,6 +32,9 @@
     ),
 )
 
+# Of these, the ones that load from the rate-limited weight store.
+STORE_ACTIONS = frozenset(('load_model', 'load_adapter', 'load_version'))
+
 RUNNING = 'running'
 DONE = 'done'
 FAILED = 'failed'
--- a/tamarackthread/agent/orders.py
+++ b/tamarackthread/agent/orders.py
@@ -22,6 +22,8 @@
     maps,
     order_errors,
     order_state,
+    store_slots,
+    store_work,
     switch,
     switch_record,
 )
@@ -32,7 +34,7 @@
 _log = logging.getLogger('tamarackthread.orders')
 _KEPT_ORDERS = 256
 _RETRY_SECONDS = 0.2
-_UNFENCED = frozenset((order_state.STATUS, order_state.MAP_GET))
+UNFENCED = frozenset((order_state.STATUS, order_state.MAP_GET))
 
 
 _Work = collections.abc.Callable[[], collections.abc.Awaitable[str]]
@@ -57,6 +59,7 @@
         rank_engine: engine.Engine,
         rank_switch: switch.RankSwitch,
         book: maps.MapBook,
+        store: store_slots.WeightStore,
     ) -> None:
         """Refuse every fenced order until ``start`` has learnt the number."""
         self._group = group
@@ -64,6 +67,7 @@
         self._engine = rank_engine
         self._switch = rank_switch
         self._book = book
+        self._store = store
         self._highest: int | None = None
         self._jobs: collections.OrderedDict[str, _Job] = (
             collections.OrderedDict()
@@ -120,7 +124,7 @@
     ) -> order_state.OrderState:
         if order.group != self._group:
             raise order_errors.OrderInvalid(f'not of group {order.group}')
-        if order.action in _UNFENCED:
+        if order.action in UNFENCED:
             return await self._read(order)
         # Orders are relayed one at a time, and checked again once it is
         # their turn: one that waited behind a newer owner's must not follow.
@@ -202,15 +206,30 @@
             target = expert_map.from_json(order.body)
             return functools.partial(self._load_map, target, report)
         if order.action in order_state.ENGINE_ACTIONS:
-            return functools.partial(
-                self._engine.execute,
-                order.action,
-                order.body,
-                order.fence,
-                report,
-            )
+            return self._engine_work(order, report)
         raise order_errors.OrderInvalid(f'unknown action {order.action}')
 
+    def _engine_work(
+        self,
+        order: messages.GroupOrder,
+        report: engine.Report,
+    ) -> _Work:
+        execute = functools.partial(
+            self._engine.execute,
+            order.action,
+            order.body,
+            order.fence,
+            report,
+        )
+        if order.action not in order_state.STORE_ACTIONS:
+            return execute
+        return functools.partial(
+            store_work.run,
+            self._store,
+            execute,
+            urgent=bool(_fields(order)['urgent']),
+        )
+
     async def _load_map(
         self,
         target: expert_map.ExpertMap,
--- a/tamarackthread/agent/store_slots.py
+++ b/tamarackthread/agent/store_slots.py
@@ -25,6 +25,10 @@
     async def acquire(self, urgent: bool) -> None:
         """Wait until a piece may be loaded; urgent ones wait less."""
 
+    @abc.abstractmethod
+    async def renew(self) -> bool:
+        """Keep the permission for a long load; tell whether it is kept."""
+
 
 class OpenStore(WeightStore):
     """Let every piece through, where the store has no limit."""
@@ -32,6 +36,10 @@
     async def acquire(self, urgent: bool) -> None:
         """Return at once."""
 
+    async def renew(self) -> bool:
+        """Keep the permission."""
+        return True
+
 
 @attrs.frozen
 class SlotSettings:
@@ -76,6 +84,13 @@
             spread = self._random.uniform(0.5, 1.5)
             await asyncio.sleep(self._settings.retry_seconds * spread)
 
+    async def renew(self) -> bool:
+        """Renew the slot's lease; tell whether enough of it is left."""
+        if self._slot is not None:
+            await self._take(self._slot)
+        now = asyncio.get_running_loop().time()
+        return now + self._settings.spare_ms / 1000 < self._until
+
     async def release(self) -> None:
         """Give the slot back when nothing is left to load."""
         slot = self._slot
--- /dev/null
+++ b/tests/test_group_part.py
@@ -0,0 +1,133 @@
+"""Prove that an owner evens its group out and relays operators' orders."""
+
+import asyncio
+import logging
+import typing
+import unittest
+
+import numpy
+
+from bench.engines import switch_world
+from bench.experiments import switch as experiment
+from tamarackthread.agent import balancer, order_errors, order_state
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import placement
+
+RANKS = 4
+SETTINGS = balancer.BalancerSettings(interval_seconds=10, ahead_seconds=10)
+
+
+class _Source(balancer.TokenSource):
+    """Report the fake group's tokens one interval late."""
+
+    def __init__(self, tokens: numpy.ndarray) -> None:
+        self._tokens = tokens
+
+    async def windows(self) -> list[balancer.TokenWindow]:
+        now = asyncio.get_running_loop().time()
+        return [balancer.TokenWindow(self._tokens, now - 20)]
+
+
+async def _in_place(work: typing.Callable, *arguments: object) -> object:
+    """Plan without a thread, which a paused clock cannot wait for."""
+    return work(*arguments)
+
+
+class TestGroupPart(unittest.TestCase):
+    """Run the parts of a group's agents together."""
+
+    def setUp(self) -> None:
+        """Keep the logs quiet."""
+        for name in ('tamarackthread', 'transitions'):
+            log = logging.getLogger(name)
+            log.setLevel(logging.CRITICAL)
+            self.addCleanup(log.setLevel, logging.NOTSET)
+
+    def _run(self, scene: typing.Callable) -> None:
+        async def whole() -> None:
+            world = switch_world.World(switch_world.WorldSettings(1, RANKS))
+            world.switching = False
+            world.start()
+            await asyncio.sleep(5)
+            owners = [one for one in world.hosts if one.part.owner.is_owner]
+            await scene(world, owners[0])
+
+        experiment.run_paused(whole)
+
+    def _balancer(self, world: object, host: object) -> balancer.Balancer:
+        tokens = numpy.ones((1, world.shape.experts))
+        tokens[0, 0] = 10
+        tokens[0, 1] = 8
+        world.group.retune(tokens * 1000)
+        return balancer.Balancer(
+            host.part.owner,
+            host.part.driver,
+            placement.IncrementalPlanner(placement.EVEN),
+            _Source(tokens * 1000),
+            host.part.book,
+            SETTINGS,
+            _in_place,
+        )
+
+    def test_evens_out(self) -> None:
+        """Two hot experts on one rank are parted, and steps get shorter."""
+
+        async def scene(world: object, host: object) -> None:
+            planning = self._balancer(world, host)
+            await asyncio.sleep(1)
+            before = world.group.step_ms
+            running = asyncio.create_task(planning.run())
+            await asyncio.sleep(60)
+            running.cancel()
+            self.assertTrue(planning.last_plan)
+            self.assertLess(world.group.step_ms, before * 0.7)
+            self.assertGreater(len(world.control.records), 1)
+
+        self._run(scene)
+
+    def test_held(self) -> None:
+        """An operator's hold stops planning until it is lifted."""
+
+        async def scene(world: object, host: object) -> None:
+            planning = self._balancer(world, host)
+            planning.hold(held=True)
+            running = asyncio.create_task(planning.run())
+            await asyncio.sleep(60)
+            running.cancel()
+            self.assertIsNone(planning.last_plan)
+            self.assertEqual(world.control.records, [])
+
+        self._run(scene)
+
+    def test_operator_order(self) -> None:
+        """An operator's order reaches every rank once, through the owner."""
+
+        async def scene(world: object, host: object) -> None:
+            world.group.history.orders.clear()
+            order = messages.GroupOrder(
+                group=switch_world.GROUP,
+                fence=0,
+                order_id='op-1',
+                action='set_role',
+                body='{"role": "prefill"}',
+                deadline_ms=1000,
+            )
+            states = []
+            for _ in range(3):
+                reply = await host.part.handle_order(order)
+                states.append(order_state.from_json(reply.body).state)
+                await asyncio.sleep(0.2)
+            self.assertEqual(states[0], order_state.RUNNING)
+            self.assertEqual(states[2], order_state.DONE)
+            run = [
+                one.rank
+                for one in world.group.history.orders
+                if one.action == 'set_role'
+            ]
+            self.assertEqual(sorted(run), list(range(RANKS)))
+            other = next(one for one in world.hosts if one != host)
+            reply = await other.part.handle_order(order)
+            state = order_state.from_json(reply.body)
+            self.assertEqual(state.code, order_errors.NotOwner.code)
+
+        self._run(scene)
--- a/tests/test_map_switch.py
+++ b/tests/test_map_switch.py
@@ -57,14 +57,12 @@
         )
 
 
-class UncheckedDesk(orders.OrderDesk):
-    """Relay every order, whatever its number."""
+def remove_check(desk: orders.OrderDesk) -> None:
+    """Have the desk relay every order, whatever its number."""
+    desk._check = lambda order, expires_at: None
 
-    def _check(self, order: object, expires_at: float) -> None:
-        self._highest = 0
 
-
-def _disturbed(seed: int, **planted: type) -> switch_checker.Findings:
+def _disturbed(seed: int, **planted: object) -> switch_checker.Findings:
     settings = switch_world.WorldSettings(
         seed,
         RANKS,
@@ -125,9 +123,7 @@
 
     def test_checker_sees_stale_orders(self) -> None:
         """With the desk's check removed, late orders run and are found."""
-        found = [
-            _disturbed(seed, desk_class=UncheckedDesk) for seed in range(41, 47)
-        ]
+        found = [_disturbed(seed, plant=remove_check) for seed in range(41, 47)]
         self.assertGreater(sum(one.stale_orders_run for one in found), 0)
 
 
@@ -143,7 +139,7 @@
     async def settle(self) -> None:
         """Wait until an owner leads and all ranks are placed."""
         await asyncio.sleep(5)
-        owners = [host for host in self.world.hosts if host.owner.is_owner]
+        owners = [host for host in self.world.hosts if host.part.owner.is_owner]
         self.owner = owners[0]
 
     def check(self) -> switch_checker.Findings:
@@ -174,9 +170,9 @@
             await world.settle()
             host = world.world.hosts[3]
             switching = asyncio.create_task(
-                world.owner.driver.switch_to(world.world.next_map()),
+                world.owner.part.driver.switch_to(world.world.next_map()),
             )
-            while host.switch.state != switch.ARMED:
+            while host.part.switch.state != switch.ARMED:
                 await asyncio.sleep(0.001)
             await asyncio.gather(
                 host.engine.restart(0.4),
@@ -185,7 +181,9 @@
             decided = await switching
             await asyncio.sleep(2)
             self.assertEqual(decided.stage, switch_record.Stage.COMMITTED)
-            self.assertEqual(host.switch.record.settled_map, decided.target)
+            self.assertEqual(
+                host.part.switch.record.settled_map, decided.target
+            )
             found = world.check()
             self.assertEqual(found.mixed_map_steps, 0)
             self.assertEqual(found.unrecorded_map_steps, 0)
@@ -206,9 +204,9 @@
             world = _Scene()
             await world.settle()
             switching = asyncio.create_task(
-                world.owner.driver.switch_to(world.world.next_map()),
+                world.owner.part.driver.switch_to(world.world.next_map()),
             )
-            while world.world.hosts[3].switch.state != switch.ARMED:
+            while world.world.hosts[3].part.switch.state != switch.ARMED:
                 await asyncio.sleep(0.001)
             nodes = {host.node for host in world.world.hosts}
             nodes.add(switch_world.CONTROL)
@@ -235,7 +233,7 @@
             await world.settle()
             host = world.world.hosts[3]
             switching = asyncio.create_task(
-                world.owner.driver.switch_to(world.world.next_map()),
+                world.owner.part.driver.switch_to(world.world.next_map()),
             )
             while not world.world.control.records:
                 await asyncio.sleep(0.001)
@@ -244,7 +242,7 @@
                 await switching
             await asyncio.sleep(3)
             self.assertEqual(world.check().mixed_map_steps, 0)
-            self.assertEqual(host.switch.state, switch.STEADY)
+            self.assertEqual(host.part.switch.state, switch.STEADY)
 
         self._run(scene)
 
@@ -256,7 +254,7 @@
             await world.settle()
             host = world.world.hosts[3]
             target = world.world.next_map()
-            await host.switch.load(target, _no_report)
+            await host.part.switch.load(target, _no_report)
             status: engine.EngineStatus = await host.engine.status()
             record = switch_record.SwitchRecord(
                 1,
@@ -266,8 +264,8 @@
                 target.digest(),
             )
             with self.assertRaises(order_errors.ArmTooLate):
-                await host.switch.arm(record, 1)
-            self.assertEqual(host.switch.state, switch.LOADED)
+                await host.part.switch.arm(record, 1)
+            self.assertEqual(host.part.switch.state, switch.LOADED)
 
         self._run(scene)
 
