Show the best that known shares could do, and tidy the picture

The bound for any placement is 0 for this load, so it does not show how near we are; a full re-plan that knows each window's shares beforehand is now served the same steps and reported beside it.

--- a/bench/engines/skew_picture.py
+++ b/bench/engines/skew_picture.py
@@ -36,9 +36,10 @@
         axes[2].plot(hours, variant.interrupted, color=colour, linewidth=1)
     axes[0].set_ylabel('skew: (slowest - fastest)\n/ mean step time')
     axes[0].set_ylim(bottom=0)
-    axes[0].legend(loc='upper left', ncols=4)
+    axes[0].legend(loc='lower left', bbox_to_anchor=(0, 1), ncols=4)
     axes[1].set_ylabel('weights moved, in all')
     axes[1].set_yscale('symlog', linthresh=100)
+    axes[1].set_ylim(bottom=0)
     axes[2].set_ylabel('pieces held back\nfor urgent notices')
     axes[2].set_xlabel('hours')
     for axis in axes:
--- a/bench/experiments/skew.py
+++ b/bench/experiments/skew.py
@@ -44,10 +44,7 @@
 
     def serve(self, counts: numpy.ndarray) -> None:
         """Measure steps whose tokens are ``counts[step, layer, expert]``."""
-        held = self.map.holds()
-        replicas = numpy.maximum(held.sum(axis=1), 1)
-        share = (counts / replicas).transpose(1, 2, 0)
-        loads = numpy.matmul(held.astype(float), share).transpose(2, 0, 1)
+        loads = _step_loads(self.map, counts)
         self.skews.append(expert_map.skew(loads))
         self.slowdowns.append(expert_map.slowdown(loads))
 
@@ -91,6 +88,20 @@
     return figures
 
 
+def _step_loads(
+    placed: expert_map.ExpertMap,
+    counts: numpy.ndarray,
+) -> numpy.ndarray:
+    """Return loads ``[step, layer, rank]`` of ``counts[step, layer, expert]``.
+
+    An expert's tokens are split evenly between its replicas.
+    """
+    held = placed.holds()
+    replicas = numpy.maximum(held.sum(axis=1), 1)
+    share = (counts / replicas).transpose(1, 2, 0)
+    return numpy.matmul(held.astype(float), share).transpose(2, 0, 1)
+
+
 class _Run:
     """Run every variant under the load of one seed."""
 
@@ -188,7 +199,8 @@
         known = forecast.Outlook(shares, self.span)
         today = self.variants['static'].map
         best = placement.GreedyReplan().plan(today, known)
-        self.oracle.append(numpy.array(best.skew_after))
+        served = _step_loads(best.target, counts)
+        self.oracle.append(expert_map.skew(served))
 
     def _plan(self, reported: numpy.ndarray, number: int) -> None:
         calls = notices.draw_notices(
