--- a/tamarackthread/cli/commands/roles.py
+++ b/tamarackthread/cli/commands/roles.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections.abc
 import importlib
+import signal
 import typing
 
 from cleo import helpers
@@ -62,6 +63,9 @@
             raise failures.OptionInvalid(
                 f'{name} is for role "{loaded.role}", not "{self.role}"',
             )
+        # Whatever has written the settings may send SIGHUP before the loop
+        # listens for it; by default that would end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         writer = logs.start(loaded.logs)
         source = live.Source(loaded)
         source.watch(lambda: writer.change(source.current.logs))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,6 +7,7 @@
 import types
 import unittest
 
+from tamarackthread.cli import edited
 from tamarackthread.generated import settings as generated
 from tamarackthread.shared import (
     findings,
@@ -17,6 +18,7 @@
     settings,
 )
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 SOUND = types.MappingProxyType(
     {
         'role': 'entry',
@@ -124,6 +126,18 @@
         folder = self.path.parent
         self.assertEqual(loaded.security.key_files, (str(folder / 'key'),))
 
+    def test_samples_in_the_pages_are_sound(self):
+        page = (ROOT / 'docs' / 'SETTINGS.md').read_text(encoding='utf-8')
+        samples = page.split('```json\n')[1:]
+        self.assertEqual(len(samples), 3)
+        for sample in samples:
+            self.write(sample.partition('```')[0])
+            self.assertEqual(self.found(), [])
+        page = (ROOT / 'docs' / 'PROFILES.md').read_text(encoding='utf-8')
+        for sample in page.split('```json\n')[1:]:
+            self.path.write_text(sample.partition('```')[0], encoding='utf-8')
+            edited.read(self.path, 'profile', 'sample')
+
     def test_no_input_breaks_the_check(self):
         chance = random.Random(11)
         values = (None, 5, -1, 'x', [], {}, [1], {'a': 1}, True, '1.2.3.4:5')
