Hold caps, slow callers and stuck targets at the entry and the agent

Caps of organisations were split by control but no entry asked for its portion; a caller that never finished its headers held a connection for good; an engine that hung but answered its heartbeat kept its calls.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -222,7 +222,8 @@
 struct PortionRequest { 1: string organisation, 2: double demand, 3: double used }
 struct PortionsRequest { 1: string node, 2: string zone, 3: list<PortionRequest> portions }
 struct Portion { 1: string organisation, 2: double rate }
-struct PortionsReply { 1: list<Portion> portions, 2: i32 lease_ms }
+// entries counts the nodes that lease portions now, this one included.
+struct PortionsReply { 1: list<Portion> portions, 2: i32 lease_ms, 3: i32 entries }
 
 // ---- orders to engines ------------------------------------------------------
 struct GroupOrder {
--- a/tamarackthread/agent/gate.py
+++ b/tamarackthread/agent/gate.py
@@ -28,7 +28,6 @@
     target_id: str
     is_model: bool
     call_limit: int
-    idle_seconds: float = DEFAULT_IDLE_SECONDS
 
 
 class Gate:
@@ -48,6 +47,7 @@
         self._claimed = claimed
         self._claimed_runs: set[asyncio.Task[None]] = set()
         self._leaving = False
+        self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._open = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -57,6 +57,15 @@
         """Count the calls that are with the target or on their way."""
         return self._open
 
+    @property
+    def idle_seconds(self) -> float:
+        """Give the longest silence between two parts of an answer."""
+        return self._idle_seconds
+
+    @idle_seconds.setter
+    def idle_seconds(self, seconds: float) -> None:
+        self._idle_seconds = seconds
+
     @property
     def leaving(self) -> bool:
         """Tell whether new calls are refused."""
@@ -67,6 +76,8 @@
         # Entries learn late that a target leaves.  The refusal here takes
         # effect at once and says 'not run', so a late entry only costs a
         # second attempt elsewhere, never a call on a leaving target.
+        if leaving == self._leaving:
+            return
         self._leaving = leaving
         self._reporter.set_leaving(leaving)
 
@@ -111,7 +122,7 @@
             raise failures.WrongTarget(f'this is {self._options.target_id}')
         if self._leaving:
             raise failures.TargetLeaving
-        if not self._reporter.is_fresh:
+        if self._reporter.is_stuck:
             raise failures.TargetSilent
         if asyncio.get_running_loop().time() >= deadline:
             raise failures.DeadlinePassed
@@ -202,7 +213,7 @@
         response = await self._client.hand_over(
             opening,
             body,
-            self._options.idle_seconds,
+            self._idle_seconds,
         )
         try:
             call.send_head(
--- a/tamarackthread/agent/reports.py
+++ b/tamarackthread/agent/reports.py
@@ -39,6 +39,8 @@
         self._tokens_per_second: float = 0
         self._entries: set[link.Link] = set()
         self._leaving = False
+        self._stuck_seconds: float = 0
+        self._progress_at = -math.inf
 
     @property
     def is_fresh(self) -> bool:
@@ -46,6 +48,29 @@
         now = asyncio.get_running_loop().time()
         return now - self._last_at <= FRESH_SECONDS
 
+    @property
+    def is_stuck(self) -> bool:
+        """Tell whether the target is silent or holds work and makes nothing.
+
+        An engine whose loop hangs may go on answering its heartbeat.  Its
+        token count then stands still while calls run, which shows it.
+        """
+        if not self.is_fresh:
+            return True
+        if not self._stuck_seconds:
+            return False
+        now = asyncio.get_running_loop().time()
+        return now - self._progress_at > self._stuck_seconds
+
+    @property
+    def stuck_seconds(self) -> float:
+        """Give the time without progress that counts as stuck, 0 for never."""
+        return self._stuck_seconds
+
+    @stuck_seconds.setter
+    def stuck_seconds(self, seconds: float) -> None:
+        self._stuck_seconds = seconds
+
     def add(self, entry: link.Link) -> None:
         """Report to one more entry, beginning at once."""
         self._entries.add(entry)
@@ -83,10 +108,17 @@
         if self._last is not None and report.tokens >= self._last.tokens:
             made = report.tokens - self._last.tokens
             self._tokens_per_second = made / max(now - self._last_at, 1e-3)
+        if self._made_progress(report):
+            self._progress_at = now
         self._last = report
         self._last_at = now
         return report.prefixes[-MAX_NOTES:]
 
+    def _made_progress(self, report: target.TargetReport) -> bool:
+        if self._last is None or not report.running:
+            return True
+        return report.tokens != self._last.tokens
+
     def _tell(self, notes: collections.abc.Sequence[tuple[int, bool]]) -> None:
         self._sequence += 1
         message = self._message(notes)
@@ -105,7 +137,7 @@
             sequence=self._sequence,
             age_ms=int(age * 1000),
             leaving=self._leaving,
-            stuck=not self.is_fresh,
+            stuck=self.is_stuck,
             tokens_per_second=self._tokens_per_second,
             entries=len(self._entries),
             prefixes=[
--- a/tamarackthread/agent/role.py
+++ b/tamarackthread/agent/role.py
@@ -10,6 +10,8 @@
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import (
+    catalogue,
+    documents,
     errors,
     feed,
     link,
@@ -87,6 +89,7 @@
         self._settings = settings
         self._own = settings.agent
         self._place = process.take_place(settings)
+        self._stopping = False
         self._peers = peers.Peers(self._place.options)
         self._feed = feed.ConfigFeed(
             self._peers,
@@ -128,6 +131,7 @@
         """Run until asked to stop, then leave without cutting anything off."""
         await self._client.start()
         address = await self._listener.start_on(self._place.bound)
+        self._feed.subscribe(self._follow)
         self._feed.start()
         loop = asyncio.get_running_loop()
         working = [
@@ -142,7 +146,34 @@
         for work in working:
             work.cancel()
 
+    def _follow(self, held: catalogue.Catalogue) -> None:
+        """Leave, or come back, as the operator has said of this target."""
+        self._follow_profile(held)
+        found = held.get(documents.TARGET, self._own.target_id)
+        if found is None or self._stopping:
+            return
+        details = documents.parse(documents.TARGET, found.body)
+        own = self._place.options.identity
+        if details.incarnation == own.incarnation:
+            self._gate.leave(leaving=details.leaving)
+
+    def _follow_profile(self, held: catalogue.Catalogue) -> None:
+        service = held.get(documents.SERVICE, self._own.service)
+        if service is None:
+            return
+        details = documents.parse(documents.SERVICE, service.body)
+        found = held.get(documents.PROFILE, details.profile)
+        if found is None:
+            return
+        profile = documents.parse(documents.PROFILE, found.body)
+        self._gate.idle_seconds = profile.timeouts.idle_seconds
+        # Only an engine counts tokens; a plain service may well work long on
+        # one call before it counts it as done.
+        if details.kind == 'model':
+            self._reporter.stuck_seconds = profile.ejection.stuck_seconds
+
     async def _leave(self) -> None:
+        self._stopping = True
         _log.info('agent: leaves, %d calls open', self._gate.open_calls)
         self._gate.leave()
         await self._announcer.leave()
--- a/tamarackthread/control/portioning.py
+++ b/tamarackthread/control/portioning.py
@@ -30,6 +30,7 @@
         """Forget all portions at the start of a term."""
         now = asyncio.get_running_loop().time()
         self._table = portions.PortionTable(LEASE_SECONDS, now)
+        self._asked: dict[str, float] = {}
 
     def answer(
         self,
@@ -37,6 +38,7 @@
     ) -> messages.PortionsReply:
         """Lease what an entry asks for; no cap means no portion."""
         now = asyncio.get_running_loop().time()
+        self._asked[request.node] = now
         leased = []
         for asked in request.portions or ():
             cap = self._cap(asked.organisation)
@@ -54,8 +56,15 @@
         return messages.PortionsReply(
             portions=leased,
             lease_ms=int(LEASE_SECONDS * MILLISECONDS),
+            entries=self._count(now),
         )
 
+    def _count(self, now: float) -> int:
+        for node, asked_at in tuple(self._asked.items()):
+            if now - asked_at > LEASE_SECONDS:
+                self._asked.pop(node)
+        return len(self._asked)
+
     def _cap(self, organisation: str) -> float:
         found = self._machine.documents.get(
             documents.ORGANISATION,
--- a/tamarackthread/entry/failures.py
+++ b/tamarackthread/entry/failures.py
@@ -105,3 +105,11 @@
 
     code = 'TT7014'
     status = 503
+
+
+class EntryFault(errors.CodedError):
+    """Entry met a fault of its own while it held the call."""
+
+    code = 'TT7017'
+    status = 500
+    ran = messages.Ran.MAY_HAVE_RUN
--- a/tamarackthread/entry/front.py
+++ b/tamarackthread/entry/front.py
@@ -8,9 +8,16 @@
 
 from aiohttp import web
 
-from tamarackthread.entry import answers, calls, failures, reading
+from tamarackthread.entry import (
+    answers,
+    calls,
+    connections,
+    failures,
+    reading,
+)
 from tamarackthread.generated import settings as generated
-from tamarackthread.shared import errors, logs
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors, logs, metrics
 
 HEALTH_PATH = '/-/health'
 READY_PATH = '/-/ready'
@@ -32,8 +39,10 @@
         runner: calls.Runner,
         guard: Guard,
         is_ready: Readiness,
+        counted: metrics.Metrics | None = None,
     ) -> None:
         """Serve nothing until ``start``."""
+        self._metrics = counted or metrics.Metrics()
         self._limits = limits
         self._reader = reader
         self._runner = runner
@@ -53,8 +62,9 @@
 
     async def start(self) -> str:
         """Bind and return the address; port 0 lets the kernel pick."""
-        server = web.Server(
+        self._guarded = connections.GuardedServer(
             self._handle,
+            self._limits,
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=self._limits.keepalive_seconds,
@@ -62,7 +72,10 @@
             max_line_size=self._limits.header_limit_bytes,
             lingering_time=0,
         )
-        self._server = web.ServerRunner(server, handle_signals=False)
+        self._server = web.ServerRunner(
+            self._guarded,
+            handle_signals=False,
+        )
         await self._server.setup()
         site = web.TCPSite(self._server, self._limits.host, self._limits.port)
         await site.start()
@@ -87,6 +100,7 @@
             await self._server.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._guarded.note_request(request.protocol)
         if request.path == HEALTH_PATH:
             return web.Response(text='alive\n')
         if request.path == READY_PATH:
@@ -107,17 +121,24 @@
             request_id,
             self._limits.slow_caller_seconds,
         )
+        began = asyncio.get_running_loop().time()
         self._open += 1
         self._idle.clear()
+        self._metrics.count(metrics.Counter.CALL_ASKED)
         try:
             with logs.request(request_id):
                 await self._run(request, request_id, sink)
         finally:
-            self._open -= 1
-            if self._open == 0:
-                self._idle.set()
+            self._ended(began)
         return sink.response
 
+    def _ended(self, began: float) -> None:
+        took = asyncio.get_running_loop().time() - began
+        self._metrics.time(metrics.Timer.CALL, took)
+        self._open -= 1
+        if self._open == 0:
+            self._idle.set()
+
     async def _run(
         self,
         request: web.BaseRequest,
@@ -127,14 +148,31 @@
         try:
             await self._checked(request, request_id, sink)
         except errors.CodedError as exc:
-            _log.info('entry: call ended, %s %s', exc.code, exc)
-            if sink.started:
-                await sink.break_off(exc)
-                return
-            await sink.whole(
-                answers.error_head(exc, request_id),
-                answers.error_body(exc, request_id),
-            )
+            await self._tell(request_id, sink, exc)
+        except Exception:
+            _log.exception('entry: call failed by a fault of this entry')
+            await self._tell(request_id, sink, failures.EntryFault())
+        else:
+            self._metrics.count(metrics.Counter.CALL_COMPLETE)
+
+    async def _tell(
+        self,
+        request_id: str,
+        sink: answers.HttpSink,
+        failure: errors.CodedError,
+    ) -> None:
+        _log.info('entry: call ended, %s %s', failure.code, failure)
+        counter = metrics.Counter.CALL_MAY_HAVE_RUN
+        if failure.ran == messages.Ran.NOT_RUN:
+            counter = metrics.Counter.CALL_NOT_RUN
+        self._metrics.count(counter)
+        if sink.started:
+            await sink.break_off(failure)
+            return
+        await sink.whole(
+            answers.error_head(failure, request_id),
+            answers.error_body(failure, request_id),
+        )
 
     async def _checked(
         self,
--- a/tamarackthread/entry/role.py
+++ b/tamarackthread/entry/role.py
@@ -8,6 +8,7 @@
 
 from tamarackthread.entry import (
     calls,
+    caps,
     claims,
     directory,
     failures,
@@ -27,6 +28,7 @@
     feed,
     link,
     listener,
+    metrics,
     parents,
     peers,
     process,
@@ -35,6 +37,7 @@
 
 LAPSED_RETRY_SECONDS = 1.0
 OUTCOMES_SECONDS = 10.0
+MEASURE_SECONDS = 10.0
 _log = logging.getLogger('tamarackthread.entry')
 
 
@@ -78,6 +81,7 @@
             parents.AnyParent(settings.control_addresses, rng),
             settings.feed.wait_seconds,
         )
+        self._metrics = metrics.Metrics(settings.statsd)
         self._meter = overload.LagMeter()
         self._overload = overload.OverloadGuard(
             self._meter,
@@ -86,6 +90,14 @@
                 most_calls=self._own.call_limit,
             ),
         )
+        self._caps = caps.CapsKeeper(
+            settings.node.id,
+            settings.node.zone,
+            self._directory,
+            self._fleet.portions,
+            self._peers,
+            tuple(settings.control_addresses),
+        )
         client = claims.ShardClaims(
             self._peers,
             self._shards,
@@ -107,6 +119,7 @@
             ),
             self._check,
             self._feed.is_current,
+            self._metrics,
         )
         self._listener = listener.Listener(
             self._place.options,
@@ -118,18 +131,35 @@
         address = await self._listener.start_on(self._place.bound)
         self._feed.subscribe(self._follow)
         self._feed.start()
-        measuring = asyncio.ensure_future(self._meter.run())
+        loop = asyncio.get_running_loop()
+        working = [
+            loop.create_task(self._meter.run()),
+            loop.create_task(self._caps.run()),
+            loop.create_task(self._measure()),
+        ]
         http = await self._front.start()
         if announce is not None:
             announce({'link': address, 'http': http})
         _log.info('entry: serves callers on %s', http)
         await process.stop_asked()
         await self._leave()
-        measuring.cancel()
+        for work in working:
+            work.cancel()
+
+    async def _measure(self) -> None:
+        """Report this process's own levels for ever."""
+        while True:
+            await asyncio.sleep(MEASURE_SECONDS)
+            running = self._front.open_calls
+            self._metrics.level(metrics.Gauge.CALLS_RUNNING, running)
+            self._metrics.level(metrics.Gauge.REVISION, self._feed.revision)
+            self._metrics.level(metrics.Gauge.LINKS, len(self._peers.links))
+            self._metrics.time(metrics.Timer.LOOP_LAG, self._meter.lag)
 
     def _follow(self, held: catalogue.Catalogue) -> None:
         self._directory.follow(held)
         self._fleet.update()
+        self._caps.follow()
 
     def _check(self, call: calls.Call, open_calls: int) -> None:
         rules = call.profile.configuration
--- a/tamarackthread/policy/buckets.py
+++ b/tamarackthread/policy/buckets.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import collections.abc
+
 import attrs
 
 
@@ -95,6 +97,15 @@
         """Return the rate in force as of the last call."""
         return self._bucket.rate
 
+    @property
+    def safe_rate(self) -> float:
+        """Return the rate to which a lapsed portion falls."""
+        return self._safe_rate
+
+    @safe_rate.setter
+    def safe_rate(self, rate: float) -> None:
+        self._safe_rate = rate
+
     def grant(self, rate: float, asked_at: float, lease: float) -> None:
         """Take a leased portion; the lease counts from when it was asked for.
 
@@ -153,6 +164,21 @@
         """Cap an organisation; ``safe_rate`` is its cap split evenly."""
         self._portions[organisation] = Portion(safe_rate, now, self._settings)
 
+    def follow(
+        self,
+        safe_rates: collections.abc.Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Cap just these organisations; a portion that is leased stays."""
+        for gone in set(self._portions).difference(safe_rates):
+            self.remove_cap(gone)
+        for organisation, safe_rate in safe_rates.items():
+            known = self._portions.get(organisation)
+            if known is None:
+                self.set_cap(organisation, safe_rate, now)
+            else:
+                known.safe_rate = safe_rate
+
     def remove_cap(self, organisation: str) -> None:
         """Stop limiting an organisation."""
         self._portions.pop(organisation, None)
