Ask a running engine what it has loaded

An agent that restarted beside a running engine loaded all of the rank's weights again through the shared store.

--- a/bench/engines/group.py
+++ b/bench/engines/group.py
@@ -15,7 +15,12 @@
 import attrs
 import numpy
 
-from tamarackthread.agent import engine, order_errors, switch_record
+from tamarackthread.agent import (
+    engine,
+    loading,
+    order_errors,
+    switch_record,
+)
 from tamarackthread.policy import expert_map, moves
 
 _PIECE_SECONDS = 0.002
@@ -75,7 +80,7 @@
         self._begun = -1
         self._highest = 0
         self._started = asyncio.Event()
-        self._loaded: set[moves.Move] = set()
+        self._pieces: collections.Counter[moves.Move] = collections.Counter()
         self.record: switch_record.SwitchRecord | None = None
 
     @property
@@ -93,7 +98,7 @@
         self._up = False
         self.record = None
         self._begun = -1
-        self._loaded.clear()
+        self._pieces.clear()
         self._group.changed.set()
         await asyncio.sleep(seconds)
         self._incarnation += 1
@@ -111,6 +116,11 @@
             self._begun = step
         return digest
 
+    @property
+    def pieces_loaded(self) -> int:
+        """Count the pieces that this process has loaded."""
+        return sum(self._pieces.values())
+
     @property
     def is_up(self) -> bool:
         """Tell whether the process runs, though it may stand still."""
@@ -148,11 +158,20 @@
         await self._respond()
         self._group.add_map(placement)
 
+    async def loaded(self) -> collections.abc.Collection[moves.Move]:
+        """List the weights of which every piece came."""
+        await self._respond()
+        return [
+            move
+            for move, count in self._pieces.items()
+            if count >= loading.PIECES_EACH
+        ]
+
     async def load_piece(self, piece: moves.Piece) -> None:
         """Take a short while for each piece."""
         await self._respond()
         await asyncio.sleep(_PIECE_SECONDS)
-        self._loaded.add(piece.move)
+        self._pieces[piece.move] += 1
 
     async def follow(
         self,
--- a/tamarackthread/agent/engine.py
+++ b/tamarackthread/agent/engine.py
@@ -45,6 +45,10 @@
     async def add_map(self, placement: expert_map.ExpertMap) -> None:
         """Make a map known; its weights are loaded by pieces."""
 
+    @abc.abstractmethod
+    async def loaded(self) -> collections.abc.Collection[moves.Move]:
+        """List the weights that are loaded whole."""
+
     @abc.abstractmethod
     async def load_piece(self, piece: moves.Piece) -> None:
         """Load one piece; cancelling the call drops what came of it."""
@@ -57,8 +61,9 @@
     ) -> None:
         """Serve each step with the map that the record gives for it.
 
-        The engine holds where the record says so.  Raises ``ArmTooLate``
-        when an open switch's step has begun already.
+        The engine holds where the record says so, and may drop weights that
+        no map of a decided record needs any more.  Raises ``ArmTooLate`` when
+        an open switch's step has begun already.
         """
 
     @abc.abstractmethod
--- a/tamarackthread/agent/loading.py
+++ b/tamarackthread/agent/loading.py
@@ -67,9 +67,13 @@
         self._pause_seconds = pause_seconds
         self._loaded: set[moves.Move] = set()
 
-    def forget(self) -> None:
-        """Forget what is loaded, because the engine has started anew."""
-        self._loaded.clear()
+    async def adopt(self) -> None:
+        """Take over what the engine has loaded.
+
+        An agent that restarts beside a running engine would else load all
+        of the rank's weights again, through the store that groups share.
+        """
+        self._loaded = set(await self._engine.loaded())
 
     def keep(self, wanted: collections.abc.Collection[moves.Move]) -> None:
         """Forget loads that no map in use wants any more."""
--- a/tamarackthread/agent/switch.py
+++ b/tamarackthread/agent/switch.py
@@ -209,6 +209,7 @@
             return
 
     async def _place(self) -> switch_record.SwitchRecord:
+        await self._loader.adopt()
         self._fence = await self._control.fence(self._group)
         record = await self._control.latest(self._group)
         record = record or self._first_record()
@@ -254,7 +255,6 @@
         self._stop_watch()
         self._life.trigger('lose')
         self._loaded_map = ''
-        self._loader.forget()
 
     async def _drop_unused(self) -> None:
         serving = await self._book.get(self._record.settled_map)
--- a/tamarackthread/policy/moves.py
+++ b/tamarackthread/policy/moves.py
@@ -24,12 +24,15 @@
 
 @attrs.frozen
 class Move:
-    """Be one weight to load; ``urgent`` when no replica of it is left."""
+    """Be one weight to load; ``urgent`` when no replica of it is left.
+
+    Two moves of the same weight are equal whatever their urgency.
+    """
 
     layer: int
     rank: int
     expert: int
-    urgent: bool = False
+    urgent: bool = attrs.field(default=False, eq=False)
 
 
 @attrs.frozen
--- a/tests/test_group_part.py
+++ b/tests/test_group_part.py
@@ -9,7 +9,7 @@
 
 from bench.engines import switch_world
 from bench.experiments import switch as experiment
-from tamarackthread.agent import balancer, order_errors, order_state
+from tamarackthread.agent import balancer, order_errors, order_state, switch
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import placement
 
@@ -99,6 +99,23 @@
 
         self._run(scene)
 
+    def test_agent_restart_loads_nothing(self) -> None:
+        """An agent that restarts does not load its engine's weights again.
+
+        The engine goes on; the new agent asks it what it has.  Loading all
+        of it through the shared store would hold up the other groups.
+        """
+
+        async def scene(world: object, host: object) -> None:
+            other = next(one for one in world.hosts if one != host)
+            before = other.engine.pieces_loaded
+            await other.restart_agent(0.1)
+            await asyncio.sleep(5)
+            self.assertEqual(other.part.switch.state, switch.STEADY)
+            self.assertEqual(other.engine.pieces_loaded, before)
+
+        self._run(scene)
+
     def test_operator_order(self) -> None:
         """An operator's order reaches every rank once, through the owner."""
 
