--- a/tamarackthread/control/targets.py
+++ b/tamarackthread/control/targets.py
@@ -148,6 +148,9 @@
         self._targets = targets
         self._gone_seconds = gone_seconds
         self._unseen_since: dict[str, float] = {}
+        # Reading each body anew at each sweep would take a fifth of a core
+        # with 2,100 targets.
+        self._addresses: dict[str, tuple[int, str]] = {}
 
     def restart(self) -> None:
         """Count anew, because a new leader has not heard of anybody yet."""
@@ -157,12 +160,11 @@
         """Look once at all targets."""
         now = asyncio.get_running_loop().time()
         self._below.expire(now)
-        seen = {state.address for state in self._below.nodes().values()}
+        seen = self._below.addresses()
         unseen: dict[str, float] = {}
         overdue = []
         for document in self._machine.documents.each(documents.TARGET):
-            target = documents.parse(documents.TARGET, document.body)
-            if target.address in seen:
+            if self._address(document) in seen:
                 continue
             since = self._unseen_since.get(document.name, now)
             unseen[document.name] = since
@@ -172,6 +174,14 @@
         for document in overdue:
             await self._targets.forget(document.name, document.version)
 
+    def _address(self, document: messages.Document) -> str:
+        known = self._addresses.get(document.name)
+        if known is not None and known[0] == document.revision:
+            return known[1]
+        target = documents.parse(documents.TARGET, document.body)
+        self._addresses[document.name] = (document.revision, target.address)
+        return target.address
+
 
 def _merge(
     announced: messages.Announcement,
--- a/tamarackthread/shared/feed.py
+++ b/tamarackthread/shared/feed.py
@@ -200,6 +200,7 @@
             self._choice.redirect(reply.redirect)
             return False
         self._parent = address
+        self._choice.settle()
         if waited_seconds and self.lease_remaining() < STARVING_SECONDS:
             _log.info('feed: parent %s has no fresh lease', address)
             return False
--- a/tamarackthread/shared/parents.py
+++ b/tamarackthread/shared/parents.py
@@ -18,6 +18,9 @@
     def redirect(self, addresses: collections.abc.Sequence[str]) -> None:
         """Take the addresses that a parent named in its place."""
 
+    def settle(self) -> None:
+        """Hear that the parent chosen last serves this node."""
+
 
 class AnyParent(Parents):
     """Ask control hosts in a random order, and whom they name instead.
@@ -50,3 +53,11 @@
     def redirect(self, addresses: collections.abc.Sequence[str]) -> None:
         """Ask these next, in the order in which they were named."""
         self._named = collections.deque(addresses)
+
+    def settle(self) -> None:
+        """Forget the others that were named.
+
+        By the time that the parent fails they may be long gone, and each
+        would cost some of what is left of the lease.
+        """
+        self._named.clear()
--- a/tamarackthread/shared/subtree.py
+++ b/tamarackthread/shared/subtree.py
@@ -108,6 +108,14 @@
             self._children.pop(name)
         return bool(silent)
 
+    def addresses(self) -> set[str]:
+        """Give where the nodes below listen, at any depth."""
+        return {
+            state.address
+            for child in self._children.values()
+            for state in child.nodes.values()
+        }
+
     def nodes(self) -> dict[str, messages.NodeState]:
         """Give each node below with the revision that it has confirmed.
 
