--- /dev/null
+++ b/bench/history/breaks.py
@@ -0,0 +1,274 @@
+"""Break the replicated log on purpose, to see that the checker notices.
+
+Each break puts something in place of one safeguard for as long as its context
+lasts.  Nothing of this is reachable from the product.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import math
+import typing
+from unittest import mock
+
+import attrs
+
+from tamarackthread.control import (
+    answers,
+    configuration,
+    following,
+    hard_state,
+    reconfiguration,
+    reign,
+    replica,
+    replication,
+    segments,
+    timing,
+    voting,
+)
+from tamarackthread.generated.messages import ttypes as messages
+
+_settle = hard_state.HardState.settle
+_load_replica = replica.Replica.load
+_load_state = hard_state.HardState.load
+_lease_until = reign.Reign.lease_until
+_learn = replication.PeerTasks._learn
+_judge = configuration.Configuration._judge
+
+
+@attrs.frozen
+class Break:
+    """Be one safeguard taken out, and what callers would suffer from it."""
+
+    name: str
+    about: str
+    owner: typing.Any
+    attribute: str
+    substitute: typing.Any
+
+    def apply(self) -> contextlib.AbstractContextManager[typing.Any]:
+        """Take the safeguard out until the context ends."""
+        return mock.patch.object(self.owner, self.attribute, self.substitute)
+
+
+async def _sync_nothing(_self: segments.Segments, _name: str) -> None:
+    """Return at once."""
+
+
+async def _settle_first_only(self: hard_state.HardState) -> None:
+    if not self.term:
+        await _settle(self)
+
+
+async def _load_without_wait(self: replica.Replica) -> typing.Any:
+    loaded = await _load_replica(self)
+    self.heard_at = -math.inf
+    return loaded
+
+
+async def _load_with_old_disk_id(
+    self: hard_state.HardState, fresh: bytes
+) -> None:
+    await _load_state(self, bytes(len(fresh)))
+
+
+def _endless_lease(
+    _self: reign.Reign, _members: typing.Any, now: float
+) -> float:
+    return now + 1
+
+
+def _lease_while_released(
+    self: reign.Reign, members: typing.Any, now: float
+) -> float:
+    was_handing_over = self.handing_over
+    self.handing_over = False
+    until = _lease_until(self, members, now)
+    self.handing_over = was_handing_over
+    return until
+
+
+def _long_lease(times: timing.Timing) -> float:
+    return times.election_max
+
+
+def _learn_from_answer(
+    self: replication.PeerTasks,
+    request: typing.Any,
+    reply: typing.Any,
+    _sent_at: float,
+) -> None:
+    _learn(self, request, reply, self._state.now)
+
+
+def _vote_again(state: replica.Replica, request: typing.Any) -> bool:
+    return request.term >= state.hard.term and voting.is_up_to_date(
+        state, request.last_term, request.last_index
+    )
+
+
+def _durable_alone(
+    _self: reign.Reign, _members: typing.Any, durable: int
+) -> int:
+    return durable
+
+
+def _agree(state: replica.Replica, request: typing.Any) -> int:
+    if request.previous_index > state.log.last_index:
+        return state.log.last_index + 1
+    return 0
+
+
+def _take_and_void(state: replica.Replica, request: typing.Any) -> int:
+    fresh = [
+        entry for entry in request.entries if entry.index > state.commit_index
+    ]
+    if fresh and fresh[0].index <= state.log.last_index:
+        state.truncate(fresh[0].index)
+    return state.append(fresh)
+
+
+def _judge_any_base(
+    self: configuration.Configuration,
+    change: messages.ChangeRequest,
+    findings: typing.Any,
+) -> typing.Any:
+    latest = self._documents.latest(change.kind, change.name)
+    eased = messages.ChangeRequest(
+        change_id=change.change_id,
+        kind=change.kind,
+        name=change.name,
+        based_on=latest.version if latest else 0,
+        body=change.body,
+    )
+    return _judge(self, eased, findings)
+
+
+ALL: tuple[Break, ...] = (
+    Break(
+        'skip-log-sync',
+        'entries are acknowledged when written, not when synced',
+        segments.Segments,
+        '_sync',
+        _sync_nothing,
+    ),
+    Break(
+        'skip-vote-sync',
+        'terms and votes are answered and forgotten by a crash',
+        hard_state.HardState,
+        'settle',
+        _settle_first_only,
+    ),
+    Break(
+        'drop-lease-check',
+        'a leader counts on its lease without a quorum that answers',
+        reign.Reign,
+        'lease_until',
+        _endless_lease,
+    ),
+    Break(
+        'lease-outlives-voters',
+        'the lease is longer than the voters stay silent',
+        timing.Timing,
+        'lease',
+        property(_long_lease),
+    ),
+    Break(
+        'lease-after-release',
+        'a leader uses its lease after telling the voters that it is void',
+        reign.Reign,
+        'lease_until',
+        _lease_while_released,
+    ),
+    Break(
+        'lease-from-answer',
+        "the lease counts from a heartbeat's answer, not from its sending",
+        replication.PeerTasks,
+        '_learn',
+        _learn_from_answer,
+    ),
+    Break(
+        'vote-against-lease',
+        'a vote is given although a leader was heard a moment ago',
+        voting,
+        'hears_leader',
+        lambda _state: False,
+    ),
+    Break(
+        'vote-after-restart',
+        'a restarted voter forgets that it may have heard a leader',
+        replica.Replica,
+        'load',
+        _load_without_wait,
+    ),
+    Break(
+        'vote-for-short-log',
+        'a candidate without committed entries gets votes',
+        voting,
+        'is_up_to_date',
+        lambda *_arguments: True,
+    ),
+    Break(
+        'vote-twice',
+        'each candidate of a term gets the vote',
+        voting,
+        '_may_vote',
+        _vote_again,
+    ),
+    Break(
+        'commit-without-quorum',
+        'what the leader alone has synced is committed',
+        reign.Reign,
+        'quorum_index',
+        _durable_alone,
+    ),
+    Break(
+        'trust-wiped-disk',
+        'a wiped host votes and acknowledges as its old self',
+        hard_state.HardState,
+        'load',
+        _load_with_old_disk_id,
+    ),
+    Break(
+        'skip-log-matching',
+        'entries are taken although those before them differ',
+        following,
+        '_conflict',
+        _agree,
+    ),
+    Break(
+        'void-on-repeat',
+        'a doubled or late request voids the entries after it',
+        following,
+        '_take',
+        _take_and_void,
+    ),
+    Break(
+        'change-two-at-once',
+        'members change while another change is not committed',
+        reconfiguration,
+        '_is_settled',
+        lambda _state: True,
+    ),
+    Break(
+        'ignore-based-on',
+        'a change is accepted whatever version it was based on',
+        configuration.Configuration,
+        '_judge',
+        _judge_any_base,
+    ),
+    Break(
+        'forget-answers',
+        'a resent change is taken for a new one',
+        answers.Answers,
+        'find',
+        lambda *_arguments: None,
+    ),
+    Break(
+        'answers-not-in-snapshot',
+        'answers to earlier changes are left out of snapshots',
+        answers.Answers,
+        'everything',
+        lambda _self: [],
+    ),
+)
--- a/bench/history/callers.py
+++ b/bench/history/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import types
 
 from bench.history import events, hosts, watched
 from tamarackthread.control import failures
@@ -12,10 +13,20 @@
 
 _NAMES = ('harbour', 'meadow')
 _ATTEMPTS = 12
-_OUTCOMES = {
-    messages.ChangeStatus.ACCEPTED: events.ACCEPTED,
-    messages.ChangeStatus.CONFLICT: events.CONFLICT,
-}
+PERIOD_SECONDS = 4.0
+PAUSE_SECONDS = 1.8
+_OUTCOMES = types.MappingProxyType(
+    {
+        messages.ChangeStatus.ACCEPTED: events.ACCEPTED,
+        messages.ChangeStatus.CONFLICT: events.CONFLICT,
+    }
+)
+
+
+def is_pause() -> bool:
+    """Say whether all callers rest at this moment."""
+    now = asyncio.get_running_loop().time()
+    return now % PERIOD_SECONDS < PAUSE_SECONDS
 
 
 class Caller:
@@ -33,12 +44,22 @@
         """Change or read one document after another."""
         while True:
             await asyncio.sleep(self._rng.uniform(0.01, 0.15))
+            await self._pause()
             name = self._rng.choice(_NAMES)
             if self._rng.random() < 0.4:
                 await self._read(name)
                 continue
             await self._change(name)
 
+    async def _pause(self) -> None:
+        """Rest at times, all callers alike.
+
+        Only in a pause can a host that was cut off still have the whole log,
+        and so be elected.
+        """
+        while is_pause():
+            await asyncio.sleep(0.1)
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
@@ -77,7 +98,7 @@
         began = self._now()
         unknown = False
         try:
-            for _attempt in range(_ATTEMPTS):
+            for _ in range(_ATTEMPTS):
                 reply = await self._attempt(change)
                 if isinstance(reply, messages.ChangeReply):
                     self._answered(change, began, reply)
@@ -132,6 +153,7 @@
             change_id=change.change_id,
             version=reply.version,
             body=change.body,
+            based_on=change.based_on,
         )
 
     def _unanswered(
@@ -159,6 +181,7 @@
         change_id: str = '',
         version: int = 0,
         body: str = '',
+        based_on: int = 0,
     ) -> None:
         self._hosts.history.operations.append(
             events.Operation(
@@ -170,5 +193,6 @@
                 change_id=change_id,
                 version=version,
                 body=body,
+                based_on=based_on,
             )
         )
--- a/bench/history/checker.py
+++ b/bench/history/checker.py
@@ -21,6 +21,7 @@
         _applied_once,
         _refusals_held,
         _one_leader,
+        _based,
         _order,
         _nothing_lost,
         _same_state,
@@ -66,6 +67,13 @@
             yield f'leader: {sorted(nodes)} accepted in term {term}'
 
 
+def _based(history: events.History) -> collections.abc.Iterator[str]:
+    for done in history.operations:
+        accepted = done.outcome == events.ACCEPTED
+        if accepted and done.version != done.based_on + 1:
+            yield f'based on: {done.change_id} made v{done.version} out of v{done.based_on}'
+
+
 def _order(history: events.History) -> collections.abc.Iterator[str]:
     by_name: dict[str, list[events.Operation]] = collections.defaultdict(list)
     for done in history.operations:
--- a/bench/history/disks.py
+++ b/bench/history/disks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
 from tamarackthread.control import disk, failures
@@ -20,7 +21,7 @@
         self.seen: dict[str, bytes] = {}
         self.lasting: dict[str, bytes] = {}
         self.delay = 0.001
-        self.stalled_until = 0.0
+        self.stalled_until = -math.inf
         self.is_full = False
         self.generation = 0
         self._rng = rng
@@ -54,7 +55,7 @@
         tail = seen[len(lasting) :]
         kept = bytearray(tail[: self._rng.randint(0, len(tail))])
         if len(kept) > _SECTOR and self._rng.random() < 0.5:
-            kept[-_SECTOR:] = bytes(_SECTOR)
+            kept = kept[:-_SECTOR] + bytes(_SECTOR)
         return lasting + bytes(kept)
 
 
--- a/bench/history/events.py
+++ b/bench/history/events.py
@@ -30,6 +30,7 @@
     change_id: str = ''
     version: int = 0
     body: str = ''
+    based_on: int = 0
 
 
 @attrs.frozen
--- a/bench/history/hosts.py
+++ b/bench/history/hosts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 
 import attrs
@@ -73,14 +74,18 @@
             rng=self.rng,
         )
         host.process = process
+        is_started = False
         try:
             await process.start()
+            is_started = True
         except failures.LogCorrupt as exc:
             self.history.halts.append(f'halt: {host.node}: {exc}')
-        except failures.DiskFull:
-            host.process = None
-            return
-        # A process that was killed while it started answers nobody.
+        except (failures.DiskFull, failures.DiskFailed):
+            self.history.faults.append(f'no start of {host.node}')
+        finally:
+            # A process that was killed while it started answers nobody.
+            if host.process is process and not is_started:
+                host.process = None
         if host.process is process:
             self.network.handlers[host.node] = process.handle
 
@@ -129,6 +134,19 @@
                 return False
         return len(members.members) == len(self.first)
 
+    def fill_up(self) -> None:
+        """Have the leader add a host if one was removed for good."""
+        leader = self.leader
+        if leader is None:
+            return
+        rows = {row.node for row in leader.process.members()}
+        missing = [node for node in self.all if node not in rows]
+        if len(rows) < len(self.first):
+            with contextlib.suppress(
+                failures.NotLeader, failures.MemberChangeRefused
+            ):
+                leader.process.add(missing[0], missing[0])
+
     async def watch_leases(self) -> None:
         """Look again and again for two hosts that hold the lease at once."""
         while True:
@@ -146,7 +164,7 @@
         """Run all members in fair weather until each is current."""
         self.network.heal()
         for host in self.all.values():
-            host.platter.stalled_until = 0
+            host.platter.stalled_until = -math.inf
             host.platter.is_full = False
             host.platter.delay = 0.001
             if host.process is None:
@@ -158,19 +176,26 @@
     async def _until_current(self) -> None:
         while True:
             await asyncio.sleep(0.25)
+            self.fill_up()
             if self.leader is None or not self.is_whole():
                 continue
             with contextlib.suppress(failures.NoQuorum, failures.NotLeader):
-                index = await self.leader.process.read_barrier()
+                await self.leader.process.read_barrier()
                 await asyncio.sleep(1)
-                if await self._keep(index):
+                if self._keep():
                     return
 
-    async def _keep(self, index: int) -> bool:
+    def _keep(self) -> bool:
+        """Note what each member holds, if all are at the same index."""
+        leader = self.leader
+        if leader is None:
+            return False
         rows = []
-        for member in self.leader.process.members() if self.leader else []:
+        for member in leader.process.members():
             host = self.all[member.node]
-            if host.process is None or host.process.applied_index < index:
+            if host.process is None:
+                return False
+            if host.process.applied_index != leader.process.commit_index:
                 return False
             rows.append(host.machine.keep())
         self.history.kept = rows
--- a/bench/history/network.py
+++ b/bench/history/network.py
@@ -24,8 +24,8 @@
 
     least_delay: float = 0.0005
     most_delay: float = 0.003
-    loss: float = 0.0
-    doubling: float = 0.0
+    loss: float = 0
+    doubling: float = 0
 
 
 class Network:
--- a/bench/history/run.py
+++ b/bench/history/runner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
+import contextlib
 import logging
 import random
 import warnings
@@ -13,7 +15,7 @@
 from bench.history import callers, checker, events, hosts, trouble
 
 _CALLERS = 4
-_TROUBLE_SECONDS = 20.0
+_TROUBLE_SECONDS = 30.0
 
 
 @attrs.frozen
@@ -31,18 +33,25 @@
     """
     loop = async_solipsism.EventLoop()
     asyncio.set_event_loop(loop)
+    with _silence():
+        history = loop.run_until_complete(_run(seed, voters))
+        _drain(loop)
+    asyncio.set_event_loop(None)
+    loop.close()
+    return Verdict(history=history, violations=checker.check(history))
+
+
+@contextlib.contextmanager
+def _silence() -> collections.abc.Iterator[None]:
+    """Keep thousands of expected warnings out of the output."""
     before = logging.root.manager.disable
     logging.disable(logging.CRITICAL)
     try:
         with warnings.catch_warnings():
             warnings.simplefilter('ignore')
-            history = loop.run_until_complete(_run(seed, voters))
-            _drain(loop)
+            yield
     finally:
         logging.disable(before)
-        asyncio.set_event_loop(None)
-        loop.close()
-    return Verdict(history=history, violations=checker.check(history))
 
 
 async def _run(seed: int, voters: int) -> events.History:
--- a/bench/history/trouble.py
+++ b/bench/history/trouble.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 
-from bench.history import hosts
+from bench.history import callers, hosts
 from tamarackthread.control import failures
 
 
@@ -36,6 +36,15 @@
             self._leave,
             self._replace,
             self._repair_then_kill,
+            self._part_leader_from_one,
+            self._part_leader_from_one,
+            self._change_sides,
+            self._change_sides,
+            self._rush,
+            self._rush,
+            self._shrink,
+            self._fill_up,
+            self._leave_unheard,
         )
 
     async def run(self) -> None:
@@ -94,10 +103,7 @@
         inside = {leader.node}
         if self._rng.random() < 0.4:
             inside.add(self._any().node)
-        for near in sorted(inside):
-            for far in sorted(set(self._hosts.all) - inside):
-                self._hosts.network.cut(near, far)
-                self._hosts.network.cut(far, near)
+        self._part(inside, set(self._hosts.all) - inside)
 
     async def _cut_one_way(self) -> None:
         source, target = self._any().node, self._any().node
@@ -165,12 +171,97 @@
         """Wipe a host and, once it votes again, lose another at once."""
         await self._heal()
         await self._wipe()
-        for _look in range(80):
+        for _ in range(80):
             await asyncio.sleep(0.05)
             if self._hosts.is_whole():
                 await self._kill_leader()
                 return
 
+    async def _part_leader_from_one(self) -> None:
+        """Part the leader from one host that all others still hear."""
+        leader, other = self._hosts.leader, self._any()
+        if leader is None:
+            return
+        await self._await_pause()
+        self._note(f'part {leader.node} from {other.node}')
+        self._part({leader.node}, {other.node})
+
+    async def _change_sides(self) -> None:
+        """Join a host that the leader lost with one that just restarted.
+
+        The restarted one supports the leader's lease and has forgotten it.
+        """
+        leader = self._hosts.leader
+        if leader is None:
+            return
+        others = [node for node in self._voters() if node != leader.node]
+        self._rng.shuffle(others)
+        turned, lost = others[:1], others[1:]
+        self._note(f'{turned} leaves {leader.node} for {lost}')
+        await self._heal()
+        await self._await_pause()
+        self._part({leader.node, *turned}, set(lost))
+        await asyncio.sleep(self._rng.uniform(0.8, 1.2))
+        for node in turned:
+            self._hosts.kill(self._hosts.all[node])
+            self._later(self._hosts.all[node], 0.01)
+        await self._heal()
+        self._part({leader.node}, {*turned, *lost})
+
+    async def _rush(self) -> None:
+        """Let the election timers of all hosts run out together."""
+        self._note('all timers run out')
+        await self._kill_leader()
+        self._hosts.network.weather.least_delay = 0.02
+        self._hosts.network.weather.most_delay = 0.06
+        at = asyncio.get_running_loop().time() + 1
+        for host in self._hosts.running:
+            host.process._state.election_at = at  # noqa: SLF001
+
+    async def _shrink(self) -> None:
+        """Ask for two removals at once, sometimes of an isolated leader."""
+        if not self._hosts.is_whole():
+            return
+        leader = self._hosts.leader
+        if self._rng.random() < 0.7:
+            await self._isolate_leader()
+        others = [node for node in self._voters() if node != leader.node]
+        for node in others[:2]:
+            self._note(f'remove {node}')
+            try:
+                leader.process.remove(node)
+            except (failures.NotLeader, failures.MemberChangeRefused):
+                self._note('refused')
+
+    async def _fill_up(self) -> None:
+        self._note('fill up')
+        self._hosts.fill_up()
+
+    async def _leave_unheard(self) -> None:
+        """Stop a leader that hears nothing of what the others then do."""
+        leader = self._hosts.leader
+        if leader is None:
+            return
+        self._note(f'{leader.node} leaves and hears nothing')
+        for node in self._hosts.all:
+            self._hosts.network.cut(node, leader.node)
+        await self._hosts.leave(leader)
+        self._later(leader, 0.2)
+
+    async def _await_pause(self) -> None:
+        """Wait until callers rest, and all logs are the same length."""
+        while callers.is_pause():
+            await asyncio.sleep(0.05)
+        while not callers.is_pause():
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.15)
+
+    def _part(self, near: set[str], far: set[str]) -> None:
+        for one in sorted(near):
+            for other in sorted(far):
+                self._hosts.network.cut(one, other)
+                self._hosts.network.cut(other, one)
+
     def _voters(self) -> list[str]:
         leader = self._hosts.leader
         rows = leader.process.members() if leader else []
--- a/tamarackthread/control/applying.py
+++ b/tamarackthread/control/applying.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 
 from tamarackthread.control import failures, replica, segments, snapshots
 
@@ -26,7 +27,7 @@
         self._applied_index = 0
         self._bytes_since = 0
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []
-        self._save_after = 0.0
+        self._save_after = -math.inf
         self._saving: asyncio.Task[None] | None = None
 
     @property
--- a/tamarackthread/control/consensus.py
+++ b/tamarackthread/control/consensus.py
@@ -241,28 +241,21 @@
         if request.snapshot is not None:
             part = await self._installer.answer(request.snapshot)
             return messages.Reply(snapshot=part)
+        return await self._dispatch_asked(request)
+
+    async def _dispatch_asked(
+        self, request: messages.Request
+    ) -> messages.Reply:
+        """Answer what comes on behalf of a caller or an operator."""
         if request.propose is not None:
             return await self._proposer.answer(
                 request.propose, DEFAULT_TIMEOUT_SECONDS
             )
         if request.member is not None:
-            return self._answer_member(request.member)
+            listed = reconfiguration.answer(self._state, request.member)
+            return messages.Reply(member=listed)
         raise errors.RequestUnsupported
 
-    def _answer_member(self, request: messages.MemberRequest) -> messages.Reply:
-        state = self._state
-        if request.action != 'members' and state.reign is None:
-            raise failures.NotLeader(leader=state.leader)
-        if request.action == 'add':
-            self.add(request.node, request.address)
-        elif request.action == 'remove':
-            self.remove(request.node)
-        elif request.action == 'replace':
-            self.replace(request.replaces, request.node, request.address)
-        elif request.action != 'members':
-            raise errors.RequestUnsupported(request.action)
-        return messages.Reply(member=reconfiguration.listing(state))
-
     def _lease_left(self) -> float:
         term = self._state.reign
         if term is None or self._reason is not None:
--- a/tamarackthread/control/following.py
+++ b/tamarackthread/control/following.py
@@ -66,17 +66,18 @@
     """
     if state.log.is_full:
         raise failures.DiskFull
-    fresh = []
-    for entry in request.entries:
-        if entry.index <= state.commit_index:
-            continue
-        held = state.log.term_at(entry.index)
-        if held == entry.term and not fresh:
-            continue
-        if held is not None and not fresh:
-            state.truncate(entry.index)
-        fresh.append(entry)
-    return state.append(fresh)
+    missing = [
+        entry for entry in request.entries if entry.index > state.commit_index
+    ]
+    while missing and _is_held(state, missing[0]):
+        missing.pop(0)
+    if missing and missing[0].index <= state.log.last_index:
+        state.truncate(missing[0].index)
+    return state.append(missing)
+
+
+def _is_held(state: replica.Replica, entry: messages.LogEntry) -> bool:
+    return state.log.term_at(entry.index) == entry.term
 
 
 def _reply(
--- a/tamarackthread/control/leading.py
+++ b/tamarackthread/control/leading.py
@@ -62,6 +62,15 @@
         if term is None:
             return
         term.handing_over = True
+        try:
+            await self._hand_over(term)
+        finally:
+            # A leader that has begun to hand over takes no proposals.  If its
+            # caller gives up waiting, it must not stay in between for ever.
+            if self._state.reign is term:
+                self._state.step_down('hands over')
+
+    async def _hand_over(self, term: reign.Reign) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._state.parts.times.handover):
                 await asyncio.sleep(
@@ -69,8 +78,6 @@
                 )
                 await self._release(term)
                 await term.over.wait()
-        if self._state.reign is term:
-            self._state.step_down('hands over')
 
     async def _watch(self, term: reign.Reign) -> None:
         while not term.over.is_set():
--- a/tamarackthread/control/reconfiguration.py
+++ b/tamarackthread/control/reconfiguration.py
@@ -14,10 +14,32 @@
     segments,
 )
 from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors
 
 _log = logging.getLogger('tamarackthread.control.reconfiguration')
 
 
+def answer(
+    state: replica.Replica, request: messages.MemberRequest
+) -> messages.MemberReply:
+    """Do what an operator asks and list the members.
+
+    Only the leader changes members; others raise ``NotLeader``.
+    """
+    match request.action:
+        case 'members':
+            return listing(state)
+        case 'add':
+            add(state, request.node, request.address)
+        case 'remove':
+            remove(state, request.node)
+        case 'replace':
+            replace(state, request.replaces, request.node, request.address)
+        case unknown:
+            raise errors.RequestUnsupported(f'members: {unknown}')
+    return listing(state)
+
+
 def add(state: replica.Replica, node: str, address: str) -> None:
     """Add a learner, to be made a voter once it has caught up."""
     _require_settled(state)
--- a/tamarackthread/control/replica.py
+++ b/tamarackthread/control/replica.py
@@ -14,15 +14,15 @@
     disk,
     hard_state,
     log,
-    machine,
     membership,
     reign,
     role,
     segments,
     snapshots,
     timing,
-    transport,
 )
+from tamarackthread.control import machine as machines
+from tamarackthread.control import transport as transports
 from tamarackthread.generated.messages import ttypes as messages
 
 _log = logging.getLogger('tamarackthread.control.replica')
@@ -34,9 +34,9 @@
 
     group: str
     node: str
-    machine: machine.Machine
+    machine: machines.Machine
     files: disk.Disk
-    transport: transport.Transport
+    transport: transports.Transport
     times: timing.Timing
     rng: random.Random
     bootstrap: collections.abc.Mapping[str, str]
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,519 @@
+"""Test the replicated log under the failures it is made for."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tamarackthread.control import failures
+from tamarackthread.generated.messages import ttypes as messages
+from tests import consensus_net
+
+
+class LeadingTest(consensus_net.PausedCase):
+    """Test who leads, and what a leader knows."""
+
+    def test_isolated_leader_steps_down_first(self) -> None:
+        """An isolated leader knows that it leads no longer.
+
+        The leader is cut off with its lease running; its callers get a
+        refusal once the lease ends.  Only then do the others elect another,
+        because voters stay silent for longer than a lease lasts.
+        """
+        self.run_paused(self._isolated())
+
+    def test_lease_is_never_shared(self) -> None:
+        """Two hosts never hold the lease at once while leaders change.
+
+        The leader is cut off again and again; at each moment at most one host
+        may count on its lease, or a reader would see an older state.
+        """
+        self.run_paused(self._shared())
+
+    def test_stalled_disk(self) -> None:
+        """A leader whose disk hangs gives its place to another.
+
+        Its connections and heartbeats are in order, only its sync never ends.
+        Callers would find each change slow for as long as it led.
+        """
+        self.run_paused(self._stalled())
+
+    def test_stop_hands_over(self) -> None:
+        """A planned stop loses no change and costs no election timeout.
+
+        The leader stops while changes arrive; another leads before any voter
+        would have missed a heartbeat.
+        """
+        self.run_paused(self._handover())
+
+    def test_handover_keeps_promise(self) -> None:
+        """A lease that somebody was told of outlasts a planned stop.
+
+        A caller reads how long no other host can lead, then the leader stops.
+        The others are released only when that time is over.
+        """
+        self.run_paused(self._promise())
+
+    def test_cancelled_handover(self) -> None:
+        """A stop that its caller gives up leaves no dead leader behind.
+
+        The leader begins to hand over, nobody hears it, and the caller stops
+        waiting.  Were it still leader, it would refuse all proposals for ever.
+        """
+        self.run_paused(self._cancelled())
+
+    def test_read_without_lease(self) -> None:
+        """A cut-off host refuses a read rather than showing an old state.
+
+        The leader is isolated and another accepts a change.  A read at the
+        old leader and at a lone follower ends with a coded error.
+        """
+        self.run_paused(self._reads())
+
+    def test_unknown_outcome(self) -> None:
+        """A change that no quorum confirmed in time is not called refused.
+
+        The leader is isolated after it wrote the change; it may yet be
+        committed, so its caller is told that the outcome is unknown.
+        """
+        self.run_paused(self._unknown())
+
+    async def _isolated(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        old = await net.leader()
+        net.isolate(old)
+        await net.until(lambda: not net.processes[old].has_lease())
+        others = [node for node in consensus_net.NODES if node != old]
+        self.assertFalse(any(net.processes[node].is_leader for node in others))
+        await net.leader(old)
+        self.assertFalse(net.processes[old].is_leader)
+        with self.assertRaises(failures.NotLeader):
+            await net.processes[old].propose(b'late')
+
+    async def _shared(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        for _ in range(10):
+            net.isolate(await net.leader())
+            await self._watch_leases(net)
+            net.network.heal()
+
+    async def _watch_leases(self, net: consensus_net.Net) -> None:
+        for _ in range(100):
+            held = [row.has_lease() for row in net.processes.values()]
+            self.assertLessEqual(sum(held), 1)
+            await asyncio.sleep(0.02)
+
+    async def _stalled(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        old = await net.leader()
+        loop = asyncio.get_running_loop()
+        net.platters[old].stalled_until = loop.time() + 60
+        await net.processes[old].propose(b'one')
+        new = await net.leader(old)
+        await net.processes[new].propose(b'two')
+        self.assertEqual(['one', 'two'], net.machines[new].rows)
+
+    async def _handover(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        old = await net.leader()
+        await net.fill(old, 50)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        process = net.processes.pop(old)
+        await process.stop()
+        net.network.handlers.pop(old)
+        new = await net.leader()
+        self.assertLess(loop.time() - began, 0.9)
+        self.assertEqual(50, len(net.machines[new].rows))
+
+    async def _promise(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        old = await net.leader()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + net.processes[old].lease_remaining()
+        stopping = asyncio.create_task(net.processes[old].stop())
+        await net.until(
+            lambda: any(
+                net.processes[node].is_leader
+                for node in consensus_net.NODES
+                if node != old
+            )
+        )
+        self.assertGreaterEqual(loop.time(), until)
+        await stopping
+
+    async def _cancelled(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        old = await net.leader()
+        net.isolate(old)
+        stopping = asyncio.create_task(net.processes[old].transfer())
+        await asyncio.sleep(0.1)
+        stopping.cancel()
+        await asyncio.sleep(0)
+        net.network.heal()
+        new = await net.leader()
+        await net.processes[new].propose(b'on')
+
+    async def _reads(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        old = await net.leader()
+        net.isolate(old)
+        new = await net.leader(old)
+        await net.processes[new].propose(b'newer')
+        with self.assertRaises(failures.NotLeader):
+            await net.processes[old].read_barrier()
+        net.network.heal()
+        await net.until(lambda: net.processes[old].leader == new)
+        index = await net.processes[old].read_barrier()
+        self.assertEqual(['newer'], net.machines[old].rows)
+        self.assertGreaterEqual(index, 3)
+
+    async def _unknown(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        old = await net.leader()
+        net.isolate(old)
+        with self.assertRaises(failures.OutcomeUnknown):
+            await net.processes[old].propose(b'perhaps')
+
+
+class DiskTest(consensus_net.PausedCase):
+    """Test full, wiped and forgetful disks."""
+
+    def test_full_disk(self) -> None:
+        """A full disk refuses changes by a code and goes on serving reads.
+
+        All disks fill up.  The change is refused before anything is written,
+        so it's certain that it will not take effect; reads stay current.
+        """
+        self.run_paused(self._full())
+
+    def test_full_followers(self) -> None:
+        """A leader with room refuses changes that no quorum can store.
+
+        Both followers' disks are full, so the first change's outcome stays
+        unknown; from then on the leader knows and refuses at once.
+        """
+        self.run_paused(self._full_followers())
+
+    def test_full_disk_stands(self) -> None:
+        """A host with a full disk goes on running when it can't be elected.
+
+        The leader is lost and a follower can't make its vote last; it must
+        neither lead nor end its process, which still serves others.
+        """
+        self.run_paused(self._full_stands())
+
+    def test_wiped_disk_has_no_vote(self) -> None:
+        """A wiped host can't help to elect a leader without the last change.
+
+        A change is on the leader and one follower while the third host is cut
+        off.  The follower's disk is wiped and the leader is lost.  The wiped
+        host and the one that lagged must not go on without the change.
+        """
+        self.run_paused(self._wiped_vote())
+
+    def test_second_host_lost_after_repair(self) -> None:
+        """Losing a second host right after a repair loses nothing.
+
+        One disk is wiped and its host rejoins as a learner; the moment that
+        it votes again, the leader is lost.  The others have every change.
+        """
+        self.run_paused(self._second_loss())
+
+    def test_wiped_first_host_forms_nothing(self) -> None:
+        """A wiped host doesn't begin the group anew.
+
+        Its settings name it first among the members, and its disk is blank.
+        The others are not, so it waits to be taken in and gets their state.
+        """
+        self.run_paused(self._wiped_first())
+
+    def test_power_loss(self) -> None:
+        """Accepted changes outlast a crash of all hosts at once.
+
+        Unsynced bytes are lost on every disk, torn at a random place.
+        """
+        self.run_paused(self._power_loss())
+
+    async def _full(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        await net.processes[leader].propose(b'one')
+        for platter in net.platters.values():
+            platter.is_full = True
+        with self.assertRaises(failures.DiskFull):
+            await net.processes[leader].propose(b'two')
+        await asyncio.sleep(5)
+        self.assertEqual(3, await net.processes[leader].read_barrier())
+        for platter in net.platters.values():
+            platter.is_full = False
+        await net.processes[leader].propose(b'three')
+        self.assertEqual(['one', 'three'], net.machines[leader].rows)
+
+    async def _full_followers(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        for node in consensus_net.NODES:
+            net.platters[node].is_full = node != leader
+        with self.assertRaises(failures.OutcomeUnknown):
+            await net.processes[leader].propose(b'one', 2)
+        with self.assertRaises(failures.DiskFull):
+            await net.processes[leader].propose(b'two', 2)
+        self.assertTrue(net.processes[leader].has_lease())
+
+    async def _full_stands(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        for node in consensus_net.NODES:
+            net.platters[node].is_full = node != leader
+        net.kill(leader)
+        await asyncio.sleep(5)
+        for process in net.processes.values():
+            self.assertIsNone(process.failure)
+            self.assertFalse(process.is_leader)
+
+    async def _wiped_vote(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        keeper, lagging = (
+            node for node in consensus_net.NODES if node != leader
+        )
+        net.isolate(lagging)
+        await net.processes[leader].propose(b'accepted')
+        net.kill(keeper, leader)
+        net.platters[keeper].wipe()
+        net.network.heal()
+        await net.start(keeper)
+        await asyncio.sleep(10)
+        self.assertFalse(
+            any(process.is_leader for process in net.processes.values())
+        )
+        await net.start(leader)
+        self.assertEqual(leader, await net.leader())
+        await net.until(lambda: net.machines[keeper].rows)
+        self.assertEqual(['accepted'], net.machines[keeper].rows)
+
+    async def _second_loss(self) -> None:
+        net = consensus_net.Net(snapshot_entries=100, trailing_entries=10)
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        await net.fill(leader, 300)
+        wiped = next(node for node in consensus_net.NODES if node != leader)
+        net.kill(wiped)
+        net.platters[wiped].wipe()
+        await net.start(wiped)
+        await net.until(
+            lambda: (
+                all(
+                    row.voter and row.reachable
+                    for row in net.processes[leader].members()
+                )
+                and net.state(leader).membership.is_voter(
+                    wiped, net.processes[wiped].disk_id
+                )
+            )
+        )
+        net.kill(leader)
+        new = await net.leader()
+        await net.processes[new].propose(b'last')
+        self.assertEqual(301, len(net.machines[new].rows))
+
+    async def _wiped_first(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        await net.processes[await net.leader()].propose(b'kept')
+        net.kill('h1')
+        net.platters['h1'].wipe()
+        await net.start('h1')
+        await net.until(lambda: net.machines['h1'].rows)
+        self.assertEqual(['kept'], net.machines['h1'].rows)
+
+    async def _power_loss(self) -> None:
+        net = consensus_net.Net(segment_bytes=500)
+        await net.start(*consensus_net.NODES)
+        for number in range(1, 11):
+            leader = await net.leader()
+            await net.fill(leader, 10)
+            hanging = asyncio.create_task(
+                net.processes[leader].submit(b'in flight')
+            )
+            await asyncio.sleep(0.002)
+            net.kill(*consensus_net.NODES)
+            await asyncio.gather(hanging, return_exceptions=True)
+            await net.start(*consensus_net.NODES)
+            rows = net.machines[await net.leader()].rows
+            kept = [row for row in rows if row != 'in flight']
+            self.assertEqual(10 * number, len(kept))
+
+
+class CatchUpTest(consensus_net.PausedCase):
+    """Test members that come back far behind, and changes of members."""
+
+    def test_catch_up_by_log(self) -> None:
+        """A host 20,000 changes behind catches up without an election.
+
+        It gets them in bounded batches while heartbeats go on, so that the
+        leader keeps its lease all the time.
+        """
+        self.run_paused(self._catch_up({'snapshot_entries': 100_000}))
+
+    def test_catch_up_by_snapshot(self) -> None:
+        """A host behind the compacted log gets a snapshot in parts.
+
+        Its process is killed in the middle; the parts that it has are kept,
+        and the snapshot goes on where it broke off.
+        """
+        self.run_paused(self._snapshot())
+
+    def test_damaged_snapshot(self) -> None:
+        """A snapshot that arrived damaged is asked for again.
+
+        A crash tore the part received last, and the whole fails its checksum.
+        """
+        self.run_paused(self._damaged())
+
+    def test_replace_lost_host(self) -> None:
+        """A lost host is replaced by a new one, one voter at a time.
+
+        The new host learns first, then votes, and only then the lost one
+        leaves; the wish is in the log, so a new leader goes on with it.
+        """
+        self.run_paused(self._replace())
+
+    def test_one_change_at_a_time(self) -> None:
+        """A second change of members is refused while one is under way.
+
+        On an isolated leader neither can be committed; two at once could give
+        it a quorum of its own, and two groups would accept changes.
+        """
+        self.run_paused(self._one_change())
+
+    def test_removed_host_disturbs_nobody(self) -> None:
+        """A removed host that still runs doesn't depose the leader.
+
+        It hears no heartbeats any more and asks for votes; those who hear the
+        leader refuse, and their term stays.
+        """
+        self.run_paused(self._removed())
+
+    async def _catch_up(self, times: dict[str, float]) -> None:
+        net = consensus_net.Net(**times)
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        behind = next(node for node in consensus_net.NODES if node != leader)
+        net.kill(behind)
+        await net.fill(leader, 20_000)
+        term = net.processes[leader].term
+        await net.start(behind)
+
+        def is_level() -> bool:
+            self.assertTrue(net.processes[leader].has_lease())
+            return len(net.machines[behind].rows) == 20_000
+
+        await net.until(is_level)
+        self.assertEqual(term, net.processes[leader].term)
+
+    async def _snapshot(self) -> None:
+        net = consensus_net.Net(
+            snapshot_entries=500, trailing_entries=10, chunk_bytes=200
+        )
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        behind = next(node for node in consensus_net.NODES if node != leader)
+        net.kill(behind)
+        await net.fill(leader, 2_000)
+        await net.start(behind)
+        held = await net.until(lambda: self._incoming(net, behind, 3_000))
+        for name, data in net.platters[behind].seen.items():
+            net.platters[behind].lasting[name] = data
+        net.kill(behind)
+        await net.start(behind)
+        offsets: list[int] = []
+        handle = net.network.handlers[behind]
+
+        async def note(request: messages.Request) -> messages.Reply:
+            if request.snapshot is not None:
+                offsets.append(request.snapshot.offset)
+            return await handle(request)
+
+        net.network.handlers[behind] = note
+        await net.until(lambda: len(net.machines[behind].rows) == 2_000)
+        self.assertGreaterEqual(min(offsets[1:]), held)
+
+    async def _damaged(self) -> None:
+        net = consensus_net.Net(
+            snapshot_entries=500, trailing_entries=10, chunk_bytes=200
+        )
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        behind = next(node for node in consensus_net.NODES if node != leader)
+        net.kill(behind)
+        await net.fill(leader, 2_000)
+        await net.start(behind)
+        await net.until(lambda: self._incoming(net, behind, 1_000))
+        seen = net.platters[behind].seen
+        name = next(name for name in seen if name.startswith('incoming'))
+        seen[name] = bytes(len(seen[name]))
+        await net.until(lambda: len(net.machines[behind].rows) == 2_000)
+
+    async def _replace(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        await net.fill(leader, 100)
+        lost = next(node for node in consensus_net.NODES if node != leader)
+        net.kill(lost)
+        await net.start('h4', named=False)
+        net.processes[leader].replace(lost, 'h4', 'h4')
+        await net.until(lambda: net.processes['h4'].members())
+        net.kill(leader)
+        await net.start(leader)
+        wanted = {*consensus_net.NODES, 'h4'} - {lost}
+        await net.until(
+            lambda: (
+                {row.node for row in net.processes['h4'].members() if row.voter}
+                == wanted
+            )
+        )
+        self.assertEqual(100, len(net.machines['h4'].rows))
+
+    async def _one_change(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        others = [node for node in consensus_net.NODES if node != leader]
+        net.isolate(leader)
+        net.processes[leader].remove(others[0])
+        with self.assertRaises(failures.MemberChangeRefused):
+            net.processes[leader].remove(others[1])
+
+    async def _removed(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        gone = next(node for node in consensus_net.NODES if node != leader)
+        net.isolate(gone)
+        net.processes[leader].remove(gone)
+        await asyncio.sleep(1)
+        net.network.heal()
+        term = net.processes[leader].term
+        await asyncio.sleep(10)
+        self.assertTrue(net.processes[leader].has_lease())
+        self.assertEqual(term, net.processes[leader].term)
+
+    def _incoming(self, net: consensus_net.Net, node: str, least: int) -> int:
+        for name, data in net.platters[node].seen.items():
+            if name.startswith('incoming') and len(data) > least:
+                return len(data)
+        return 0
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,111 @@
+"""Test that seeded histories hold, and that broken code is noticed."""
+
+from __future__ import annotations
+
+import types
+import unittest
+
+from bench.history import breaks, checker, events, runner
+
+SOUND_SEEDS = (1, 2, 3, 46, 72)
+BROKEN = types.MappingProxyType(
+    {
+        'skip-log-sync': 1,
+        'drop-lease-check': 1,
+        'ignore-based-on': 1,
+    }
+)
+
+
+def change(**changed) -> events.Operation:
+    """Build an accepted change that differs by ``changed``."""
+    known = {
+        'caller': 1,
+        'outcome': events.ACCEPTED,
+        'name': 'meadow',
+        'began': 1,
+        'ended': 2,
+        'change_id': 'c1',
+        'version': 1,
+        'body': 'one',
+    }
+    return events.Operation(**(known | changed))
+
+
+class HistoryTest(unittest.TestCase):
+    """Test whole runs."""
+
+    def test_sound_seeds(self) -> None:
+        """Fixed seeds of every fault there is show no violation."""
+        for seed in SOUND_SEEDS:
+            with self.subTest(seed=seed):
+                verdict = runner.run_seed(seed)
+                shown = ''
+                if verdict.violations:
+                    shown = verdict.history.render()
+                self.assertEqual([], verdict.violations, shown)
+
+    def test_same_seed_same_history(self) -> None:
+        """A seed gives the same history each time, so a failure can be kept."""
+        first, second = runner.run_seed(5), runner.run_seed(5)
+        self.assertEqual(first.history.render(), second.history.render())
+
+    def test_breaks_are_found(self) -> None:
+        """Taking a safeguard out is noticed; the bench tries all of them."""
+        for broken in breaks.ALL:
+            seed = BROKEN.get(broken.name)
+            if seed is None:
+                continue
+            with self.subTest(broken.name), broken.apply():
+                self.assertTrue(runner.run_seed(seed).violations)
+
+
+class CheckerTest(unittest.TestCase):
+    """Test the checker on histories written by hand."""
+
+    def test_stale_read(self) -> None:
+        """A read that began after a change ended must show it."""
+        read = change(
+            outcome=events.READ, began=3, ended=4, version=0, change_id=''
+        )
+        self._assert_found('order', change(), read)
+
+    def test_two_winners(self) -> None:
+        """Two changes can't both have made one version."""
+        other = change(change_id='c2', body='two')
+        self._assert_found('order', change(), other)
+
+    def test_wrong_base(self) -> None:
+        """A change makes the version after the one it was based on."""
+        late = change(change_id='c2', body='two', version=3, based_on=1)
+        self._assert_found('based on', late)
+
+    def test_lost_change(self) -> None:
+        """An accepted change must be on every host in the end."""
+        self._assert_found('lost', change())
+
+    def test_effective_refusal(self) -> None:
+        """What was refused must not have been applied."""
+        refused = change(outcome=events.REFUSED)
+        applied = events.Applied(
+            node='h1', index=3, digest=1, change_id='c1', is_fresh_accept=True
+        )
+        history = events.History(seed=0, operations=[refused])
+        history.applied.append(applied)
+        self._assert_names('refusal', history)
+
+    def test_two_leaders(self) -> None:
+        """One term has one leader."""
+        history = events.History(seed=0, accepted_by={2: {'h1', 'h2'}})
+        self._assert_names('leader', history)
+
+    def _assert_found(self, rule: str, *done: events.Operation) -> None:
+        history = events.History(seed=0, operations=list(done))
+        history.kept.append(
+            events.Kept(node='h1', state=1, versions={}, answers={})
+        )
+        self._assert_names(rule, history)
+
+    def _assert_names(self, rule: str, history: events.History) -> None:
+        names = {row.split(':')[0] for row in checker.check(history)}
+        self.assertIn(rule, names)
