Send a map once, and only ask after that

The load order is sent again to ask how far it is, and took the map with it each time: 88,586 bytes of JSON for 58 layers to 32 ranks every 100 ms.

--- a/tamarackthread/agent/orders.py
+++ b/tamarackthread/agent/orders.py
@@ -181,14 +181,20 @@
         return _done(json.dumps(fields))
 
     def _long(self, order: messages.GroupOrder) -> order_state.OrderState:
-        """Start or resume a long order, or tell how far it has come."""
-        work = self._work_of(order)
+        """Start or resume a long order, or tell how far it has come.
+
+        Who only asks need not send the body again, which may be a whole map.
+        """
         job = self._jobs.get(order.order_id)
         if job is None:
+            work = self._work_of(order)
             state = order_state.OrderState(order_state.RUNNING)
             job = _Job(order, state)
             self._remember(order.order_id, job)
-        elif job.state.state != order_state.FAILED:
+        elif job.state.state == order_state.FAILED:
+            job.order.fence = order.fence
+            work = self._work_of(job.order)
+        else:
             return job.state
         job.state = attrs.evolve(job.state, state=order_state.RUNNING)
         job.task = asyncio.create_task(self._execute(job, work))
--- a/tamarackthread/agent/switching.py
+++ b/tamarackthread/agent/switching.py
@@ -32,6 +32,7 @@
     arm_seconds: float = 0.25
     load_seconds: float = 600
     poll_seconds: float = 0.1
+    longest_poll_seconds: float = 2
 
 
 class SwitchDriver:
@@ -86,7 +87,9 @@
     async def _load(self, number: int, target: expert_map.ExpertMap) -> None:
         """Have every rank load; sending the order again asks how far it is."""
         order_id = f'load-{number}-{target.digest()}'
-        body = target.to_json()
+        whole = target.to_json()
+        body = whole
+        pause = self._settings.poll_seconds
         end = asyncio.get_running_loop().time() + self._settings.load_seconds
         while asyncio.get_running_loop().time() < end:
             states = await self._owner.order_all(
@@ -96,8 +99,11 @@
             )
             if _all_done(states.values()):
                 return
-            _raise_refusal(states.values())
-            await asyncio.sleep(self._settings.poll_seconds)
+            _raise_refusal(states.values(), may_lack_body=not body)
+            # An agent that restarted has forgotten the order and its map.
+            body = whole if _any_lacks_body(states.values()) else ''
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, self._settings.longest_poll_seconds)
         raise order_errors.SwitchAborted('weights were not loaded in time')
 
     async def _settled_state(
@@ -179,10 +185,16 @@
     )
 
 
-def _raise_refusal(states: _States) -> None:
+def _any_lacks_body(states: _States) -> bool:
+    return any(
+        isinstance(state, expert_map.ExpertMapInvalid) for state in states
+    )
+
+
+def _raise_refusal(states: _States, may_lack_body: bool) -> None:
     """Raise what cannot get better by asking again."""
     for state in states:
         if isinstance(state, order_errors.NotOwner | order_errors.OrderStale):
             raise state
-        if isinstance(state, order_errors.OrderInvalid):
-            raise state
+    if not may_lack_body and _any_lacks_body(states):
+        raise expert_map.ExpertMapInvalid('a rank refused the map')
