--- a/bench/engines/group.py
+++ b/bench/engines/group.py
@@ -12,9 +12,9 @@
 import collections
 import collections.abc
 
-import attrs
 import numpy
 
+from bench.engines import step_history
 from tamarackthread.agent import (
     engine,
     loading,
@@ -29,38 +29,6 @@
 _TOKEN_GAPS = 0.05
 
 
-@attrs.frozen
-class Step:
-    """Be one step as it was run; ``maps`` has a digest for each rank.
-
-    ``held`` is how long a rank that could run it held for a decision.
-    """
-
-    number: int
-    started: float
-    maps: tuple[str, ...]
-    held: float
-    seconds: float
-
-
-@attrs.frozen
-class Executed:
-    """Be one order as an engine executed it."""
-
-    time: float
-    rank: int
-    fence: int
-    action: str
-
-
-@attrs.define
-class History:
-    """Keep what happened, for the checker."""
-
-    steps: list[Step] = attrs.Factory(list)
-    orders: list[Executed] = attrs.Factory(list)
-
-
 class RankEngine(engine.Engine):
     """Be one rank's engine process."""
 
@@ -200,7 +168,7 @@
         await self._respond()
         self._check_fence(fence)
         now = asyncio.get_running_loop().time()
-        executed = Executed(now, self.rank, fence, action)
+        executed = step_history.Executed(now, self.rank, fence, action)
         self._group.history.orders.append(executed)
         await asyncio.sleep(_ORDER_SECONDS)
         report(1)
@@ -234,7 +202,7 @@
         self._random = numpy.random.default_rng(1)
         self.engines: list[RankEngine] = []
         self.changed = asyncio.Event()
-        self.history = History()
+        self.history = step_history.History()
         self.step = 0
 
     @property
@@ -287,7 +255,7 @@
         seconds = max(self._durations.get(digest, 0) for digest in used)
         started = loop.time()
         await asyncio.sleep(seconds)
-        step = Step(self.step, started, used, held, seconds)
+        step = step_history.Step(self.step, started, used, held, seconds)
         self.history.steps.append(step)
 
     def _begin(self, begun: dict[int, tuple[int, str]]) -> None:
--- a/bench/engines/switch_checker.py
+++ b/bench/engines/switch_checker.py
@@ -7,7 +7,7 @@
 import attrs
 import numpy
 
-from bench.engines import group
+from bench.engines import step_history
 from tamarackthread.agent import switch_record
 
 
@@ -29,7 +29,7 @@
 
 
 def check(
-    history: group.History,
+    history: step_history.History,
     records: collections.abc.Sequence[switch_record.SwitchRecord],
     initial: str,
 ) -> Findings:
@@ -61,7 +61,7 @@
 
 
 def _unrecorded(
-    steps: list[group.Step],
+    steps: list[step_history.Step],
     committed: list[switch_record.SwitchRecord],
     initial: str,
 ) -> int:
@@ -76,7 +76,7 @@
     return wrong
 
 
-def _stale(orders: list[group.Executed]) -> int:
+def _stale(orders: list[step_history.Executed]) -> int:
     """Count orders that ran after one with a higher number did.
 
     Orders of one group are compared across its ranks: the new owner begins
@@ -91,7 +91,7 @@
 
 
 def _held(
-    steps: list[group.Step],
+    steps: list[step_history.Step],
     decided: list[switch_record.SwitchRecord],
 ) -> tuple[float, ...]:
     held = {step.number: step.held for step in steps}
--- a/bench/engines/switch_world.py
+++ b/bench/engines/switch_world.py
@@ -15,24 +15,17 @@
 import attrs
 import numpy
 
-from bench.engines import group, network
+from bench.engines import fake_control, group, network
 from tamarackthread.agent import (
-    control_client,
     group_part,
-    order_errors,
     orders,
     ranks,
-    switch_record,
 )
-from tamarackthread.control import decisions, leases
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import expert_map
 from tamarackthread.shared import errors
 
 GROUP = 'group-1'
-CONTROL = 'control'
-_COMMIT_SECONDS = 0.004
-_CONTROL_TIMEOUT = 0.3
 
 
 def _plant_nothing(desk: orders.OrderDesk) -> None:
@@ -52,131 +45,6 @@
     links: network.NetworkSettings = network.NetworkSettings()
 
 
-class Control:
-    """Keep leases and decisions as the control hosts' machine does."""
-
-    def __init__(self) -> None:
-        """Start with nothing granted."""
-        self._table = leases.LeaseTable()
-        self._decisions = decisions.Decisions(self._table)
-        self._keeper = leases.LeaseKeeper(
-            lambda: self._table,
-            self._commit,
-            lambda: asyncio.get_running_loop().time(),
-        )
-        self.records: list[switch_record.SwitchRecord] = []
-
-    async def lease(
-        self,
-        request: messages.LeaseRequest,
-    ) -> messages.LeaseReply:
-        """Answer about a lease."""
-        return await self._keeper.request(request)
-
-    async def decide(
-        self,
-        request: messages.DecisionRequest,
-    ) -> messages.DecisionReply:
-        """Record or read a decision; id 0 reads the latest."""
-        if request.switch_id == switch_record.LATEST:
-            return self._latest(request.group)
-        if request.decision:
-            await asyncio.sleep(_COMMIT_SECONDS)
-        reply = self._decisions.decide(request)
-        if reply.recorded:
-            self._note(reply)
-        return reply
-
-    async def _commit(
-        self,
-        request: messages.LeaseRequest,
-    ) -> messages.LeaseReply:
-        await asyncio.sleep(_COMMIT_SECONDS)
-        return self._table.apply(request)
-
-    def _latest(self, name: str) -> messages.DecisionReply:
-        kept = [
-            record
-            for record in self._decisions.everything()
-            if record.group == name
-        ]
-        if not kept:
-            return messages.DecisionReply(decision='', switch_id=0)
-        last = max(kept, key=lambda record: record.switch_id)
-        return messages.DecisionReply(
-            decision=last.decision,
-            switch_id=last.switch_id,
-            body=last.body,
-        )
-
-    def _note(self, reply: messages.DecisionReply) -> None:
-        record = switch_record.from_reply(reply)
-        if record is not None and record not in self.records:
-            self.records.append(record)
-
-
-class LocalControl(control_client.ControlClient):
-    """Reach control at once."""
-
-    def __init__(self, control: Control) -> None:
-        """Ask this one."""
-        self._control = control
-
-    async def lease(
-        self,
-        request: messages.LeaseRequest,
-    ) -> messages.LeaseReply:
-        """Answer about a lease."""
-        return await self._control.lease(request)
-
-    async def decide(
-        self,
-        request: messages.DecisionRequest,
-    ) -> messages.DecisionReply:
-        """Record or read a decision."""
-        return await self._control.decide(request)
-
-
-class NodeControl(control_client.ControlClient):
-    """Reach control over the network from one node."""
-
-    def __init__(
-        self,
-        node: str,
-        links: network.Network,
-        control: Control,
-    ) -> None:
-        """Call as ``node``."""
-        self._node = node
-        self._links = links
-        self._control = control
-
-    async def lease(
-        self,
-        request: messages.LeaseRequest,
-    ) -> messages.LeaseReply:
-        """Answer about a lease."""
-        return await self._ask(lambda: self._control.lease(request))
-
-    async def decide(
-        self,
-        request: messages.DecisionRequest,
-    ) -> messages.DecisionReply:
-        """Record or read a decision."""
-        return await self._ask(lambda: self._control.decide(request))
-
-    async def _ask(self, work: collections.abc.Callable) -> object:
-        try:
-            return await self._links.call(
-                self._node,
-                CONTROL,
-                work,
-                _CONTROL_TIMEOUT,
-            )
-        except errors.RequestTimeout as exc:
-            raise order_errors.ControlUnreachable(str(exc)) from exc
-
-
 class NodeRanks(ranks.RankTransport):
     """Reach the hosts' desks over the network from one node."""
 
@@ -250,7 +118,7 @@
                 candidate=self.rank < world.settings.owners,
                 checks_fencing=world.settings.checks_fencing,
             ),
-            NodeControl(self.node, world.links, world.control),
+            fake_control.NodeControl(self.node, world.links, world.control),
             NodeRanks(self.node, world),
             self.engine,
         )
@@ -295,7 +163,7 @@
         )
         self.initial = expert_map.cold_start(self.shape)
         self.links = network.Network(self._random, settings.links)
-        self.control = Control()
+        self.control = fake_control.Control()
         tokens = numpy.full((1, self.shape.experts), 1000)
         self.group = group.LockStepGroup(tokens, token_seconds=3e-6)
         self.group.add_map(self.initial)
--- a/bench/experiments/skew.py
+++ b/bench/experiments/skew.py
@@ -8,14 +8,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
 import time
 
 import attrs
 import numpy
 
-from bench.engines import drift, notices, skew_picture
+from bench.engines import drift, notices, plan_timer, skew_picture
 from tamarackthread.policy import expert_map, forecast, moves, placement
 
 _TUNING_SEEDS = (11, 12)
@@ -24,7 +23,6 @@
 _STEPS_A_WINDOW = 4
 _LOST_REPORTS = 0.05
 _LAG_WINDOWS = 2
-_TIMED_SHAPE = expert_map.GroupShape(layers=58, experts=256, ranks=32, slots=10)
 
 
 @attrs.define(eq=False)
@@ -81,8 +79,8 @@
     figures['kept_out'] = _merge(runs[len(tuned) :])
     figures['goals'] = _goals(figures)
     figures['goals_kept_out'] = _goals(figures['kept_out'])
-    figures.update(_time_plans(3 if quick else 20))
-    figures['plan_layers'] = _TIMED_SHAPE.layers
+    figures.update(plan_timer.time_plans(3 if quick else 20))
+    figures['plan_layers'] = plan_timer.SHAPE.layers
     figures['seeds'] = {'tuned': tuned, 'kept_out': kept_out}
     figures['windows'] = windows
     return figures
@@ -263,44 +261,3 @@
         'few_skew_to_static': round(few['skew_mean'] / static['skew_mean'], 3),
         'few_moves_to_replan': round(few['weights_moved'] / moved, 4),
     }
-
-
-def _time_plans(repeats: int) -> dict:
-    """Time plans of the full size from a cold start, and the loop's waits.
-
-    Each plan runs in a thread while a task on the loop wants to run each
-    millisecond; the longest time that it could not is reported.
-    """
-    return asyncio.run(_time_in_threads(repeats))
-
-
-async def _time_in_threads(repeats: int) -> dict:
-    random = numpy.random.default_rng(5)
-    size = (_TIMED_SHAPE.layers, _TIMED_SHAPE.experts)
-    planner = placement.IncrementalPlanner(placement.EVEN)
-    taken = []
-    gaps: list[float] = []
-    ticker = asyncio.create_task(_tick(gaps))
-    for _ in range(repeats):
-        shares = random.dirichlet(numpy.ones(size[1]), size[0])
-        outlook = forecast.Outlook(shares, 300)
-        cold = expert_map.cold_start(_TIMED_SHAPE)
-        started = time.perf_counter()
-        await asyncio.to_thread(planner.plan, cold, outlook)
-        taken.append(time.perf_counter() - started)
-    ticker.cancel()
-    return {
-        'plan_ms_p99': round(float(numpy.quantile(taken, 0.99)) * 1000, 1),
-        'plan_loop_held_ms_p99': round(
-            float(numpy.quantile(gaps, 0.99)) * 1000,
-            1,
-        ),
-        'plan_loop_held_ms_max': round(max(gaps) * 1000, 1),
-    }
-
-
-async def _tick(gaps: list[float]) -> None:
-    while True:
-        started = time.perf_counter()
-        await asyncio.sleep(0.001)
-        gaps.append(time.perf_counter() - started)
--- a/bench/experiments/switch.py
+++ b/bench/experiments/switch.py
@@ -14,7 +14,7 @@
 
 import async_solipsism
 
-from bench.engines import network, switch_checker, switch_world
+from bench.engines import fake_control, network, switch_checker, switch_world
 
 _SEEDS = tuple(range(1, 13))
 _LONGEST_SECONDS = 600
@@ -180,7 +180,7 @@
         self._world.links.stall(host.node, self._random.uniform(0.1, 3))
 
     async def _isolate_owner_from_control(self) -> None:
-        await self._isolate(self._owner(), [switch_world.CONTROL])
+        await self._isolate(self._owner(), [fake_control.CONTROL])
 
     async def _isolate_owner_from_ranks(self) -> None:
         owner = self._owner()
@@ -191,7 +191,7 @@
     async def _isolate_rank(self) -> None:
         host = self._host()
         nodes = [one.node for one in self._world.hosts if one != host]
-        await self._isolate(host, [*nodes, switch_world.CONTROL])
+        await self._isolate(host, [*nodes, fake_control.CONTROL])
 
     async def _restart_group_part(self) -> None:
         hosts = self._random.sample(self._world.hosts, 3)
--- a/tamarackthread/agent/order_state.py
+++ b/tamarackthread/agent/order_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import json
 
 import attrs
@@ -79,3 +80,14 @@
         return OrderState(**json.loads(text))
     except (ValueError, TypeError) as exc:
         raise order_errors.OrderInvalid(f'order state: {exc}') from exc
+
+
+def read_status(
+    states: collections.abc.Mapping[int, OrderState | errors.CodedError],
+) -> list[dict]:
+    """Return what the ranks that answered said to a ``status`` order."""
+    return [
+        json.loads(state.result)
+        for state in states.values()
+        if isinstance(state, OrderState)
+    ]
--- a/tamarackthread/agent/owner.py
+++ b/tamarackthread/agent/owner.py
@@ -1,21 +1,19 @@
 """Own a group: hold its lease and give its orders under a fencing number.
 
 Several agents of a group run an owner; only the one that holds the lease
-acts.  Time is counted from before a lease request left, so an owner that is
-cut off stops by its own clock before control lets another one in.
+acts.  A new owner first brings its fencing number to every rank's agent.
 """
 
 from __future__ import annotations
 
 import asyncio
-import collections.abc
-import json
 import logging
 
 import attrs
 
 from tamarackthread.agent import (
     control_client,
+    group_lease,
     order_errors,
     order_state,
     ranks,
@@ -26,8 +24,6 @@
 
 _log = logging.getLogger('tamarackthread.owner')
 _MS = 1000
-# Part of a lease that clocks of two hosts may differ by, with room.
-_CLOCK_MARGIN = 0.05
 
 
 @attrs.frozen
@@ -61,8 +57,13 @@
         self._settings = settings
         self._control = control
         self._transport = transport
-        self._fence = 0
-        self._until = float('-inf')
+        self._lease = group_lease.GroupLease(
+            settings.group,
+            settings.holder,
+            settings.lease_ms,
+            settings.retry_seconds,
+            control,
+        )
         self._ready = asyncio.Event()
 
     @property
@@ -73,7 +74,7 @@
     @property
     def fence(self) -> int:
         """Return the fencing number of the lease last held."""
-        return self._fence
+        return self._lease.fence
 
     @property
     def control(self) -> control_client.ControlClient:
@@ -88,44 +89,35 @@
     @property
     def is_owner(self) -> bool:
         """Tell whether the lease is held and the take-over is finished."""
-        return self._ready.is_set() and self._is_held()
+        return self._ready.is_set() and self._lease.is_held
 
     async def wait_owner(self) -> None:
         """Wait until this process is the owner."""
         while not self.is_owner:
             await self._ready.wait()
             await asyncio.sleep(0)
-            if not self._is_held():
+            if not self._lease.is_held:
                 await asyncio.sleep(self._settings.retry_seconds)
 
     async def run(self) -> None:
         """Take the lease, keep it, and begin anew when it is lost."""
         while True:
-            await self._acquire()
-            _log.info('owner: holds %s as %d', self.group, self._fence)
+            await self._lease.acquire()
+            _log.info('owner: holds %s as %d', self.group, self._lease.fence)
             taking_over = asyncio.create_task(self._take_over())
             try:
-                await self._keep()
+                await self._lease.keep()
             finally:
                 taking_over.cancel()
                 self._ready.clear()
-            _log.warning('owner: lost %s, was %d', self.group, self._fence)
+            _log.warning(
+                'owner: lost %s, was %d', self.group, self._lease.fence
+            )
 
     async def release(self) -> None:
         """Give the lease back, so that another owner need not wait."""
         self._ready.clear()
-        self._until = float('-inf')
-        try:
-            await self._control.lease(self._request(release=True))
-        except order_errors.ControlUnreachable:
-            # The lease ends by itself.
-            return
-
-    def step_down(self, fence: int) -> None:
-        """Stop at once, because a higher number than ours has been seen."""
-        _log.warning('owner: %d is in force, ours is %d', fence, self._fence)
-        self._until = float('-inf')
-        self._ready.clear()
+        await self._lease.release()
 
     async def order(
         self,
@@ -139,21 +131,21 @@
         The order's deadline never lies after the lease, so that none can
         wait somewhere until the next owner acts.
         """
-        now = asyncio.get_running_loop().time()
-        left = min(self._settings.order_seconds, self._until - now)
+        left = min(self._settings.order_seconds, self._lease.seconds_left)
         if left <= 0:
             raise order_errors.NotOwner()
         order = messages.GroupOrder(
             group=self.group,
-            fence=self._fence,
+            fence=self._lease.fence,
             order_id=order_id,
             action=action,
             body=body,
             deadline_ms=max(1, int(left * _MS)),
         )
         reply = await self._transport.send(rank, order, left)
-        if reply.highest_fence > self._fence:
-            self.step_down(reply.highest_fence)
+        if reply.highest_fence > self._lease.fence:
+            self._ready.clear()
+            self._lease.give_up(reply.highest_fence)
         state = order_state.from_json(reply.body)
         state.raise_failure()
         return state
@@ -186,8 +178,8 @@
         Keeps trying while the lease lasts, because a lost answer leaves open
         whether the record stands.  ``None`` means that control refused it.
         """
-        request = record.to_request(self.group, self._fence)
-        while self._is_held():
+        request = record.to_request(self.group, self._lease.fence)
+        while self._lease.is_held:
             try:
                 reply = await self._control.decide(request)
             except errors.CodedError:
@@ -196,45 +188,6 @@
             return switch_record.from_reply(reply)
         raise order_errors.NotOwner('lease ended before control answered')
 
-    async def _acquire(self) -> None:
-        self._fence = 0
-        while True:
-            wait = await self._ask_lease()
-            if wait is None:
-                return
-            await asyncio.sleep(max(wait, self._settings.retry_seconds))
-
-    async def _keep(self) -> None:
-        """Renew the lease at a third of it, until it is lost."""
-        pause = self._settings.lease_ms / _MS / 3
-        while self._is_held():
-            await asyncio.sleep(pause)
-            if self._is_held():
-                await self._ask_lease()
-
-    async def _ask_lease(self) -> float | None:
-        """Ask once; return ``None`` when granted, else seconds to wait."""
-        asked = asyncio.get_running_loop().time()
-        held = self._fence
-        try:
-            reply = await self._control.lease(self._request())
-        except errors.CodedError:
-            return self._settings.retry_seconds
-        if not reply.granted:
-            if held and reply.fence != held:
-                self.step_down(reply.fence)
-            return (reply.wait_ms or 0) / _MS
-        if held and reply.fence != held:
-            # The lease had ended in between, and ours is a new one: all
-            # that was known under the old number has to be learnt again.
-            self._fence = reply.fence
-            self.step_down(reply.fence)
-            return 0
-        self._fence = reply.fence
-        length = reply.lease_ms / _MS * (1 - _CLOCK_MARGIN)
-        self._until = asked + length
-        return None
-
     async def _take_over(self) -> None:
         """Close an open switch and bring the new number to all ranks.
 
@@ -257,7 +210,7 @@
         while True:
             states = await self.order_all(
                 order_state.FENCE,
-                f'fence-{self._fence}',
+                f'fence-{self._lease.fence}',
             )
             failed = [
                 state
@@ -266,7 +219,7 @@
             ]
             if not failed:
                 return
-            if not self._is_held():
+            if not self._lease.is_held:
                 raise order_errors.NotOwner()
             await asyncio.sleep(self._settings.retry_seconds)
 
@@ -289,30 +242,9 @@
         )
 
     async def _latest(self) -> switch_record.SwitchRecord | None:
-        while self._is_held():
+        while self._lease.is_held:
             try:
                 return await self._control.latest(self.group)
             except errors.CodedError:
                 await asyncio.sleep(self._settings.retry_seconds)
         raise order_errors.NotOwner()
-
-    def _is_held(self) -> bool:
-        return asyncio.get_running_loop().time() < self._until
-
-    def _request(self, release: bool = False) -> messages.LeaseRequest:
-        return messages.LeaseRequest(
-            name=self.group,
-            holder=self._settings.holder,
-            lease_ms=self._settings.lease_ms,
-            fence=self._fence,
-            release=release,
-        )
-
-
-def read_status(
-    states: dict[int, order_state.OrderState | errors.CodedError],
-) -> collections.abc.Iterator[tuple[int, dict]]:
-    """Yield rank and status of the ranks that gave one."""
-    for rank, state in states.items():
-        if isinstance(state, order_state.OrderState):
-            yield rank, json.loads(state.result)
--- a/tamarackthread/agent/switch.py
+++ b/tamarackthread/agent/switch.py
@@ -12,11 +12,11 @@
 
 import attrs
 import numpy
-import transitions
 
 from tamarackthread.agent import (
     control_client,
     engine,
+    lifecycle,
     loading,
     maps,
     order_errors,
@@ -27,11 +27,6 @@
 
 _log = logging.getLogger('tamarackthread.switch')
 
-UNPLACED = 'unplaced'
-STEADY = 'steady'
-LOADED = 'loaded'
-ARMED = 'armed'
-
 
 @attrs.frozen
 class SwitchSettings:
@@ -46,27 +41,6 @@
     retry_seconds: float = 0.1
 
 
-class _Lifecycle:
-    """Be the rank's state; a restart of the engine leads to UNPLACED."""
-
-    state = UNPLACED
-
-    def __init__(self) -> None:
-        self._machine = transitions.Machine(
-            model=self,
-            states=[UNPLACED, STEADY, LOADED, ARMED],
-            initial=UNPLACED,
-            auto_transitions=False,
-            transitions=[
-                ['lose', '*', UNPLACED],
-                ['place', UNPLACED, STEADY],
-                ['load', [STEADY, LOADED], LOADED],
-                ['arm', [LOADED, UNPLACED], ARMED],
-                ['settle', ARMED, STEADY],
-            ],
-        )
-
-
 class RankSwitch:
     """Keep one engine on the map that control recorded for each step."""
 
@@ -88,7 +62,7 @@
         self._book = book
         self._loader = loader
         self._settings = settings or SwitchSettings()
-        self._life = _Lifecycle()
+        self._life = lifecycle.Lifecycle()
         self._record = self._first_record()
         self._loaded_map = ''
         self._fence = 0
@@ -124,7 +98,7 @@
         report: engine.Report,
     ) -> None:
         """Load what a map adds for this rank, keeping the one that serves."""
-        if self.state not in {STEADY, LOADED}:
+        if self.state not in {lifecycle.STEADY, lifecycle.LOADED}:
             raise order_errors.RankNotReady(f'rank is {self.state}')
         serving = self._record.settled_map
         current = await self._book.get(serving)
@@ -132,7 +106,10 @@
         digest = self._book.add(target)
         await self._engine.add_map(target)
         await self._loader.load(self._moves(added), report)
-        if self._record.settled_map != serving or self.state == UNPLACED:
+        if (
+            self._record.settled_map != serving
+            or self.state == lifecycle.UNPLACED
+        ):
             raise order_errors.RankNotReady('rank restarted during the load')
         self._loaded_map = digest
         self._life.trigger('load')
@@ -144,11 +121,17 @@
     ) -> None:
         """Arm the engine for an open switch; arming again does nothing."""
         async with self._lock:
-            if record.number <= self._record.number and self.state != UNPLACED:
+            if (
+                record.number <= self._record.number
+                and self.state != lifecycle.UNPLACED
+            ):
                 self._check_known(record)
                 return
             fits = record.base == self._record.settled_map
-            if self.state != LOADED or record.target != self._loaded_map:
+            if (
+                self.state != lifecycle.LOADED
+                or record.target != self._loaded_map
+            ):
                 raise order_errors.RankNotReady(f'rank is {self.state}')
             if not fits or not await self._is_past_last_switch():
                 raise order_errors.RankNotReady('rank serves another map')
@@ -161,7 +144,7 @@
     async def learn(self, record: switch_record.SwitchRecord) -> None:
         """Take the outcome of the switch that the rank is armed for."""
         async with self._lock:
-            if self.state == ARMED:
+            if self.state == lifecycle.ARMED:
                 await self._settle(record)
 
     async def _is_past_last_switch(self) -> bool:
@@ -177,7 +160,7 @@
             raise order_errors.SwitchAborted()
 
     async def _settle(self, latest: switch_record.SwitchRecord) -> None:
-        decided = _outcome(self._record, latest)
+        decided = self._record.outcome_by(latest)
         if decided is None:
             return
         await self._engine.follow(decided, self._fence)
@@ -236,7 +219,7 @@
     async def _watch_outcome(self) -> None:
         """Ask control for the outcome when no message brought it."""
         await asyncio.sleep(self._settings.patience_seconds)
-        while self.state == ARMED:
+        while self.state == lifecycle.ARMED:
             try:
                 latest = await self._control.latest(self._group)
             except errors.CodedError:
@@ -291,23 +274,5 @@
     ]
 
 
-def _outcome(
-    own: switch_record.SwitchRecord,
-    latest: switch_record.SwitchRecord,
-) -> switch_record.SwitchRecord | None:
-    """Work out how the own switch ended from the latest record.
-
-    No later switch can have been committed without this rank, so the map
-    that a later one starts from is the one that the own switch ended with.
-    """
-    if latest.number < own.number:
-        return None
-    if latest.number == own.number:
-        return None if latest.is_open else latest
-    if latest.base == own.target:
-        return own.decided(switch_record.Stage.COMMITTED)
-    return own.decided(switch_record.Stage.ABORTED)
-
-
 def _no_report(done: float) -> None:
     """Take no notice of progress."""
--- a/tamarackthread/agent/switch_record.py
+++ b/tamarackthread/agent/switch_record.py
@@ -69,6 +69,21 @@
         """Return the same switch with an outcome."""
         return attrs.evolve(self, stage=stage)
 
+    def outcome_by(self, latest: 'SwitchRecord') -> 'SwitchRecord | None':
+        """Work out how this switch ended from the group's latest record.
+
+        Asked by a rank that armed for this switch: no later switch can have
+        been committed without it, so the map that a later one starts from is
+        the one that this switch ended with.
+        """
+        if latest.number < self.number:
+            return None
+        if latest.number == self.number:
+            return None if latest.is_open else latest
+        if latest.base == self.target:
+            return self.decided(Stage.COMMITTED)
+        return self.decided(Stage.ABORTED)
+
     def to_json(self) -> str:
         """Write the record for a message's body."""
         fields = attrs.asdict(self)
--- a/tamarackthread/agent/switching.py
+++ b/tamarackthread/agent/switching.py
@@ -135,7 +135,7 @@
 
     async def _statuses(self) -> list[dict]:
         states = await self._owner.order_all(order_state.STATUS, 'status')
-        found = [status for _, status in owner.read_status(states)]
+        found = order_state.read_status(states)
         if len(found) < len(states):
             raise order_errors.SwitchAborted('a rank gave no status')
         return found
--- a/tests/test_group_part.py
+++ b/tests/test_group_part.py
@@ -9,7 +9,7 @@
 
 from bench.engines import switch_world
 from bench.experiments import switch as experiment
-from tamarackthread.agent import balancer, order_errors, order_state, switch
+from tamarackthread.agent import balancer, lifecycle, order_errors, order_state
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import placement
 
@@ -111,7 +111,7 @@
             before = other.engine.pieces_loaded
             await other.restart_agent(0.1)
             await asyncio.sleep(5)
-            self.assertEqual(other.part.switch.state, switch.STEADY)
+            self.assertEqual(other.part.switch.state, lifecycle.STEADY)
             self.assertEqual(other.engine.pieces_loaded, before)
 
         self._run(scene)
--- a/tests/test_map_switch.py
+++ b/tests/test_map_switch.py
@@ -4,13 +4,19 @@
 import logging
 import unittest
 
-from bench.engines import group, network, switch_checker, switch_world
+from bench.engines import (
+    fake_control,
+    group,
+    network,
+    switch_checker,
+    switch_world,
+)
 from bench.experiments import switch as experiment
 from tamarackthread.agent import (
     engine,
+    lifecycle,
     order_errors,
     orders,
-    switch,
     switch_record,
 )
 
@@ -172,7 +178,7 @@
             switching = asyncio.create_task(
                 world.owner.part.driver.switch_to(world.world.next_map()),
             )
-            while host.part.switch.state != switch.ARMED:
+            while host.part.switch.state != lifecycle.ARMED:
                 await asyncio.sleep(0.001)
             await asyncio.gather(
                 host.engine.restart(0.4),
@@ -206,10 +212,10 @@
             switching = asyncio.create_task(
                 world.owner.part.driver.switch_to(world.world.next_map()),
             )
-            while world.world.hosts[3].part.switch.state != switch.ARMED:
+            while world.world.hosts[3].part.switch.state != lifecycle.ARMED:
                 await asyncio.sleep(0.001)
             nodes = {host.node for host in world.world.hosts}
-            nodes.add(switch_world.CONTROL)
+            nodes.add(fake_control.CONTROL)
             own = world.owner.node
             world.world.links.cut(own, nodes - {own})
             with self.assertRaises(order_errors.NotOwner):
@@ -242,7 +248,7 @@
                 await switching
             await asyncio.sleep(3)
             self.assertEqual(world.check().mixed_map_steps, 0)
-            self.assertEqual(host.part.switch.state, switch.STEADY)
+            self.assertEqual(host.part.switch.state, lifecycle.STEADY)
 
         self._run(scene)
 
@@ -265,7 +271,7 @@
             )
             with self.assertRaises(order_errors.ArmTooLate):
                 await host.part.switch.arm(record, 1)
-            self.assertEqual(host.part.switch.state, switch.LOADED)
+            self.assertEqual(host.part.switch.state, lifecycle.LOADED)
 
         self._run(scene)
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,7 +6,7 @@
 import random
 import unittest
 
-from bench.engines import switch_world
+from bench.engines import fake_control, switch_world
 from bench.experiments import switch as experiment
 from tamarackthread.agent import order_errors, order_state, store_slots
 from tamarackthread.generated.messages import ttypes as messages
@@ -80,7 +80,7 @@
                 release=False,
             )
             granted = await world.control.lease(lease)
-            world.links.cut('rank-0', [switch_world.CONTROL])
+            world.links.cut('rank-0', [fake_control.CONTROL])
             await world.hosts[0].restart_agent(0.1)
             state = await self._give(world, _order(granted.fence - 1))
             self.assertEqual(state.code, order_errors.FenceUnknown.code)
@@ -178,13 +178,13 @@
         """
 
         async def scene() -> None:
-            control = switch_world.Control()
+            control = fake_control.Control()
             settings = store_slots.SlotSettings(slots=3, lease_ms=60_000)
             got: list[str] = []
 
             async def take(name: str, urgent: bool) -> None:
                 store = store_slots.LeasedStore(
-                    switch_world.LocalControl(control),
+                    fake_control.LocalControl(control),
                     name,
                     settings,
                     random.Random(name),
