--- a/tests/test_group_part.py
+++ b/tests/test_group_part.py
@@ -9,7 +9,14 @@
 
 from bench.engines import switch_world
 from bench.experiments import switch as experiment
-from tamarackthread.agent import balancer, lifecycle, order_errors, order_state
+from tamarackthread.agent import (
+    balancer,
+    lifecycle,
+    order_errors,
+    order_state,
+    ordered_group,
+    rollout,
+)
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import placement
 
@@ -116,6 +123,41 @@
 
         self._run(scene)
 
+    def test_version(self) -> None:
+        """A roll-out loads its version on every rank of a group, once.
+
+        The owner is lost while the ranks load; the next one is found and
+        takes the same order up.
+        """
+
+        async def scene(world: object, host: object) -> None:
+            reached = ordered_group.OrderedGroup(
+                ordered_group.GroupReach(switch_world.GROUP, 'v1'),
+                switch_world.NodeRanks('operator', world),
+                float,
+            )
+            rolling = rollout.Rollout(
+                'r1',
+                'v2',
+                [reached],
+                rollout.RolloutLimits(watch_seconds=3),
+            )
+            running = asyncio.create_task(rolling.run())
+            await asyncio.sleep(3.005)
+            await host.restart_agent(1)
+            await running
+            run = [
+                one.rank
+                for one in world.group.history.orders
+                if one.action == 'load_version'
+            ]
+            self.assertEqual(set(run), set(range(RANKS)))
+            others = [rank for rank in run if rank != host.rank]
+            self.assertEqual(len(others), len(set(others)))
+            self.assertEqual(rolling.progress.left, ())
+
+        self._run(scene)
+
     def test_operator_order(self) -> None:
         """An operator's order reaches every rank once, through the owner."""
 
