Link each entry to its subset of targets, and say when a caller is gone

Entries now announce themselves, so that each can rank the targets the same way and keep links to about subset_size of them; links that fall out of the subset close once their calls have ended, and lost targets are made up for.

--- a/bench/experiments/demo.py
+++ b/bench/experiments/demo.py
@@ -83,7 +83,10 @@
 async def _change_profile(subject: stand.Stand) -> float:
     loop = asyncio.get_running_loop()
     acting = operator.Operator(subject.running)
-    body = {'claims': {'wait_seconds': 4}, 'admission': {'first_token_seconds': 0.4}}
+    body = {
+        'claims': {'wait_seconds': 4},
+        'admission': {'first_token_seconds': 0.4},
+    }
     try:
         began = loop.time()
         reply = await acting.put('profile', 'standard', body, based_on=1)
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -171,6 +171,7 @@
   1: string target, 2: string service_name, 3: string zone, 4: string region,
   5: string address, 6: i64 incarnation, 7: bool leaving, 8: string group, 9: i32 ranks,
   10: bool checks_fencing,
+  11: string entry,          // set instead of target by an entry: its node
 }
 struct DrainRequest { 1: string target, 2: string actor, 3: bool cancel }
 
--- a/tamarackthread/agent/role.py
+++ b/tamarackthread/agent/role.py
@@ -6,10 +6,11 @@
 import logging
 import random
 
-from tamarackthread.agent import announcer, claims, gate, reports, target
+from tamarackthread.agent import claims, gate, reports, target
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import (
+    announcer,
     catalogue,
     documents,
     errors,
@@ -116,11 +117,16 @@
                 self._place.options.identity.incarnation,
             ),
         )
-        self._announcer = announcer.Announcer(
-            settings,
+        self._announced = announcer.AnnouncedTarget(
+            self._own,
             self._place.options.identity,
+        )
+        self._announcer = announcer.Announcer(
+            self._announced,
             self._peers,
             self._feed,
+            tuple(settings.control_addresses),
+            self._own.heartbeat_seconds,
         )
         self._listener = listener.Listener(
             self._place.options,
@@ -176,7 +182,8 @@
         self._stopping = True
         _log.info('agent: leaves, %d calls open', self._gate.open_calls)
         self._gate.leave()
-        await self._announcer.leave()
+        self._announced.leave()
+        await self._announcer.announce()
         await process.drained(
             self._gate.wait_idle(),
             self._own.drain_seconds,
--- a/tamarackthread/control/host.py
+++ b/tamarackthread/control/host.py
@@ -14,6 +14,7 @@
     configuration,
     consensus,
     disk,
+    entries,
     folder,
     forwarding,
     leadership,
@@ -28,6 +29,7 @@
 )
 from tamarackthread.generated import settings as generated
 from tamarackthread.shared import (
+    documents,
     errors,
     feed,
     listener,
@@ -71,14 +73,11 @@
             self._own.timing.node_lease_seconds,
         )
         self._propose = proposer.Proposer(self._config, time.time)
-        self._targets = targets.Targets(self._machine, self._propose)
-        self._sweep = targets.LivenessSweep(
-            self._machine,
-            self._feed.below,
-            self._targets,
-            self._own.timing.target_lease_seconds,
-        )
-        self._leading.on_lead(self._sweep.restart)
+        self._written = {
+            kind: targets.DocumentWriter(kind, self._propose)
+            for kind in (documents.TARGET, documents.ENTRY)
+        }
+        self._sweeps = self._build_sweeps()
         self._handler = self._build_handler()
         self._listener = listener.Listener(self._place.options, self._handler)
 
@@ -129,6 +128,20 @@
             self._rng,
         )
 
+    def _build_sweeps(self) -> list[targets.LivenessSweep]:
+        sweeps = []
+        for kind, written in self._written.items():
+            sweep = targets.LivenessSweep(
+                self._machine,
+                self._feed.below,
+                written,
+                kind,
+                self._own.timing.target_lease_seconds,
+            )
+            self._leading.on_lead(sweep.restart)
+            sweeps.append(sweep)
+        return sweeps
+
     def _build_handler(self) -> requests.RequestHandler:
         handler = requests.RequestHandler(
             self._groups,
@@ -150,7 +163,14 @@
                     origin=self._source,
                     below=self._feed.below,
                     propose=self._propose,
-                    targets=self._targets,
+                    targets=targets.Targets(
+                        self._machine,
+                        self._written[documents.TARGET],
+                    ),
+                    entry_list=entries.Entries(
+                        self._machine,
+                        self._written[documents.ENTRY],
+                    ),
                     links=self._links,
                     own_node=self._node,
                 ),
@@ -194,7 +214,8 @@
                     self._propose,
                     self._own.claim_shards,
                 )
-                await self._sweep.sweep()
+                for sweep in self._sweeps:
+                    await sweep.sweep()
 
     async def _leave(self) -> None:
         _log.info('control: leaves')
--- a/tamarackthread/control/operations.py
+++ b/tamarackthread/control/operations.py
@@ -8,6 +8,7 @@
 
 from tamarackthread.control import (
     configuration,
+    entries,
     leadership,
     portioning,
     proposer,
@@ -33,6 +34,7 @@
     below: subtree.Subtree
     propose: proposer.Proposer
     targets: announcing.Targets
+    entry_list: entries.Entries
     links: dialling.Peers
     own_node: str
 
@@ -74,10 +76,7 @@
         node: str,
     ) -> messages.Reply:
         if request.announce is not None:
-            revision = await self._parts.targets.announce(
-                request.announce,
-                node,
-            )
+            revision = await self._announce(request.announce, node)
             return messages.Reply(done=messages.Done(value=revision))
         if request.drain is not None:
             revision = await self._parts.targets.drain(request.drain, node)
@@ -85,6 +84,15 @@
             return messages.Reply(done=messages.Done(value=revision))
         raise errors.RequestUnsupported
 
+    async def _announce(
+        self,
+        announced: messages.Announcement,
+        node: str,
+    ) -> int:
+        if announced.entry:
+            return await self._parts.entry_list.announce(announced, node)
+        return await self._parts.targets.announce(announced, node)
+
     async def _change(
         self,
         change: messages.ChangeRequest,
--- a/tamarackthread/control/targets.py
+++ b/tamarackthread/control/targets.py
@@ -42,17 +42,54 @@
     status = 400
 
 
+class DocumentWriter:
+    """Write the documents of one kind that processes announce."""
+
+    def __init__(self, kind: str, propose: proposer.Proposer) -> None:
+        """Write through ``propose``."""
+        self._kind = kind
+        self._propose = propose
+
+    async def write(
+        self,
+        name: str,
+        body: str,
+        version: int,
+        actor: str,
+        origin: str = '',
+    ) -> bool:
+        """Change a document; tell whether ``version`` was still the newest."""
+        change = messages.ChangeRequest(
+            change_id='',
+            actor=actor,
+            origin=origin or actor,
+            kind=self._kind,
+            name=name,
+            based_on=version,
+            body=body,
+        )
+        reply = await self._propose.change(change)
+        if reply.status == messages.ChangeStatus.INVALID:
+            text = '; '.join(found.text for found in reply.findings)
+            raise AnnouncementInvalid(text)
+        return reply.status == messages.ChangeStatus.ACCEPTED
+
+    async def forget(self, name: str, version: int) -> None:
+        """Delete a document whose process has gone, unless it changed."""
+        await self.write(name, '', version, OWN_ACTOR)
+
+
 class Targets:
-    """Announce, drain and forget targets as the leader."""
+    """Announce and drain targets as the leader."""
 
     def __init__(
         self,
         machine: configuration.Configuration,
-        propose: proposer.Proposer,
+        written: DocumentWriter,
     ) -> None:
-        """Write through ``propose``; ``machine`` shows what is committed."""
+        """Write through ``written``; ``machine`` shows what is committed."""
         self._machine = machine
-        self._propose = propose
+        self._written = written
 
     async def announce(
         self,
@@ -66,7 +103,7 @@
             if wanted is None or wanted == held:
                 return self._machine.documents.revision
             body = _body(wanted)
-            if await self._write(announced.target, body, version, node):
+            if await self._written.write(announced.target, body, version, node):
                 return self._machine.documents.revision
         raise TargetBusy(announced.target)
 
@@ -81,7 +118,7 @@
                 return self._machine.documents.revision
             body = _body(attrs.evolve(held, leaving=leaving))
             actor = request.actor or origin
-            if await self._write(
+            if await self._written.write(
                 request.target,
                 body,
                 version,
@@ -96,10 +133,6 @@
         held, _ = self._held(name)
         return '' if held is None else held.address
 
-    async def forget(self, name: str, version: int) -> None:
-        """Delete a target whose agent has gone, unless it changed since."""
-        await self._write(name, '', version, OWN_ACTOR)
-
     def _held(self, name: str) -> tuple[generated.Target | None, int]:
         latest = self._machine.documents.latest(documents.TARGET, name)
         if latest is None:
@@ -108,44 +141,23 @@
             return None, latest.version
         return documents.parse(documents.TARGET, latest.body), latest.version
 
-    async def _write(
-        self,
-        name: str,
-        body: str,
-        version: int,
-        actor: str,
-        origin: str = '',
-    ) -> bool:
-        change = messages.ChangeRequest(
-            change_id='',
-            actor=actor,
-            origin=origin or actor,
-            kind=documents.TARGET,
-            name=name,
-            based_on=version,
-            body=body,
-        )
-        reply = await self._propose.change(change)
-        if reply.status == messages.ChangeStatus.INVALID:
-            text = '; '.join(found.text for found in reply.findings)
-            raise AnnouncementInvalid(text)
-        return reply.status == messages.ChangeStatus.ACCEPTED
-
 
 class LivenessSweep:
-    """Forget the targets whose agents have not been seen for some time."""
+    """Forget what was announced by processes not seen for some time."""
 
     def __init__(
         self,
         machine: configuration.Configuration,
         below: subtree.Subtree,
-        targets: Targets,
+        written: DocumentWriter,
+        kind: str,
         gone_seconds: float,
     ) -> None:
-        """Forget a target ``gone_seconds`` after its agent was last seen."""
+        """Forget a document ``gone_seconds`` after its process was seen."""
         self._machine = machine
         self._below = below
-        self._targets = targets
+        self._written = written
+        self._kind = kind
         self._gone_seconds = gone_seconds
         self._unseen_since: dict[str, float] = {}
         # Reading each body anew at each sweep would take a fifth of a core
@@ -157,13 +169,13 @@
         self._unseen_since.clear()
 
     async def sweep(self) -> None:
-        """Look once at all targets."""
+        """Look once at all documents of the kind."""
         now = asyncio.get_running_loop().time()
         self._below.expire(now)
         seen = self._below.addresses()
         unseen: dict[str, float] = {}
         overdue = []
-        for document in self._machine.documents.each(documents.TARGET):
+        for document in self._machine.documents.each(self._kind):
             if self._address(document) in seen:
                 continue
             since = self._unseen_since.get(document.name, now)
@@ -172,15 +184,16 @@
                 overdue.append(document)
         self._unseen_since = unseen
         for document in overdue:
-            await self._targets.forget(document.name, document.version)
+            await self._written.forget(document.name, document.version)
 
     def _address(self, document: messages.Document) -> str:
         known = self._addresses.get(document.name)
         if known is not None and known[0] == document.revision:
             return known[1]
-        target = documents.parse(documents.TARGET, document.body)
-        self._addresses[document.name] = (document.revision, target.address)
-        return target.address
+        announced = documents.parse(self._kind, document.body)
+        found = (document.revision, announced.address)
+        self._addresses[document.name] = found
+        return announced.address
 
 
 def _merge(
--- a/tamarackthread/entry/answers.py
+++ b/tamarackthread/entry/answers.py
@@ -4,6 +4,8 @@
 
 import abc
 import asyncio
+import collections.abc
+import contextlib
 import json
 import math
 import types
@@ -92,6 +94,17 @@
     return Head(status=failure.status, headers=tuple(headers))
 
 
+@contextlib.asynccontextmanager
+async def _reached() -> collections.abc.AsyncIterator[None]:
+    """Say by a coded error that the caller can't be reached."""
+    try:
+        yield
+    except TimeoutError as exc:
+        raise failures.CallerTooSlow from exc
+    except OSError as exc:
+        raise failures.CallerGone from exc
+
+
 class HttpSink(Sink):
     """Write an answer to an HTTP caller."""
 
@@ -123,27 +136,27 @@
         response = web.StreamResponse(status=head.status)
         self._fill(response, head)
         self._response = response
-        await response.prepare(self._request)
+        async with _reached():
+            await response.prepare(self._request)
 
     async def write(self, payload: bytes) -> None:
         """Send a piece; raise ``CallerTooSlow`` if it is left unread."""
-        try:
-            async with asyncio.timeout(self._slow_seconds):
-                await self.response.write(payload)
-        except TimeoutError as exc:
-            raise failures.CallerTooSlow from exc
+        async with _reached(), asyncio.timeout(self._slow_seconds):
+            await self.response.write(payload)
 
     async def finish(self) -> None:
         """Send the closing chunk, which tells the caller that all came."""
-        await self.response.write_eof()
+        async with _reached(), asyncio.timeout(self._slow_seconds):
+            await self.response.write_eof()
 
     async def whole(self, head: Head, body: bytes) -> None:
         """Send head and body with their length."""
         response = web.Response(status=head.status, body=body)
         self._fill(response, head)
         self._response = response
-        await response.prepare(self._request)
-        await response.write_eof()
+        async with _reached(), asyncio.timeout(self._slow_seconds):
+            await response.prepare(self._request)
+            await response.write_eof()
 
     async def break_off(self, failure: errors.CodedError) -> None:
         """End a started answer so that it cannot be taken for a whole one.
--- a/tamarackthread/entry/calls.py
+++ b/tamarackthread/entry/calls.py
@@ -301,7 +301,7 @@
         if failed.ran != messages.Ran.NOT_RUN:
             life.may_have_run = True
         _log.info('entry: attempt %d failed, %s', life.attempts, failed)
-        if isinstance(cause, failures.CallerTooSlow):
+        if isinstance(cause, failures.CallerTooSlow | failures.CallerGone):
             raise _truthful(life, cause) from failed
         if life.sink.started:
             self._check_resume(life, failed)
--- a/tamarackthread/entry/directory.py
+++ b/tamarackthread/entry/directory.py
@@ -35,6 +35,7 @@
         self._services: dict[str, generated.Service] = {}
         self._profiles: dict[str, generated.Profile] = {}
         self._targets: dict[str, generated.Target] = {}
+        self._entries: dict[str, generated.Entry] = {}
         self._shards: dict[str, generated.Shard] = {}
         self._revision = 0
 
@@ -55,6 +56,11 @@
         """Give the targets by name."""
         return self._targets
 
+    @property
+    def entries(self) -> collections.abc.Mapping[str, generated.Entry]:
+        """Give the entries by node."""
+        return self._entries
+
     def follow(self, held: catalogue.Catalogue) -> None:
         """Take in what the catalogue holds beyond what was taken before."""
         while True:
@@ -123,6 +129,7 @@
             'service': self._services,
             'profile': self._profiles,
             'target': self._targets,
+            'entry': self._entries,
             'shard': self._shards,
         }
 
--- a/tamarackthread/entry/failures.py
+++ b/tamarackthread/entry/failures.py
@@ -113,3 +113,11 @@
     code = 'TT7017'
     status = 500
     ran = messages.Ran.MAY_HAVE_RUN
+
+
+class CallerGone(errors.CodedError):
+    """Caller closed its connection before the answer was whole."""
+
+    code = 'TT7018'
+    status = 499
+    ran = messages.Ran.MAY_HAVE_RUN
--- a/tamarackthread/entry/fleet.py
+++ b/tamarackthread/entry/fleet.py
@@ -10,10 +10,11 @@
 from tamarackthread.entry import directory, pools
 from tamarackthread.generated import documents as generated
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.policy import buckets
+from tamarackthread.policy import buckets, ranks, subsets
 from tamarackthread.shared import errors, link, peers
 
 RETRY_SECONDS = 0.2
+CLOSE_SECONDS = 1.0
 Revision = collections.abc.Callable[[], int]
 Pool = pools.Pool
 Contact = pools.Contact
@@ -25,6 +26,7 @@
 
     def __init__(
         self,
+        node: str,
         zone: str,
         known: directory.Directory,
         rng: random.Random,
@@ -33,10 +35,13 @@
         self._directory = known
         self._rng = rng
         self._portions = buckets.Portions()
+        self._own = subsets.Place(node, zone)
+        self._ranks: dict[str, ranks.RankedTargets] = {}
         self._around = pools.Surroundings(zone, known, self._portions, rng)
         self._peers: peers.Peers | None = None
         self._pools: dict[str, pools.Pool] = {}
         self._by_target: dict[str, pools.Pool] = {}
+        self._closing: set[asyncio.Task[None]] = set()
 
     @property
     def portions(self) -> buckets.Portions:
@@ -77,18 +82,15 @@
         return self.pool(service).contacts.get(target)
 
     def update(self) -> None:
-        """Follow the directory: new targets are dialled, gone ones left."""
-        wanted = self._directory.targets
+        """Follow the directory and the profiles that it holds."""
         for name in tuple(self._by_target):
             if self._has_moved(name):
                 self._part(name)
-        for name, details in wanted.items():
-            if details.service in self._directory.services:
-                self._meet(name, details)
-        for service, pool in self._pools.items():
-            if service in self._directory.services:
-                pool.follow(self._directory.profile(service))
-            pool.refresh()
+        self._rank()
+        for service in self._directory.services:
+            pool = self.pool(service)
+            pool.follow(self._directory.profile(service))
+            self._settle(pool)
 
     def close(self) -> None:
         """Stop keeping links."""
@@ -105,6 +107,46 @@
             return True
         return details.address != known.address
 
+    def _rank(self) -> None:
+        entries = {
+            name: subsets.Place(name, details.zone)
+            for name, details in self._directory.entries.items()
+        }
+        targets: dict[str, dict[str, subsets.Place]] = {
+            service: {} for service in self._directory.services
+        }
+        for name, details in self._directory.targets.items():
+            places = targets.get(details.service)
+            if places is not None:
+                places[name] = subsets.Place(name, details.zone)
+        for service, places in targets.items():
+            ranked = self._ranks.get(service)
+            if ranked is None:
+                ranked = ranks.RankedTargets(self._own)
+                self._ranks[service] = ranked
+            ranked.set_entries(entries)
+            ranked.set_targets(places)
+
+    def _settle(self, pool: pools.Pool) -> None:
+        """Keep links to the subset of a service's targets, and only to it.
+
+        A target that is dialled counts as usable until a dial has failed, so
+        that a subset is not widened just because it is new.
+        """
+        ranked = self._ranks.get(pool.service)
+        if ranked is None:
+            return
+        chosen = ranked.choose(
+            pool.profile.routing.subset_size,
+            pool.is_usable,
+        )
+        for name in tuple(pool.contacts):
+            if name not in chosen:
+                self._part(name)
+        for name in chosen:
+            self._meet(name, self._directory.targets[name])
+        pool.refresh()
+
     def _meet(self, name: str, details: generated.Target) -> None:
         pool = self.pool(details.service)
         contact = pool.contacts.get(name)
@@ -117,7 +159,13 @@
         contact.keeper = loop.create_task(self._keep(pool, contact))
 
     def _part(self, name: str) -> None:
-        self._by_target.pop(name).remove(name)
+        pool = self._by_target.pop(name)
+        held = pool.contacts[name].held
+        pool.remove(name)
+        if held is not None and not held.is_closed:
+            closing = asyncio.get_running_loop().create_task(_close(held))
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
 
     async def _keep(self, pool: pools.Pool, contact: pools.Contact) -> None:
         assert self._peers is not None
@@ -126,8 +174,19 @@
                 contact.held = await self._peers.link(contact.details.address)
             except errors.CodedError as exc:
                 _log.debug('entry: no link to %s, %s', contact.name, exc)
+                if not contact.has_failed:
+                    contact.has_failed = True
+                    self._settle(pool)
                 await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1))
                 continue
-            pool.refresh()
+            contact.has_failed = False
+            self._settle(pool)
             await contact.held.wait_closed()
             pool.refresh()
+
+
+async def _close(held: link.Link) -> None:
+    """Close a link that isn't needed once its calls have ended."""
+    while held.open_streams and not held.is_closed:
+        await asyncio.sleep(CLOSE_SECONDS)
+    held.close('not in the subset any more')
--- a/tamarackthread/entry/front.py
+++ b/tamarackthread/entry/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import logging
 
 from aiohttp import web
@@ -17,11 +18,13 @@
 )
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, logs, metrics
 
 HEALTH_PATH = '/-/health'
 READY_PATH = '/-/ready'
 LEAVING_RETRY_SECONDS = 1.0
+SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _log = logging.getLogger('tamarackthread.entry')
 
 # Raises a coded refusal when this entry must not take the call now.
@@ -169,10 +172,11 @@
         if sink.started:
             await sink.break_off(failure)
             return
-        await sink.whole(
-            answers.error_head(failure, request_id),
-            answers.error_body(failure, request_id),
-        )
+        with contextlib.suppress(failures.CallerGone, failures.CallerTooSlow):
+            await sink.whole(
+                answers.error_head(failure, request_id),
+                answers.error_body(failure, request_id),
+            )
 
     async def _checked(
         self,
@@ -181,9 +185,15 @@
         sink: answers.HttpSink,
     ) -> None:
         if self._refusing:
-            raise failures.EntryLeaving(retry_after=LEAVING_RETRY_SECONDS)
+            raise _unread(
+                request,
+                failures.EntryLeaving(retry_after=LEAVING_RETRY_SECONDS),
+            )
         if self._open > self._limits.call_limit:
-            raise failures.ConnectionsFull(retry_after=LEAVING_RETRY_SECONDS)
+            raise _unread(
+                request,
+                failures.ConnectionsFull(retry_after=LEAVING_RETRY_SECONDS),
+            )
         call = await self._reader.read(request, request_id)
         try:
             self._guard(call, self._open)
@@ -191,3 +201,19 @@
             await self._runner.refuse(call, exc)
             raise
         await self._runner.run(call, sink)
+
+
+def _unread(
+    request: web.BaseRequest,
+    failure: errors.CodedError,
+) -> errors.CodedError:
+    """Refuse a request unread, saying no more than is known of its key.
+
+    An earlier try of the key may have run through another entry.  Told 'not
+    run' here, the caller would order anew under another key; told that it
+    may have run, it asks again under the same one, which is always safe.
+    """
+    has_key = reading.KEY_HEADER in request.headers
+    if has_key and request.method not in SAFE_METHODS:
+        failure.ran = messages.Ran.MAY_HAVE_RUN
+    return failure
--- a/tamarackthread/entry/pools.py
+++ b/tamarackthread/entry/pools.py
@@ -35,6 +35,7 @@
     details: generated.Target
     view: routing.TargetView
     held: link.Link | None = None
+    has_failed: bool = False
     keeper: asyncio.Task[None] | None = None
 
     @property
@@ -139,6 +140,11 @@
         if contact.keeper is not None:
             contact.keeper.cancel()
 
+    def is_usable(self, name: str) -> bool:
+        """Tell whether a target is linked, or was not dialled in vain."""
+        contact = self._contacts.get(name)
+        return contact is None or not contact.has_failed
+
     def refresh(self) -> None:
         """Offer the linked targets to new calls and serve the queue."""
         self._place.set_targets(
--- a/tamarackthread/entry/role.py
+++ b/tamarackthread/entry/role.py
@@ -22,6 +22,7 @@
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import overload
 from tamarackthread.shared import (
+    announcer,
     catalogue,
     claim_keys,
     errors,
@@ -38,6 +39,7 @@
 LAPSED_RETRY_SECONDS = 1.0
 OUTCOMES_SECONDS = 10.0
 MEASURE_SECONDS = 10.0
+ANNOUNCE_SECONDS = 1.0
 _log = logging.getLogger('tamarackthread.entry')
 
 
@@ -72,7 +74,12 @@
         self._place = process.take_place(settings)
         rng = random.Random()
         self._directory = directory.Directory()
-        self._fleet = fleet.Fleet(settings.node.zone, self._directory, rng)
+        self._fleet = fleet.Fleet(
+            settings.node.id,
+            settings.node.zone,
+            self._directory,
+            rng,
+        )
         self._peers = peers.Peers(self._place.options, self._fleet)
         self._fleet.use(self._peers)
         self._feed = feed.ConfigFeed(
@@ -82,6 +89,13 @@
             settings.feed.wait_seconds,
         )
         self._metrics = metrics.Metrics(settings.statsd)
+        self._announcer = announcer.Announcer(
+            announcer.AnnouncedEntry(self._place.options.identity),
+            self._peers,
+            self._feed,
+            tuple(settings.control_addresses),
+            ANNOUNCE_SECONDS,
+        )
         self._meter = overload.LagMeter()
         self._overload = overload.OverloadGuard(
             self._meter,
@@ -135,6 +149,7 @@
         working = [
             loop.create_task(self._meter.run()),
             loop.create_task(self._caps.run()),
+            loop.create_task(self._announcer.run()),
             loop.create_task(self._measure()),
         ]
         http = await self._front.start()
--- a/tamarackthread/policy/subsets.py
+++ b/tamarackthread/policy/subsets.py
@@ -88,10 +88,7 @@
         return rank
 
     def _score(self, entry: Place, target: Place) -> float:
-        digest = xxhash.xxh64_intdigest(f'{entry.name}\n{target.name}'.encode())
-        drawn = (digest + 1) / (_HASH_RANGE + 1)
-        weight = self._settings.zone_pull if entry.zone == target.zone else 1
-        return drawn ** (1 / weight)
+        return score(entry, target, self._settings.zone_pull)
 
     def _missing(
         self,
@@ -106,6 +103,13 @@
         return max(0, min(self._settings.least_targets, total) - useful)
 
 
+def score(entry: Place, target: Place, zone_pull: float) -> float:
+    """Draw how much a target wants an entry, the same in every process."""
+    digest = xxhash.xxh64_intdigest(f'{entry.name}\n{target.name}'.encode())
+    drawn = (digest + 1) / (_HASH_RANGE + 1)
+    return drawn ** (1 / zone_pull) if entry.zone == target.zone else drawn
+
+
 def _find(
     own: str,
     entries: collections.abc.Sequence[Place],
--- a/tamarackthread/shared/documents.py
+++ b/tamarackthread/shared/documents.py
@@ -29,6 +29,7 @@
 ORGANISATION = 'organisation'
 TARGET = 'target'
 SHARD = 'shard'
+ENTRY = 'entry'
 
 CLASSES: types.MappingProxyType[str, type] = types.MappingProxyType(
     {
@@ -37,6 +38,7 @@
         ORGANISATION: generated.Organisation,
         TARGET: generated.Target,
         SHARD: generated.Shard,
+        ENTRY: generated.Entry,
     },
 )
 KINDS = tuple(CLASSES)
@@ -52,6 +54,7 @@
     | generated.Organisation
     | generated.Target
     | generated.Shard
+    | generated.Entry
 )
 
 
@@ -199,7 +202,7 @@
     kind: str,
     value: dict[str, typing.Any],
 ) -> collections.abc.Iterator[validation.Violation]:
-    if kind == TARGET:
+    if kind in {TARGET, ENTRY}:
         address = value.get('address')
         if isinstance(address, str) and addresses.parse(address) is None:
             yield validation.Violation(
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -137,7 +137,7 @@
     def __init__(self, name='entry', claimed=None, **limits):
         self.directory = directory.Directory()
         rng = random.Random(7)
-        self.fleet = fleet.Fleet('zone-0', self.directory, rng)
+        self.fleet = fleet.Fleet(name, 'zone-0', self.directory, rng)
         self.peers = peers.Peers(
             options(name, messages.Role.ENTRY),
             self.fleet,
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -32,7 +32,8 @@
         self.log = test_configuration.Log()
         self.group = Group(self.log)
         propose = proposer.Proposer(self.group, float)
-        self.targets = targets.Targets(self.log.machine, propose)
+        self.written = targets.DocumentWriter('target', propose)
+        self.targets = targets.Targets(self.log.machine, self.written)
         self.below = subtree.Subtree()
 
     async def announce(self, incarnation=1, **more):
@@ -116,7 +117,8 @@
             sweep = targets.LivenessSweep(
                 stage.log.machine,
                 stage.below,
-                stage.targets,
+                stage.written,
+                'target',
                 5,
             )
             stage.hear('agent', 1, '127.0.0.1:1')
