--- a/tamarackthread/entry/front.py
+++ b/tamarackthread/entry/front.py
@@ -18,7 +18,6 @@
 )
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, logs, metrics
 
 HEALTH_PATH = '/-/health'
