Put the switch step beyond the owner's lease

Armed ranks go on with the old map until the step, so a step 3 s ahead leaves time for the lease and the take-over. A switch takes 3 s longer, which a map planned every few minutes can afford.

--- a/tamarackthread/agent/switching.py
+++ b/tamarackthread/agent/switching.py
@@ -24,11 +24,13 @@
 class SwitchingSettings:
     """Hold the constants of a switch.
 
-    ``ahead_steps`` lie between the last step seen and the switch step: long
-    enough for arming and the decision, so that no rank has to hold.
+    ``ahead_seconds`` lie between the last step seen and the switch step:
+    longer than an owner's lease and the take-over after it, so that ranks
+    need not hold even when the owner is lost after they armed.
     """
 
-    ahead_steps: int = 50
+    ahead_seconds: float = 3
+    least_step_ms: float = 1
     arm_seconds: float = 0.25
     load_seconds: float = 600
     poll_seconds: float = 0.1
@@ -78,7 +80,7 @@
         intent = switch_record.SwitchRecord(
             number=number,
             stage=switch_record.Stage.PREPARED,
-            from_step=step + self._settings.ahead_steps,
+            from_step=step,
             base=base,
             target=target.digest(),
         )
@@ -110,7 +112,7 @@
         self,
         latest: switch_record.SwitchRecord | None,
     ) -> tuple[str, int]:
-        """Wait for the last switch to lie behind; return map and step.
+        """Wait for the last switch to lie behind; return map and next step.
 
         The failure: the intent of a switch is recorded while some rank is
         still before the step of the switch before.  A rank that reads only
@@ -131,7 +133,14 @@
             served.add(latest.settled_map)
         if len(served) != 1:
             raise order_errors.SwitchAborted('ranks serve another map')
-        return served.pop(), max(status['step'] for status in found)
+        return served.pop(), self._step_ahead(found)
+
+    def _step_ahead(self, found: list[dict]) -> int:
+        """Choose the switch step by the fastest step time reported."""
+        quickest = min(status['step_ms'] for status in found)
+        step_ms = max(quickest, self._settings.least_step_ms)
+        steps = int(self._settings.ahead_seconds * 1000 / step_ms) + 1
+        return max(status['step'] for status in found) + steps
 
     async def _statuses(self) -> list[dict]:
         states = await self._owner.order_all(order_state.STATUS, 'status')
