--- a/bench/history/checker.py
+++ b/bench/history/checker.py
@@ -13,6 +13,9 @@
 from bench.history import events
 
 
+STUCK = 'state: no host is current after all faults are healed'
+
+
 def check(history: events.History) -> list[str]:
     """Return each violation as a short sentence, none for a sound run."""
     found: list[str] = []
@@ -129,4 +132,4 @@
     if len({kept.state for kept in history.kept}) > 1:
         yield 'state: hosts differ after all faults are healed'
     if not history.kept:
-        yield 'state: no host is current after all faults are healed'
+        yield STUCK
