Name the test that hangs, and end what a module leaves running

Two modules in progress hung for their whole limit of 420 s, and the run could not say which test it was. The runner now notes each test as it begins, prints where a module stands after 300 s, writes output to a file so that a process left behind can't hold the run up, and ends the module's own group of processes.

--- a/bench/experiments/fuzz.py
+++ b/bench/experiments/fuzz.py
@@ -40,13 +40,13 @@
     done = []
     print('target        runs     accepted refused  faults  seconds')
     for target, share in TARGETS:
-        started = time.monotonic()
+        started = time.perf_counter()
         counted = target(SEED, max(1, int(runs * share)))
         done.append(counted)
         print(
             f'{counted.target:13} {counted.runs:<8} {counted.accepted:<8} '
             f'{counted.refused.total():<8} {counted.faults.total():<7} '
-            f'{time.monotonic() - started:.1f}',
+            f'{time.perf_counter() - started:.1f}',
             flush=True,
         )
     for counted in done:
--- a/bench/fuzzing/samples.py
+++ b/bench/fuzzing/samples.py
@@ -5,10 +5,11 @@
 import random
 import typing
 
-from thrift.Thrift import TType
+import thrift.Thrift
 
 from tamarackthread.generated.messages import ttypes as messages
 
+_Types = thrift.Thrift.TType
 _DEEPEST = 3
 _MOST_ITEMS = 3
 _WORDS = ('', 'a', 'config', 'claims-1', 'zone-0', 'ünïcode', '$.x', 'x' * 300)
@@ -40,11 +41,11 @@
 def _value(
     rng: random.Random, type_: int, details: typing.Any, depth: int
 ) -> typing.Any:
-    if type_ == TType.STRUCT:
+    if type_ == _Types.STRUCT:
         if depth >= _DEEPEST:
             return details[0]()
         return message(rng, details[0], depth + 1)
-    if type_ == TType.LIST:
+    if type_ == _Types.LIST:
         count = rng.randint(0, _MOST_ITEMS) if depth < _DEEPEST else 0
         return [
             _value(rng, details[0], details[1], depth + 1) for _ in range(count)
@@ -53,11 +54,11 @@
 
 
 def _plain(rng: random.Random, type_: int, details: typing.Any) -> typing.Any:
-    if type_ == TType.STRING:
+    if type_ == _Types.STRING:
         word = rng.choice(_WORDS)
         return word.encode() if details == 'BINARY' else word
-    if type_ == TType.BOOL:
+    if type_ == _Types.BOOL:
         return rng.random() < 0.5
-    if type_ == TType.DOUBLE:
+    if type_ == _Types.DOUBLE:
         return rng.choice(_FRACTIONS)
-    return rng.choice(_LONG_NUMBERS if type_ == TType.I64 else _NUMBERS)
+    return rng.choice(_LONG_NUMBERS if type_ == _Types.I64 else _NUMBERS)
--- a/tests/test_tools_run.py
+++ b/tests/test_tools_run.py
@@ -56,6 +56,18 @@
             [outcomes.FAILED],
         )
 
+    def test_hung_test_has_a_name(self) -> None:
+        """A test that began and did not end counts as failed."""
+        path = self._folder / 'lines'
+        path.write_text(
+            outcomes.to_line(outcomes.Outcome(TEST, outcomes.STARTED))
+        )
+        ended = outcomes.read(path)
+        self.assertEqual(
+            [(outcome.test, outcome.status) for outcome in ended],
+            [(TEST, outcomes.FAILED)],
+        )
+
     def test_list_rules(self) -> None:
         """Four entries, or an entry without an issue, are refused."""
         path = self._folder / known_red.FILE
--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+STARTED = 'started'
 PASSED = 'passed'
 FAILED = 'failed'
 SKIPPED = 'skipped'
@@ -42,4 +43,10 @@
         if known is not None and known.status == FAILED:
             continue
         merged[outcome.test] = outcome
-    return list(merged.values())
+    return [_ended(outcome) for outcome in merged.values()]
+
+
+def _ended(outcome: Outcome) -> Outcome:
+    if outcome.status != STARTED:
+        return outcome
+    return Outcome(outcome.test, FAILED, 'began and did not end')
--- a/tools/recorder.py
+++ b/tools/recorder.py
@@ -16,15 +16,20 @@
     alwaysOn = True
     path = ''
 
+    def startTest(  # noqa: N802 - nose2 names its hooks so
+        self, event: events.StartTestEvent
+    ) -> None:
+        """Note the test, so that one that hangs or crashes has a name."""
+        self._write(event, outcomes.STARTED, '')
+
     def testOutcome(  # noqa: N802 - nose2 names its hooks so
         self, event: events.TestOutcomeEvent
     ) -> None:
         """Append one line for the event."""
-        outcome = outcomes.Outcome(
-            test=event.test.id().split(' ')[0],
-            status=_status(event),
-            text=_text(event),
-        )
+        self._write(event, _status(event), _text(event))
+
+    def _write(self, event: events.Event, status: str, text: str) -> None:
+        outcome = outcomes.Outcome(event.test.id().split(' ')[0], status, text)
         with open(self.path, 'a') as lines:
             lines.write(outcomes.to_line(outcome))
 
--- a/tools/run_module.py
+++ b/tools/run_module.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import sys
 
 import nose2
@@ -12,9 +13,16 @@
 from tools import recorder
 
 
+LIMIT_SECONDS = 300
+
+
 def main() -> int:
-    """Run the module named first and write to the file named second."""
+    """Run the module named first and write to the file named second.
+
+    A module that takes too long prints where it stands and ends.
+    """
     module, path = sys.argv[1:3]
+    faulthandler.dump_traceback_later(LIMIT_SECONDS, exit=True)
     recorder.Recorder.path = path
     nose2.discover(
         argv=['nose2', module],
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,17 +10,21 @@
 
 import argparse
 import asyncio
+import contextlib
 import os
 import pathlib
+import signal
 import sys
 import tempfile
-import time
+import typing
 
-from tools import checks, known_red, outcomes, tally
+from tools import checks, known_red, outcomes, run_module, tally
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-MODULE_LIMIT_SECONDS = 420
+# Longer than the module's own limit, which tells where it hung.
+MODULE_LIMIT_SECONDS = run_module.LIMIT_SECONDS + 10
 DEFAULT_JOBS = 4
+TIMEOUT_CODE = 124
 
 
 def modules(named: list[str]) -> list[str]:
@@ -53,8 +57,9 @@
             )
 
     async def _one(self, name: str, scratch: pathlib.Path) -> None:
+        loop = asyncio.get_running_loop()
         async with self._slots:
-            started = time.monotonic()
+            started = loop.time()
             path = scratch / name
             code, output = await _child(name, path)
         ended = outcomes.read(path)
@@ -62,30 +67,56 @@
             self._counts.add(outcome, self._known)
         if code or not ended:
             self._counts.fail(name, f'ended with code {code}\n{output}')
-        seconds = time.monotonic() - started
+        seconds = loop.time() - started
         print(f'{name}: {len(ended)} tests, {seconds:.1f} s', flush=True)
 
 
 async def _child(name: str, path: pathlib.Path) -> tuple[int, str]:
+    """Run one module; return its exit code and what it printed.
+
+    It prints to a file: a process that it leaves behind would hold a pipe
+    open, and the run would wait for it.
+    """
+    shown = path.with_name(f'{name}.output')
+    with shown.open('wb') as output:
+        code = await _run_module(name, path, output)
+    return code, shown.read_text(errors='replace')
+
+
+async def _run_module(
+    name: str, path: pathlib.Path, output: typing.BinaryIO
+) -> int:
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         '-m',
-        'tools.run_module',
+        run_module.__name__,
         name,
         str(path),
         cwd=ROOT,
         stdin=asyncio.subprocess.DEVNULL,
-        stdout=asyncio.subprocess.PIPE,
+        stdout=output,
         stderr=asyncio.subprocess.STDOUT,
+        start_new_session=True,
     )
     try:
         async with asyncio.timeout(MODULE_LIMIT_SECONDS):
-            output, _ = await process.communicate()
+            return await process.wait()
     except TimeoutError:
-        process.kill()
-        await process.wait()
-        return 1, f'killed after {MODULE_LIMIT_SECONDS} seconds'
-    return process.returncode or 0, output.decode(errors='replace')
+        return TIMEOUT_CODE
+    finally:
+        await _end_all(process)
+
+
+async def _end_all(process: asyncio.subprocess.Process) -> None:
+    """End what a module left running.
+
+    A module that hangs or crashes never stops the roles that it started; they
+    would load the machine for all modules after it.  The module leads a
+    session, so its group holds them and nobody else.
+    """
+    with contextlib.suppress(ProcessLookupError):
+        os.killpg(process.pid, signal.SIGKILL)
+    await process.wait()
 
 
 def _check_all(counts: tally.Tally) -> None:
