--- a/bench/history/disks.py
+++ b/bench/history/disks.py
@@ -23,6 +23,7 @@
         self.delay = 0.001
         self.stalled_until = -math.inf
         self.is_full = False
+        self.is_failing = False
         self.generation = 0
         self._rng = rng
 
@@ -78,6 +79,8 @@
         self._require_alive()
         held = self._platter.seen[name]
         await self._wait()
+        if self._platter.is_failing:
+            raise failures.DiskFailed('input/output error')
         self._platter.lasting[name] = held
 
     async def read(self, name: str, offset: int = 0, size: int = -1) -> bytes:
--- a/bench/history/network.py
+++ b/bench/history/network.py
@@ -11,7 +11,7 @@
 
 from tamarackthread.control import transport
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, wire
+from tamarackthread.shared import errors, link, wire
 
 Handler = collections.abc.Callable[
     [messages.Request], collections.abc.Awaitable[messages.Reply]
@@ -121,5 +121,6 @@
                 reply = await self._network.carry(self._node, node, request)
         except TimeoutError as exc:
             raise errors.RequestTimeout(node) from exc
-        transport.raise_failure(reply)
+        if reply.failure is not None:
+            link.raise_failure(reply.failure)
         return reply
--- a/tamarackthread/control/consensus.py
+++ b/tamarackthread/control/consensus.py
@@ -25,7 +25,7 @@
     voting,
 )
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors
+from tamarackthread.shared import errors, link
 
 DEFAULT_TIMEOUT_SECONDS = 5.0
 _log = logging.getLogger('tamarackthread.control.consensus')
@@ -228,7 +228,7 @@
         try:
             return await self._dispatch(request)
         except errors.CodedError as exc:
-            return transport.failure_reply(exc)
+            return link.failure_reply(exc)
 
     async def _dispatch(self, request: messages.Request) -> messages.Reply:
         self._require_running()
--- a/tamarackthread/control/transport.py
+++ b/tamarackthread/control/transport.py
@@ -4,7 +4,6 @@
 
 import abc
 
-from tamarackthread.control import failures
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, peers
 
@@ -40,30 +39,8 @@
         address = self._addresses.get(node)
         if not address:
             raise errors.AddressUnreachable(f'no address known for {node}')
-        reply = await self._links.request(address, request, timeout_seconds)
-        raise_failure(reply)
-        return reply
+        return await self._links.request(address, request, timeout_seconds)
 
     def learn(self, node: str, address: str) -> None:
         """Use this address for the node from now on."""
         self._addresses[node] = address
-
-
-def raise_failure(reply: messages.Reply) -> None:
-    """Raise what a peer answered as a failure, by its own class if known."""
-    failure = reply.failure
-    if failure is None:
-        return
-    if failure.code == failures.NotLeader.code:
-        raise failures.NotLeader(failure.text, failure.leader or '')
-    known = errors.by_code(failure.code)
-    if known is None or known is failures.LogCorrupt:
-        raise errors.PeerFailure(f'{failure.code}: {failure.text}')
-    raise known(failure.text)
-
-
-def failure_reply(exc: errors.CodedError) -> messages.Reply:
-    """Build the reply that carries a coded error to the asking peer."""
-    leader = getattr(exc, 'leader', None)
-    failure = messages.Failure(code=exc.code, text=str(exc), leader=leader)
-    return messages.Reply(failure=failure)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -186,6 +186,15 @@
 class DiskTest(consensus_net.PausedCase):
     """Test full, wiped and forgetful disks."""
 
+    def test_failed_sync(self) -> None:
+        """A host whose sync failed stops, and the others go on.
+
+        The system may have dropped the pages that it could not write.  A
+        second sync would then succeed without them, and what was acknowledged
+        would be gone after a crash.
+        """
+        self.run_paused(self._failed_sync())
+
     def test_full_disk(self) -> None:
         """A full disk refuses changes by a code and goes on serving reads.
 
@@ -242,6 +251,18 @@
         """
         self.run_paused(self._power_loss())
 
+    async def _failed_sync(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        old = await net.leader()
+        net.platters[old].is_failing = True
+        with self.assertRaises(failures.OutcomeUnknown):
+            await net.processes[old].propose(b'one')
+        new = await net.leader(old)
+        self.assertIsNotNone(net.processes[old].failure)
+        await net.processes[new].propose(b'two')
+        self.assertEqual('two', net.machines[new].rows[-1])
+
     async def _full(self) -> None:
         net = consensus_net.Net()
         await net.start(*consensus_net.NODES)
