Draw switches and holds, and count switches left open

Operators should see at a glance which switches were held and which aborted. A hold that never ends would not have been in the figures; the checker now counts switches without an outcome, and finds none.

--- a/bench/engines/switch_checker.py
+++ b/bench/engines/switch_checker.py
@@ -11,11 +11,21 @@
 from tamarackthread.agent import switch_record
 
 
+@attrs.frozen
+class Decided:
+    """Be one decided switch: when its step ran and how long ranks held."""
+
+    seconds: float
+    held_ms: float
+    committed: bool
+
+
 @attrs.frozen
 class Findings:
-    """Count what the checker found; the first three must be 0.
+    """Count what the checker found.
 
-    ``held_ms`` has one value for each decided switch.
+    The first three must be 0, and after troubles are over so must
+    ``undecided``, the switches without an outcome.
     """
 
     mixed_map_steps: int
@@ -23,10 +33,16 @@
     stale_orders_run: int
     switches: int
     aborted: int
-    held_ms: tuple[float, ...]
+    undecided: int
+    decided: tuple[Decided, ...]
     steps: int
     orders: int
 
+    @property
+    def held_ms(self) -> tuple[float, ...]:
+        """Return the hold of each decided switch."""
+        return tuple(one.held_ms for one in self.decided)
+
 
 def check(
     history: step_history.History,
@@ -47,7 +63,8 @@
         stale_orders_run=_stale(history.orders),
         switches=len(committed),
         aborted=len(decided) - len(committed),
-        held_ms=_held(history.steps, decided),
+        undecided=len({one.number for one in records}) - len(decided),
+        decided=_decided(history.steps, decided),
         steps=len(history.steps),
         orders=len(history.orders),
     )
@@ -90,9 +107,16 @@
     return stale
 
 
-def _held(
+def _decided(
     steps: list[step_history.Step],
-    decided: list[switch_record.SwitchRecord],
-) -> tuple[float, ...]:
-    held = {step.number: step.held for step in steps}
-    return tuple(held.get(record.from_step, 0) * 1000 for record in decided)
+    records: list[switch_record.SwitchRecord],
+) -> tuple[Decided, ...]:
+    ran = {step.number: step for step in steps}
+    found = []
+    for record in records:
+        step = ran.get(record.from_step)
+        if step is None:
+            continue
+        committed = record.stage is switch_record.Stage.COMMITTED
+        found.append(Decided(step.started, step.held * 1000, committed))
+    return tuple(found)
--- a/bench/experiments/switch.py
+++ b/bench/experiments/switch.py
@@ -14,7 +14,13 @@
 
 import async_solipsism
 
-from bench.engines import fake_control, network, switch_checker, switch_world
+from bench.engines import (
+    fake_control,
+    network,
+    switch_checker,
+    switch_picture,
+    switch_world,
+)
 
 _SEEDS = tuple(range(1, 13))
 _LONGEST_SECONDS = 600
@@ -40,6 +46,7 @@
     figures['undisturbed'] = _figures([calm])
     figures['ranks'] = ranks
     figures['seeds'] = len(seeds)
+    switch_picture.draw(disturbed, calm, 'out/switch.png')
     print(figures)
     return figures
 
@@ -49,6 +56,7 @@
     names = (
         'switches',
         'aborted',
+        'undecided',
         'mixed_map_steps',
         'unrecorded_map_steps',
         'stale_orders_run',
--- a/tests/test_map_switch.py
+++ b/tests/test_map_switch.py
@@ -108,6 +108,7 @@
             self.assertEqual(one.mixed_map_steps, 0)
             self.assertEqual(one.unrecorded_map_steps, 0)
             self.assertEqual(one.stale_orders_run, 0)
+            self.assertEqual(one.undecided, 0)
 
     def test_checker_sees_switch_on_arrival(self) -> None:
         """A rank that switches when the message comes is found out."""
