Split the replica into its members, its timer and its state

Cause: the shared state of a member was open to every part and had grown. Conclusion: what may change a member is a method with a name now.

--- a/bench/history/breaks.py
+++ b/bench/history/breaks.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import contextlib
-import math
 import typing
 from unittest import mock
 
@@ -16,6 +15,7 @@
 from tamarackthread.control import (
     answers,
     configuration,
+    election_timer,
     following,
     hard_state,
     reconfiguration,
@@ -29,7 +29,6 @@
 from tamarackthread.generated.messages import ttypes as messages
 
 _settle = hard_state.HardState.settle
-_load_replica = replica.Replica.load
 _load_state = hard_state.HardState.load
 _lease_until = reign.Reign.lease_until
 _learn = replication.PeerTasks._learn
@@ -60,10 +59,8 @@
         await _settle(self)
 
 
-async def _load_without_wait(self: replica.Replica) -> typing.Any:
-    loaded = await _load_replica(self)
-    self.heard_at = -math.inf
-    return loaded
+def _put_off_only(self: election_timer.ElectionTimer) -> None:
+    self.put_off()
 
 
 async def _load_with_old_disk_id(
@@ -81,10 +78,10 @@
 def _lease_while_released(
     self: reign.Reign, members: typing.Any, now: float
 ) -> float:
-    was_handing_over = self.handing_over
-    self.handing_over = False
+    was_handing_over = self._is_handing_over
+    self._is_handing_over = False
     until = _lease_until(self, members, now)
-    self.handing_over = was_handing_over
+    self._is_handing_over = was_handing_over
     return until
 
 
@@ -197,9 +194,9 @@
     Break(
         'vote-after-restart',
         'a restarted voter forgets that it may have heard a leader',
-        replica.Replica,
-        'load',
-        _load_without_wait,
+        election_timer.ElectionTimer,
+        'restart',
+        _put_off_only,
     ),
     Break(
         'vote-for-short-log',
--- a/bench/history/hosts.py
+++ b/bench/history/hosts.py
@@ -124,7 +124,7 @@
             return False
         state = leader.process._state  # noqa: SLF001
         members = state.membership
-        if state.membership_index > state.commit_index:
+        if state.members.newest_index > state.commit_index:
             return False
         for member in members.members:
             host = self.all[member.node]
--- a/bench/history/scenarios.py
+++ b/bench/history/scenarios.py
@@ -82,9 +82,9 @@
         await self._kill_leader()
         self._hosts.network.weather.least_delay = 0.02
         self._hosts.network.weather.most_delay = 0.06
-        at = asyncio.get_running_loop().time() + 1
+        await asyncio.sleep(1)
         for host in self._hosts.running:
-            host.process._state.election_at = at  # noqa: SLF001
+            host.process._state.timer.run_out()  # noqa: SLF001
 
     async def _shrink(self) -> None:
         """Ask for two removals at once, sometimes of an isolated leader."""
--- a/tamarackthread/control/applying.py
+++ b/tamarackthread/control/applying.py
@@ -117,7 +117,7 @@
         index = self._applied_index
         term = self._state.log.term_at(index)
         data = self._machine.snapshot()
-        members = self._state.members_at(index)
+        members = self._state.members.at(index)
         try:
             await self._state.snapshots.save(index, term or 0, members, data)
         except (failures.DiskFull, failures.DiskFailed) as exc:
@@ -135,4 +135,4 @@
         if self._state.log.size_bytes <= times.snapshot_bytes:
             index -= times.trailing_entries
         self._state.log.compact(index)
-        self._state.forget_history(index)
+        self._state.members.forget(index)
--- a/tamarackthread/control/consensus.py
+++ b/tamarackthread/control/consensus.py
@@ -17,6 +17,7 @@
     installing,
     leading,
     machine,
+    parts,
     proposing,
     reconfiguration,
     replica,
@@ -52,7 +53,7 @@
         group; it's empty for a host that is added to a running group.
         """
         self._state = replica.Replica(
-            replica.Parts(
+            parts.Parts(
                 group=group,
                 node=node,
                 machine=machine,
--- a/tamarackthread/control/election.py
+++ b/tamarackthread/control/election.py
@@ -27,11 +27,11 @@
 ) -> None:
     """Follow, stand when the leader is silent, and ``lead`` when elected."""
     while True:
-        wait = state.election_at - state.now
+        wait = state.timer.due_in
         if wait > 0:
             await asyncio.sleep(max(wait, _LEAST_SLEEP_SECONDS))
             continue
-        state.put_off_election()
+        state.timer.put_off()
         try:
             elected = await _stand(state)
         except failures.DiskFull as exc:
--- /dev/null
+++ b/tamarackthread/control/election_timer.py
@@ -0,0 +1,65 @@
+"""Time how long a member waits for its leader."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+
+from tamarackthread.control import timing
+
+
+class ElectionTimer:
+    """Know when a leader was last heard and when to stand for election.
+
+    All times are of the event loop's clock, in seconds.
+    """
+
+    def __init__(self, times: timing.Timing, rng: random.Random) -> None:
+        """Wait for nothing until ``restart``."""
+        self._times = times
+        self._rng = rng
+        self._heard_at = -math.inf
+        self._due_at = math.inf
+
+    @property
+    def due_in(self) -> float:
+        """Return how long to wait before standing, negative when due."""
+        return self._due_at - _now()
+
+    @property
+    def is_leader_heard(self) -> bool:
+        """Say whether a leader's lease may still rest on this member."""
+        return _now() < self._heard_at + self._times.election_min
+
+    def restart(self) -> None:
+        """Begin after the process has started.
+
+        A voter that has restarted can't know whether it heard a leader a
+        moment ago.  Voting at once would break that leader's lease; waiting
+        as if it had heard one just now keeps every lease it may support.
+        """
+        self.hear()
+
+    def hear(self) -> None:
+        """Note that a leader has just spoken."""
+        self._heard_at = _now()
+        self.put_off()
+
+    def put_off(self) -> None:
+        """Wait a random time from now before standing."""
+        self._due_at = _now() + self._rng.uniform(
+            self._times.election_min, self._times.election_max
+        )
+
+    def release(self) -> None:
+        """Forget the leader, which has given up its lease."""
+        self._heard_at = -math.inf
+
+    def run_out(self) -> None:
+        """Stand for election as soon as possible."""
+        self._due_at = _now()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/tamarackthread/control/following.py
+++ b/tamarackthread/control/following.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from tamarackthread.control import failures, replica
 from tamarackthread.generated.messages import ttypes as messages
 
@@ -39,9 +37,9 @@
 
 def _release(state: replica.Replica, request: messages.AppendRequest) -> None:
     """Let others be elected at once, because the leader holds no lease."""
-    state.heard_at = -math.inf
+    state.timer.release()
     if request.campaign and state.is_voter:
-        state.election_at = state.now
+        state.timer.run_out()
 
 
 def _conflict(state: replica.Replica, request: messages.AppendRequest) -> int:
--- a/tamarackthread/control/installing.py
+++ b/tamarackthread/control/installing.py
@@ -57,9 +57,6 @@
     def _install(self, snapshot: snapshots.Snapshot) -> None:
         self._state.adopt_snapshot(snapshot)
         self._restore(snapshot)
-        self._state.commit_index = max(
-            self._state.commit_index, snapshot.meta.last_index
-        )
         _log.info(
             'snapshot: %s of %s installed entry %d',
             self._state.parts.node,
--- a/tamarackthread/control/leading.py
+++ b/tamarackthread/control/leading.py
@@ -11,7 +11,6 @@
     reign,
     replica,
     replication,
-    segments,
 )
 
 _log = logging.getLogger('tamarackthread.control.leading')
@@ -34,19 +33,13 @@
     async def lead(self) -> None:
         """Lead until the term ends for this member."""
         state = self._state
-        term = reign.Reign(
-            state.parts.node, state.hard.term, state.parts.times, state.now
-        )
-        state.role.move('win')
-        state.reign = term
-        state.leader = state.parts.node
+        term = state.begin_reign()
         _log.info(
             'consensus: %s leads %s in term %d',
             state.parts.node,
             state.parts.group,
             term.term,
         )
-        term.first_index = state.append_own(segments.Kind.NOOP, b'')
         try:
             await self._watch(term)
         finally:
@@ -61,7 +54,7 @@
         term = self._state.reign
         if term is None:
             return
-        term.handing_over = True
+        term.begin_handover()
         try:
             await self._hand_over(term)
         finally:
@@ -106,14 +99,14 @@
             return 'own disk stalls'
         if state.log.is_full:
             return 'own disk is full'
-        settled = state.membership_index <= state.commit_index
+        settled = state.members.newest_index <= state.commit_index
         if settled and not state.is_voter:
             return 'is no longer a voter'
         return ''
 
     async def _give_up(self, term: reign.Reign, why: str) -> None:
-        if not term.handing_over:
-            term.handing_over = True
+        if not term.is_handing_over:
+            term.begin_handover()
             wait = term.promised_until - self._state.now
             if 0 < wait <= self._state.parts.times.lease:
                 await asyncio.sleep(wait)
@@ -124,7 +117,7 @@
     async def _release(self, term: reign.Reign) -> None:
         """Tell all voters that the lease is void, and the best one to stand."""
         best = await self._best_peer(term)
-        term.is_released = True
+        term.release()
         calls = []
         for node, peer in self._peers.items():
             calls.append(peer.release(campaign=node == best))
@@ -157,7 +150,7 @@
             member.node
             for members in (
                 state.membership,
-                state.members_at(state.commit_index),
+                state.members.at(state.commit_index),
             )
             for member in members.members
         }
--- a/tamarackthread/control/proposing.py
+++ b/tamarackthread/control/proposing.py
@@ -146,7 +146,7 @@
         if term is None:
             raise failures.NotLeader(leader=self._state.leader)
         abandoned = term.is_abandoned(self._state.membership, self._state.now)
-        if term.handing_over or abandoned:
+        if term.is_handing_over or abandoned:
             raise failures.NotLeader('leadership is ending')
         return term
 
--- a/tamarackthread/control/reconfiguration.py
+++ b/tamarackthread/control/reconfiguration.py
@@ -87,7 +87,7 @@
     waits until the one before is committed: two changes of voters at once
     could leave two quorums that share no member.
     """
-    if not _is_settled(state) or term.handing_over or state.log.is_full:
+    if not _is_settled(state) or term.is_handing_over or state.log.is_full:
         return
     for member in state.membership.members:
         wanted, why = _next_step(state, term, member)
@@ -168,7 +168,7 @@
         return False
     # Without a committed entry of its own term a leader may not know of a
     # change of members that an older leader has begun.
-    oldest = max(state.membership_index, term.first_index)
+    oldest = max(state.members.newest_index, term.first_index)
     return oldest <= state.commit_index
 
 
--- a/tamarackthread/control/reign.py
+++ b/tamarackthread/control/reign.py
@@ -42,22 +42,62 @@
     """Be a leader's term, from its election until it steps down."""
 
     def __init__(
-        self, node: str, term: int, times: timing.Timing, now: float
+        self,
+        node: str,
+        term: int,
+        times: timing.Timing,
+        first_index: int,
+        now: float,
     ) -> None:
         """Begin without a lease; there is time for a first answered round."""
-        self.node = node
-        self.term = term
-        self.first_index = 0
-        self.over = asyncio.Event()
-        self.answered = asyncio.Event()
-        self.progress: dict[str, Progress] = {}
-        self.handing_over = False
-        self.is_released = False
+        self._node = node
+        self._term = term
         self._times = times
+        self._first_index = first_index
         self._began_at = now
+        self._over = asyncio.Event()
+        self._answered = asyncio.Event()
+        self._progress: dict[str, Progress] = {}
+        self._is_handing_over = False
+        self._is_released = False
         self._promised_until = -math.inf
         self._proposals: dict[int, asyncio.Future[bytes]] = {}
 
+    @property
+    def term(self) -> int:
+        """Return the term that is led."""
+        return self._term
+
+    @property
+    def first_index(self) -> int:
+        """Return the index of the term's first entry."""
+        return self._first_index
+
+    @property
+    def over(self) -> asyncio.Event:
+        """Return an event set when this member leads the term no longer."""
+        return self._over
+
+    @property
+    def answered(self) -> asyncio.Event:
+        """Return an event set whenever a member has answered."""
+        return self._answered
+
+    @property
+    def progress(self) -> dict[str, Progress]:
+        """Return how far each other member has got."""
+        return self._progress
+
+    @property
+    def is_handing_over(self) -> bool:
+        """Say whether the term is about to end; there is no lease then."""
+        return self._is_handing_over
+
+    @property
+    def is_released(self) -> bool:
+        """Say whether voters were told that they need not wait."""
+        return self._is_released
+
     @property
     def promised_until(self) -> float:
         """Return the latest lease end that somebody was told, loop time."""
@@ -68,9 +108,17 @@
         """Return how many proposals wait for their commit."""
         return len(self._proposals)
 
+    def begin_handover(self) -> None:
+        """Use no lease and take no proposals from now on."""
+        self._is_handing_over = True
+
+    def release(self) -> None:
+        """Send no heartbeat from now on, which voters would wait after."""
+        self._is_released = True
+
     def end(self) -> None:
         """End the term; what was proposed and not seen committed is open."""
-        self.over.set()
+        self._over.set()
         for waiter in self._proposals.values():
             if not waiter.done():
                 waiter.set_exception(failures.OutcomeUnknown())
@@ -94,7 +142,7 @@
 
     def wake_all(self) -> None:
         """Have every peer's task look for something to send."""
-        for progress in self.progress.values():
+        for progress in self._progress.values():
             progress.wake.set()
 
     def quorum_index(
@@ -123,7 +171,7 @@
         leader.  Any later election needs one of them, so none can end before.
         The lease is shorter by the clocks' possible drift.
         """
-        if self.handing_over:
+        if self._is_handing_over:
             return -math.inf
         return self.quorum_heard_at(members, now) + self._times.lease
 
@@ -141,14 +189,14 @@
         """Say whether a quorum of disks takes entries, by their answers."""
         room: dict[str, float] = {}
         for voter in members.voters:
-            held = self.progress.get(voter.node)
+            held = self._progress.get(voter.node)
             room[voter.node] = 0 if held is not None and held.is_full else 1
         return members.reached(room) > 0
 
     def _match_of(self, voter: membership.Member, own_durable: int) -> int:
-        if voter.node == self.node:
+        if voter.node == self._node:
             return own_durable
-        held = self.progress.get(voter.node)
+        held = self._progress.get(voter.node)
         # A wiped disk's acknowledgements are not the voter's.  Counting them
         # would commit entries on fewer disks than the quorum was meant to
         # have, and the next loss would lose an accepted change.
@@ -157,9 +205,9 @@
         return held.match_index
 
     def _heard_of(self, voter: membership.Member, now: float) -> float:
-        if voter.node == self.node:
+        if voter.node == self._node:
             return now
-        held = self.progress.get(voter.node)
+        held = self._progress.get(voter.node)
         if held is None or held.disk_id != voter.disk_id:
             return -math.inf
         return held.acked_at
--- a/tamarackthread/control/replica.py
+++ b/tamarackthread/control/replica.py
@@ -5,43 +5,24 @@
 import asyncio
 import collections.abc
 import logging
-import math
-import random
-
-import attrs
 
 from tamarackthread.control import (
-    disk,
+    election_timer,
     hard_state,
     log,
+    member_history,
     membership,
     reign,
     role,
     segments,
     snapshots,
-    timing,
 )
-from tamarackthread.control import machine as machines
-from tamarackthread.control import transport as transports
+from tamarackthread.control import parts as building
 from tamarackthread.generated.messages import ttypes as messages
 
 _log = logging.getLogger('tamarackthread.control.replica')
 
 
-@attrs.frozen(eq=False)
-class Parts:
-    """Be what a replica is built on."""
-
-    group: str
-    node: str
-    machine: machines.Machine
-    files: disk.Disk
-    transport: transports.Transport
-    times: timing.Timing
-    rng: random.Random
-    bootstrap: collections.abc.Mapping[str, str]
-
-
 class Replica:
     """Be one member's view of its group.
 
@@ -49,158 +30,198 @@
     awaits must look again at the term before acting on what it saw before.
     """
 
-    def __init__(self, parts: Parts) -> None:
+    def __init__(self, parts: building.Parts) -> None:
         """Hold nothing until ``load``."""
-        self.parts = parts
-        self.hard = hard_state.HardState(parts.files)
-        self.log = log.Log(
+        self._parts = parts
+        self._hard = hard_state.HardState(parts.files)
+        self._log = log.Log(
             segments.Segments(parts.files, parts.times.segment_bytes),
             parts.times,
-            self._on_synced,
+            self.lead_commit,
         )
-        self.snapshots = snapshots.SnapshotStore(parts.files)
-        self.role = role.Role()
-        self.reign: reign.Reign | None = None
-        self.leader = ''
-        self.heard_at = -math.inf
-        self.election_at = math.inf
-        self.commit_index = 0
-        self.committed = asyncio.Event()
+        self._snapshots = snapshots.SnapshotStore(parts.files)
+        self._members = member_history.MemberHistory(parts)
+        self._timer = election_timer.ElectionTimer(parts.times, parts.rng)
+        self._role = role.Role()
+        self._reign: reign.Reign | None = None
+        self._leader = ''
+        self._commit_index = 0
         self._verified_index = 0
-        self._history: list[tuple[int, membership.Membership]] = []
+        self._committed = asyncio.Event()
 
     @property
-    def now(self) -> float:
-        """Read the event loop's clock, in seconds."""
-        return asyncio.get_running_loop().time()
+    def parts(self) -> building.Parts:
+        """Return what this member is built on."""
+        return self._parts
+
+    @property
+    def hard(self) -> hard_state.HardState:
+        """Return the term and the vote."""
+        return self._hard
+
+    @property
+    def log(self) -> log.Log:
+        """Return the entries after the snapshot."""
+        return self._log
+
+    @property
+    def snapshots(self) -> snapshots.SnapshotStore:
+        """Return the stored snapshot."""
+        return self._snapshots
+
+    @property
+    def members(self) -> member_history.MemberHistory:
+        """Return the members, now and at earlier indexes."""
+        return self._members
 
     @property
     def membership(self) -> membership.Membership:
-        """Return the newest members in the log, committed or not."""
-        return self._history[-1][1]
+        """Return the members in force."""
+        return self._members.newest
+
+    @property
+    def timer(self) -> election_timer.ElectionTimer:
+        """Return the time since a leader was heard."""
+        return self._timer
+
+    @property
+    def role(self) -> role.Role:
+        """Return whether this member follows, stands or leads."""
+        return self._role
 
     @property
-    def membership_index(self) -> int:
-        """Return the index that the newest members were written at."""
-        return self._history[-1][0]
+    def reign(self) -> reign.Reign | None:
+        """Return the term that this member leads, ``None`` if it doesn't."""
+        return self._reign
+
+    @property
+    def leader(self) -> str:
+        """Return the node believed to lead, empty if none is known."""
+        return self._leader
+
+    @property
+    def commit_index(self) -> int:
+        """Return the index up to which entries are known committed."""
+        return self._commit_index
+
+    @property
+    def committed(self) -> asyncio.Event:
+        """Return an event set when ``commit_index`` has grown."""
+        return self._committed
+
+    @property
+    def now(self) -> float:
+        """Read the event loop's clock, in seconds."""
+        return asyncio.get_running_loop().time()
 
     @property
     def is_voter(self) -> bool:
         """Say whether this node on this disk has a vote, as it knows."""
-        return self.membership.is_voter(self.parts.node, self.hard.disk_id)
+        return self.membership.is_voter(self._parts.node, self._hard.disk_id)
 
     @property
     def is_blank(self) -> bool:
         """Say whether this member has never held anything of the group."""
-        return self.hard.term == 0 and self.log.last_index == 0
-
-    def members_at(self, index: int) -> membership.Membership:
-        """Return the members in force at an index still held."""
-        chosen = self._history[0][1]
-        for since, members in self._history:
-            if since <= index:
-                chosen = members
-        return chosen
+        return self._hard.term == 0 and self._log.last_index == 0
 
     async def load(self) -> snapshots.Snapshot | None:
         """Read the disk; raise ``LogCorrupt`` with the place of bad bytes."""
-        await self.hard.load(self.parts.rng.randbytes(hard_state.DISK_ID_BYTES))
-        snapshot = await self.snapshots.load()
-        meta = self.snapshots.meta
-        members = snapshot.members if snapshot else membership.Membership()
-        self._history = [(meta.last_index, members)]
-        self.commit_index = meta.last_index
-        await self.log.load(meta.last_index, meta.last_term)
-        for index in range(meta.last_index + 1, self.log.last_index + 1):
-            self._note_members(self.log.entry(index))
-        if self.log.last_term > self.hard.term:
-            self.hard.advance(self.log.last_term)
-        # A voter that has restarted can't know whether it heard a leader a
-        # moment ago.  Voting at once would break that leader's lease; waiting
-        # as if it had heard one just now keeps every lease it may support.
-        self.heard_at = self.now
-        self.put_off_election()
-        self._learn_addresses()
+        fresh_id = self._parts.rng.randbytes(hard_state.DISK_ID_BYTES)
+        await self._hard.load(fresh_id)
+        snapshot = await self._snapshots.load()
+        meta = self._snapshots.meta
+        held = snapshot.members if snapshot else membership.Membership()
+        self._members.begin(meta.last_index, held, keep_later=False)
+        self._commit_index = meta.last_index
+        await self._log.load(meta.last_index, meta.last_term)
+        for index in range(meta.last_index + 1, self._log.last_index + 1):
+            self._members.note(self._log.entry(index))
+        if self._log.last_term > self._hard.term:
+            self._hard.advance(self._log.last_term)
+        self._timer.restart()
         return snapshot
 
     def append(
         self, entries: collections.abc.Sequence[messages.LogEntry]
     ) -> int:
         """Add entries to the log; members in them are in force at once."""
-        ticket = self.log.append(entries)
+        ticket = self._log.append(entries)
         for entry in entries:
-            self._note_members(entry)
+            self._members.note(entry)
         return ticket
 
     def append_own(self, kind: segments.Kind, command: bytes) -> int:
         """As leader, add an entry of this term and return its index."""
         entry = messages.LogEntry(
-            index=self.log.last_index + 1,
-            term=self.hard.term,
+            index=self._log.last_index + 1,
+            term=self._hard.term,
             kind=kind,
             command=command,
         )
         self.append([entry])
-        if self.reign is not None:
-            self.reign.wake_all()
+        if self._reign is not None:
+            self._reign.wake_all()
         return entry.index
 
     def truncate(self, index: int) -> None:
         """Void entries that another leader's log doesn't have."""
-        if index <= self.commit_index:
+        if index <= self._commit_index:
             raise RuntimeError(f'entry {index} is committed')
-        self.log.truncate(index)
-        while len(self._history) > 1 and self._history[-1][0] >= index:
-            self._history.pop()
+        self._log.truncate(index)
+        self._members.cut(index)
 
     def adopt_snapshot(self, snapshot: snapshots.Snapshot) -> None:
         """Continue from a snapshot that was received and lasts."""
-        meta = snapshot.meta
-        self.log.reset(meta.last_index, meta.last_term)
-        later = [row for row in self._history if row[0] > meta.last_index]
-        if self.log.last_index == meta.last_index:
-            later = []
-        self._history = [(meta.last_index, snapshot.members), *later]
-        self._learn_addresses()
+        index = snapshot.meta.last_index
+        self._log.reset(index, snapshot.meta.last_term)
+        is_log_kept = self._log.last_index > index
+        self._members.begin(index, snapshot.members, keep_later=is_log_kept)
+        self._commit_index = max(self._commit_index, index)
 
     def adopt_term(self, term: int, vote: str = '') -> None:
         """Move to a newer term, giving up what was held in the older one."""
-        if term > self.hard.term:
+        if term > self._hard.term:
             self.step_down(f'term {term} has begun')
-            self.leader = ''
+            self._leader = ''
             self._verified_index = 0
-        self.hard.advance(term, vote)
+        self._hard.advance(term, vote)
+
+    def begin_reign(self) -> reign.Reign:
+        """Lead the term that this member was just elected in."""
+        self._role.move('win')
+        self._leader = self._parts.node
+        self._reign = reign.Reign(
+            self._parts.node,
+            self._hard.term,
+            self._parts.times,
+            self._log.last_index + 1,
+            self.now,
+        )
+        self.append_own(segments.Kind.NOOP, b'')
+        return self._reign
 
     def step_down(self, why: str) -> None:
         """Become a follower."""
-        if self.role.leads:
+        if self._reign is not None:
             _log.warning(
                 'consensus: %s no longer leads %s in term %d: %s',
-                self.parts.node,
-                self.parts.group,
-                self.hard.term,
+                self._parts.node,
+                self._parts.group,
+                self._hard.term,
                 why,
             )
-            self.leader = ''
-        if self.reign is not None:
-            self.reign.end()
-            self.reign = None
-        self.role.move('follow')
-        self.put_off_election()
+            self._leader = ''
+            self._reign.end()
+            self._reign = None
+        self._role.move('follow')
+        self._timer.put_off()
 
     def hear(self, leader: str) -> None:
         """Note that the leader of this term has just spoken."""
-        if self.role.state != role.FOLLOWER:
+        if self._role.state != role.FOLLOWER:
             self.step_down(f'{leader} leads')
-        self.leader = leader
-        self.heard_at = self.now
-        self.put_off_election()
-
-    def put_off_election(self) -> None:
-        """Wait a random time from now before standing for election."""
-        times = self.parts.times
-        wait = self.parts.rng.uniform(times.election_min, times.election_max)
-        self.election_at = self.now + wait
+        self._leader = leader
+        self._timer.hear()
 
     def verify(self, index: int) -> None:
         """Note that the log agrees with this term's leader up to an index."""
@@ -213,41 +234,23 @@
         commit index that its own entries have nothing to do with.
         """
         index = min(index, self._verified_index)
-        if index > self.commit_index:
-            self.commit_index = index
-            self.committed.set()
+        if index > self._commit_index:
+            self._commit_index = index
+            self._committed.set()
 
     def lead_commit(self) -> None:
         """As leader, commit what a quorum holds on disk."""
-        if self.reign is None:
+        if self._reign is None:
             return
-        index = self.reign.quorum_index(self.membership, self.log.durable_index)
+        index = self._reign.quorum_index(
+            self.membership, self._log.durable_index
+        )
         # An entry of an older term may be on a quorum and still be replaced;
         # only an entry of the leader's own term commits those before it.
-        if index <= self.commit_index:
+        if index <= self._commit_index:
             return
-        if self.log.term_at(index) != self.hard.term:
-            return
-        self.commit_index = index
-        self.committed.set()
-        self.reign.wake_all()
-
-    def forget_history(self, index: int) -> None:
-        """Drop members that were replaced at or before an index."""
-        while len(self._history) > 1 and self._history[1][0] <= index:
-            self._history.pop(0)
-
-    def _on_synced(self) -> None:
-        self.lead_commit()
-
-    def _note_members(self, entry: messages.LogEntry) -> None:
-        if entry.kind != segments.Kind.MEMBERS:
+        if self._log.term_at(index) != self._hard.term:
             return
-        self._history.append((entry.index, membership.decode(entry.command)))
-        self._learn_addresses()
-
-    def _learn_addresses(self) -> None:
-        for node, address in self.parts.bootstrap.items():
-            self.parts.transport.learn(node, address)
-        for member in self.membership.members:
-            self.parts.transport.learn(member.node, member.address)
+        self._commit_index = index
+        self._committed.set()
+        self._reign.wake_all()
--- a/tamarackthread/control/replication.py
+++ b/tamarackthread/control/replication.py
@@ -203,7 +203,7 @@
         self, offset: int, chunk: bytes
     ) -> messages.SnapshotReply | None:
         meta = self._state.snapshots.meta
-        members = self._state.members_at(meta.last_index)
+        members = self._state.members.at(meta.last_index)
         request = messages.SnapshotRequest(
             group=self._state.parts.group,
             term=self._reign.term,
--- a/tamarackthread/control/voting.py
+++ b/tamarackthread/control/voting.py
@@ -21,7 +21,7 @@
         state.adopt_term(request.term)
     if _may_vote(state, request):
         state.hard.advance(request.term, request.candidate)
-        state.put_off_election()
+        state.timer.put_off()
     await state.hard.settle()
     granted = (state.hard.term, state.hard.vote) == (
         request.term,
@@ -33,8 +33,8 @@
 def hears_leader(state: replica.Replica) -> bool:
     """Say whether a leader's lease may still rest on this voter."""
     if state.role.leads and state.reign is not None:
-        return not state.reign.handing_over
-    return state.now < state.heard_at + state.parts.times.election_min
+        return not state.reign.is_handing_over
+    return state.timer.is_leader_heard
 
 
 def is_up_to_date(
