--- a/tamarackthread/policy/local_search.py
+++ b/tamarackthread/policy/local_search.py
@@ -59,7 +59,10 @@
         self._none = experts
         mean = numpy.maximum(tokens.sum(axis=1) / slots.shape[1], 1e-12)
         padding = ((0, 0), (0, 1))
-        self._tokens = numpy.pad(tokens / mean[..., None], padding)
+        scaled = numpy.pad(tokens / mean[..., None], padding)
+        # Single precision is ample for loads around 1 and halves the memory
+        # that each round goes through.
+        self._tokens = scaled.astype(numpy.float32)
         self._slots = numpy.where(slots < 0, experts, slots).astype(int)
         self._recount()
 
@@ -103,15 +106,18 @@
         numpy.put_along_axis(held, self._slots, 1, axis=2)
         held[..., self._none] = 0
         self._held = held
-        self._counts = held.sum(axis=1)
+        self._weights = held.astype(numpy.float32)
+        self._counts = self._weights.sum(axis=1)
         # The pseudo expert counts as redundant: it may always be dropped.
         self._counts[..., self._none] = 2
         self._sizes = self._tokens / numpy.maximum(self._counts, 1)
-        self._loads = numpy.matmul(held, self._sizes[..., None])[..., 0]
+        self._loads = numpy.matmul(self._weights, self._sizes[..., None])[
+            ..., 0
+        ]
         self._weighted = numpy.einsum(
             'lr,lre->le',
             self._loads,
-            held,
+            self._weights,
             optimize=True,
         )
 
@@ -187,8 +193,8 @@
 
     def _overlap(self, own: numpy.ndarray) -> numpy.ndarray:
         """Count the ranks that have both one of ``own`` and each expert."""
-        held = self._held.astype(numpy.float32)
-        return numpy.matmul(self._held_by(own).astype(numpy.float32), held)
+        columns = self._held_by(own).astype(numpy.float32)
+        return numpy.matmul(columns, self._weights)
 
     def _load_delta(
         self,
