Bound a request by its time and a command by its size

Cause: a request to a host that swallows packets took as long as its dial, which held up elections; a command over the frame limit would have entered the log and never left the leader.

--- a/tamarackthread/control/failures.py
+++ b/tamarackthread/control/failures.py
@@ -84,3 +84,10 @@
 
     code = 'TT3010'
     status = 503
+
+
+class CommandTooLarge(errors.CodedError):
+    """Command is too large for one message between members."""
+
+    code = 'TT3011'
+    status = 413
--- a/tamarackthread/control/proposing.py
+++ b/tamarackthread/control/proposing.py
@@ -46,6 +46,7 @@
     ) -> ProposeResult:
         """Commit and apply a command as the leader."""
         term = self._require_reign()
+        self._require_size(command)
         self._require_room(term)
         index = self._state.append_own(segments.Kind.COMMAND, command)
         waiter = term.expect(index)
@@ -150,6 +151,18 @@
             raise failures.NotLeader('leadership is ending')
         return term
 
+    def _require_size(self, command: bytes) -> None:
+        """Refuse what no frame can carry.
+
+        In the log it would be sent to each member again and again, nothing
+        after it could be committed, and no restart would help.
+        """
+        limit = self._state.parts.times.command_bytes
+        if len(command) > limit:
+            raise failures.CommandTooLarge(
+                f'{len(command)} bytes, at most {limit}'
+            )
+
     def _require_room(self, term: reign.Reign) -> None:
         state = self._state
         if term.waiting >= state.parts.times.pending_proposals:
--- a/tamarackthread/control/timing.py
+++ b/tamarackthread/control/timing.py
@@ -22,6 +22,7 @@
     stall: float = 0.8
     batch_entries: int = 512
     batch_bytes: int = 256 << 10
+    command_bytes: int = 512 << 10
     chunk_bytes: int = 256 << 10
     segment_bytes: int = 2 << 20
     snapshot_entries: int = 10_000
--- a/tamarackthread/control/transport.py
+++ b/tamarackthread/control/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, peers
@@ -35,11 +36,23 @@
     async def call(
         self, node: str, request: messages.Request, timeout_seconds: float
     ) -> messages.Reply:
-        """Send one request over the link to the node's address."""
+        """Send one request over the link to the node's address.
+
+        The time to dial counts: a host behind a network that swallows packets
+        must not hold up an election for as long as a connection may take.
+        """
         address = self._addresses.get(node)
         if not address:
             raise errors.AddressUnreachable(f'no address known for {node}')
-        return await self._links.request(address, request, timeout_seconds)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await self._links.request(
+                    address, request, timeout_seconds
+                )
+        except TimeoutError as exc:
+            raise errors.RequestTimeout(node) from exc
+        except (OSError, EOFError) as exc:
+            raise errors.LinkLost(f'{node}: {exc}') from exc
 
     def learn(self, node: str, address: str) -> None:
         """Use this address for the node from now on."""
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
-from tamarackthread.control import failures
+from tamarackthread.control import failures, transport
 from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors
 from tests import consensus_net
 
 
@@ -77,6 +79,36 @@
         """
         self.run_paused(self._unknown())
 
+    def test_too_large(self) -> None:
+        """A command that no message can carry never enters the log."""
+        self.run_paused(self._too_large())
+
+    def test_dialling_counts(self) -> None:
+        """A request ends in its time though the dial of its host hangs.
+
+        The network swallows packets to the host.  An election that waited for
+        the connection to fail would keep the group without a leader.
+        """
+        self.run_paused(self._dialling())
+
+    async def _too_large(self) -> None:
+        net = consensus_net.Net()
+        await net.start(*consensus_net.NODES)
+        leader = await net.leader()
+        with self.assertRaises(failures.CommandTooLarge):
+            await net.processes[leader].propose(bytes(600 << 10))
+        await net.processes[leader].propose(bytes(500 << 10))
+
+    async def _dialling(self) -> None:
+        hanging = asyncio.get_running_loop().create_future()
+        links = mock.Mock(request=mock.Mock(return_value=hanging))
+        carrier = transport.LinkTransport(links)
+        with self.assertRaises(errors.AddressUnreachable):
+            await carrier.call('h9', messages.Request(), 1)
+        carrier.learn('h9', 'loopback:1')
+        with self.assertRaises(errors.RequestTimeout):
+            await carrier.call('h9', messages.Request(), 1)
+
     async def _isolated(self) -> None:
         net = consensus_net.Net()
         await net.start(*consensus_net.NODES)
