Check random histories of keyed calls against the promises

Single deaths were tested, their combinations were not. A lookup whose rest of waiting fell below the clock's resolution spun for ever on paused time; it ends now.

--- a/tamarackthread/control/claim_service.py
+++ b/tamarackthread/control/claim_service.py
@@ -22,6 +22,7 @@
 MAX_PROPOSALS = 4
 MAX_PENDING = 4096
 MAX_WAIT_MS = 5000
+LEAST_SECONDS = 0.001
 MILLISECONDS = 1000
 _log = logging.getLogger('tamarackthread.claims')
 
@@ -85,7 +86,8 @@
         wait_ms = min(ask.wait_ms or 0, MAX_WAIT_MS)
         until = loop.time() + wait_ms / MILLISECONDS
         reply = self._machine.lookup(ask.key)
-        while reply.state in _OPEN and loop.time() < until:
+        # A rest below the clock's resolution would be waited for in a spin.
+        while reply.state in _OPEN and until - loop.time() > LEAST_SECONDS:
             await self._wait_change(ask.key, until)
             reply = self._machine.lookup(ask.key)
         return messages.Reply(claim=reply)
--- /dev/null
+++ b/tests/claim_world.py
@@ -0,0 +1,290 @@
+"""Run keyed calls in a world that fails at random, on paused time.
+
+Entries die, agents restart and stall, frames come late, answers get lost, and
+requests to the shards are doubled and applied again much later.
+"""
+
+import asyncio
+import types
+
+from bench import load
+from bench.checks import calls as checker
+from tamarackthread.agent import claims as gates
+from tamarackthread.control import failures
+from tamarackthread.entry import answers, keyed, takeover
+from tamarackthread.entry import failures as refusals
+from tamarackthread.generated import documents
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import calls
+from tamarackthread.shared import claim_errors, errors
+from tests import shards
+
+TARGETS = ('a', 'b')
+LEADERS = ('one', 'two', 'three')
+RULES = documents.Claims(keep_seconds=1200, wait_seconds=8)
+Ran = messages.Ran
+
+
+class RandomLinks(shards.LocalLinks):
+    """Lose, delay and double what an entry asks of the shards."""
+
+    def __init__(self, held, rng, world):
+        super().__init__(held)
+        self._rng = rng
+        self._world = world
+
+    async def request(self, address, request, timeout_seconds):
+        if self.is_dead:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self._rng.choice([0.001, 0.001, 0.01, 0.4]))
+        if self._rng.random() < 0.08:
+            raise claim_errors.ClaimsUnavailable
+        if self._rng.random() < 0.1:
+            self._world.later(self._again(request))
+        reply = await super().request(address, request, timeout_seconds)
+        if self._rng.random() < 0.12:
+            raise claim_errors.ClaimsUnavailable
+        return reply
+
+    async def _again(self, request):
+        await asyncio.sleep(self._rng.choice([0.01, 1, 5, 60]))
+        try:
+            await self._dispatch(request)
+        except errors.CodedError:
+            return
+
+
+class Agent:
+    """Be an agent and its target; ``incarnation`` grows with restarts."""
+
+    def __init__(self, name, world):
+        self.name = name
+        self.world = world
+        self.incarnation = 0
+        self.restart()
+
+    def restart(self):
+        self.incarnation += 1
+        self.gate = gates.ClaimGate(self.name, self.incarnation)
+
+    def contact(self):
+        loop = asyncio.get_running_loop()
+        held = types.SimpleNamespace(
+            is_closed=False,
+            peer=types.SimpleNamespace(incarnation=self.incarnation),
+            peer_clock_ms=lambda: int(loop.time() * 1000),
+        )
+        return types.SimpleNamespace(
+            name=self.name,
+            held=held,
+            details=types.SimpleNamespace(address=self.name),
+        )
+
+    async def serve(self, opening, body, answered):
+        """Take one call off the network and run it."""
+        rng = self.world.rng
+        await asyncio.sleep(rng.choice([0, 0.002, 0.05, 3, 40, 2000]))
+        gate = self.gate
+        if rng.random() < 0.1:
+            _answer(answered, Ran.NOT_RUN)
+            return
+        try:
+            gate.admit(opening)
+        except errors.CodedError as exc:
+            _answer(answered, exc.ran)
+            return
+        now = asyncio.get_running_loop().time()
+        self.world.starts.append(checker.Start(body, now))
+        await asyncio.sleep(rng.choice([0.01, 0.01, 0.5, 4]))
+        text = f'booked {body}'
+        if rng.random() < 0.1:
+            gate.finish(opening, None)
+            return
+        gate.finish(opening, gates.Answer(201, (), text.encode()))
+        if rng.random() < 0.85:
+            _answer(answered, Ran.COMPLETE, text)
+
+
+def _answer(answered, ran, text=''):
+    if not answered.done():
+        answered.set_result((ran, text))
+
+
+class Prober(takeover.Prober):
+    """Reach agents, if they can be reached."""
+
+    def __init__(self, world):
+        self._world = world
+
+    async def probe(self, handover, ask):
+        rng = self._world.rng
+        await asyncio.sleep(rng.choice([0.001, 0.01]))
+        if rng.random() < 0.15:
+            raise errors.AddressUnreachable(handover.address)
+        proof = self._world.agents[handover.address].gate.probe(ask)
+        if rng.random() < 0.1:
+            raise errors.RequestTimeout(handover.address)
+        return proof
+
+
+class Sink:
+    """Take the answer of one try."""
+
+    def __init__(self):
+        self.text = None
+
+    async def whole(self, head, body):
+        self.text = body.decode()
+
+
+class Entry:
+    """Carry keyed calls as the entry's runner does."""
+
+    def __init__(self, name, world):
+        self.world = world
+        self.links = RandomLinks(world.shards, world.rng, world)
+        client = shards.connect(self.links, name)
+        self.keyed = keyed.KeyedCalls(
+            client, takeover.Takeover(client, Prober(world))
+        )
+
+    def die(self):
+        self.links.is_dead = True
+        self.keyed.later = lambda work: work.close()
+
+    async def run(self, key, sink):
+        """Run one try; raise what its caller is told."""
+        loop = asyncio.get_running_loop()
+        request = keyed.Request(
+            facts=calls.CallFacts(organisation='o', deadline=loop.time() + 15),
+            rules=RULES,
+            home_region='',
+            key=key,
+            method='POST',
+            path='/order',
+            body=key.encode(),
+        )
+        claim = self.keyed.start(request)
+        claim.record(sink)
+        try:
+            await self._attempts(claim, key, sink)
+        except errors.CodedError as exc:
+            await claim.fail(exc)
+            raise
+        claim.succeed()
+
+    async def _attempts(self, claim, key, sink):
+        while True:
+            settled = None
+            try:
+                ran, text = await self._attempt(claim, key)
+            except keyed.ClaimedElsewhere as exc:
+                settled = await claim.settle(exc.reply)
+            else:
+                if ran == Ran.COMPLETE:
+                    await claim._sink.whole(answers.Head(201, ()), text)
+                    return
+                if ran == Ran.MAY_HAVE_RUN:
+                    settled = await claim.settle(None)
+            if settled is not None and not settled.granted:
+                sink.text = settled.body.decode()
+                return
+            if self.world.rng.random() < 0.3:
+                raise refusals.EntryLeaving
+
+    async def _attempt(self, claim, key):
+        rng = self.world.rng
+        agent = self.world.agents[rng.choice(TARGETS)]
+        opening = messages.OpenCall(call_id=b'c')
+        await claim.secure(opening, agent.contact())
+        if rng.random() < 0.1:
+            await asyncio.sleep(rng.choice([0.1, 12]))
+        answered = asyncio.get_running_loop().create_future()
+        self.world.later(agent.serve(opening, key, answered))
+        try:
+            async with asyncio.timeout(rng.choice([0.02, 1, 3])):
+                ran, text = await answered
+        except TimeoutError:
+            return Ran.MAY_HAVE_RUN, b''
+        return ran, text.encode()
+
+
+class World:
+    """Hold everything and the history."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.shards = shards.make()
+        self.agents = {name: Agent(name, self) for name in TARGETS}
+        self.starts = []
+        self.tries = []
+        self._tasks = set()
+
+    def later(self, work):
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def run(self, keys):
+        breaking = asyncio.ensure_future(self._break())
+        await asyncio.gather(*(self._caller(key) for key in keys))
+        breaking.cancel()
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        return checker.History(self.tries, self.starts)
+
+    async def _break(self):
+        while True:
+            await asyncio.sleep(self.rng.choice([0.3, 2, 20]))
+            if self.rng.random() < 0.5:
+                self.agents[self.rng.choice(TARGETS)].restart()
+                continue
+            for shard in self.shards.values():
+                shard.group.failure = failures.NotLeader()
+                shard.service._proposer = self.rng.choice(LEADERS)
+            await asyncio.sleep(self.rng.choice([0.1, 1, 4]))
+            for shard in self.shards.values():
+                shard.group.failure = None
+
+    async def _caller(self, key):
+        await asyncio.sleep(self.rng.uniform(0, 3))
+        for number in range(4):
+            trying = asyncio.ensure_future(self._try(key, number))
+            if self.rng.random() < 0.6:
+                await trying
+            await asyncio.sleep(self.rng.choice([0.01, 0.5, 2, 20, 250]))
+            self._tasks.add(trying)
+            trying.add_done_callback(self._tasks.discard)
+            if trying.done() and trying.result():
+                return
+
+    async def _try(self, key, number):
+        loop = asyncio.get_running_loop()
+        asked = loop.time()
+        entry = Entry(f'entry-{number}', self)
+        sink = Sink()
+        outcome = load.Outcome.COMPLETE
+        life = 60 if self.rng.random() < 0.6 else self.rng.uniform(0, 3)
+        try:
+            async with asyncio.timeout(life):
+                await entry.run(key, sink)
+        except TimeoutError:
+            entry.die()
+            outcome = load.Outcome.BROKEN
+        except errors.CodedError as exc:
+            outcome = load.Outcome.REFUSED
+            if exc.ran != Ran.NOT_RUN:
+                outcome = load.Outcome.MAY_HAVE_RUN
+        self.tries.append(
+            checker.Try(
+                call=key,
+                kind=checker.Kind.KEYED,
+                body=key,
+                asked_at=asked,
+                told_at=loop.time(),
+                outcome=outcome,
+                text=sink.text or '',
+                whole=f'booked {key}',
+            ),
+        )
+        return outcome == load.Outcome.COMPLETE
