--- a/tamarackthread/policy/admission.py
+++ b/tamarackthread/policy/admission.py
@@ -47,14 +47,14 @@
     ``most_passes`` how often that may pass a call over.
     """
 
-    first_token_seconds: float = 0.5
+    first_token_seconds: float = 0.6
     queue_limit: int = 512
     organisation_limit: int = 128
     credit: float = 8.0
-    most_wait_share: float = 0.5
-    caution: float = 0.6
+    most_wait_share: float = 0.6
+    caution: float = 0.65
     preempt_seconds: float = 0.05
-    lookahead: int = 8
+    lookahead: int = 12
     most_passes: int = 4
 
 
@@ -246,8 +246,10 @@
             return False
         ticket = Ticket(call, placement, self._forget)
         self._line.take(entry)
-        self._outlook.left(call, is_served=True, now=now)
+        has_waited = entry.item.entered_at < now
+        self._outlook.left(call, is_served=has_waited, now=now)
         self._running[id(ticket)] = ticket
+        self._move.admitted(now)
         entry.item.granted.set_result(ticket)
         return True
 
@@ -255,9 +257,10 @@
         """Refuse at once the calls that won't start in time.
 
         The queue drains more slowly than expected after a target is lost.
-        Without this, the calls would be held until they expire.
+        Without this, the calls would be held until they expire.  The caution
+        of the first estimate is turned round, so that noise refuses nobody.
         """
-        rate = self._outlook.rate(now)
+        rate = self._outlook.rate(now) / self._settings.caution
         ahead: float = 0
         for entry in self._line.entries():
             start = now + ahead / rate
--- a/tamarackthread/policy/ejection.py
+++ b/tamarackthread/policy/ejection.py
@@ -65,6 +65,7 @@
         is idle, so counting that would keep it out for good.
         """
         health = self._targets.setdefault(target, _Health())
+        self._let_back(health, now)
         if not running or step_ms <= 0 or health.out_until is not None:
             return
         if not health.step_ms:
@@ -150,10 +151,10 @@
     def _let_back(self, health: _Health, now: float) -> None:
         settings = self._settings
         if health.out_until is not None and now >= health.out_until:
+            health.back_since = health.out_until
             health.out_until = None
             health.slow_since = None
             health.step_ms = 0
-            health.back_since = now
         if health.back_since is None:
             return
         calm = settings.return_seconds + 2 * health.out_seconds
--- a/tamarackthread/policy/migration.py
+++ b/tamarackthread/policy/migration.py
@@ -57,6 +57,10 @@
 class MovePolicy(abc.ABC):
     """Decide on moves."""
 
+    @abc.abstractmethod
+    def admitted(self, now: float) -> None:
+        """Note a new call, which pays for a share of a move."""
+
     @abc.abstractmethod
     def should_move(
         self,
@@ -71,6 +75,9 @@
 class StayPut(MovePolicy):
     """Leave every stream where it is."""
 
+    def admitted(self, now: float) -> None:
+        """Note nothing."""
+
     def should_move(
         self,
         call: calls.CallFacts,
@@ -98,6 +105,10 @@
         self._budget = budget
         self._settings = settings or MoveSettings()
 
+    def admitted(self, now: float) -> None:
+        """Pay a share of a move into the budget."""
+        self._budget.earn(now)
+
     def should_move(
         self,
         call: calls.CallFacts,
@@ -113,6 +124,9 @@
             return False
         if place.elsewhere > here * settings.gain:
             return False
+        # Urgent calls are few, and one that ends late is lost work.
+        if call.priority == calls.Priority.URGENT:
+            return True
         return self._budget.spend(now)
 
     def _time_left(
--- a/tamarackthread/policy/outlook.py
+++ b/tamarackthread/policy/outlook.py
@@ -37,7 +37,11 @@
         self._meter.observe(True, now)
 
     def left(self, call: calls.CallFacts, is_served: bool, now: float) -> None:
-        """Note a call that left the line, served or not."""
+        """Note a call that left the line.
+
+        A call that was served without any wait doesn't count as served: a
+        burst into free slots says nothing about how fast a queue drains.
+        """
         flow = self._flows.get(_flow(call))
         if flow is not None:
             flow.left(call.cost if is_served else 0)
--- a/tamarackthread/policy/room.py
+++ b/tamarackthread/policy/room.py
@@ -16,6 +16,8 @@
 from tamarackthread.policy import calls, migration, refusals, routing
 from tamarackthread.policy import load as target_load
 
+_STEADY_FACTOR = 1.5
+
 
 @attrs.define(slots=True, eq=False)
 class Placement:
@@ -119,6 +121,8 @@
             if _timely(call, usable, now):
                 return None
             raise refusals.DeadlineTooClose()
+        if call.is_ahead:
+            timely = self._steady(timely)
         view = self._policy.choose(call, timely, now)
         if view is None:
             return None
@@ -183,9 +187,25 @@
             return -self._settings.urgent_extra
         return math.ceil(self._settings.reserved_share * view.load.slots)
 
+    def _steady(
+        self,
+        views: list[routing.TargetView],
+    ) -> list[routing.TargetView]:
+        """Spare urgent calls a target on its return, or one that slows down.
+
+        It may still answer in time by its last figures, but a target that
+        stalls gets worse before a report says so.
+        """
+        limit = _STEADY_FACTOR * self._median_step()
+        steady = []
+        for view in views:
+            if view.share >= 1 and view.load.step_seconds <= limit:
+                steady.append(view)
+        return steady or views
+
     def _median_step(self) -> float:
         steps = sorted(view.load.step_seconds for view in self._targets)
-        return steps[len(steps) // 2] if steps else 0
+        return steps[(len(steps) - 1) // 2] if steps else 0
 
     def _steps(self, tokens: int) -> float:
         if not self._targets:
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,161 @@
+"""Prove what is known after failures, and what may be tried again."""
+
+import itertools
+import random
+import unittest
+
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import (
+    buckets,
+    calls,
+    outcomes,
+    overload,
+    refusals,
+    retries,
+)
+from tests import policy_case
+
+NOT_RUN = messages.Ran.NOT_RUN
+MAY_HAVE_RUN = messages.Ran.MAY_HAVE_RUN
+COMPLETE = messages.Ran.COMPLETE
+
+
+def known(point, cause, said=None, is_whole=False):
+    ending = outcomes.Ending(
+        point=point, cause=cause, said=said, is_whole=is_whole
+    )
+    return outcomes.classify(ending)
+
+
+class TestOutcomes(unittest.TestCase):
+    """Tell callers no more than is known."""
+
+    def test_only_the_agent_grants_not_run(self):
+        """The link drops, a timeout fires or the caller leaves, anywhere.
+
+        Once bytes have left, nothing but the agent's own word makes it 'not
+        run', whatever the error is called: a retry would run it twice.
+        """
+        pairs = itertools.product(outcomes.Point, outcomes.Cause)
+        for point, cause in pairs:
+            with self.subTest(point=point, cause=cause):
+                expected = MAY_HAVE_RUN
+                if point < outcomes.Point.BYTES_LEFT:
+                    expected = NOT_RUN
+                self.assertEqual(known(point, cause), expected)
+
+    def test_agents_word(self):
+        point = outcomes.Point
+        said = outcomes.Cause.AGENT_SAID
+        self.assertEqual(known(point.BYTES_LEFT, said, NOT_RUN), NOT_RUN)
+        self.assertEqual(known(point.HEAD_SEEN, said, NOT_RUN), MAY_HAVE_RUN)
+        whole = known(point.END_SEEN, said, COMPLETE, is_whole=True)
+        self.assertEqual(whole, COMPLETE)
+
+    def test_short_answer_is_not_complete(self):
+        """The end says complete, but events before it never arrived."""
+        ended = known(
+            outcomes.Point.END_SEEN, outcomes.Cause.AGENT_SAID, COMPLETE
+        )
+        self.assertEqual(ended, MAY_HAVE_RUN)
+
+
+class TestRetries(unittest.TestCase):
+    """Retry what may repeat, within bounds."""
+
+    def policy(self, **settings):
+        chosen = retries.RetrySettings(**settings)
+        budget = retries.RetryBudget(chosen, 0)
+        generator = random.Random(policy_case.SEED)
+        return budget, retries.BudgetedRetry(budget, generator, chosen)
+
+    def test_what_may_repeat(self):
+        _, policy = self.policy()
+        order = policy_case.call()
+        draft = policy_case.call(idempotent=True)
+        self.assertIsNone(policy.delay(order, MAY_HAVE_RUN, 1, 0))
+        self.assertIsNone(policy.delay(draft, COMPLETE, 1, 0))
+        self.assertIsNotNone(policy.delay(order, NOT_RUN, 1, 0))
+        self.assertIsNotNone(policy.delay(draft, MAY_HAVE_RUN, 1, 0))
+
+    def test_attempts_and_deadline(self):
+        _, policy = self.policy()
+        call = policy_case.call(deadline=5.0)
+        self.assertIsNone(policy.delay(call, NOT_RUN, 3, 0))
+        self.assertIsNone(policy.delay(call, NOT_RUN, 1, 5.0))
+
+    def test_failures_do_not_multiply(self):
+        """Every call fails 'not run' for ten seconds.
+
+        Retried freely, three attempts a call would triple the load on what
+        is left.  The budget lets a tenth more through, and what was saved.
+        """
+        budget, policy = self.policy()
+        allowed = 0
+        for number in range(1000):
+            now = number / 100
+            budget.earn(now)
+            delay = policy.delay(policy_case.call(deadline=99), NOT_RUN, 1, now)
+            allowed += delay is not None
+        self.assertLessEqual(allowed, 0.1 * 1000 + 10 + 10)
+
+
+class TestPortions(unittest.TestCase):
+    """Limit organisations by leased portions."""
+
+    def test_lapsed_lease_falls_to_safe_share(self):
+        """An entry is cut off from control with a large portion.
+
+        Control gives that portion to others once the lease has ended; going
+        on with it would let the organisation exceed its cap.
+        """
+        portion = buckets.Portion(safe_rate=1.0, now=0.0)
+        portion.grant(10.0, asked_at=0.0, lease=3.0)
+        passed = {True: 0, False: 0}
+        for tenth in range(80):
+            now = tenth / 10
+            passed[now < 3] += portion.take(1, now) == 0
+        self.assertGreater(passed[True], 25)
+        self.assertLessEqual(passed[False], 6)
+
+    def test_lapse_never_raises_the_rate(self):
+        portion = buckets.Portion(safe_rate=5.0, now=0.0)
+        portion.grant(1.0, asked_at=0.0, lease=1.0)
+        portion.take(1, 4.0)
+        self.assertEqual(portion.rate, 1.0)
+
+    def test_demand_counts_refused_calls(self):
+        portion = buckets.Portion(safe_rate=1.0, now=0.0)
+        for tenth in range(100):
+            portion.take(1, tenth / 10)
+        demand, used = portion.measure(10.0)
+        self.assertAlmostEqual(demand, 10)
+        self.assertLess(used, 1.5)
+
+
+class TestOverload(unittest.TestCase):
+    """Refuse early while the loop runs late."""
+
+    def test_lag_refuses_and_recovers(self):
+        """The loop is held up; heartbeats and refusals would be late too."""
+        meter = overload.LagMeter()
+        guard = overload.OverloadGuard(meter)
+        normal = policy_case.call()
+        urgent = policy_case.call(priority=calls.Priority.URGENT)
+        meter.expect(1.0)
+        guard.check(normal, 10, 1.0)
+        with self.assertRaises(refusals.EntryOverloaded):
+            guard.check(normal, 10, 1.1)
+        guard.check(urgent, 10, 1.1)
+        meter.observe(1.1)
+        for turn in range(8):
+            meter.expect(2.0 + turn)
+            meter.observe(2.0 + turn)
+        guard.check(normal, 10, 9.0)
+
+    def test_room_kept_for_urgent(self):
+        guard = overload.OverloadGuard(overload.LagMeter())
+        with self.assertRaises(refusals.EntryOverloaded):
+            guard.check(policy_case.call(), 4000, 0)
+        urgent = policy_case.call(priority=calls.Priority.URGENT)
+        guard.check(urgent, 4100, 0)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,201 @@
+"""Prove the choice of targets, subsets and ejections."""
+
+import collections
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from tamarackthread.policy import ejection, routing, subsets
+from tests import policy_case
+
+
+def policy():
+    return routing.ExpectedFirstToken('east', random.Random(policy_case.SEED))
+
+
+class TestRouting(unittest.TestCase):
+    """Choose by expected time to first token."""
+
+    def setUp(self):
+        self.near = [policy_case.view(f'near-{rank}') for rank in range(2)]
+        self.far = [policy_case.view('far', zone='west')]
+        self.views = self.near + self.far
+
+    def choose(self, chosen_by=None, call=None, now=0.0):
+        return (chosen_by or policy()).choose(
+            call or policy_case.call(), self.views, now
+        )
+
+    def test_spills_before_it_queues(self):
+        """The own zone is full; a call there would wait for a slot."""
+        self.assertEqual(self.choose().zone, 'east')
+        for view in self.near:
+            view.load.report(policy_case.report(1, running=4), 0.0)
+        self.assertEqual(self.choose().name, 'far')
+
+    def test_leaving_and_stuck_get_nothing(self):
+        self.near[0].load.report(policy_case.report(1, leaving=True), 0.0)
+        self.near[1].load.report(policy_case.report(1, stuck=True), 0.0)
+        chosen = {self.choose().name for _ in range(20)}
+        self.assertEqual(chosen, {'far'})
+
+    def test_excluded_target(self):
+        tried = frozenset(view.name for view in self.views)
+        self.assertIsNone(
+            self.choose(call=policy_case.call(excluded=tried)),
+        )
+
+    def test_affinity_is_bounded(self):
+        """A popular prefix must not pile all its calls on one target."""
+        call = policy_case.call(prompt_tokens=256, prefixes=(1, 2))
+        self.near[0].prefixes.sent(call.prefixes)
+        self.assertEqual(self.choose(call=call).name, 'near-0')
+        for _ in range(3):
+            self.near[0].load.sent(100, 0.0)
+        self.assertEqual(self.choose(call=call).name, 'near-1')
+
+    def test_no_herd_on_old_report(self):
+        """Ten entries see the same old report with one idle target.
+
+        The least reported load sends all ten there, where they queue.  Two
+        sampled choices send it no more than about half of them.
+        """
+        self.views = [policy_case.view(f't-{rank}') for rank in range(6)]
+        for rank, view in enumerate(self.views):
+            running = 2 if rank else 0
+            view.load.report(
+                policy_case.report(1, running=running, queued_tokens=512),
+                0.0,
+            )
+        counts = collections.Counter()
+        for seed in range(60):
+            generator = random.Random(seed)
+            ours = routing.ExpectedFirstToken('east', generator)
+            counts[self.choose(ours).name] += 1
+            older = routing.LeastReportedLoad(generator)
+            self.assertEqual(self.choose(older).name, 't-0')
+        self.assertLess(counts['t-0'], 36)
+
+
+def places(prefix, count):
+    zones = ('east', 'west', 'north')
+    return [
+        subsets.Place(f'{prefix}-{rank}', zones[rank % 3])
+        for rank in range(count)
+    ]
+
+
+class TestSubsets(unittest.TestCase):
+    """Give each entry its stable part of the targets."""
+
+    def setUp(self):
+        self.subsets = subsets.Subsets(
+            subsets.SubsetSettings(entries_per_target=4, least_targets=3),
+        )
+
+    def names(self, entry, entries, targets, healthy=None):
+        chosen = self.subsets.choose(entry.name, entries, targets, healthy)
+        return {place.name for place in chosen}
+
+    @hypothesis.given(strategies.integers(1, 12), strategies.integers(1, 20))
+    @hypothesis.settings(max_examples=30, deadline=None)
+    def test_every_target_has_entries(self, entry_count, target_count):
+        entries = places('entry', entry_count)
+        targets = places('target', target_count)
+        counts = collections.Counter()
+        for entry in entries:
+            names = self.names(entry, entries, targets)
+            counts.update(names)
+            self.assertGreaterEqual(len(names), min(3, target_count))
+        for target in targets:
+            self.assertGreaterEqual(counts[target.name], min(4, entry_count))
+
+    def test_lost_entry_moves_only_its_pairs(self):
+        entries = places('entry', 30)
+        targets = places('target', 60)
+        before = [self.names(one, entries, targets) for one in entries[1:]]
+        after = [self.names(one, entries[1:], targets) for one in entries[1:]]
+        lost = self.names(entries[0], entries, targets)
+        for old, new in zip(before, after, strict=True):
+            self.assertLessEqual(old, new)
+            self.assertLessEqual(new - old, lost)
+
+    def test_widened_when_thinned(self):
+        """Most of an entry's targets fail; it must not crowd on the rest."""
+        entries = places('entry', 30)
+        targets = places('target', 30)
+        own = self.names(entries[0], entries, targets)
+        healthy = {target.name for target in targets} - own
+        wider = self.names(entries[0], entries, targets, healthy)
+        self.assertLessEqual(own, wider)
+        self.assertGreaterEqual(len(wider & healthy), 3)
+
+    def test_own_zone_is_likelier(self):
+        entries = places('entry', 30)
+        targets = places('target', 60)
+        near = 0
+        total = 0
+        for entry in entries:
+            for place in self.subsets.choose(entry.name, entries, targets):
+                near += place.zone == entry.zone
+                total += 1
+        self.assertGreater(near / total, 0.45)
+
+
+class TestEjection(unittest.TestCase):
+    """Keep calls away from slow groups, within bounds."""
+
+    def setUp(self):
+        self.ejection = ejection.Ejection()
+
+    def report(self, slow, start, stop, running=3, count=8):
+        for tenth in range(int(start * 10), int(stop * 10)):
+            for rank in range(count):
+                step = 40.0 if rank in slow else 7.0
+                self.ejection.report(f'g-{rank}', step, running, tenth / 10)
+
+    def test_stalled_group_leaves_and_returns(self):
+        """One rank stalls, its whole group is slow, and later recovers.
+
+        Callers of the group would all be late.  It is out after the reports
+        of a few hundred milliseconds, and its calls come back bit by bit.
+        """
+        self.report({0}, 0, 1)
+        self.assertEqual(self.ejection.ejected(0.9), ['g-0'])
+        self.report(set(), 1, 2)
+        shares = [self.ejection.share('g-0', now) for now in (1.6, 3, 9)]
+        self.assertEqual(shares, sorted(shares))
+        self.assertLess(shares[0], 0.3)
+        self.assertEqual(shares[2], 1)
+
+    def test_idle_target_is_not_judged(self):
+        """An ejected group is idle and repeats its last, slow step.
+
+        Judged by that it would be ejected again for good, and the service
+        would lose a group to each stall it ever had.
+        """
+        self.report({0}, 0, 1)
+        for tenth in range(10, 60):
+            self.ejection.report('g-0', 40.0, 0, tenth / 10)
+        self.assertGreater(self.ejection.share('g-0', 6.0), 0.5)
+
+    def test_stall_that_lasts_is_out_longer(self):
+        self.report({0}, 0, 20)
+        out = [self.ejection.share('g-0', now) == 0 for now in (19.9, 22)]
+        self.assertEqual(out, [True, True])
+
+    def test_bounded_share(self):
+        """Half of the groups slow down; ejecting all would drown the rest."""
+        self.report({0, 1, 2}, 0, 3)
+        self.assertLessEqual(len(self.ejection.ejected(2.9)), 2)
+
+    def test_one_bad_answer(self):
+        self.ejection.answered('g-0', is_good=False, now=0)
+        self.assertEqual(self.ejection.share('g-0', 0), 1)
+        for _ in range(5):
+            for rank in range(4):
+                good = rank > 0
+                self.ejection.answered(f'g-{rank}', is_good=good, now=0)
+        self.assertEqual(self.ejection.share('g-0', 0), 0)
