Call a forwarded proposal unknown after a fault at the leader

Cause: an answer that makes no sense, or an internal fault, may come after the leader wrote the proposal; it was told as not run. Figures: 24 tests of the log pass.

--- a/tamarackthread/control/proposing.py
+++ b/tamarackthread/control/proposing.py
@@ -18,6 +18,14 @@
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors
 
+# After any of these the leader may have written the proposal to its log.
+_UNCERTAIN = (
+    errors.RequestTimeout,
+    errors.LinkLost,
+    errors.PeerFailure,
+    errors.FrameInvalid,
+)
+
 
 @attrs.frozen
 class ProposeResult:
@@ -64,7 +72,7 @@
             return await self.propose(command, timeout_seconds)
         try:
             reply = await self._ask_leader(command, timeout_seconds)
-        except (errors.RequestTimeout, errors.LinkLost) as exc:
+        except _UNCERTAIN as exc:
             raise failures.OutcomeUnknown from exc
         return ProposeResult(reply.index, reply.result)
 
