--- a/bench/engines/batch.py
+++ b/bench/engines/batch.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-PREFIX_CHARACTERS = 64
+from tamarackthread.policy import affinity
 
 
 @attrs.frozen
@@ -42,13 +42,6 @@
     return f'{seed}.{position} '
 
 
-def prefix_of(prompt: str) -> int:
-    """Hash the part of a prompt that the prefix cache goes by."""
-    head = prompt[:PREFIX_CHARACTERS].encode()
-    digest = hashlib.blake2s(head, digest_size=7).digest()
-    return int.from_bytes(digest, 'big')
-
-
 class Batch:
     """Run calls in steps, urgent ones first."""
 
@@ -105,8 +98,12 @@
 
     def submit(self, call: Running) -> None:
         """Queue a call."""
-        cached = prefix_of(call.prompt) in self._prefixes
-        call.prefill_left = 0 if cached else max(len(call.prompt) // 4, 1)
+        cached = 0
+        for block in affinity.prefix_hashes(call.prompt.encode()):
+            if block not in self._prefixes:
+                break
+            cached += affinity.BLOCK_TOKENS
+        call.prefill_left = max(len(call.prompt) // 4 - cached, 1)
         self._queues[call.priority].append(call)
         self._wakeup.set()
 
@@ -137,7 +134,7 @@
                 budget -= taken
                 call.prefill_left -= taken
                 if call.prefill_left == 0:
-                    self._cache(prefix_of(call.prompt))
+                    self._cache_prompt(call.prompt)
             if call.prefill_left == 0:
                 self._emit(call)
             if call.position < call.tokens:
@@ -156,6 +153,10 @@
             while queue and len(self._running) < self._options.slots:
                 self._running.append(queue.popleft())
 
+    def _cache_prompt(self, prompt: str) -> None:
+        for block in affinity.prefix_hashes(prompt.encode()):
+            self._cache(block)
+
     def _cache(self, prefix: int) -> None:
         if prefix in self._prefixes:
             self._prefixes.move_to_end(prefix)
--- a/bench/engines/replica.py
+++ b/bench/engines/replica.py
@@ -79,7 +79,7 @@
         messages = body.get('messages')
         prompt = body.get('prompt', '')
         if messages:
-            prompt = ''.join(str(item.get('content')) for item in messages)
+            prompt = '\n'.join(str(item.get('content')) for item in messages)
         return batch.Running(
             call_id=request.headers.get(CALL_HEADER, ''),
             prompt=prompt,
--- a/tamarackthread/shared/link.py
+++ b/tamarackthread/shared/link.py
@@ -406,9 +406,11 @@
 def raise_failure(failure: messages.Failure) -> None:
     """Raise a peer's failure under its own class where we know it."""
     kind = errors.by_code(failure.code or '')
+    raised: errors.CodedError
     if kind is None:
-        raise errors.PeerFailure(f'{failure.code} {failure.text}')
-    raised = kind(failure.text or '')
+        raised = errors.PeerFailure(f'{failure.code} {failure.text}')
+    else:
+        raised = kind(failure.text or '')
     if failure.leader:
         raised.leader = failure.leader  # type: ignore[attr-defined]
     raise raised
