Split the admission, and serve long prompts on an idle service

Before: the new test is refused. Conclusion: running calls and queue limits are modules of their own; behaviour is otherwise unchanged.

--- a/tamarackthread/policy/admission.py
+++ b/tamarackthread/policy/admission.py
@@ -10,17 +10,17 @@
 import asyncio
 import random
 
-import attrs
-
 from tamarackthread.policy import (
     buckets,
     calls,
     fairness,
+    limits,
     migration,
     outlook,
     preemption,
     refusals,
     room,
+    running,
     tickets,
     waiting,
 )
@@ -32,32 +32,7 @@
 _SWEEP_SECONDS = 0.05
 
 
-@attrs.frozen(slots=True, kw_only=True)
-class AdmissionSettings:
-    """Hold the bounds of a service's queue, times in seconds.
-
-    ``first_token_seconds`` is how soon after its arrival a call should get
-    its first token; one that can't is refused.  An organisation that used
-    less than its share may catch up by ``credit``, in calls.  A call waits
-    for at most ``most_wait_share`` of the time to its deadline, so that a
-    refusal leaves its caller time to act, and is queued if its expected wait
-    is at most ``caution`` of that.  An urgent call that has waited ``preempt_seconds``
-    pre-empts.  ``lookahead`` is how many of
-    the next calls compete for a free slot by what its target has cached, and
-    ``most_passes`` how often that may pass a call over.
-    """
-
-    first_token_seconds: float = 0.6
-    queue_limit: int = 512
-    organisation_limit: int = 128
-    credit: float = 8.0
-    most_wait_share: float = 0.6
-    caution: float = 0.65
-    preempt_seconds: float = 0.05
-    lookahead: int = 12
-    most_passes: int = 4
-
-
+AdmissionSettings = limits.AdmissionSettings
 Ticket = tickets.Ticket
 
 
@@ -78,11 +53,19 @@
         self._settings = settings or AdmissionSettings()
         self._room = place
         self._portions = portions or buckets.Portions()
-        self._preempt = preempt or preemption.NewestDraft()
-        self._move = move or migration.StayPut()
         self._line = waiting.WaitingLine(shares, self._settings.credit)
         self._outlook = outlook.Outlook(place, self._line, generator)
-        self._running: dict[int, Ticket] = {}
+        self._limits = limits.QueueLimits(
+            self._settings,
+            place,
+            self._line,
+            self._outlook,
+        )
+        self._running = running.RunningCalls(
+            place,
+            preempt or preemption.NewestDraft(),
+            move or migration.StayPut(),
+        )
         self._timer: asyncio.TimerHandle | None = None
         self._shed_at: float = 0
         self._swept_at: float = 0
@@ -103,8 +86,8 @@
         Every refusal says 'not run'.  Cancelling leaves the queue.
         """
         now = _now()
-        budget = self._budget(call, now)
-        self._check_limits(call, budget, now)
+        budget = self._limits.budget(call, now)
+        self._limits.check(call, budget, now)
         self._charge(call, now)
         granted = asyncio.get_running_loop().create_future()
         entry = self._line.push(
@@ -125,7 +108,7 @@
         self._schedule()
 
     def _forget(self, ticket: Ticket) -> None:
-        self._running.pop(id(ticket), None)
+        self._running.remove(ticket)
         self.wake()
 
     async def _wait(self, entry: waiting.WaitingEntry) -> Ticket:
@@ -149,43 +132,6 @@
             return
         self._drop(entry)
 
-    def _budget(self, call: calls.CallFacts, now: float) -> float:
-        """Return how long the call may wait and still be in time."""
-        until_end = call.deadline - now - self._room.answer_seconds(call, now)
-        if until_end <= 0:
-            raise refusals.DeadlineTooClose()
-        if call.is_ahead:
-            return until_end
-        settings = self._settings
-        first = self._room.first_token_seconds(call, now)
-        most = settings.most_wait_share * (call.deadline - now)
-        return min(until_end, settings.first_token_seconds - first, most)
-
-    def _check_limits(
-        self,
-        call: calls.CallFacts,
-        budget: float,
-        now: float,
-    ) -> None:
-        settings = self._settings
-        length = self._line.organisation_length(call)
-        if length >= settings.organisation_limit:
-            retry = self._outlook.retry(call, now)
-            raise refusals.ShareExceeded(retry_after=retry)
-        if call.is_ahead:
-            return
-        if self.queued >= settings.queue_limit:
-            retry = self._outlook.retry(call, now)
-            raise refusals.QueueFull(retry_after=retry)
-        if not self.queued:
-            return
-        if self._outlook.wait(call, now) <= budget * settings.caution:
-            return
-        retry = self._outlook.retry(call, now)
-        if length:
-            raise refusals.ShareExceeded(retry_after=retry)
-        raise refusals.AdmissionRefused(retry_after=retry)
-
     def _charge(self, call: calls.CallFacts, now: float) -> None:
         portion = self._portions.find(call.organisation)
         if portion is None or call.start or call.goes_first:
@@ -248,8 +194,7 @@
         self._line.take(entry)
         has_waited = entry.item.entered_at < now
         self._outlook.left(call, is_served=has_waited, now=now)
-        self._running[id(ticket)] = ticket
-        self._move.admitted(now)
+        self._running.add(ticket, now)
         entry.item.granted.set_result(ticket)
         return True
 
@@ -292,26 +237,13 @@
         self._outlook.left(entry.item.call, is_served=False, now=_now())
 
     def _make_room(self, now: float) -> None:
-        running = None
         for entry in self._line.urgent():
             waited = now - entry.item.entered_at
             if entry.item.preempting or waited < self._settings.preempt_seconds:
                 continue
-            if running is None:
-                running = self._preemptible()
-            chosen = self._preempt.choose(entry.item.call, running, now)
-            if chosen is None:
+            if not self._running.give_way(entry.item.call, now):
                 return
             entry.item.preempting = True
-            running.remove(chosen)
-            self._running[chosen.key].preempted.set()
-
-    def _preemptible(self) -> list[preemption.RunningCall]:
-        found = []
-        for ticket in self._running.values():
-            if not ticket.preempted.is_set():
-                found.append(ticket.describe())
-        return found
 
     def _schedule(self) -> None:
         if self._timer is not None or not (self.queued or self._running):
@@ -325,22 +257,9 @@
         now = _now()
         if now >= self._swept_at + _SWEEP_SECONDS:
             self._swept_at = now
-            self._sweep(now)
+            self._running.sweep(now)
         self.wake()
 
-    def _sweep(self, now: float) -> None:
-        """Ask late streams to move."""
-        for ticket in self._running.values():
-            if not ticket.call.idempotent or ticket.preempted.is_set():
-                continue
-            place = migration.Comparison(
-                step=ticket.step_seconds,
-                elsewhere=self._room.answer_seconds(ticket.resumed, now),
-            )
-            progress = ticket.progress
-            if self._move.should_move(ticket.call, progress, place, now):
-                ticket.move()
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -231,6 +231,18 @@
 
         self.run_paused(scenario())
 
+    def test_long_prompt_is_served(self):
+        """A prompt needs longer than the goal for the first token by itself.
+
+        On an idle service it must be answered, not refused for good.
+        """
+
+        async def scenario():
+            gate = policy_case.gate([policy_case.view('t')])
+            await self.start(gate, 1, prompt_tokens=100_000)[0]
+
+        self.run_paused(scenario())
+
     def test_no_target(self):
         async def scenario():
             with self.assertRaises(refusals.NoTarget):
