Measure what each unit of work costs, as fitted lines

Conclusion: processor time is read from the process's clock, because the file's steps of 10 ms hide calls; memory is read in fresh processes, because old ones first fill what they have freed.

--- /dev/null
+++ b/bench/experiments/slopes.py
@@ -0,0 +1,105 @@
+"""Measure what each unit of the system's work costs.
+
+Each slope is fitted through three sizes or more.  Costs are processor time of
+real processes above what they use at rest, counts, and bytes: the machine is
+shared, so time that passed would say little.  ``--write`` of
+``python -m bench.slopes.page`` turns the figures into docs/CAPACITY.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import importlib.metadata
+import pathlib
+import platform
+import tempfile
+import typing
+
+from bench.slopes import (
+    calls,
+    control,
+    fit,
+    links,
+    memory,
+    planning,
+    process,
+    stand,
+    wire_sizes,
+)
+
+LIBRARIES = ('aiohttp', 'attrs', 'numpy', 'scipy', 'thrift')
+MEBI = 1024 * 1024
+PLACES = 4
+LIMIT_SECONDS = 360.0
+
+
+def run(quick: bool) -> dict[str, typing.Any]:
+    """Measure all slopes and return them by name."""
+    slopes = [*wire_sizes.run(), *memory.run(quick), *planning.run(quick)]
+    for found in slopes:
+        fit.show(found)
+    measured, levels = asyncio.run(_measure(quick))
+    slopes += measured
+    return {
+        'slopes': {slope.name: slope.as_json() for slope in slopes},
+        'levels': levels,
+        'versions': _versions(),
+        'quick': quick,
+    }
+
+
+async def _measure(
+    quick: bool,
+) -> tuple[list[fit.Slope], dict[str, float]]:
+    with tempfile.TemporaryDirectory() as folder:
+        subject = stand.Stand(pathlib.Path(folder))
+        try:
+            async with asyncio.timeout(LIMIT_SECONDS):
+                await subject.start()
+                levels = await _levels(subject)
+                return await _all(subject, quick), levels
+        finally:
+            await subject.stop()
+
+
+async def _all(subject: stand.Stand, quick: bool) -> list[fit.Slope]:
+    slopes: list[fit.Slope] = []
+    # Memory first: what a process has once taken it seldom gives back.
+    parts = (
+        calls.Tokens(subject, quick).run(),
+        calls.measure_connections(subject, quick),
+        links.measure_agent(subject, quick),
+        calls.Calls(subject, quick).run(),
+        control.Claims(subject, quick).run(),
+        control.Changes(subject, quick).run(),
+        control.measure_announcements(subject, quick),
+        links.EntryLinks(subject, quick).run(),
+    )
+    for part in parts:
+        for found in await part:
+            fit.show(found)
+            slopes.append(found)
+    return slopes
+
+
+async def _levels(subject: stand.Stand) -> dict[str, float]:
+    """Measure what each role uses at rest, with next to nothing known."""
+    meter = process.Meter(subject.pids)
+    rest = await meter.take_rest(process.WINDOW_SECONDS)
+    levels = {}
+    for name, pid in subject.pids.items():
+        role = name
+        if name in subject.cluster.controls:
+            role = 'leader' if name == subject.leader else 'follower'
+        levels[f'{role}_rest_cpu_share'] = round(rest[name], PLACES)
+        resident = process.resident_bytes(pid) / MEBI
+        levels[f'{role}_rest_memory_mib'] = round(resident, 1)
+    for name, level in levels.items():
+        print(f'{name:34} {level}')
+    return levels
+
+
+def _versions() -> dict[str, str]:
+    versions = {name: importlib.metadata.version(name) for name in LIBRARIES}
+    versions['python'] = platform.python_version()
+    return versions
--- /dev/null
+++ b/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the experiment that measures what each unit of work costs."""
