Measure leases, portions, dials and subsets as lines too

Cause: renewals of groups' leases and portions of caps reach one leader, a zone's return dials every agent anew, and subsets now follow changes one by one; none of them had a slope.

--- a/bench/experiments/slopes.py
+++ b/bench/experiments/slopes.py
@@ -12,6 +12,8 @@
 import importlib.metadata
 import pathlib
 import platform
+import resource
+import sys
 import tempfile
 import typing
 
@@ -19,6 +21,7 @@
     calls,
     control,
     fit,
+    leasing,
     links,
     memory,
     planning,
@@ -28,7 +31,8 @@
 )
 
 LIBRARIES = ('aiohttp', 'attrs', 'numpy', 'scipy', 'thrift')
-MEBI = 1024 * 1024
+KIBI = 1024
+MEBI = KIBI * KIBI
 PLACES = 4
 LIMIT_SECONDS = 360.0
 
@@ -36,6 +40,7 @@
 def run(quick: bool) -> dict[str, typing.Any]:
     """Measure all slopes and return them by name."""
     slopes = [*wire_sizes.run(), *memory.run(quick), *planning.run(quick)]
+    slopes.append(leasing.portions_by_entries(quick))
     for found in slopes:
         fit.show(found)
     measured, levels = asyncio.run(_measure(quick))
@@ -69,8 +74,10 @@
         calls.Tokens(subject, quick).run(),
         calls.measure_connections(subject, quick),
         links.measure_agent(subject, quick),
+        links.measure_dials(subject, quick),
         calls.Calls(subject, quick).run(),
         control.Claims(subject, quick).run(),
+        leasing.measure_leases(subject, quick),
         control.Changes(subject, quick).run(),
         control.measure_announcements(subject, quick),
         links.EntryLinks(subject, quick).run(),
@@ -94,11 +101,35 @@
         levels[f'{role}_rest_cpu_share'] = round(rest[name], PLACES)
         resident = process.resident_bytes(pid) / MEBI
         levels[f'{role}_rest_memory_mib'] = round(resident, 1)
+    levels.update(await _operator(subject))
     for name, level in levels.items():
         print(f'{name:34} {level}')
     return levels
 
 
+async def _operator(subject: stand.Stand) -> dict[str, float]:
+    """Measure a short command, from its start to its end."""
+    before = resource.getrusage(resource.RUSAGE_CHILDREN)
+    command = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'tamarackthread',
+        'status',
+        '--control',
+        subject.cluster.controls[subject.leader],
+        '--key-file',
+        str(subject.cluster.key_file),
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    await command.wait()
+    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    spent = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+    return {
+        'operator_cpu_seconds': round(spent, PLACES),
+        'operator_memory_mib': round(after.ru_maxrss / KIBI, 1),
+    }
+
+
 def _versions() -> dict[str, str]:
     versions = {name: importlib.metadata.version(name) for name in LIBRARIES}
     versions['python'] = platform.python_version()
--- a/bench/slopes/links.py
+++ b/bench/slopes/links.py
@@ -91,3 +91,23 @@
         fit.fit('entry_link_cpu_agent', 'us/s an entry', points, MICRO),
         fit.fit('link_memory_agent', 'KiB a link', resident, 1 / KIBI),
     ]
+
+
+async def measure_dials(subject: stand.Stand, quick: bool) -> list[fit.Slope]:
+    """Dial one agent anew, as its entries do after it was cut off."""
+    pid = subject.pids['agent']
+    meter = process.Meter({'agent': pid})
+    await meter.take_rest(process.window_seconds(quick))
+    address = subject.address('stock-0')
+    points = []
+    for size in (10, 20, 40) if quick else (20, 40, 80) * 2:
+        spent = await meter.spent_by(_dial(subject, address, size))
+        points.append((float(size), spent.cpu['agent']))
+    return [fit.fit('dial_cpu_agent', 'us', points, MICRO)]
+
+
+async def _dial(subject: stand.Stand, address: str, count: int) -> None:
+    for _ in range(count):
+        links = subject.links('redialler', messages.Role.OPERATOR)
+        await links.link(address)
+        links.close()
--- a/bench/slopes/planning.py
+++ b/bench/slopes/planning.py
@@ -6,7 +6,13 @@
 
 import numpy
 
-from tamarackthread.policy import expert_map, forecast, placement, subsets
+from tamarackthread.policy import (
+    expert_map,
+    forecast,
+    placement,
+    ranks,
+    subsets,
+)
 
 from bench.slopes import fit
 
@@ -21,6 +27,7 @@
 EXPERTS = 256
 EXPERTS_A_RANK = 8
 RANKS = 32
+JOINING = 21
 
 
 def run(quick: bool) -> list[fit.Slope]:
@@ -58,16 +65,16 @@
             each_layer,
         ),
         fit.fit('plan_cpu_by_layers', 'ms a layer', by_layers, MILLI),
-        _subsets(quick),
+        *_subsets(quick),
     ]
 
 
-def _plan_seconds(layers: int, experts: int, ranks: int) -> float:
+def _plan_seconds(layers: int, experts: int, size: int) -> float:
     shape = expert_map.GroupShape(
         layers=layers,
         experts=experts,
-        ranks=ranks,
-        slots=int(experts * SLOTS_OVER) // ranks,
+        ranks=size,
+        slots=int(experts * SLOTS_OVER) // size,
     )
     random = numpy.random.default_rng(SEED)
     shares = random.dirichlet(numpy.ones(experts), layers)
@@ -78,18 +85,35 @@
     return time.process_time() - began
 
 
-def _subsets(quick: bool) -> fit.Slope:
-    points = []
-    for entries, targets in ((20, 100), (60, 140), (120, 300), (370, 140)):
-        if quick and entries * targets > 40_000:
-            continue
-        names = [_place('entry', number) for number in range(entries)]
-        known = [_place('target', number) for number in range(targets)]
+def _subsets(quick: bool) -> list[fit.Slope]:
+    starting = []
+    joining = []
+    targets = 140
+    sizes = (20, 60, 120) if quick else (60, 120, 240, 370)
+    for entries in sizes:
+        known = _places('entry', entries)
+        ranked = ranks.RankedTargets(known['entry-0'])
         began = time.process_time()
-        subsets.Subsets().choose('entry-0', names, known)
+        ranked.set_entries(known)
+        ranked.set_targets(_places('target', targets))
         spent = time.process_time() - began
-        points.append((float(entries * targets), spent))
-    return fit.fit('subset_cpu', 'us an entry and target', points, MICRO)
+        starting.append((float(entries * targets), spent))
+    for count in (targets, targets * 5, targets * 15):
+        ranked = ranks.RankedTargets(_place('entry', 0))
+        ranked.set_targets(_places('target', count))
+        began = time.process_time()
+        ranked.set_entries(_places('entry', JOINING))
+        spent = (time.process_time() - began) / (JOINING - 1)
+        joining.append((float(count), spent))
+    return [
+        fit.fit('subset_start_cpu', 'us an entry and target', starting, MICRO),
+        fit.fit('subset_join_cpu', 'us a target', joining, MICRO),
+    ]
+
+
+def _places(kind: str, count: int) -> dict[str, subsets.Place]:
+    places = [_place(kind, number) for number in range(count)]
+    return {place.name: place for place in places}
 
 
 def _place(kind: str, number: int) -> subsets.Place:
