--- a/bench/history/network.py
+++ b/bench/history/network.py
@@ -11,7 +11,7 @@
 
 from tamarackthread.control import transport
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, link, wire
+from tamarackthread.shared import errors, replies, wire
 
 Handler = collections.abc.Callable[
     [messages.Request], collections.abc.Awaitable[messages.Reply]
@@ -126,5 +126,5 @@
         except TimeoutError as exc:
             raise errors.RequestTimeout(node) from exc
         if reply.failure is not None:
-            link.raise_failure(reply.failure)
+            replies.raise_failure(reply.failure)
         return reply
--- a/tamarackthread/control/claim_service.py
+++ b/tamarackthread/control/claim_service.py
@@ -15,7 +15,7 @@
 
 from tamarackthread.control import claim_record, claims, group
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, link, wire
+from tamarackthread.shared import errors, replies, wire
 
 MAX_BATCH = 256
 MAX_BATCH_BYTES = 256 * 1024
@@ -182,4 +182,4 @@
 
 def raise_code(code: str) -> None:
     """Raise the error that the machine named by its code."""
-    link.raise_failure(messages.Failure(code=code, text=''))
+    replies.raise_failure(messages.Failure(code=code, text=''))
--- a/tamarackthread/control/consensus.py
+++ b/tamarackthread/control/consensus.py
@@ -26,7 +26,7 @@
     voting,
 )
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, link
+from tamarackthread.shared import errors, replies
 
 DEFAULT_TIMEOUT_SECONDS = 5.0
 _log = logging.getLogger('tamarackthread.control.consensus')
@@ -229,7 +229,7 @@
         try:
             return await self._dispatch(request)
         except errors.CodedError as exc:
-            return link.failure_reply(exc)
+            return replies.failure_reply(exc)
 
     async def _dispatch(self, request: messages.Request) -> messages.Reply:
         self._require_running()
--- a/tamarackthread/control/proposer.py
+++ b/tamarackthread/control/proposer.py
@@ -8,7 +8,7 @@
 
 from tamarackthread.control import configuration, group, leases
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import documents, link, wire
+from tamarackthread.shared import documents, replies, wire
 
 MILLISECONDS = 1000
 
@@ -76,7 +76,7 @@
         done = await self._config.propose(wire.encode(command))
         reply = wire.decode(messages.Reply, done.result)
         if reply.failure is not None:
-            link.raise_failure(reply.failure)
+            replies.raise_failure(reply.failure)
         return reply
 
     def _elapsed_ms(self) -> int:
--- /dev/null
+++ b/tamarackthread/shared/connecting.py
@@ -0,0 +1,53 @@
+"""Make links: dial an address or take a connection, and greet."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tamarackthread.shared import errors, greeting, identity, link
+
+
+async def connect(
+    address: str,
+    options: identity.LinkOptions,
+    handler: link.Handler,
+) -> link.Link:
+    """Dial an address and greet; raise ``AddressUnreachable`` if nobody is."""
+    host, _, port = address.rpartition(':')
+    try:
+        async with asyncio.timeout(options.timeout_seconds):
+            reader, writer = await asyncio.open_connection(
+                host,
+                int(port),
+                ssl=options.dial_tls,
+            )
+    except (OSError, TimeoutError, ValueError) as exc:
+        raise errors.AddressUnreachable(f'{address}: {exc}') from exc
+    return await _greeted(reader, writer, options, handler, dialer=True)
+
+
+async def accept(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    options: identity.LinkOptions,
+    handler: link.Handler,
+) -> link.Link:
+    """Greet a connection that a peer dialled."""
+    return await _greeted(reader, writer, options, handler, dialer=False)
+
+
+async def _greeted(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    options: identity.LinkOptions,
+    handler: link.Handler,
+    dialer: bool,
+) -> link.Link:
+    try:
+        peer = await greeting.greet(reader, writer, options, dialer)
+    except BaseException:
+        writer.close()
+        raise
+    greeted = link.Link(reader, writer, options, peer, handler, dialer)
+    greeted.start()
+    return greeted
--- a/tamarackthread/shared/link.py
+++ b/tamarackthread/shared/link.py
@@ -15,7 +15,14 @@
 import struct
 
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, greeting, identity, stream, wire
+from tamarackthread.shared import (
+    errors,
+    greeting,
+    identity,
+    replies,
+    stream,
+    wire,
+)
 
 READ_BYTES = 256 * 1024
 HIGH_WATER_BYTES = 1024 * 1024
@@ -164,7 +171,7 @@
         finally:
             self._replies.pop(number, None)
         if reply.failure is not None:
-            raise_failure(reply.failure)
+            replies.raise_failure(reply.failure)
         return reply
 
     def notify(self, request: messages.Request) -> None:
@@ -342,10 +349,10 @@
         try:
             reply = await self._handler.on_request(self, request)
         except errors.CodedError as exc:
-            reply = failure_reply(exc)
+            reply = replies.failure_reply(exc)
         except Exception:
             _log.exception('link: request of %s failed', self._peer.node)
-            reply = failure_reply(errors.PeerFailure('internal fault'))
+            reply = replies.failure_reply(errors.PeerFailure('internal fault'))
         self.write(wire.Kind.REPLY, wire.encode(reply), number)
 
     def _take_reply(self, frame: wire.Frame) -> None:
@@ -389,74 +396,3 @@
         wire.Kind.CANCEL,
     ),
 )
-
-
-def failure_reply(failure: errors.CodedError) -> messages.Reply:
-    """Put a coded error into a reply."""
-    leader = getattr(failure, 'leader', None)
-    return messages.Reply(
-        failure=messages.Failure(
-            code=failure.code,
-            text=str(failure),
-            leader=leader,
-        ),
-    )
-
-
-def raise_failure(failure: messages.Failure) -> None:
-    """Raise a peer's failure under its own class where we know it."""
-    kind = errors.by_code(failure.code or '')
-    raised: errors.CodedError
-    if kind is None:
-        raised = errors.PeerFailure(f'{failure.code} {failure.text}')
-    else:
-        raised = kind(failure.text or '')
-    if failure.leader:
-        raised.leader = failure.leader  # type: ignore[attr-defined]
-    raise raised
-
-
-async def connect(
-    address: str,
-    options: identity.LinkOptions,
-    handler: Handler,
-) -> Link:
-    """Dial an address and greet; raise ``AddressUnreachable`` if nobody is."""
-    host, _, port = address.rpartition(':')
-    try:
-        async with asyncio.timeout(options.timeout_seconds):
-            reader, writer = await asyncio.open_connection(
-                host,
-                int(port),
-                ssl=options.dial_tls,
-            )
-    except (OSError, TimeoutError, ValueError) as exc:
-        raise errors.AddressUnreachable(f'{address}: {exc}') from exc
-    return await _greeted(reader, writer, options, handler, dialer=True)
-
-
-async def accept(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-    options: identity.LinkOptions,
-    handler: Handler,
-) -> Link:
-    """Greet a connection that a peer dialled."""
-    return await _greeted(reader, writer, options, handler, dialer=False)
-
-
-async def _greeted(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-    options: identity.LinkOptions,
-    handler: Handler,
-    dialer: bool,
-) -> Link:
-    try:
-        peer = await greeting.greet(reader, writer, options, dialer)
-    except BaseException:
-        writer.close()
-        raise
-    link = Link(reader, writer, options, peer, handler, dialer)
-    link.start()
-    return link
--- a/tamarackthread/shared/listener.py
+++ b/tamarackthread/shared/listener.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 
-from tamarackthread.shared import errors, identity, link
+from tamarackthread.shared import connecting, errors, identity, link
 
 _log = logging.getLogger('tamarackthread.link')
 
@@ -62,7 +62,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         try:
-            accepted = await link.accept(
+            accepted = await connecting.accept(
                 reader,
                 writer,
                 self._options,
--- a/tamarackthread/shared/peers.py
+++ b/tamarackthread/shared/peers.py
@@ -8,7 +8,7 @@
 import attrs
 
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, identity, link
+from tamarackthread.shared import connecting, errors, identity, link
 
 FIRST_BACKOFF_SECONDS = 0.05
 MAX_BACKOFF_SECONDS = 2.0
@@ -120,7 +120,7 @@
 
     async def _dial(self, address: str) -> link.Link:
         try:
-            dialled = await link.connect(
+            dialled = await connecting.connect(
                 address,
                 self._options,
                 self._handler,
