--- a/bench/experiments/slopes.py
+++ b/bench/experiments/slopes.py
@@ -9,10 +9,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import importlib.metadata
+import os
 import pathlib
 import platform
 import resource
+import subprocess
 import sys
 import tempfile
 import typing
@@ -31,8 +34,8 @@
 )
 
 LIBRARIES = ('aiohttp', 'attrs', 'numpy', 'scipy', 'thrift')
-KIBI = 1024
-MEBI = KIBI * KIBI
+MEBI = 1024 * 1024
+SAMPLE_SECONDS = 0.01
 PLACES = 4
 LIMIT_SECONDS = 360.0
 
@@ -49,6 +52,8 @@
         'slopes': {slope.name: slope.as_json() for slope in slopes},
         'levels': levels,
         'versions': _versions(),
+        'machine': {'cores': os.cpu_count(), 'load': os.getloadavg()[0]},
+        'commit': _commit(),
         'quick': quick,
     }
 
@@ -121,12 +126,18 @@
         str(subject.cluster.key_file),
         stdout=asyncio.subprocess.DEVNULL,
     )
-    await command.wait()
+    # The kernel's own peak would count what this process held at the fork.
+    resident = 0
+    while command.returncode is None:
+        with contextlib.suppress(OSError):
+            found = process.resident_bytes(command.pid)
+            resident = max(resident, found)
+        await asyncio.sleep(SAMPLE_SECONDS)
     after = resource.getrusage(resource.RUSAGE_CHILDREN)
     spent = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
     return {
         'operator_cpu_seconds': round(spent, PLACES),
-        'operator_memory_mib': round(after.ru_maxrss / KIBI, 1),
+        'operator_memory_mib': round(resident / MEBI, 1),
     }
 
 
@@ -134,3 +145,13 @@
     versions = {name: importlib.metadata.version(name) for name in LIBRARIES}
     versions['python'] = platform.python_version()
     return versions
+
+
+def _commit() -> str:
+    described = subprocess.run(
+        ['git', 'describe', '--always', '--dirty'],
+        capture_output=True,
+        check=False,
+        text=True,
+    )
+    return described.stdout.strip()
