--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -172,6 +172,7 @@
   5: string address, 6: i64 incarnation, 7: bool leaving, 8: string group, 9: i32 ranks,
   10: bool checks_fencing,
   11: string entry,          // set instead of target by an entry: its node
+  12: i32 rank,              // of the target in its group, from 0
 }
 struct DrainRequest { 1: string target, 2: string actor, 3: bool cancel }
 
--- a/tamarackthread/control/targets.py
+++ b/tamarackthread/control/targets.py
@@ -217,6 +217,7 @@
         zone=announced.zone,
         address=announced.address,
         group=announced.group or '',
+        rank=announced.rank or 0,
         ranks=announced.ranks or 1,
         incarnation=announced.incarnation or 0,
         leaving=leaving,
--- a/tamarackthread/shared/announcer.py
+++ b/tamarackthread/shared/announcer.py
@@ -82,6 +82,7 @@
             incarnation=self._own.incarnation,
             leaving=self._leaving,
             group=self._settings.group,
+            rank=self._settings.rank,
             ranks=self._settings.ranks,
             checks_fencing=self._settings.checks_fencing,
         )
