--- a/tamarackthread/entry/keyed.py
+++ b/tamarackthread/entry/keyed.py
@@ -25,7 +25,13 @@
 from tamarackthread.generated import documents as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import calls
-from tamarackthread.shared import claim_errors, claim_keys, claim_times, errors
+from tamarackthread.shared import (
+    claim_errors,
+    claim_keys,
+    claim_times,
+    errors,
+    metrics,
+)
 
 SETTLE_SECONDS = 1.0
 COLLECT_SECONDS = 60.0
@@ -97,10 +103,17 @@
         Raises ``ClaimedElsewhere`` when the call is not, or no longer, ours.
         """
         handover = claimed.window(contact, self._ask.deadline)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         reply = await self._secure(handover)
+        counted = self._owner.metrics
+        counted.time(metrics.Timer.CLAIM, loop.time() - began)
         if not reply.granted:
             self._held = None
+            counted.count(metrics.Counter.CLAIM_REPEATED)
             raise ClaimedElsewhere(reply)
+        if self._held is None:
+            counted.count(metrics.Counter.CLAIM_GRANTED)
         self._held = reply
         opening.claim = self._ask.name
         opening.fence = reply.fence
@@ -142,6 +155,7 @@
         run either; the caller would order anew under another key.
         """
         if failure.ran != messages.Ran.NOT_RUN:
+            self._owner.metrics.count(metrics.Counter.CLAIM_UNKNOWN)
             self.abandon(handed_over=True)
             return
         if isinstance(failure, claim_errors.ClaimKeyReused):
@@ -206,8 +220,10 @@
         self,
         client: claims.ClaimsClient,
         settler: takeover.Takeover,
+        counted: metrics.Metrics | None = None,
     ) -> None:
         """Share the client and the takeover among all calls."""
+        self._metrics = counted or metrics.Metrics()
         self._client = client
         self._settler = settler
         self._tasks: set[asyncio.Task[None]] = set()
@@ -217,6 +233,11 @@
         """Give the way to the shards."""
         return self._client
 
+    @property
+    def metrics(self) -> metrics.Metrics:
+        """Give what counts the claims."""
+        return self._metrics
+
     @property
     def settler(self) -> takeover.Takeover:
         """Give what settles the claims of other tries."""
--- a/tamarackthread/entry/role.py
+++ b/tamarackthread/entry/role.py
@@ -121,6 +121,7 @@
         self._claimed = keyed.KeyedCalls(
             client,
             takeover.Takeover(client, takeover.LinkProber(self._peers)),
+            self._metrics,
         )
         self._front = front.Front(
             self._own,
