--- a/bench/engines/network.py
+++ b/bench/engines/network.py
@@ -33,6 +33,7 @@
         self.settings = settings
         self._cuts: set[tuple[str, str]] = set()
         self._stalled: dict[str, float] = {}
+        self._late: dict[tuple[str, str], float] = {}
         self._deliveries: set[asyncio.Task[typing.Any]] = set()
 
     def cut(self, node: str, others: collections.abc.Iterable[str]) -> None:
@@ -44,6 +45,10 @@
         """End all cuts."""
         self._cuts.clear()
 
+    def delay_next(self, source: str, target: str, seconds: float) -> None:
+        """Have the next message between two nodes come that much later."""
+        self._late[(source, target)] = seconds
+
     def stall(self, node: str, seconds: float) -> None:
         """Have a node's process stand still; messages to it wait."""
         self._stalled[node] = asyncio.get_running_loop().time() + seconds
@@ -86,6 +91,7 @@
         if self._random.random() < self.settings.lost_share:
             await asyncio.Event().wait()
         delay = self.settings.delay_seconds * self._random.uniform(0.8, 1.5)
+        delay += self._late.pop((source, target), 0)
         if self._random.random() < self.settings.late_share:
             delay += self._random.uniform(0, self.settings.late_seconds)
         await asyncio.sleep(delay)
--- a/bench/engines/switch_world.py
+++ b/bench/engines/switch_world.py
@@ -20,6 +20,7 @@
     group_part,
     orders,
     ranks,
+    switching,
 )
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import expert_map
@@ -43,6 +44,7 @@
     engine_class: type[group.RankEngine] = group.RankEngine
     plant: collections.abc.Callable[[orders.OrderDesk], None] = _plant_nothing
     links: network.NetworkSettings = network.NetworkSettings()
+    switching: switching.SwitchingSettings = switching.SwitchingSettings()
 
 
 class NodeRanks(ranks.RankTransport):
@@ -117,6 +119,7 @@
                 world.initial,
                 candidate=self.rank < world.settings.owners,
                 checks_fencing=world.settings.checks_fencing,
+                switching=world.settings.switching,
             ),
             fake_control.NodeControl(self.node, world.links, world.control),
             NodeRanks(self.node, world),
--- a/tamarackthread/agent/group_part.py
+++ b/tamarackthread/agent/group_part.py
@@ -28,6 +28,7 @@
 from tamarackthread.shared import errors
 
 OPERATOR_FENCE = 0
+_RETIRE_SECONDS = 0.1
 
 
 @attrs.frozen
@@ -44,6 +45,7 @@
     initial: expert_map.ExpertMap
     candidate: bool
     checks_fencing: bool = False
+    switching: switching.SwitchingSettings = switching.SwitchingSettings()
     store: store_slots.SlotSettings | None = None
 
 
@@ -56,11 +58,15 @@
         control: control_client.ControlClient,
         transport: ranks.RankTransport,
         rank_engine: engine.Engine,
+        urgent: loading.UrgentSignal | None = None,
     ) -> None:
-        """Build the parts; ``start`` runs them."""
+        """Build the parts; ``start`` runs them.
+
+        ``urgent`` is what the gate tells of urgent calls.
+        """
         self._settings = settings
         self._store = _store(settings, control)
-        self.urgent = loading.UrgentSignal(moves.UrgentWatch())
+        self.urgent = urgent or loading.UrgentSignal(moves.UrgentWatch())
         self.book = maps.MapBook(
             settings.initial,
             ranks.PeerMaps(settings.group, transport),
@@ -90,8 +96,9 @@
             control,
             transport,
         )
-        self.driver = switching.SwitchDriver(self.owner)
+        self.driver = switching.SwitchDriver(self.owner, settings.switching)
         self._tasks: list[asyncio.Task[None]] = []
+        self._planning: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Run the rank's side, and an owner if this rank is a candidate."""
@@ -106,7 +113,10 @@
         weights: placement.BalanceWeights,
         settings: balancer.BalancerSettings,
     ) -> balancer.Balancer:
-        """Plan for the group while this rank owns it."""
+        """Plan for the group while this rank owns it.
+
+        Called again, it takes the place of the planning before.
+        """
         planning = balancer.Balancer(
             self.owner,
             self.driver,
@@ -115,7 +125,10 @@
             self.book,
             settings,
         )
-        self._tasks.append(asyncio.create_task(planning.run()))
+        before = tuple(self._planning)
+        work = asyncio.create_task(self._plan(planning, before))
+        self._planning = [task for task in before if not task.done()]
+        self._planning.append(work)
         return planning
 
     async def stop(self) -> None:
@@ -127,7 +140,7 @@
     def abandon(self) -> None:
         """Stop without a word to anyone."""
         self.switch.close()
-        for task in self._tasks:
+        for task in (*self._tasks, *self._planning):
             task.cancel()
 
     async def handle_order(
@@ -152,6 +165,20 @@
             highest_fence=self.desk.highest_fence,
         )
 
+    async def _plan(
+        self,
+        planning: balancer.Balancer,
+        before: tuple[asyncio.Task[None], ...],
+    ) -> None:
+        # A switch that is cut off after its intent has no outcome, and the
+        # ranks hold at its step until the owner is lost.  Between switches
+        # there is nothing to cut off.
+        while before and self.driver.is_busy:
+            await asyncio.sleep(_RETIRE_SECONDS)
+        for task in before:
+            task.cancel()
+        await planning.run()
+
     async def _order_all(
         self,
         order: messages.GroupOrder,
--- a/tamarackthread/agent/owner.py
+++ b/tamarackthread/agent/owner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import logging
 
 import attrs
@@ -125,13 +126,15 @@
         action: str,
         order_id: str,
         body: str = '',
+        seconds: float | None = None,
     ) -> order_state.OrderState:
         """Give one rank an order; raise its refusal or ``NotOwner``.
 
         The order's deadline never lies after the lease, so that none can
         wait somewhere until the next owner acts.
         """
-        left = min(self._settings.order_seconds, self._lease.seconds_left)
+        wanted = seconds or self._settings.order_seconds
+        left = min(wanted, self._lease.seconds_left)
         if left <= 0:
             raise order_errors.NotOwner()
         order = messages.GroupOrder(
@@ -158,10 +161,22 @@
     ) -> dict[int, order_state.OrderState | errors.CodedError]:
         """Give every rank the order at once and collect what became of it."""
         numbers = list(self._transport.ranks)
-        answers = await asyncio.gather(
-            *(self.order(rank, action, order_id, body) for rank in numbers),
-            return_exceptions=True,
-        )
+        return await self.order_some(numbers, action, order_id, body)
+
+    async def order_some(
+        self,
+        numbers: collections.abc.Sequence[int],
+        action: str,
+        order_id: str,
+        body: str = '',
+        seconds: float | None = None,
+    ) -> dict[int, order_state.OrderState | errors.CodedError]:
+        """Give some ranks the order at once, with ``seconds`` for each."""
+        giving = [
+            self.order(rank, action, order_id, body, seconds)
+            for rank in numbers
+        ]
+        answers = await asyncio.gather(*giving, return_exceptions=True)
         for answer in answers:
             if not isinstance(
                 answer, errors.CodedError | order_state.OrderState
--- a/tamarackthread/agent/switching.py
+++ b/tamarackthread/agent/switching.py
@@ -20,6 +20,16 @@
 _log = logging.getLogger('tamarackthread.owner')
 
 
+_Answers = dict[int, order_state.OrderState | errors.CodedError]
+_States = collections.abc.Iterable[order_state.OrderState | errors.CodedError]
+_SILENCE = (
+    errors.RequestTimeout,
+    errors.LinkLost,
+    errors.AddressUnreachable,
+    order_errors.OrderExpired,
+)
+
+
 @attrs.frozen
 class SwitchingSettings:
     """Hold the constants of a switch.
@@ -29,9 +39,10 @@
     need not hold even when the owner is lost after they armed.
     """
 
-    ahead_seconds: float = 3
+    ahead_seconds: float = 4
     least_step_ms: float = 1
-    arm_seconds: float = 0.25
+    arm_seconds: float = 1
+    ask_seconds: float = 0.2
     load_seconds: float = 600
     poll_seconds: float = 0.1
     longest_poll_seconds: float = 2
@@ -50,6 +61,11 @@
         self._settings = settings or SwitchingSettings()
         self._busy = False
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a switch is under way."""
+        return self._busy
+
     async def switch_to(
         self,
         target: expert_map.ExpertMap,
@@ -143,11 +159,10 @@
         return max(status['step'] for status in found) + steps
 
     async def _statuses(self) -> list[dict]:
-        states = await self._owner.order_all(order_state.STATUS, 'status')
-        found = order_state.read_status(states)
-        if len(found) < len(states):
+        answers = await self._ask_all(order_state.STATUS, 'status', '')
+        if not _all_done(answers.values()):
             raise order_errors.SwitchAborted('a rank gave no status')
-        return found
+        return order_state.read_status(answers)
 
     async def _decide(
         self,
@@ -171,19 +186,44 @@
 
     async def _arm(self, intent: switch_record.SwitchRecord) -> bool:
         """Tell whether every rank has armed within the time for it."""
-        arming = self._owner.order_all(
+        answers = await self._ask_all(
             order_state.MAP_ARM,
             f'arm-{intent.number}',
             intent.to_json(),
         )
-        try:
-            states = await asyncio.wait_for(arming, self._settings.arm_seconds)
-        except TimeoutError:
-            return False
-        return _all_done(states.values())
+        return _all_done(answers.values())
 
+    async def _ask_all(self, action: str, order_id: str, body: str) -> _Answers:
+        """Order all ranks, and those that stay silent again and again.
 
-_States = collections.abc.Iterable[order_state.OrderState | errors.CodedError]
+        One lost message in a group of 32 would else cost the whole switch.
+        A refusal ends the asking, since it will not change.
+        """
+        end = asyncio.get_running_loop().time() + self._settings.arm_seconds
+        answers: _Answers = {}
+        silent = list(self._owner.transport.ranks)
+        while silent and asyncio.get_running_loop().time() < end:
+            found = await self._owner.order_some(
+                silent,
+                action,
+                order_id,
+                body,
+                self._settings.ask_seconds,
+            )
+            answers.update(found)
+            silent = [
+                rank
+                for rank, answer in found.items()
+                if isinstance(answer, _SILENCE)
+            ]
+            if any(map(_is_refusal, found.values())):
+                break
+        return answers
+
+
+def _is_refusal(answer: order_state.OrderState | errors.CodedError) -> bool:
+    is_error = isinstance(answer, errors.CodedError)
+    return is_error and not isinstance(answer, _SILENCE)
 
 
 def _all_done(states: _States) -> bool:
