Let entries know the agents' refusals by name

An entry did not know the classes of an agent's codes, so a caller saw TT1003 in place of, say, TT6001, and bad endings at a target never counted towards its ejection. The classes stand in the shared part now. The tests had hidden it: they load both roles into one process.

--- a/tamarackthread/agent/gate.py
+++ b/tamarackthread/agent/gate.py
@@ -12,9 +12,9 @@
 import aiohttp
 import attrs
 
-from tamarackthread.agent import claims, failures, recording, reports, target
+from tamarackthread.agent import claims, recording, reports, target
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, events, stream
+from tamarackthread.shared import errors, events, stream, target_errors
 
 DEFAULT_IDLE_SECONDS = 15.0
 _EVENT_STREAM = 'text/event-stream'
@@ -119,15 +119,15 @@
 
     def _check(self, opening: messages.OpenCall, deadline: float) -> None:
         if opening.target != self._options.target_id:
-            raise failures.WrongTarget(f'this is {self._options.target_id}')
+            raise target_errors.WrongTarget(f'this is {self._options.target_id}')
         if self._leaving:
-            raise failures.TargetLeaving
+            raise target_errors.TargetLeaving
         if self._reporter.is_stuck:
-            raise failures.TargetSilent
+            raise target_errors.TargetSilent
         if asyncio.get_running_loop().time() >= deadline:
-            raise failures.DeadlinePassed
+            raise target_errors.DeadlinePassed
         if self._open > self._options.call_limit:
-            raise failures.TargetFull
+            raise target_errors.TargetFull
 
     def probe(self, ask: messages.ClaimProbe) -> messages.ClaimProof:
         """Tell what became of a claim here."""
@@ -166,7 +166,7 @@
         try:
             await self._relay(recorder, opening, body)
             answer = recorder.answer
-        except failures.TargetUnreachable:
+        except target_errors.TargetUnreachable:
             self._claimed.withdraw(opening)
             raise
         finally:
@@ -188,7 +188,7 @@
             )
             if not relaying.done():
                 await self._stop(relaying, opening)
-                raise failures.CallCancelled
+                raise target_errors.CallCancelled
             relaying.result()
         finally:
             watching.cancel()
@@ -225,7 +225,7 @@
             )
             sent = await self._relay_body(call, opening, response)
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise failures.TargetBroke(f'in its answer: {exc!r}') from exc
+            raise target_errors.TargetBroke(f'in its answer: {exc!r}') from exc
         finally:
             response.close()
         call.finish(
@@ -256,7 +256,7 @@
         # closing event the answer is not whole and must not end as if it
         # were: the caller would take the first half for all of it.
         if self._options.is_model and not cutter.done:
-            raise failures.TargetBroke('closed without its closing event')
+            raise target_errors.TargetBroke('closed without its closing event')
         if cutter.rest:
             await call.send(cutter.rest)
         return (opening.resume_events or 0) + cutter.count
@@ -292,5 +292,5 @@
             parts.append(received)
             received = await call.receive()
     except errors.StreamBroken as exc:
-        raise failures.BodyIncomplete(str(exc)) from exc
+        raise target_errors.BodyIncomplete(str(exc)) from exc
     return b''.join(parts)
--- a/tamarackthread/agent/reports.py
+++ b/tamarackthread/agent/reports.py
@@ -11,9 +11,9 @@
 import logging
 import math
 
-from tamarackthread.agent import failures, target
+from tamarackthread.agent import target
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import link
+from tamarackthread.shared import link, target_errors
 
 FRESH_SECONDS = 1.5
 MAX_NOTES = 256
@@ -100,7 +100,7 @@
         was_fresh = self.is_fresh
         try:
             report = await self._client.load()
-        except failures.TargetSilent as exc:
+        except target_errors.TargetSilent as exc:
             if was_fresh:
                 _log.info('agent: target is silent, %s', exc)
             return ()
--- a/tamarackthread/agent/target.py
+++ b/tamarackthread/agent/target.py
@@ -9,9 +9,9 @@
 import attrs
 from aiohttp import client_exceptions
 
-from tamarackthread.agent import failures
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import target_errors
 
 LOAD_PATH = '/load'
 CANCEL_PATH = '/cancel'
@@ -120,9 +120,9 @@
             client_exceptions.ClientConnectorError,
             client_exceptions.ConnectionTimeoutError,
         ) as exc:
-            raise failures.TargetUnreachable(str(exc)) from exc
+            raise target_errors.TargetUnreachable(str(exc)) from exc
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise failures.TargetBroke(f'before an answer: {exc}') from exc
+            raise target_errors.TargetBroke(f'before an answer: {exc}') from exc
 
     async def load(self) -> TargetReport:
         """Ask for the load; raise ``TargetSilent`` without a good answer."""
@@ -130,14 +130,14 @@
         try:
             return _report(answer)
         except (KeyError, TypeError, ValueError) as exc:
-            raise failures.TargetSilent(f'load report: {exc}') from exc
+            raise target_errors.TargetSilent(f'load report: {exc}') from exc
 
     async def cancel(self, call_id: bytes) -> None:
         """Ask the engine to stop work on a call; a failure is only logged."""
         order = {'call': call_id.hex()}
         try:
             await self._ask('POST', CANCEL_PATH, order, CANCEL_TIMEOUT_SECONDS)
-        except failures.TargetSilent as exc:
+        except target_errors.TargetSilent as exc:
             _log.debug('agent: cancel did not reach the target, %s', exc)
 
     async def _ask(
@@ -160,7 +160,7 @@
                 response.raise_for_status()
                 return await response.json(content_type=None)
         except _NO_ANSWER as exc:
-            raise failures.TargetSilent(f'{path}: {exc!r}') from exc
+            raise target_errors.TargetSilent(f'{path}: {exc!r}') from exc
 
 
 def request_headers(opening: messages.OpenCall) -> list[tuple[str, str]]:
--- a/tamarackthread/entry/calls.py
+++ b/tamarackthread/entry/calls.py
@@ -20,9 +20,17 @@
 from tamarackthread.generated import documents as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import admission, calls, refusals, retries
-from tamarackthread.shared import claim_errors, errors
+from tamarackthread.shared import claim_errors, errors, target_errors
 
 CALL_ID_BYTES = 16
+_BudgetKey = tuple[str, generated.Retries]
+_BROKEN = (
+    errors.StreamBroken,
+    errors.LinkLost,
+    target_errors.TargetSilent,
+    target_errors.TargetUnreachable,
+    target_errors.TargetBroke,
+)
 _log = logging.getLogger('tamarackthread.entry')
 
 
@@ -86,7 +94,7 @@
         self._rng = rng
         self._revision = revision
         self._claimed = claimed
-        self._budgets: dict[str, retries.RetryBudget] = {}
+        self._budgets: dict[_BudgetKey, retries.RetryBudget] = {}
 
     async def run(self, call: Call, sink: answers.Sink) -> None:
         """Run a call to its end.
@@ -340,9 +348,10 @@
         )
 
     def _budget(self, call: Call) -> retries.RetryBudget:
-        found = self._budgets.get(call.service)
+        rules = call.profile.retries
+        key = (call.service, rules)
+        found = self._budgets.get(key)
         if found is None:
-            rules = call.profile.retries
             found = retries.RetryBudget(
                 retries.RetrySettings(
                     share=rules.budget_share,
@@ -350,7 +359,7 @@
                 ),
                 asyncio.get_running_loop().time(),
             )
-            self._budgets[call.service] = found
+            self._budgets[key] = found
         return found
 
 
@@ -368,10 +377,7 @@
 
     A target that refuses because it leaves or is full does as it should.
     """
-    return isinstance(
-        failed.cause,
-        errors.StreamBroken | errors.LinkLost,
-    ) or failed.cause.code in {'TT6002', 'TT6003', 'TT6004'}
+    return isinstance(failed.cause, _BROKEN)
 
 
 def _truthful(life: _Life, failure: errors.CodedError) -> errors.CodedError:
--- a/tamarackthread/agent/failures.py
+++ b/tamarackthread/shared/target_errors.py
@@ -1,4 +1,7 @@
-"""Define the coded refusals and failures that an agent gives."""
+"""Define the coded refusals and failures that an agent gives of its target.
+
+Entries know them too: how a call ended decides what they do next.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -4,7 +4,8 @@
 
 import async_solipsism
 
-from tamarackthread.agent import failures, reports, target
+from tamarackthread.agent import reports, target
+from tamarackthread.shared import target_errors
 
 
 class FakeTarget:
@@ -16,7 +17,7 @@
 
     async def load(self):
         if self.silent:
-            raise failures.TargetSilent
+            raise target_errors.TargetSilent
         self.tokens += self.per_ask
         return target.TargetReport(
             running=self.running,
