Measure what a replicated group takes at rest

Cause: each shard of claims is a group that beats by itself on every control host, so the number of shards has a price of its own.

--- a/bench/experiments/slopes.py
+++ b/bench/experiments/slopes.py
@@ -24,6 +24,7 @@
     calls,
     control,
     fit,
+    groups,
     leasing,
     links,
     memory,
@@ -46,6 +47,7 @@
     slopes.append(leasing.portions_by_entries(quick))
     for found in slopes:
         fit.show(found)
+    slopes += asyncio.run(_measure_groups(quick))
     measured, levels = asyncio.run(_measure(quick))
     slopes += measured
     return {
@@ -58,6 +60,14 @@
     }
 
 
+async def _measure_groups(quick: bool) -> list[fit.Slope]:
+    async with asyncio.timeout(LIMIT_SECONDS):
+        slopes = await groups.measure(quick)
+    for found in slopes:
+        fit.show(found)
+    return slopes
+
+
 async def _measure(
     quick: bool,
 ) -> tuple[list[fit.Slope], dict[str, float]]:
--- a/bench/slopes/costs.py
+++ b/bench/slopes/costs.py
@@ -177,6 +177,28 @@
     ]
 
 
+def idle_groups(found: sheet.Figures, role: str) -> list[sheet.Line]:
+    """Count the replicated groups that a control host is a voter of."""
+    groups = _Factor(letter.SHARDS_LIMIT, 'groups')
+    return [
+        cpu(
+            role,
+            'shards of claims at rest, the most that settings allow',
+            'nothing: each group beats by itself',
+            groups,
+            micro(found, 'group_rest_cpu'),
+        ),
+        _Line(
+            role,
+            _MEMORY,
+            'shards of claims, empty',
+            (groups, _Factor(found.slope('group_memory'), 'MiB')),
+            'MiB',
+            'nothing',
+        ),
+    ]
+
+
 def control_memory(
     found: sheet.Figures,
     role: str,
--- a/bench/slopes/page.py
+++ b/bench/slopes/page.py
@@ -20,6 +20,7 @@
     '<!-- table: (?P<name>[a-z_]+) -->\n.*?<!-- end of table -->',
     re.DOTALL,
 )
+PICTURE = re.compile(r'\((capacity/[a-z]+\.png)\)')
 _NEVER = 'quick figures are not kept'
 
 
@@ -120,7 +121,9 @@
 def _slopes(found: sheet.Figures) -> str:
     rows = []
     for name, slope in found.data['slopes'].items():
-        sizes = ', '.join(f'{size:g}' for size in slope['sizes'])
+        # What arrives in a window is never quite the same number twice.
+        shown = dict.fromkeys(f'{size:.2g}' for size in slope['sizes'])
+        sizes = ', '.join(f'{float(size):,.0f}' for size in shown)
         rows.append(
             (
                 f'`{name}`',
--- a/bench/slopes/roles.py
+++ b/bench/slopes/roles.py
@@ -176,6 +176,7 @@
             _Factor(asked, 'organisations/s'),
             _Factor(portion, 'us'),
         ),
+        *costs.idle_groups(found, LEADER),
         *costs.control_memory(found, LEADER, 'leader'),
     ]
 
@@ -185,6 +186,7 @@
         costs.rest(found, FOLLOWER, 'follower'),
         *costs.recorded(found, FOLLOWER, 'change_cpu_follower'),
         *costs.children(found, FOLLOWER, letter.CONTROL_CHILDREN),
+        *costs.idle_groups(found, FOLLOWER),
         *costs.control_memory(found, FOLLOWER, 'follower'),
     ]
 
