--- a/bench/experiments/surge.py
+++ b/bench/experiments/surge.py
@@ -49,9 +49,13 @@
     }
 
 
-def run_seed(seed: int) -> dict[str, dict[str, float]]:
+def run_seed(
+    seed: int,
+    wave: workload.Wave | None = None,
+    policies: tuple[str, ...] = POLICIES,
+) -> dict[str, dict[str, float]]:
     """Run one wave through each balancer."""
-    wave = workload.Wave()
+    wave = wave or workload.Wave()
     saturation = capacity.Saturation(seed)
     _on_paused_time(saturation.run(wave.duration + 1))
     rates = {
@@ -65,7 +69,7 @@
         rates[workload.PLAIN],
     )
     found = {}
-    for policy in POLICIES:
+    for policy in policies:
         results = _on_paused_time(play(policy, seed, offered))
         found[policy] = scores.score(results, saturation.completed)
     return found
--- a/tamarackthread/policy/limits.py
+++ b/tamarackthread/policy/limits.py
@@ -24,7 +24,7 @@
     how often that may pass a call over.
     """
 
-    first_token_seconds: float = 0.6
+    first_token_seconds: float = 0.5
     queue_limit: int = 512
     organisation_limit: int = 128
     credit: float = 8.0
