Measure how long one change holds up an entry

Cause: an entry looks over its subsets and pools at each change, whatever changed, and no slope said what that costs with thousands of targets.

The budgets call a bound tight below a headroom of 1.25.

--- a/bench/experiments/slopes.py
+++ b/bench/experiments/slopes.py
@@ -24,6 +24,7 @@
     calls,
     control,
     fit,
+    following,
     groups,
     leasing,
     links,
@@ -47,7 +48,7 @@
     slopes.append(leasing.portions_by_entries(quick))
     for found in slopes:
         fit.show(found)
-    slopes += asyncio.run(_measure_groups(quick))
+    slopes += asyncio.run(_measure_apart(quick))
     measured, levels = asyncio.run(_measure(quick))
     slopes += measured
     return {
@@ -60,9 +61,12 @@
     }
 
 
-async def _measure_groups(quick: bool) -> list[fit.Slope]:
+async def _measure_apart(quick: bool) -> list[fit.Slope]:
     async with asyncio.timeout(LIMIT_SECONDS):
-        slopes = await groups.measure(quick)
+        slopes = [
+            *await following.measure(quick),
+            *await groups.measure(quick),
+        ]
     for found in slopes:
         fit.show(found)
     return slopes
--- a/bench/slopes/budgets.py
+++ b/bench/slopes/budgets.py
@@ -7,8 +7,11 @@
 from bench.slopes import letter, roles, sheet
 
 IN_REACH = 'in reach'
+TIGHT = '*tight*'
 OUT = '**out of reach**'
 VOTERS = 3
+# Below this much headroom the error of the slopes decides.
+_LEAST_HEADROOM = 1.25
 _PERCENT = 100
 _MICRO = 1e6
 _MEBI = 1024 * 1024
@@ -31,9 +34,11 @@
         return self.bound / self.used
 
     @property
-    def is_met(self) -> bool:
-        """Tell whether the use is within the bound."""
-        return self.used <= self.bound
+    def verdict(self) -> str:
+        """Say whether the use is within the bound, and how surely."""
+        if self.headroom < 1:
+            return OUT
+        return TIGHT if self.headroom < _LEAST_HEADROOM else IN_REACH
 
     def row(self) -> list[str]:
         """Write a row of the table."""
@@ -42,7 +47,7 @@
             f'{_number(self.bound)} {self.unit}',
             f'{_number(self.used)} {self.unit}',
             f'{self.headroom:.2g}',
-            IN_REACH if self.is_met else OUT,
+            self.verdict,
             self.how,
         ]
 
@@ -195,6 +200,13 @@
             '% of a core',
             'one process',
         ),
+        Budget(
+            'time that one change holds up an entry',
+            letter.TOKEN_GAP_SECONDS * 1000,
+            roles.looked_over(found) / 1000,
+            'ms',
+            'of the gap between tokens; with the search of the subsets',
+        ),
         Budget(
             'a change in force everywhere',
             letter.IN_FORCE_SECONDS,
@@ -229,9 +241,12 @@
     return rows
 
 
-def node_rows(found: sheet.Figures) -> list[tuple[str, ...]]:
+def node_rows(found: sheet.Figures) -> list[list[str]]:
     """Write what links cost an entry when they are fewer or slower."""
     rows = []
+    # An entry at rest that is a relay too has this before its first link.
+    rest = 100 * found.level('entry_rest_cpu_share')
+    rest += letter.RELAY_CHILDREN * found.slope('child_rest_cpu') / 1e4
     for links, reports, beats in (
         (letter.ENTRY_LINKS, letter.REPORTS, letter.BEATS),
         (letter.ENTRY_LINKS, 1, 0.5),
@@ -250,13 +265,14 @@
             + (reports + 4 * beats) * letter.PACKET_BYTES
         )
         rows.append(
-            (
+            [
                 _number(links),
                 _number(links / letter.MODELS),
                 _number(reports),
                 _number(beats),
                 _number(cpu / 1e4),
+                _number(cpu / 1e4 + rest),
                 _number(sent / 1000),
-            ),
+            ],
         )
     return rows
--- a/bench/slopes/roles.py
+++ b/bench/slopes/roles.py
@@ -27,6 +27,12 @@
     ]
 
 
+def looked_over(found: sheet.Figures) -> float:
+    """Give the microseconds that a change holds up an entry's loop."""
+    slope = found.slope('change_cpu_by_targets')
+    return found.base('change_cpu_by_targets') + slope * letter.REPLICAS
+
+
 def _entry_control(found: sheet.Figures) -> list[sheet.Line]:
     links = _Factor(letter.ENTRY_LINKS, 'links')
     return [
@@ -41,6 +47,13 @@
             costs.micro(found, 'report_cpu_entry'),
         ),
         *costs.following(found, ENTRY, 'entry'),
+        costs.cpu(
+            ENTRY,
+            'its subsets looked over at each change',
+            'ranks kept from change to change',
+            _Factor(letter.CHANGES + letter.HOST_CHANGES, 'changes/s'),
+            _Factor(looked_over(found), 'us'),
+        ),
         costs.kept(
             ENTRY,
             'links to targets',
