Arm no rank whose engine restarted while it loaded

A load that stood still during a restart ended as if whole: the pieces from before were gone, and later loads skipped the weight as loaded. Loads under way now fail when the engine has started anew. A rank that is cut off also stays a member: left out, the others would switch while its engine goes on in lock-step with the old map.

--- a/tamarackthread/agent/loading.py
+++ b/tamarackthread/agent/loading.py
@@ -9,7 +9,7 @@
 import asyncio
 import collections.abc
 
-from tamarackthread.agent import engine, store_slots
+from tamarackthread.agent import engine, order_errors, store_slots
 from tamarackthread.policy import moves
 
 PIECES_EACH = 8
@@ -66,13 +66,17 @@
         self._store = store
         self._pause_seconds = pause_seconds
         self._loaded: set[moves.Move] = set()
+        self._adopted = 0
 
     async def adopt(self) -> None:
         """Take over what the engine has loaded.
 
         An agent that restarts beside a running engine would else load all
         of the rank's weights again, through the store that groups share.
+        Loads under way fail: after a start of the engine, the pieces that
+        came before it are gone, and the last ones alone make no weight.
         """
+        self._adopted += 1
         self._loaded = set(await self._engine.loaded())
 
     def keep(self, wanted: collections.abc.Collection[moves.Move]) -> None:
@@ -85,6 +89,7 @@
         report: engine.Report,
     ) -> None:
         """Load what is not loaded yet, in pieces; urgent moves first."""
+        adopted = self._adopted
         queue = moves.MoveQueue(wanted, PIECES_EACH, self._loaded)
         while not queue.progress.is_complete:
             piece = queue.start(self._urgent.is_near())
@@ -92,6 +97,9 @@
                 await asyncio.sleep(self._pause_seconds)
                 continue
             await self._load_piece(queue, piece)
+            if adopted != self._adopted:
+                raise order_errors.RankNotReady('rank restarted in the load')
+            self._note(piece, queue)
             progress = queue.progress
             report(progress.loaded / progress.total)
 
@@ -112,8 +120,10 @@
         if not loading.cancelled() and loading.done():
             loading.result()
             queue.finish(piece)
-            if piece.number == PIECES_EACH - 1:
-                self._loaded.add(piece.move)
+
+    def _note(self, piece: moves.Piece, queue: moves.MoveQueue) -> None:
+        if queue.is_whole(piece):
+            self._loaded.add(piece.move)
 
     async def _first_of(
         self,
--- a/tamarackthread/agent/ranks.py
+++ b/tamarackthread/agent/ranks.py
@@ -18,7 +18,12 @@
     @property
     @abc.abstractmethod
     def ranks(self) -> collections.abc.Sequence[int]:
-        """Number the ranks that are part of the group now."""
+        """Number the ranks that are in lock-step now, reachable or not.
+
+        The failure: a rank whose agent is cut off is left out, the others
+        switch, and its engine goes on in lock-step with the old map.  So a
+        rank leaves this list only when the engines have re-formed without it.
+        """
 
     @abc.abstractmethod
     async def send(
@@ -31,21 +36,27 @@
 
 
 class PeersTransport(RankTransport):
-    """Reach agents over links; addresses follow the target documents."""
+    """Reach agents over links.
+
+    Members come from the engines, addresses from the target documents: a
+    member without an address is unreachable, not gone.
+    """
 
     def __init__(
         self,
         connections: peers.Peers,
+        members: collections.abc.Callable[[], collections.abc.Sequence[int]],
         addresses: collections.abc.Callable[[], dict[int, str]],
     ) -> None:
-        """Ask ``addresses`` each time, because ranks come and go."""
+        """Ask both each time, because ranks come and go."""
         self._peers = connections
+        self._members = members
         self._addresses = addresses
 
     @property
     def ranks(self) -> collections.abc.Sequence[int]:
-        """Number the ranks that have announced themselves."""
-        return sorted(self._addresses())
+        """Number the ranks that are in lock-step."""
+        return self._members()
 
     async def send(
         self,
--- a/tamarackthread/agent/switch.py
+++ b/tamarackthread/agent/switch.py
@@ -65,6 +65,7 @@
         self._life = lifecycle.Lifecycle()
         self._record = self._first_record()
         self._loaded_map = ''
+        self._starts = 0
         self._fence = 0
         self._lock = asyncio.Lock()
         self._watch: asyncio.Task[None] | None = None
@@ -97,19 +98,21 @@
         target: expert_map.ExpertMap,
         report: engine.Report,
     ) -> None:
-        """Load what a map adds for this rank, keeping the one that serves."""
+        """Load what a map adds for this rank, keeping the one that serves.
+
+        An engine that restarts meanwhile has lost the pieces that came
+        before; without the check the rank would arm for experts it lacks.
+        """
         if self.state not in {lifecycle.STEADY, lifecycle.LOADED}:
             raise order_errors.RankNotReady(f'rank is {self.state}')
+        starts = self._starts
         serving = self._record.settled_map
         current = await self._book.get(serving)
         added = target.holds() & ~current.holds()
         digest = self._book.add(target)
         await self._engine.add_map(target)
         await self._loader.load(self._moves(added), report)
-        if (
-            self._record.settled_map != serving
-            or self.state == lifecycle.UNPLACED
-        ):
+        if starts != self._starts or serving != self._record.settled_map:
             raise order_errors.RankNotReady('rank restarted during the load')
         self._loaded_map = digest
         self._life.trigger('load')
@@ -237,6 +240,7 @@
     def _lose(self) -> None:
         self._stop_watch()
         self._life.trigger('lose')
+        self._starts += 1
         self._loaded_map = ''
 
     async def _drop_unused(self) -> None:
--- a/tamarackthread/policy/moves.py
+++ b/tamarackthread/policy/moves.py
@@ -77,6 +77,15 @@
         self._running = 0
         self._until = float('-inf')
 
+    @property
+    def quiet_seconds(self) -> float:
+        """Give how long moves stand still after an urgent call."""
+        return self._quiet_seconds
+
+    @quiet_seconds.setter
+    def quiet_seconds(self, seconds: float) -> None:
+        self._quiet_seconds = seconds
+
     def hint(self, now: float) -> None:
         """Take note that an urgent call is on its way."""
         self._until = max(self._until, now + self._hint_seconds)
@@ -164,6 +173,12 @@
             self._number = 0
             self._moves.popleft()
 
+    def is_whole(self, piece: Piece) -> bool:
+        """Tell whether a piece was its move's last and is loaded."""
+        is_last = piece.number == self._pieces_each - 1
+        is_queued = bool(self._moves) and self._moves[0] == piece.move
+        return is_last and not is_queued
+
     def interrupt(self, piece: Piece) -> None:
         """Give the piece in flight back, to be loaded again later."""
         if piece != self._in_flight:
--- a/tests/test_group_links.py
+++ b/tests/test_group_links.py
@@ -64,7 +64,7 @@
         """Listen as control and rank 0; dial as rank 1."""
         self._map = expert_map.cold_start(SHAPE)
         self._peers = peers.Peers(_options('rank-1'))
-        transport = ranks.PeersTransport(self._peers, dict)
+        transport = ranks.PeersTransport(self._peers, list, dict)
         lockstep = group.LockStepGroup(self._map.slots[..., 0, 0], 1)
         settings = group_part.GroupSettings(
             GROUP,
@@ -125,6 +125,7 @@
         """A rank without memory gets a map of 58 layers from a peer."""
         transport = ranks.PeersTransport(
             self._peers,
+            lambda: [0, 1],
             lambda: {0: self._address},
         )
         source = ranks.PeerMaps(GROUP, transport)
@@ -137,6 +138,7 @@
         """An order that the desk refuses comes back with its code."""
         transport = ranks.PeersTransport(
             self._peers,
+            lambda: [0, 1],
             lambda: {0: self._address},
         )
         order = messages.GroupOrder(
--- a/tests/test_map_switch.py
+++ b/tests/test_map_switch.py
@@ -17,6 +17,7 @@
     lifecycle,
     order_errors,
     orders,
+    switch,
     switch_record,
 )
 from tamarackthread.shared import errors
@@ -297,6 +298,38 @@
 
         self._run(scene)
 
+    def test_restart_during_load(self) -> None:
+        """A rank whose engine restarts while it loads does not arm.
+
+        The load stands still for an urgent call while the engine restarts
+        and is placed again.  What came before the restart is gone, so the
+        load fails and the rank arms only after one that loads all.
+        """
+
+        async def scene() -> None:
+            world = _Scene()
+            await world.settle()
+            host = world.world.hosts[3]
+            target = world.world.next_map()
+            loading = asyncio.create_task(
+                host.part.switch.load(target, _no_report),
+            )
+            await asyncio.sleep(0.01)
+            host.part.urgent.arrived()
+            await asyncio.sleep(0.01)
+            await host.engine.restart(0.1)
+            await asyncio.sleep(2)
+            self.assertEqual(host.part.switch.state, lifecycle.STEADY)
+            host.part.urgent.finished()
+            with self.assertRaises(order_errors.RankNotReady):
+                await loading
+            await host.part.switch.load(target, _no_report)
+            wanted = switch.rank_moves(target.holds(), 3, urgent=False)
+            loaded = await host.engine.loaded()
+            self.assertLessEqual(set(wanted), set(loaded))
+
+        self._run(scene)
+
     def test_stalled_rank_aborts(self) -> None:
         """A rank that cannot arm in time costs the switch, not the group."""
 
