Judge only the target that reported

Each load report and each ended call worked out the share of every target of the service: with 48 targets that report ten times a second, 23,000 shares a second.

--- a/tamarackthread/entry/pools.py
+++ b/tamarackthread/entry/pools.py
@@ -171,22 +171,38 @@
         )
         step_ms = view.load.step_seconds * 1000
         self._ejection.report(view.name, step_ms, report.running or 0, now)
-        self._share(now)
+        self._share(view.name, now)
         self._admission.wake()
 
     def answered(self, target: str, is_good: bool) -> None:
         """Count how a call ended at a target."""
         now = asyncio.get_running_loop().time()
         self._ejection.answered(target, is_good, now)
-        self._share(now)
-
-    def _share(self, now: float) -> None:
-        for contact in self._contacts.values():
-            contact.view.share = self._ejection.share(contact.name, now)
+        self._share(target, now)
+
+    def _share(self, changed: str, now: float) -> None:
+        """Set the share of a target that was judged, and of those on return.
+
+        All others keep their whole share, so that a report costs the same
+        whatever the size of the subset.
+        """
+        for name in (changed, *self._reduced):
+            contact = self._contacts.get(name)
+            if contact is None:
+                self._reduced.discard(name)
+                continue
+            contact.view.share = self._ejection.share(name, now)
+            if contact.view.share < 1:
+                self._reduced.add(name)
+            else:
+                self._reduced.discard(name)
 
     def _apply(self, profile: generated.Profile) -> None:
         self._profile = profile
         self._ejection = ejection.Ejection(_ejection_settings(profile))
+        self._reduced: set[str] = set()
+        for contact in self._contacts.values():
+            contact.view.share = 1
         self._place = room.TargetRoom(
             self._routing(profile),
             room.RoomSettings(
