--- a/tamarackthread/shared/relay.py
+++ b/tamarackthread/shared/relay.py
@@ -108,8 +108,10 @@
         if redirect:
             return messages.Reply(feed=_redirection(redirect))
         self._links[sender.node] = peer_link
+        known = self._below.confirmed_of(sender.node)
         ask_whole = self._below.take(sender, request, came_at)
-        self._source.take_report()
+        if request.nodes or request.confirmed != known:
+            self._source.take_report()
         if not ask_whole:
             await self._hold(request, came_at)
         held = loop.time() - came_at
--- a/tamarackthread/shared/subtree.py
+++ b/tamarackthread/shared/subtree.py
@@ -66,6 +66,11 @@
             name for name, child in self._children.items() if child.zone == zone
         ]
 
+    def confirmed_of(self, name: str) -> int:
+        """Give what a child confirmed last for itself and those below."""
+        child = self._children.get(name)
+        return -1 if child is None else child.confirmed
+
     def address_of(self, name: str) -> str:
         """Give where a child listens, empty if nowhere."""
         child = self._children.get(name)
