Tell refused callers a time at which there is room

Cause: places were booked at the organisation's whole share, which its new calls use too, and 20 s ahead at most, so that a wave came back into itself. Conclusion: 60 s and 0.3 kept.

--- a/bench/experiments/surge.py
+++ b/bench/experiments/surge.py
@@ -57,11 +57,8 @@
     """Run one wave through each balancer."""
     wave = wave or workload.Wave()
     saturation = capacity.Saturation(seed)
-    _on_paused_time(saturation.run(wave.duration + 1))
-    rates = {
-        service: _mean_rate(windows)
-        for service, windows in saturation.completed.items()
-    }
+    on_paused_time(saturation.run(wave.duration + 1))
+    rates = mean_rates(saturation)
     offered = workload.draw(
         seed,
         wave,
@@ -70,7 +67,7 @@
     )
     found = {}
     for policy in policies:
-        results = _on_paused_time(play(policy, seed, offered))
+        results = on_paused_time(play(policy, seed, offered))
         found[policy] = scores.score(results, saturation.completed)
     return found
 
@@ -81,8 +78,17 @@
     offered: list[workload.Offered],
 ) -> list[players.Result]:
     """Play the wave through one balancer and wait until all have ended."""
-    loop = asyncio.get_running_loop()
     player = build(policy, seed, fleet.Fleet(seed))
+    await drive(player, offered)
+    return player.results
+
+
+async def drive(
+    player: players.Player,
+    offered: list[workload.Offered],
+) -> None:
+    """Send all calls to a player and wait until they have ended."""
+    loop = asyncio.get_running_loop()
     reports = loop.create_task(
         player.fleet.publish(player.receivers()),
     )
@@ -91,7 +97,6 @@
             await asyncio.sleep(max(0, call.at - loop.time()))
             group.create_task(player.play(call))
     reports.cancel()
-    return player.results
 
 
 def build(policy: str, seed: int, own_fleet: fleet.Fleet) -> players.Player:
@@ -111,8 +116,13 @@
     )
 
 
-def _mean_rate(windows: dict[int, int]) -> float:
-    return sum(windows.values()) / len(windows) / capacity.WINDOW_SECONDS
+def mean_rates(saturation: capacity.Saturation) -> dict[str, float]:
+    """Return the capacity of each service in calls a second."""
+    rates = {}
+    for service, windows in saturation.completed.items():
+        seconds = len(windows) * capacity.WINDOW_SECONDS
+        rates[service] = sum(windows.values()) / seconds
+    return rates
 
 
 def _combine(rows: list[dict]) -> dict[str, float]:
@@ -131,7 +141,8 @@
         print(f'  {policy}: {cells}')
 
 
-def _on_paused_time(work: collections.abc.Coroutine) -> collections.abc.Any:
+def on_paused_time(work: collections.abc.Coroutine) -> collections.abc.Any:
+    """Run a coroutine on a loop of its own whose time is paused."""
     loop = async_solipsism.EventLoop()
     try:
         return loop.run_until_complete(work)
--- a/tamarackthread/policy/admission.py
+++ b/tamarackthread/policy/admission.py
@@ -86,6 +86,7 @@
         Every refusal says 'not run'.  Cancelling leaves the queue.
         """
         now = _now()
+        self._outlook.asked(call, now)
         budget = self._limits.budget(call, now)
         self._limits.check(call, budget, now)
         self._charge(call, now)
--- a/tamarackthread/policy/outlook.py
+++ b/tamarackthread/policy/outlook.py
@@ -8,6 +8,7 @@
 
 _LEAST_RATE = 0.1
 _MOST_FLOWS = 4096
+_LEAST_SPARE = 0.3
 
 
 class Outlook:
@@ -25,8 +26,18 @@
         self._retry_times = pace.RetryTimes(generator)
         self._meter = pace.DrainMeter()
         self._flows: dict[str, pace.DrainMeter] = {}
+        self._asked: dict[str, pace.ArrivalMeter] = {}
         self._mean_cost: float = 1
 
+    def asked(self, call: calls.CallFacts, now: float) -> None:
+        """Note a call before it's known whether it may wait."""
+        meter = self._asked.get(call.organisation)
+        if meter is None:
+            self._tidy(now)
+            meter = pace.ArrivalMeter()
+            self._asked[call.organisation] = meter
+        meter.add(call.cost, now)
+
     def arrived(self, call: calls.CallFacts, now: float) -> None:
         """Note a call that now waits in the line."""
         self._mean_cost += (call.cost - self._mean_cost) / 64
@@ -74,18 +85,28 @@
         return max(wait, own / max(_LEAST_RATE, flow.rate(prior, now)))
 
     def retry(self, call: calls.CallFacts, now: float) -> float:
-        """Return seconds after which a refused call will find room."""
+        """Return seconds after which a refused call will find room.
+
+        What new calls of the organisation use of its share isn't there for
+        those that come back.  Some always is: the wave may end any moment.
+        """
+        share = self.rate(now) * self._line.share(call)
+        asked = self._asked.get(call.organisation)
+        used = asked.rate(now) if asked else 0
         return self._retry_times.book(
             call.organisation,
             call.cost,
-            self.rate(now) * self._line.share(call),
+            max(_LEAST_SPARE * share, share - used),
             self.wait(call, now),
             now,
         )
 
     def _tidy(self, now: float) -> None:
-        if len(self._flows) < _MOST_FLOWS:
+        if len(self._flows) + len(self._asked) < _MOST_FLOWS:
             return
+        for organisation in list(self._asked):
+            if self._asked[organisation].rate(now) < _LEAST_RATE:
+                self._asked.pop(organisation)
         for flow in list(self._flows):
             if self._flows[flow].is_idle(now):
                 self._flows.pop(flow)
--- a/tamarackthread/policy/pace.py
+++ b/tamarackthread/policy/pace.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import attrs
@@ -18,7 +19,7 @@
     window_seconds: float = 1.0
     prior_seconds: float = 0.2
     least_retry: float = 0.25
-    most_retry: float = 20.0
+    most_retry: float = 60.0
 
 
 class DrainMeter:
@@ -65,6 +66,28 @@
         return now - self._seen_at > self._settings.window_seconds
 
 
+class ArrivalMeter:
+    """Measure asked cost a second, admitted or not, over the last seconds."""
+
+    def __init__(self, window_seconds: float = 2.0) -> None:
+        """Start with nothing asked."""
+        self._window = window_seconds
+        self._level: float = 0
+        self._seen_at: float = 0
+
+    def add(self, cost: float, now: float) -> None:
+        """Count a call."""
+        self._level = self._faded(now) + cost
+        self._seen_at = now
+
+    def rate(self, now: float) -> float:
+        """Return cost a second."""
+        return self._faded(now) / self._window
+
+    def _faded(self, now: float) -> float:
+        return self._level * math.exp((self._seen_at - now) / self._window)
+
+
 class RetryTimes:
     """Tell refused callers when to come back.
 
