Take the failure of a dial that nobody waits for any more

A dial whose waiter had given up was logged as an exception never retrieved. Its failure stands in the backoff already. An entry's own prompt to report upwards is gone, the feed reports by itself.

--- a/tamarackthread/entry/role.py
+++ b/tamarackthread/entry/role.py
@@ -59,9 +59,7 @@
         """Answer a request for the configuration."""
         if request.feed is None:
             raise errors.RequestUnsupported
-        reply = await self._relay.answer(link, request.feed)
-        self._feed.take_report()
-        return reply
+        return await self._relay.answer(link, request.feed)
 
 
 class Entry:
--- a/tamarackthread/shared/peers.py
+++ b/tamarackthread/shared/peers.py
@@ -115,9 +115,16 @@
         if dial is None:
             dial = asyncio.get_running_loop().create_task(self._dial(address))
             self._dials[address] = dial
-            dial.add_done_callback(lambda _: self._dials.pop(address, None))
+            dial.add_done_callback(lambda done: self._dialled(address, done))
         return await asyncio.shield(dial)
 
+    def _dialled(self, address: str, done: asyncio.Task[link.Link]) -> None:
+        self._dials.pop(address, None)
+        # Whoever waited may have given up; its failure is in the backoff and
+        # must not be logged as a fault that nobody looked at.
+        if not done.cancelled():
+            done.exception()
+
     async def _dial(self, address: str) -> link.Link:
         try:
             dialled = await connecting.connect(
