Put the group's part into the agent's process

Cause: switches, orders and the balancer were proved on paused time with fakes, but no agent process used them. An agent with a group now drives its engine over HTTP (docs/ENGINES.md), finds the other ranks in the target documents, takes orders over links, applies the profile's balance fields and pauses moves for urgent calls at its gate. A planned stop gives ownership back.

A record is sent until the engine has taken or refused it: an engine that armed while its agent took the arm as failed would hold for ever.

A switch and a switch with an agent lost between arm and step run no step with two maps.

Left: all ranks count as members, so no switch is decided while one is lost.

--- a/tamarackthread/agent/gate.py
+++ b/tamarackthread/agent/gate.py
@@ -12,11 +12,18 @@
 import aiohttp
 import attrs
 
-from tamarackthread.agent import claims, recording, reports, target
+from tamarackthread.agent import (
+    claims,
+    loading,
+    recording,
+    reports,
+    target,
+)
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, events, stream, target_errors
 
 DEFAULT_IDLE_SECONDS = 15.0
+URGENT = 0
 _EVENT_STREAM = 'text/event-stream'
 _log = logging.getLogger('tamarackthread.agent')
 
@@ -39,12 +46,14 @@
         client: target.TargetClient,
         reporter: reports.Reporter,
         claimed: claims.ClaimGate,
+        urgent: loading.UrgentSignal,
     ) -> None:
-        """Start open."""
+        """Start open; ``urgent`` is told of urgent calls."""
         self._options = options
         self._client = client
         self._reporter = reporter
         self._claimed = claimed
+        self._urgent = urgent
         self._claimed_runs: set[asyncio.Task[None]] = set()
         self._leaving = False
         self._idle_seconds = DEFAULT_IDLE_SECONDS
@@ -93,13 +102,13 @@
         """Run one call from its opening to its end."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + (opening.deadline_ms or 0) / 1000
-        self._enter()
+        self._enter(opening)
         try:
             await self._serve(call, opening, deadline)
         except errors.CodedError as exc:
             call.finish(_failed(opening, exc))
         finally:
-            self._leave_one()
+            self._leave_one(opening)
 
     async def _serve(
         self,
@@ -119,7 +128,9 @@
 
     def _check(self, opening: messages.OpenCall, deadline: float) -> None:
         if opening.target != self._options.target_id:
-            raise target_errors.WrongTarget(f'this is {self._options.target_id}')
+            raise target_errors.WrongTarget(
+                f'this is {self._options.target_id}'
+            )
         if self._leaving:
             raise target_errors.TargetLeaving
         if self._reporter.is_stuck:
@@ -162,7 +173,7 @@
         self._claimed.admit(opening)
         recorder = recording.Recorder(call)
         answer = None
-        self._enter()
+        self._enter(opening)
         try:
             await self._relay(recorder, opening, body)
             answer = recorder.answer
@@ -171,7 +182,7 @@
             raise
         finally:
             self._claimed.finish(opening, answer)
-            self._leave_one()
+            self._leave_one(opening)
 
     async def _run(
         self,
@@ -261,12 +272,16 @@
             await call.send(cutter.rest)
         return (opening.resume_events or 0) + cutter.count
 
-    def _enter(self) -> None:
+    def _enter(self, opening: messages.OpenCall) -> None:
         self._open += 1
         self._idle.clear()
+        if opening.priority == URGENT:
+            self._urgent.arrived()
 
-    def _leave_one(self) -> None:
+    def _leave_one(self, opening: messages.OpenCall) -> None:
         self._open -= 1
+        if opening.priority == URGENT:
+            self._urgent.finished()
         if self._open == 0:
             self._idle.set()
 
--- a/tamarackthread/agent/role.py
+++ b/tamarackthread/agent/role.py
@@ -6,7 +6,14 @@
 import logging
 import random
 
-from tamarackthread.agent import claims, gate, reports, target
+from tamarackthread.agent import (
+    claims,
+    control_client,
+    gate,
+    grouping,
+    reports,
+    target,
+)
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import (
@@ -35,11 +42,13 @@
         guard: gate.Gate,
         reporter: reports.Reporter,
         known: feed.ConfigFeed,
+        group: grouping.Grouping,
     ) -> None:
         """Serve through the gate; relay the configuration to other nodes."""
         self._gate = guard
         self._reporter = reporter
         self._feed = known
+        self._group = group
         self._relay = relay.FeedServer(known, known.below, relay.Limits())
 
     async def on_request(
@@ -60,6 +69,9 @@
         if request.claim_probe is not None:
             proof = self._gate.probe(request.claim_probe)
             return messages.Reply(claim_proof=proof)
+        if request.order is not None:
+            done = await self._group.handle_order(request.order)
+            return messages.Reply(order=done)
         raise errors.RequestUnsupported
 
     async def on_stream(
@@ -104,6 +116,15 @@
             self._client,
             self._own.report_seconds,
         )
+        self._group = grouping.Grouping(
+            self._own,
+            self._place.options.identity,
+            self._peers,
+            control_client.LinkControl(
+                self._peers,
+                settings.control_addresses,
+            ),
+        )
         self._gate = gate.Gate(
             gate.GateOptions(
                 target_id=self._own.target_id,
@@ -116,6 +137,7 @@
                 self._own.target_id,
                 self._place.options.identity.incarnation,
             ),
+            self._group.urgent,
         )
         self._announced = announcer.AnnouncedTarget(
             self._own,
@@ -130,12 +152,18 @@
         )
         self._listener = listener.Listener(
             self._place.options,
-            AgentHandler(self._gate, self._reporter, self._feed),
+            AgentHandler(
+                self._gate,
+                self._reporter,
+                self._feed,
+                self._group,
+            ),
         )
 
     async def run(self, announce: process.Announce | None) -> None:
         """Run until asked to stop, then leave without cutting anything off."""
         await self._client.start()
+        await self._group.start()
         address = await self._listener.start_on(self._place.bound)
         self._feed.subscribe(self._follow)
         self._feed.start()
@@ -155,6 +183,7 @@
     def _follow(self, held: catalogue.Catalogue) -> None:
         """Leave, or come back, as the operator has said of this target."""
         self._follow_profile(held)
+        self._group.follow(held)
         found = held.get(documents.TARGET, self._own.target_id)
         if found is None or self._stopping:
             return
@@ -173,6 +202,7 @@
             return
         profile = documents.parse(documents.PROFILE, found.body)
         self._gate.idle_seconds = profile.timeouts.idle_seconds
+        self._group.use(profile.balance)
         # Only an engine counts tokens; a plain service may well work long on
         # one call before it counts it as done.
         if details.kind == 'model':
@@ -190,6 +220,7 @@
             _log,
             'agent: calls are still open, stop them or wait?',
         )
+        await self._group.stop()
         await self._feed.stop()
         self._listener.close()
         self._peers.close()
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from bench import load
-from tamarackthread.agent import claims, gate, reports, target
+from tamarackthread.agent import claims, gate, loading, reports, target
 from tamarackthread.entry import (
     calls,
     directory,
@@ -22,6 +22,7 @@
 )
 from tamarackthread.generated import settings
 from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import moves
 from tamarackthread.shared import identity, link, listener, peers
 from tests import shards
 
@@ -98,6 +99,7 @@
         self.client = target.TargetClient(own)
         await self.client.start()
         self.reporter = reports.Reporter(self.name, self.client, 0.02)
+        self.urgent = loading.UrgentSignal(moves.UrgentWatch())
         self.gate = gate.Gate(
             gate.GateOptions(
                 target_id=self.name,
@@ -107,6 +109,7 @@
             self.client,
             self.reporter,
             claims.ClaimGate(self.name, 0),
+            self.urgent,
         )
         self.listener = listener.Listener(
             options(self.name, messages.Role.AGENT),
--- /dev/null
+++ b/tests/test_grouping.py
@@ -0,0 +1,431 @@
+"""Prove that agents take part in their group over HTTP and real links."""
+
+import asyncio
+import json
+import logging
+import pathlib
+import random
+import tempfile
+import unittest
+
+import attrs
+import numpy
+
+from bench.engines import fake_control, journal, ranked, switch_checker
+from tamarackthread.agent import (
+    control_client,
+    group_members,
+    grouping,
+    lifecycle,
+    order_errors,
+    order_state,
+    role,
+    switch_record,
+)
+from tamarackthread.generated import documents, settings
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import expert_map
+from tamarackthread.shared import (
+    announcer,
+    catalogue,
+    errors,
+    feed,
+    identity,
+    link,
+    listener,
+    parents,
+    peers,
+)
+from tests import test_targets
+
+GROUP = 'group-1'
+SHAPE = expert_map.GroupShape(layers=2, experts=8, ranks=4, slots=3)
+STEP_SECONDS = 0.01
+KEY = b'ranks' * 8
+POLL_SECONDS = 0.01
+LONGEST_SECONDS = 20
+
+
+def options(node, node_role, address='', incarnation=0):
+    own = identity.Identity(
+        node=node,
+        role=node_role,
+        zone='zone-0',
+        address=address,
+        incarnation=incarnation,
+    )
+    return identity.LinkOptions(own, keys=(KEY,))
+
+
+async def until(condition):
+    """Wait for a condition; the limit only ends a test that would hang."""
+    async with asyncio.timeout(LONGEST_SECONDS):
+        while not condition():
+            await asyncio.sleep(POLL_SECONDS)
+
+
+class ControlHandler(link.Handler):
+    """Be control: its real tables of leases and decisions."""
+
+    def __init__(self):
+        self.control = fake_control.Control()
+        self.before_answer = None
+
+    async def on_request(self, held, request):
+        if request.lease is not None:
+            lease = await self.control.lease(request.lease)
+            return messages.Reply(lease=lease)
+        if request.decision is not None:
+            decision = await self.control.decide(request.decision)
+            if request.decision.decision and self.before_answer is not None:
+                await self.before_answer(request.decision.decision)
+            return messages.Reply(decision=decision)
+        raise errors.RequestUnsupported
+
+
+class Agent:
+    """Be one rank's agent with the product's handler, without a gate."""
+
+    def __init__(self, rank, engine_address, scene):
+        self.rank = rank
+        self.own = settings.Agent(
+            target_url=f'http://{engine_address}',
+            target_id=f'target-{rank}',
+            service='drafting',
+            kind='model',
+            group=GROUP,
+            rank=rank,
+            ranks=SHAPE.ranks,
+        )
+        self._scene = scene
+        self._starts = 0
+
+    @property
+    def part(self):
+        return self.group.part
+
+    async def start(self):
+        self._starts += 1
+        bound = listener.bind('127.0.0.1', 0)
+        self.address = listener.address_of(bound)
+        place = options(
+            f'agent-{self.rank}',
+            messages.Role.AGENT,
+            self.address,
+            self._starts,
+        )
+        self.links = peers.Peers(place)
+        self.group = grouping.Grouping(
+            self.own,
+            place.identity,
+            self.links,
+            control_client.LinkControl(self.links, [self._scene.address]),
+        )
+        known = feed.ConfigFeed(
+            self.links,
+            place.identity,
+            parents.AnyParent([], random.Random(1)),
+            1,
+        )
+        handler = role.AgentHandler(None, QuietReporter(), known, self.group)
+        self.listener = listener.Listener(place, handler)
+        await self.listener.start_on(bound)
+        await self.group.start()
+
+    async def kill(self):
+        """Stop as a process that dies, without a word to anyone."""
+        self.listener.close()
+        self.links.close()
+        await self.group.abandon()
+
+    async def stop(self):
+        await self.group.stop()
+        self.listener.close()
+        self.links.close()
+
+    def document(self, revision):
+        """Give the target's document as control makes it."""
+        body = documents.Target(
+            service=self.own.service,
+            region='region-0',
+            zone='zone-0',
+            address=self.address,
+            group=GROUP,
+            rank=self.rank,
+            ranks=SHAPE.ranks,
+        )
+        return messages.Document(
+            kind='target',
+            name=self.own.target_id,
+            version=1,
+            body=json.dumps(attrs.asdict(body)),
+            revision=revision,
+        )
+
+
+class QuietReporter:
+    """Report no load."""
+
+    def remove(self, held):
+        """Take no notice of a lost link."""
+
+    def add(self, held):
+        """Take no notice of a link."""
+
+
+class Scene:
+    """Put a group, its agents and control on loopback in one process."""
+
+    def __init__(self, folder):
+        self.path = pathlib.Path(folder) / 'steps.journal'
+        self.ranked = ranked.RankedGroup(
+            SHAPE,
+            STEP_SECONDS,
+            journal.Journal(self.path),
+        )
+        self.handler = ControlHandler()
+        self.held = catalogue.Catalogue()
+
+    async def start(self):
+        place = options('control-0', messages.Role.CONTROL)
+        self._listener = listener.Listener(place, self.handler)
+        self.address = await self._listener.start('127.0.0.1', 0)
+        addresses = await self.ranked.start()
+        self.agents = [
+            Agent(rank, found, self) for rank, found in enumerate(addresses)
+        ]
+        for agent in self.agents:
+            await agent.start()
+        self.publish()
+        await until(self.is_steady)
+
+    async def stop(self):
+        for agent in self.agents:
+            await agent.stop()
+        await self.ranked.stop()
+        self._listener.close()
+
+    def publish(self):
+        """Bring every agent the targets as they are announced now."""
+        for agent in self.agents:
+            self.held.advance(self.held.revision + 1)
+            self.held.put(agent.document(self.held.revision))
+        for agent in self.agents:
+            agent.group.follow(self.held)
+
+    def is_steady(self):
+        """Tell whether every rank serves and one owns the group."""
+        parts = [agent.part for agent in self.agents]
+        if not all(parts):
+            return False
+        steady = all(one.switch.state == lifecycle.STEADY for one in parts)
+        return steady and self.owner() is not None
+
+    def owner(self):
+        for agent in self.agents:
+            if agent.part is not None and agent.part.owner.is_owner:
+                return agent
+        return None
+
+    def other_map(self):
+        """Turn the cold-start map by one rank."""
+        first = expert_map.cold_start(SHAPE)
+        return expert_map.ExpertMap(SHAPE, numpy.roll(first.slots, 1, axis=1))
+
+    def findings(self):
+        history = ranked.read_history(self.path)
+        first = expert_map.cold_start(SHAPE).digest()
+        control = self.handler.control
+        return switch_checker.check(history, control.records, first), history
+
+
+class GroupingCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        for name in ('tamarackthread', 'transitions'):
+            log = logging.getLogger(name)
+            log.setLevel(logging.CRITICAL)
+            self.addCleanup(log.setLevel, logging.NOTSET)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.scene = Scene(folder.name)
+        await self.scene.start()
+
+    async def asyncTearDown(self):
+        await self.scene.stop()
+
+    async def _past(self, record):
+        steps = self.scene.ranked.group
+        await until(lambda: steps.step > record.from_step + 5)
+
+    def _check(self, target):
+        found, history = self.scene.findings()
+        self.assertEqual(found.mixed_map_steps, 0)
+        self.assertEqual(found.unrecorded_map_steps, 0)
+        self.assertEqual(found.stale_orders_run, 0)
+        self.assertEqual(found.switches, 1)
+        self.assertEqual(found.aborted, 0)
+        self.assertEqual(set(history.steps[-1].maps), {target.digest()})
+
+    async def test_switch_by_orders(self):
+        target = self.scene.other_map()
+        owner = self.scene.owner()
+        record = await owner.part.driver.switch_to(target)
+        await self._past(record)
+        self._check(target)
+
+    async def test_agent_lost_between_arm_and_step(self):
+        """An agent dies after its rank armed and comes back before the step.
+
+        Control has recorded the commit, and the agent dies before the owner
+        can tell it, so its engine holds at the step.  The new agent has no
+        memory: it reads the commit from control and tells its engine, so no
+        step is run with two maps.
+        """
+        scene = self.scene
+        target = scene.other_map()
+        owner = scene.owner()
+        lost = next(one for one in scene.agents if one is not owner)
+        engine = scene.ranked.group.engines[lost.rank]
+
+        async def kill(decision):
+            if decision == switch_record.Stage.COMMITTED.value:
+                await lost.kill()
+
+        scene.handler.before_answer = kill
+        record = await owner.part.driver.switch_to(target)
+        self.assertTrue(engine.record.is_open)
+        self.assertLess(scene.ranked.group.step, record.from_step)
+        await lost.start()
+        scene.publish()
+        await self._past(record)
+        self._check(target)
+
+    async def test_agent_lost_while_others_arm(self):
+        """An agent dies as soon as its own engine is armed.
+
+        Its answer may be lost, so the owner commits or aborts.  The new agent
+        reads from control which it was, and the engine follows that.
+        """
+        scene = self.scene
+        target = scene.other_map()
+        owner = scene.owner()
+        lost = next(one for one in scene.agents if one is not owner)
+        switching = asyncio.create_task(owner.part.driver.switch_to(target))
+        engine = scene.ranked.group.engines[lost.rank]
+        await until(lambda: engine.record.number)
+        await lost.kill()
+        record = await finished(switching, scene)
+        await lost.start()
+        scene.publish()
+        await self._past(record)
+        found, history = scene.findings()
+        self.assertEqual(found.mixed_map_steps, 0)
+        self.assertEqual(found.unrecorded_map_steps, 0)
+        self.assertEqual(found.undecided, 0)
+        self.assertEqual(set(history.steps[-1].maps), {record.settled_map})
+
+    async def test_operator_order(self):
+        """An operator's order runs at each engine once, over its HTTP."""
+        order = messages.GroupOrder(
+            group=GROUP,
+            fence=0,
+            order_id='op-1',
+            action='load_adapter',
+            body='{"urgent": false}',
+            deadline_ms=1000,
+        )
+        owner = self.scene.owner()
+        orders = self.scene.ranked.group.history.orders
+        async with asyncio.timeout(LONGEST_SECONDS):
+            state = await ordered(owner, order)
+            while state.state == order_state.RUNNING:
+                await asyncio.sleep(POLL_SECONDS)
+                state = await ordered(owner, order)
+        self.assertEqual(state.state, order_state.DONE)
+        run = sorted(one.rank for one in orders)
+        self.assertEqual(run, list(range(SHAPE.ranks)))
+
+    async def test_planned_stop_gives_ownership_back(self):
+        """The next owner takes over at once, under a higher number."""
+        owner = self.scene.owner()
+        fence = owner.part.owner.fence
+        await owner.stop()
+        others = [one for one in self.scene.agents if one is not owner]
+        await owner.start()
+        self.scene.publish()
+        await until(
+            lambda: any(
+                one.part.owner.is_owner
+                for one in (*others, owner)
+                if one.part is not None
+            ),
+        )
+        self.assertGreater(self.scene.owner().part.owner.fence, fence)
+
+
+async def ordered(agent, order):
+    reply = await agent.group.handle_order(order)
+    return order_state.from_json(reply.body)
+
+
+async def finished(switching, scene):
+    """Give the record that stands, whether committed or aborted."""
+    try:
+        return await switching
+    except order_errors.SwitchAborted:
+        return scene.handler.control.records[-1]
+
+
+class SettingsCase(unittest.IsolatedAsyncioTestCase):
+    async def test_rank_is_announced_and_found(self):
+        own = settings.Agent(
+            target_url='http://127.0.0.1:1',
+            target_id='t',
+            service='s',
+            group=GROUP,
+            rank=3,
+            ranks=4,
+        )
+        place = identity.Identity(
+            node='n',
+            role=messages.Role.AGENT,
+            region='r',
+            zone='z',
+            address='127.0.0.1:2',
+        )
+        message = announcer.AnnouncedTarget(own, place).message()
+        stage = test_targets.Stage()
+        await stage.targets.announce(message, 'agent')
+        held = stage.log.machine.documents
+        members = group_members.Members(GROUP)
+        members.follow(held)
+        self.assertEqual(members.addresses, {3: '127.0.0.1:2'})
+        other = group_members.Members('group-2')
+        other.follow(held)
+        self.assertEqual(other.addresses, {})
+
+    def test_candidates(self):
+        def stands(rank, candidate):
+            own = settings.Agent(
+                target_url='http://127.0.0.1:1',
+                target_id='t',
+                service='s',
+                rank=rank,
+                candidate=candidate,
+            )
+            return grouping.is_candidate(own)
+
+        self.assertTrue(stands(2, 'auto'))
+        self.assertFalse(stands(3, 'auto'))
+        self.assertTrue(stands(9, 'yes'))
+        self.assertFalse(stands(0, 'no'))
+
+    def test_trade_off(self):
+        even = documents.Balance(evenness_weight=3, move_weight=1)
+        few = documents.Balance(evenness_weight=1, move_weight=3)
+        self.assertLess(
+            grouping.trade_off(even).move_seconds,
+            grouping.trade_off(few).move_seconds,
+        )
+        nothing = documents.Balance(evenness_weight=0)
+        self.assertGreater(grouping.trade_off(nothing).move_seconds, 1000)
