--- a/bench/slopes/following.py
+++ b/bench/slopes/following.py
@@ -19,7 +19,8 @@
 from bench.slopes import fit, letter, memory
 
 MICRO = 1e6
-UPDATES = 20
+UPDATES = 40
+RUNS = 4
 REVISION = 1
 
 
@@ -34,7 +35,8 @@
 async def measure(quick: bool) -> list[fit.Slope]:
     """Update an entry's fleet at a growing number of targets."""
     points = []
-    for targets in (100, 200, 400) if quick else (525, 1050, letter.REPLICAS):
+    sizes = (100, 200, 400) if quick else (525, 1050, letter.REPLICAS) * RUNS
+    for targets in sizes:
         held = _fleet(targets)
         held.update()
         await asyncio.sleep(0)
--- a/bench/slopes/pictures.py
+++ b/bench/slopes/pictures.py
@@ -13,6 +13,8 @@
 
 _SIZE = (7, 4)
 _DPI = 90
+# Curves a hundred times apart would lie on the axis.
+_LOGARITHMIC = frozenset(('links', 'relays'))
 _CORE = 'core of the busiest process, %'
 
 
@@ -140,7 +142,10 @@
     axis.set_xlabel(labels[0])
     axis.set_ylabel(labels[1])
     axis.set_title(title)
-    axis.set_ylim(bottom=0)
+    if name in _LOGARITHMIC:
+        axis.set_yscale('log')
+    else:
+        axis.set_ylim(bottom=0)
     axis.grid(alpha=0.3)
     axis.legend()
     figure.tight_layout()
