Look a key up before a leaving entry refuses it

A leaving entry said so of every fresh key, unread; it now looks the key up. The experiment now prints each try of a call whose promise was broken.

--- a/bench/checks/calls.py
+++ b/bench/checks/calls.py
@@ -51,6 +51,7 @@
     outcome: load.Outcome | None
     text: str = ''
     whole: str = ''
+    code: str = ''
 
 
 @attrs.frozen
--- a/bench/experiments/faults.py
+++ b/bench/experiments/faults.py
@@ -86,6 +86,9 @@
     uncertain = endings[load.Outcome.MAY_HAVE_RUN]
     for violation in violations[:SHOWN]:
         print(f'violation: {violation}')
+        for tried in tries:
+            if tried.call == violation.call:
+                print(f'  {tried}')
     _print_endings(made, tries)
     return {
         'calls': count,
--- a/bench/faults/callers.py
+++ b/bench/faults/callers.py
@@ -195,6 +195,7 @@
                 outcome=outcome,
                 text=answer.text if answer.status == 200 else '',
                 whole=whole,
+                code=answer.code,
             ),
         )
         return answer.outcome
--- a/tamarackthread/entry/front.py
+++ b/tamarackthread/entry/front.py
@@ -183,36 +183,37 @@
         request_id: str,
         sink: answers.HttpSink,
     ) -> None:
-        if self._refusing:
-            raise _unread(
-                request,
-                failures.EntryLeaving(retry_after=LEAVING_RETRY_SECONDS),
-            )
+        if not _may_have_run(request):
+            self._check_leaving()
         if self._open > self._limits.call_limit:
-            raise _unread(
-                request,
-                failures.ConnectionsFull(retry_after=LEAVING_RETRY_SECONDS),
-            )
+            full = failures.ConnectionsFull(retry_after=LEAVING_RETRY_SECONDS)
+            if _may_have_run(request):
+                full.ran = messages.Ran.MAY_HAVE_RUN
+            raise full
         call = await self._reader.read(request, request_id)
         try:
-            self._guard(call, self._open)
+            self._check_call(call)
         except errors.CodedError as exc:
             await self._runner.refuse(call, exc)
             raise
         await self._runner.run(call, sink)
 
+    def _check_call(self, call: calls.Call) -> None:
+        self._check_leaving()
+        self._guard(call, self._open)
+
+    def _check_leaving(self) -> None:
+        if self._refusing:
+            raise failures.EntryLeaving(retry_after=LEAVING_RETRY_SECONDS)
+
 
-def _unread(
-    request: web.BaseRequest,
-    failure: errors.CodedError,
-) -> errors.CodedError:
-    """Refuse a request unread, saying no more than is known of its key.
+def _may_have_run(request: web.BaseRequest) -> bool:
+    """Tell whether an earlier try of a request's key may have run elsewhere.
 
-    An earlier try of the key may have run through another entry.  Told 'not
-    run' here, the caller would order anew under another key; told that it
-    may have run, it asks again under the same one, which is always safe.
+    Told 'not run' here, its caller would order anew under another key.  A
+    leaving entry reads such a request and looks the key up; a full one has
+    no room for that and says that the order may have run, after which the
+    caller asks again under the same key, which is always safe.
     """
     has_key = reading.KEY_HEADER in request.headers
-    if has_key and request.method not in SAFE_METHODS:
-        failure.ran = messages.Ran.MAY_HAVE_RUN
-    return failure
+    return has_key and request.method not in SAFE_METHODS
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -151,19 +151,22 @@
         self.assertEqual(again.outcome, Outcome.MAY_HAVE_RUN)
 
     async def test_leaving_entry_says_no_more_than_it_knows(self):
-        """A leaving entry tells 'not run' only of calls without a key.
+        """A leaving entry looks a key up before it says 'not run'.
 
-        It refuses unread.  The key of an order may have run through another
-        entry, and the caller would order anew under another key.
+        The order ran through another entry.  Told 'not run' by the one that
+        leaves, the caller would order anew under another key.
         """
         target = Orders()
         async with two_entries(target) as (first, second, caller, _):
             await order(caller, first)
             second.front.refuse_new()
             again = await order(caller, second)
+            key = {'Idempotency_Key': 'order-8'}
+            fresh = await order(caller, second, **key)
             unkeyed = await caller.plain(second.address, 'POST', '/stock')
         self.assertEqual(again.outcome, Outcome.MAY_HAVE_RUN)
-        self.assertEqual(again.code, 'TT7008')
+        self.assertEqual({again.code, fresh.code}, {'TT7008'})
+        self.assertEqual(fresh.outcome, Outcome.REFUSED)
         self.assertEqual(unkeyed.outcome, Outcome.REFUSED)
 
     async def test_refusal_of_a_fresh_key_is_not_run(self):
