--- a/binary/start.py
+++ b/binary/start.py
@@ -21,7 +21,7 @@
 import sys
 import zipfile
 
-VARIABLE = 'TAMARACKTHREAD_CACHE'
+CACHE_VARIABLE = 'TAMARACKTHREAD_CACHE'
 SETTINGS_VARIABLE = 'TAMARACKTHREAD_SETTINGS'
 BUILD_FILE = 'BUILD'
 LIBRARIES = 'libraries/'
@@ -79,8 +79,8 @@
     A relative path in the settings is taken from the file's own folder, as
     the program itself does.
     """
-    if environment.get(VARIABLE):
-        return pathlib.Path(environment[VARIABLE])
+    if environment.get(CACHE_VARIABLE):
+        return pathlib.Path(environment[CACHE_VARIABLE])
     given = settings_path(arguments) or environment.get(SETTINGS_VARIABLE, '')
     settings = pathlib.Path(given)
     text = ''
@@ -150,7 +150,7 @@
     except CacheUnusable as exc:
         return _refuse(
             f'cannot unpack into {exc}; name a folder that can be written '
-            f'by {VARIABLE} or by cache_folder in the settings',
+            f'by {CACHE_VARIABLE} or by cache_folder in the settings',
         )
     # The libraries are compiled already; a write beside them would only
     # make the cache differ from what was synced.
--- a/tests/test_binary_start.py
+++ b/tests/test_binary_start.py
@@ -127,7 +127,7 @@
         """
         self._cache.parent.write_text('a file')
         shown = io.StringIO()
-        environment = {start.VARIABLE: str(self._cache)}
+        environment = {start.CACHE_VARIABLE: str(self._cache)}
         with (
             unittest.mock.patch('sys.argv', [str(self._archive), 'entry']),
             unittest.mock.patch.dict('os.environ', environment),
