Let an agent refuse what is on its way before it closes its links

A planned restart could cut a call off: an entry that opened it just before it read that the agent closes lost link and call together, and could only say 'may have run'. A stopping agent now asks its peers to open nothing more and goes on refusing for half a second.

--- a/tamarackthread/agent/role.py
+++ b/tamarackthread/agent/role.py
@@ -31,6 +31,8 @@
     stream,
 )
 
+# Longer than a call's way here from any region.
+PART_SECONDS = 0.5
 _log = logging.getLogger('tamarackthread.agent')
 
 
@@ -222,7 +224,7 @@
         )
         await self._group.stop()
         await self._feed.stop()
-        self._listener.close()
+        await self._listener.part(PART_SECONDS)
         self._peers.close()
         await self._client.stop()
 
--- a/tamarackthread/shared/listener.py
+++ b/tamarackthread/shared/listener.py
@@ -50,6 +50,18 @@
         for accepted in self.links:
             accepted.ask_closing()
 
+    async def part(self, seconds: float) -> None:
+        """Close as a planned stop, answering what is still on its way.
+
+        A call that a peer opened just before it was asked not to would die
+        with its link, told as 'may have run' though it never started.  In
+        the given time it arrives and is refused, which says 'not run'; no
+        later call comes, because links that close open none.
+        """
+        self.stop_accepting()
+        await asyncio.sleep(seconds)
+        self.close()
+
     def close(self) -> None:
         """Close the address and every link on it."""
         self.stop_accepting()
