Answer a read without an id with a group's latest decision

Cause: ranks without memory read the decision with id 0 and were told that nothing is recorded. Only the fake control of the bench knew that read, so no test saw it. On three control processes a restarted rank would have served the group's first map, and after the first switch of a group each later intent was refused, for its number had been used. The fake asks the real table now.

--- a/bench/engines/fake_control.py
+++ b/bench/engines/fake_control.py
@@ -43,8 +43,6 @@
         request: messages.DecisionRequest,
     ) -> messages.DecisionReply:
         """Record or read a decision; id 0 reads the latest."""
-        if request.switch_id == switch_record.LATEST:
-            return self._latest(request.group)
         if request.decision:
             await asyncio.sleep(_COMMIT_SECONDS)
         reply = self._decisions.decide(request)
@@ -59,21 +57,6 @@
         await asyncio.sleep(_COMMIT_SECONDS)
         return self._table.apply(request)
 
-    def _latest(self, name: str) -> messages.DecisionReply:
-        kept = [
-            record
-            for record in self._decisions.everything()
-            if record.group == name
-        ]
-        if not kept:
-            return messages.DecisionReply(decision='', switch_id=0)
-        last = max(kept, key=lambda record: record.switch_id)
-        return messages.DecisionReply(
-            decision=last.decision,
-            switch_id=last.switch_id,
-            body=last.body,
-        )
-
     def _note(self, reply: messages.DecisionReply) -> None:
         record = switch_record.from_reply(reply)
         if record is not None and record not in self.records:
--- a/tamarackthread/control/decisions.py
+++ b/tamarackthread/control/decisions.py
@@ -13,6 +13,8 @@
 from tamarackthread.generated.messages import ttypes as messages
 
 KEPT_FOR_EACH_GROUP = 16
+# Asks for the highest id of a group; nothing is ever recorded under it.
+LATEST = 0
 
 
 class Decisions:
@@ -35,17 +37,21 @@
     ) -> messages.DecisionReply:
         """Say what is decided about a switch; an empty decision is none.
 
+        Id 0 asks for the group's latest: a rank that lost its memory does
+        not know which switch it might have armed for.
         ``recorded`` tells whether it is the asker's own, so that an owner
         that lost the answer learns that its decision stands.
         """
-        record = self._groups.get(request.group, {}).get(request.switch_id)
+        kept = self._groups.get(request.group, {})
+        switch = request.switch_id or max(kept, default=LATEST)
+        record = kept.get(switch)
         if record is None:
-            return _reply(request.switch_id)
+            return _reply(switch)
         own = (record.decision, record.fence) == (
             request.decision,
             request.fence,
         )
-        return _reply(request.switch_id, record.decision, record.body, own)
+        return _reply(switch, record.decision, record.body, own)
 
     def decide(
         self,
@@ -57,7 +63,8 @@
         nothing: it may act on what it knew before it was cut off.
         """
         found = self.known(request)
-        if found.decision or not request.decision:
+        is_read = not request.decision or not request.switch_id
+        if found.decision or is_read:
             return found
         record = self._table.get(request.group)
         if record is None or record.fence != request.fence:
