Plan only by a profile, and emulate uneven experts

Cause: until the feed brought its profile, an agent planned by the defaults, also for a group whose profile has balancing off.

--- a/bench/engines/ranked.py
+++ b/bench/engines/ranked.py
@@ -34,6 +34,7 @@
 _PROGRESS_SECONDS = 0.2
 _WINDOW_SECONDS = 1.0
 _KEPT_WINDOWS = 64
+_MOST_TOKENS = 1000
 _MS = 1000
 
 
@@ -251,6 +252,15 @@
     return _line(result=work.result())
 
 
+def _tokens(
+    shape: expert_map.GroupShape,
+    popularity: float,
+) -> numpy.ndarray:
+    places = numpy.arange(1, shape.experts + 1, dtype=float)
+    each = _MOST_TOKENS * places**-popularity
+    return numpy.tile(each, (shape.layers, 1))
+
+
 class RankedGroup:
     """Hold the ranks of a group, their ports and the steps."""
 
@@ -260,14 +270,18 @@
         step_seconds: float,
         record: journal.Journal,
         checks_fencing: bool = False,
+        popularity: float = 0,
     ) -> None:
-        """Listen nowhere before ``start``."""
+        """Listen nowhere before ``start``.
+
+        Expert ``n`` gets tokens by ``(n + 1) ** -popularity``; with 0 all
+        get as many.
+        """
         self._shape = shape
         self._step_seconds = step_seconds
         self._journal = record
-        tokens = numpy.full((shape.layers, shape.experts), 100)
-        # All experts share the tokens evenly in the cold-start map, so that
-        # a step of it takes the time asked for.
+        tokens = _tokens(shape, popularity)
+        # A step of the cold-start map takes the time asked for.
         first = expert_map.cold_start(shape)
         loads = first.rank_loads(tokens).max(axis=1)
         token_seconds = step_seconds / float(loads.sum())
@@ -344,6 +358,7 @@
     parser.add_argument('--ranks', type=int, default=4)
     parser.add_argument('--slots', type=int, default=6)
     parser.add_argument('--checks-fencing', action='store_true')
+    parser.add_argument('--popularity', type=float, default=0)
     given = parser.parse_args()
     ranked = RankedGroup(
         expert_map.GroupShape(
@@ -355,6 +370,7 @@
         given.step_ms / _MS,
         journal.Journal(given.journal),
         given.checks_fencing,
+        given.popularity,
     )
     asyncio.run(serve(ranked, given.port))
 
--- a/tamarackthread/agent/grouping.py
+++ b/tamarackthread/agent/grouping.py
@@ -77,7 +77,7 @@
         )
         self._engine = http_engine.HttpEngine(self._client, own.rank)
         self._members = group_members.Members(own.group)
-        self._balance = generated.Balance()
+        self._balance: generated.Balance | None = None
         self._part: group_part.GroupPart | None = None
         self._tokens: engine_tokens.EngineTokens | None = None
         self._in_force: _InForce | None = None
@@ -127,8 +127,7 @@
         """Balance from now on as the profile says."""
         self._balance = balance
         self._watch.quiet_seconds = balance.urgent_pause_seconds
-        if self._part is not None and self._tokens is not None:
-            self._apply(self._part, self._tokens)
+        self._apply()
 
     async def handle_order(
         self,
@@ -202,22 +201,25 @@
         _log.info('grouping: rank %d of %s', own.rank, own.group)
         if is_candidate(own):
             self._tokens = engine_tokens.EngineTokens(self._client, shape)
-            self._apply(part, self._tokens)
+            self._apply()
 
-    def _apply(
-        self,
-        part: group_part.GroupPart,
-        tokens: engine_tokens.EngineTokens,
-    ) -> None:
-        """Plan as the profile says; only a new interval needs a new plan."""
-        wanted = timing(self._balance)
-        weights = trade_off(self._balance)
-        if self._in_force is None or self._in_force.settings != wanted:
-            planning = part.balance(tokens, weights, wanted)
-            self._in_force = _InForce(planning, wanted)
-        planning = self._in_force.planning
-        planning.use(placement.IncrementalPlanner(weights))
-        planning.hold(held=not self._balance.enabled)
+    def _apply(self) -> None:
+        """Plan as the profile says, and not before there is one.
+
+        Only new times need a new balancer, which starts its forecast anew.
+        """
+        balance = self._balance
+        if balance is None or self._part is None or self._tokens is None:
+            return
+        wanted = timing(balance)
+        weights = trade_off(balance)
+        held = self._in_force
+        if held is None or held.settings != wanted:
+            planning = self._part.balance(self._tokens, weights, wanted)
+            held = _InForce(planning, wanted)
+            self._in_force = held
+        held.planning.use(placement.IncrementalPlanner(weights))
+        held.planning.hold(held=not balance.enabled)
 
 
 def _report_fault(joining: asyncio.Task[None]) -> None:
