Ship every library that the product imports, and none of the host's

numpy had come into the policies without being shipped; the executable file found it among the host's own libraries, so its test passed and a clean host would have failed.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 
 docs: $(STAMP)
 	@$(PY) -m tools.generate_errors
+	@$(PY) -m tools.generate_reference
 
 setup: $(STAMP)
 
--- a/binary/build.py
+++ b/binary/build.py
@@ -21,10 +21,14 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DESTINATION = ROOT / 'dist' / 'tamarackthread'
-INTERPRETER = '/usr/bin/env -S python3.11 -sE'
+# Isolated and without the host's own libraries: one that is missing here would
+# be found there, on some hosts only, and in any version.
+INTERPRETER = '/usr/bin/env -S python3.11 -IS'
 # Zip keeps times from 1980 on; one fixed time keeps the bytes equal.
 FIXED_TIME = 315_532_800 + 86_400
 BUILD_CHARACTERS = 16
+# Scripts outside the package folder, and what no role imports.
+_LEFT_OUT = frozenset(('..', '__pycache__', 'tests'))
 MODE = 0o755
 
 
@@ -68,7 +72,7 @@
     if found.version != version:
         raise WrongVersion(f'{name} is {found.version}, not {version}')
     for file in found.files or ():
-        if '..' in file.parts or '__pycache__' in file.parts:
+        if _LEFT_OUT.intersection(file.parts):
             continue
         target = libraries / file
         target.parent.mkdir(parents=True, exist_ok=True)
