End a control host whose group can't go on

A group halted by a fault of its disk or log was only logged; its process answered on, looked alive and took part in nothing. The process now ends with the group's reason.

--- a/tamarackthread/control/host.py
+++ b/tamarackthread/control/host.py
@@ -96,10 +96,18 @@
         if announce is not None:
             announce({'link': address})
         _log.info('control: listens on %s', address)
-        await process.stop_asked()
+        stopping = loop.create_task(process.stop_asked())
+        failing = loop.create_task(self._failure())
+        await asyncio.wait(
+            (stopping, failing),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
         await self._leave()
-        for work in working:
+        for work in (*working, stopping):
             work.cancel()
+        if failing.done():
+            raise failing.result()
+        failing.cancel()
 
     def _group(
         self,
@@ -203,6 +211,19 @@
                 return member.address
         return ''
 
+    async def _failure(self) -> Exception:
+        """Wait until a group can't go on, and give the reason.
+
+        A group that a fault has halted votes and answers no more, while its
+        process would look alive for ever.  Ending the process shows the
+        fault, and a start reads the disk anew.
+        """
+        while True:
+            await asyncio.sleep(TEND_SECONDS)
+            for group in self._groups.values():
+                if group.failure is not None:
+                    return group.failure
+
     async def _tend(self) -> None:
         """Do the leader's regular work."""
         while True:
