--- a/bench/slopes/budgets.py
+++ b/bench/slopes/budgets.py
@@ -1,10 +1,10 @@
-"""Hold the letter's budgets against what the roles use."""
+"""Hold the budgets against what the roles use."""
 
 from __future__ import annotations
 
 import attrs
 
-from bench.slopes import letter, roles, sheet
+from bench.slopes import design, roles, sheet
 
 IN_REACH = 'in reach'
 TIGHT = '*tight*'
@@ -87,7 +87,7 @@
     found: sheet.Figures,
     lines: list[sheet.Line],
 ) -> list[Budget]:
-    """List all budgets of the letter that a figure can be held against."""
+    """List all budgets that a figure can be held against."""
     listed = []
     for role, name in ((roles.ENTRY, 'node'), (roles.AGENT, 'agent')):
         listed.extend(_of_node(lines, role, name))
@@ -106,21 +106,21 @@
     return [
         Budget(
             f'processor of one {name} for control',
-            letter.BUDGET_CPU,
+            design.BUDGET_CPU,
             control[sheet.Resource.CPU],
             '% of a core',
             'defaults of today',
         ),
         Budget(
             f'memory of one {name}',
-            letter.BUDGET_MIB,
+            design.BUDGET_MIB,
             sheet.total(lines, role, sheet.Resource.MEMORY),
             'MiB',
             'with its streams',
         ),
         Budget(
             f'traffic of one {name} for control',
-            letter.BUDGET_KB,
+            design.BUDGET_KB,
             control[sheet.Resource.BYTES],
             'KB/s',
             'both directions, with headers of packets',
@@ -135,8 +135,8 @@
     return [
         Budget(
             'tokens a second over one core of each entry',
-            letter.NODES * _MICRO / found.slope('token_cpu_entry'),
-            letter.TOKENS,
+            design.NODES * _MICRO / found.slope('token_cpu_entry'),
+            design.TOKENS,
             'tokens/s',
             'nothing else on that core',
         ),
@@ -162,36 +162,36 @@
     lines: list[sheet.Line],
 ) -> list[Budget]:
     known = claims(found)
-    hosts = letter.CONTROL_HOSTS
-    kept = letter.SHARDS_LIMIT * letter.SHARD_CLAIMS
+    hosts = design.CONTROL_HOSTS
+    kept = design.SHARDS_LIMIT * design.SHARD_CLAIMS
     return [
         Budget(
             'claims a second, today: all voters in all shards, 3 hosts',
             known.shared(VOTERS),
-            letter.REQUESTS,
+            design.REQUESTS,
             'claims/s',
             'if every call has a key',
         ),
         Budget(
             f'claims a second, {hosts} hosts, all voters in all shards',
             known.shared(hosts),
-            letter.REQUESTS,
+            design.REQUESTS,
             'claims/s',
             'if every call has a key',
         ),
         Budget(
             f'claims a second, {hosts} hosts, {VOTERS} voters a shard',
             known.spread(hosts),
-            letter.REQUESTS,
+            design.REQUESTS,
             'claims/s',
             'set by hand, not tried; if every call has a key',
         ),
         Budget(
-            f'claims kept, {letter.SHARDS_LIMIT} shards',
+            f'claims kept, {design.SHARDS_LIMIT} shards',
             kept,
-            letter.REQUESTS * letter.KEEP_SECONDS,
+            design.REQUESTS * design.KEEP_SECONDS,
             'claims',
-            f'kept {letter.KEEP_SECONDS} s, if every call has a key',
+            f'kept {design.KEEP_SECONDS} s, if every call has a key',
         ),
         Budget(
             'processor of the leader of `config`',
@@ -202,15 +202,15 @@
         ),
         Budget(
             'time that one change holds up an entry',
-            letter.TOKEN_GAP_SECONDS * 1000,
+            design.TOKEN_GAP_SECONDS * 1000,
             roles.looked_over(found) / 1000,
             'ms',
             'of the gap between tokens; with the search of the subsets',
         ),
         Budget(
             'a change in force everywhere',
-            letter.IN_FORCE_SECONDS,
-            letter.LEASE_SECONDS,
+            design.IN_FORCE_SECONDS,
+            design.LEASE_SECONDS,
             's',
             'bound by the lease, however the network is cut',
         ),
@@ -218,12 +218,12 @@
 
 
 def claim_rows(found: sheet.Figures) -> list[tuple[str, ...]]:
-    """Write what claims need at the letter's rate, by their share."""
+    """Write what claims need at the design size, by their share."""
     known = claims(found)
     rows = []
     for share in (0.01, 0.02, 0.1, 0.5, 1):
-        rate = letter.REQUESTS * share
-        kept = rate * letter.KEEP_SECONDS
+        rate = design.REQUESTS * share
+        kept = rate * design.KEEP_SECONDS
         memory = kept * found.slope('claim_memory') / _MEBI
         busy = rate * (known.leader_us + 2 * known.follower_us) / _MICRO
         rows.append(
@@ -231,11 +231,11 @@
                 f'{share:.0%}',
                 _number(rate),
                 _number(rate / known.shared(VOTERS) * _PERCENT),
-                _number(busy / letter.CONTROL_HOSTS * _PERCENT),
+                _number(busy / design.CONTROL_HOSTS * _PERCENT),
                 _number(rate * found.slope('claim_syncs_64_abreast')),
                 _number(kept),
                 _number(memory),
-                _number(kept / letter.SHARD_CLAIMS),
+                _number(kept / design.SHARD_CLAIMS),
             ),
         )
     return rows
@@ -246,11 +246,11 @@
     rows = []
     # An entry at rest that is a relay too has this before its first link.
     rest = 100 * found.level('entry_rest_cpu_share')
-    rest += letter.RELAY_CHILDREN * found.slope('child_rest_cpu') / 1e4
+    rest += design.RELAY_CHILDREN * found.slope('child_rest_cpu') / 1e4
     for links, reports, beats in (
-        (letter.ENTRY_LINKS, letter.REPORTS, letter.BEATS),
-        (letter.ENTRY_LINKS, 1, 0.5),
-        (120, letter.REPORTS, letter.BEATS),
+        (design.ENTRY_LINKS, design.REPORTS, design.BEATS),
+        (design.ENTRY_LINKS, 1, 0.5),
+        (120, design.REPORTS, design.BEATS),
         (120, 1, 0.5),
         (45, 1, 0.5),
         (45, 0.5, 0.2),
@@ -262,12 +262,12 @@
         sent = links * (
             2 * beats * found.slope('heartbeat_bytes')
             + reports * found.slope('report_bytes')
-            + (reports + 4 * beats) * letter.PACKET_BYTES
+            + (reports + 4 * beats) * design.PACKET_BYTES
         )
         rows.append(
             [
                 _number(links),
-                _number(links / letter.MODELS),
+                _number(links / design.MODELS),
                 _number(reports),
                 _number(beats),
                 _number(cpu / 1e4),
--- a/bench/slopes/costs.py
+++ b/bench/slopes/costs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bench.slopes import letter, sheet
+from bench.slopes import design, sheet
 
 _CPU = sheet.Resource.CPU
 _MEMORY = sheet.Resource.MEMORY
@@ -39,7 +39,7 @@
             'heartbeats of links',
             'subsets',
             links,
-            _Factor(letter.BEATS, '/s'),
+            _Factor(design.BEATS, '/s'),
             micro(found, slope),
         ),
         *bytes_of_links(found, role, links),
@@ -52,20 +52,20 @@
     links: sheet.Factor,
 ) -> list[sheet.Line]:
     """Count what goes over links at rest."""
-    packets = letter.REPORTS + 2 * _DIRECTIONS * letter.BEATS
+    packets = design.REPORTS + 2 * _DIRECTIONS * design.BEATS
     return [
         sent(
             role,
             'heartbeats and echoes, both directions',
             links,
-            _Factor(letter.BEATS * _DIRECTIONS, '/s'),
+            _Factor(design.BEATS * _DIRECTIONS, '/s'),
             _Factor(found.slope('heartbeat_bytes'), 'B'),
         ),
         sent(
             role,
             'load reports',
             links,
-            _Factor(letter.REPORTS, '/s'),
+            _Factor(design.REPORTS, '/s'),
             _Factor(found.slope('report_bytes'), 'B'),
         ),
         sent(
@@ -73,7 +73,7 @@
             "the packets' own headers",
             links,
             _Factor(packets, 'packets/s'),
-            _Factor(letter.PACKET_BYTES, 'B'),
+            _Factor(design.PACKET_BYTES, 'B'),
         ),
     ]
 
@@ -84,8 +84,8 @@
     level: str,
 ) -> list[sheet.Line]:
     """Count what it takes to follow the configuration, and to relay it."""
-    changes = _Factor(letter.CHANGES + letter.HOST_CHANGES, 'changes/s')
-    with_own = _Factor(letter.RELAY_CHILDREN + 1, 'nodes')
+    changes = _Factor(design.CHANGES + design.HOST_CHANGES, 'changes/s')
+    with_own = _Factor(design.RELAY_CHILDREN + 1, 'nodes')
     return [
         cpu(
             role,
@@ -94,12 +94,12 @@
             changes,
             micro(found, 'change_cpu_node'),
         ),
-        *children(found, role, letter.RELAY_CHILDREN),
+        *children(found, role, design.RELAY_CHILDREN),
         sent(
             role,
             'feed at rest, as a relay',
             with_own,
-            _Factor(letter.RENEWALS, '/s'),
+            _Factor(design.RENEWALS, '/s'),
             _Factor(found.slope('feed_rest_bytes'), 'B'),
         ),
         sent(
@@ -121,14 +121,14 @@
             role,
             'organisations',
             'one document each',
-            _Factor(letter.ORGANISATIONS, ''),
+            _Factor(design.ORGANISATIONS, ''),
             kibi(found, 'organisation_memory_node'),
         ),
         kept(
             role,
             'targets',
             'one document each',
-            _Factor(letter.REPLICAS, ''),
+            _Factor(design.REPLICAS, ''),
             kibi(found, 'target_memory_node'),
         ),
     ]
@@ -145,7 +145,7 @@
             role,
             "operators' changes",
             'one replicated log',
-            _Factor(letter.CHANGES, '/s'),
+            _Factor(design.CHANGES, '/s'),
             micro(found, slope),
         ),
     ]
@@ -171,7 +171,7 @@
             'children in the tree, changes',
             'tree of relays',
             children,
-            _Factor(letter.CHANGES + letter.HOST_CHANGES, '/s'),
+            _Factor(design.CHANGES + design.HOST_CHANGES, '/s'),
             micro(found, 'child_change_cpu'),
         ),
     ]
@@ -179,7 +179,7 @@
 
 def idle_groups(found: sheet.Figures, role: str) -> list[sheet.Line]:
     """Count the replicated groups that a control host is a voter of."""
-    groups = _Factor(letter.SHARDS_LIMIT, 'groups')
+    groups = _Factor(design.SHARDS_LIMIT, 'groups')
     return [
         cpu(
             role,
@@ -205,7 +205,7 @@
     level: str,
 ) -> list[sheet.Line]:
     """Count what a control host keeps."""
-    documents = letter.ORGANISATIONS + letter.REPLICAS + letter.NODES
+    documents = design.ORGANISATIONS + design.REPLICAS + design.NODES
     return [
         _Line(
             role,
@@ -226,14 +226,14 @@
             role,
             "a day's changes in audit and answers",
             'bounds of audit and history',
-            _Factor(letter.CHANGES_A_DAY, ''),
+            _Factor(design.CHANGES_A_DAY, ''),
             kibi(found, 'document_memory_control'),
         ),
         kept(
             role,
             'log records since the snapshot',
             'snapshots',
-            _Factor(letter.SNAPSHOT_ENTRIES, ''),
+            _Factor(design.SNAPSHOT_ENTRIES, ''),
             kibi(found, 'log_record_memory'),
         ),
     ]
--- a/bench/slopes/following.py
+++ b/bench/slopes/following.py
@@ -16,7 +16,7 @@
 from tamarackthread.shared import errors, identity, peers
 from tamarackthread.shared import link as links
 
-from bench.slopes import fit, letter, memory
+from bench.slopes import design, fit, memory
 
 MICRO = 1e6
 UPDATES = 40
@@ -35,7 +35,7 @@
 async def measure(quick: bool) -> list[fit.Slope]:
     """Update an entry's fleet at a growing number of targets."""
     points = []
-    sizes = (100, 200, 400) if quick else (525, 1050, letter.REPLICAS) * RUNS
+    sizes = (100, 200, 400) if quick else (525, 1050, design.REPLICAS) * RUNS
     for targets in sizes:
         held = _fleet(targets)
         held.update()
@@ -60,16 +60,16 @@
 
 def _documents(targets: int) -> list[messages.Document]:
     documents = []
-    for number in range(letter.MODELS):
+    for number in range(design.MODELS):
         body = {'profile': 'standard', 'kind': 'model'}
         documents.append(_document('service', f'drafts-{number}', body))
     for number in range(targets):
         body = memory.target_body(number)
         documents.append(_document('target', f'target-{number}', body))
-    for number in range(1, letter.NODES):
+    for number in range(1, design.NODES):
         body = {
-            'region': f'region-{number % letter.REGIONS}',
-            'zone': f'zone-{number % letter.ZONES}',
+            'region': f'region-{number % design.REGIONS}',
+            'zone': f'zone-{number % design.ZONES}',
             'address': f'10.2.{number >> 8}.{number & 255}:7100',
         }
         documents.append(_document('entry', f'entry-{number}', body))
--- a/bench/slopes/losses.py
+++ b/bench/slopes/losses.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from bench.slopes import letter, sheet
+from bench.slopes import design, sheet
 
-# A rack of the letter's size is assumed to hold so many hosts with a target
+# A rack of the design size is assumed to hold so many hosts with a target
 # each and so many with an entry.
 RACK_TARGETS = 16
 RACK_ENTRIES = 2
@@ -30,15 +30,15 @@
     @property
     def links(self) -> float:
         """Count the links that end, those within the part once."""
-        within = self.targets * self.entries / letter.NODES
-        from_targets = self.targets * letter.AGENT_LINKS
-        from_entries = self.entries * letter.ENTRY_LINKS
-        return from_targets + from_entries - within * letter.AGENT_LINKS
+        within = self.targets * self.entries / design.NODES
+        from_targets = self.targets * design.AGENT_LINKS
+        from_entries = self.entries * design.ENTRY_LINKS
+        return from_targets + from_entries - within * design.AGENT_LINKS
 
     @property
     def share(self) -> float:
         """Give the share of targets that is gone."""
-        return self.targets / letter.REPLICAS
+        return self.targets / design.REPLICAS
 
 
 PARTS = (
@@ -47,13 +47,13 @@
     Loss('a rack', RACK_TARGETS, RACK_ENTRIES),
     Loss(
         'an availability zone',
-        letter.REPLICAS / letter.ZONES,
-        letter.NODES / letter.ZONES,
+        design.REPLICAS / design.ZONES,
+        design.NODES / design.ZONES,
     ),
     Loss(
         'a region',
-        letter.REPLICAS / letter.REGIONS,
-        letter.NODES / letter.REGIONS,
+        design.REPLICAS / design.REGIONS,
+        design.NODES / design.REGIONS,
     ),
 )
 
@@ -65,11 +65,11 @@
 
 def _row(found: sheet.Figures, lost: Loss) -> list[str]:
     each = found.slope('announcement_cpu_leader') / _MILLI
-    left = letter.NODES - lost.entries
+    left = design.NODES - lost.entries
     # An entry that remains makes up for the targets of lost entries and for
     # its own share of lost targets.
     dials = lost.links / left
-    ranking = lost.entries * letter.REPLICAS * found.slope('subset_join_cpu')
+    ranking = lost.entries * design.REPLICAS * found.slope('subset_join_cpu')
     greeting = dials * found.slope('dial_cpu_agent')
     sent = lost.documents * found.slope('feed_document_bytes')
     return [
@@ -88,8 +88,8 @@
 
 def day_rows(found: sheet.Figures) -> list[tuple[str, ...]]:
     """Write what an ordinary day's losses and replacements come to."""
-    hosts = letter.HOSTS_LOST_A_DAY + letter.HOSTS_REPLACED_A_DAY
-    changes = hosts * letter.CHANGES_A_HOST
+    hosts = design.HOSTS_LOST_A_DAY + design.HOSTS_REPLACED_A_DAY
+    changes = hosts * design.CHANGES_A_HOST
     cpu = changes * found.slope('announcement_cpu_leader') / 1e6
     sent = changes * found.slope('feed_document_bytes') / _MILLI
     return [
@@ -97,13 +97,13 @@
         (
             'changes that follow',
             _number(changes),
-            f'beside {_number(letter.CHANGES_A_DAY)} of operators',
+            f'beside {_number(design.CHANGES_A_DAY)} of operators',
         ),
         ('processor of the leader, s a day', _number(cpu), ''),
         ('bytes to each node, KB a day', _number(sent), ''),
         (
             'links made anew',
-            _number(hosts * letter.AGENT_LINKS),
-            f'of {_number(letter.AGENT_LINKS * letter.REPLICAS)}',
+            _number(hosts * design.AGENT_LINKS),
+            f'of {_number(design.AGENT_LINKS * design.REPLICAS)}',
         ),
     ]
--- a/bench/slopes/page.py
+++ b/bench/slopes/page.py
@@ -13,7 +13,7 @@
 import re
 import sys
 
-from bench.slopes import budgets, letter, losses, roles, sheet
+from bench.slopes import budgets, design, losses, roles, sheet
 
 PAGE = pathlib.Path('docs/CAPACITY.md')
 _BLOCK = re.compile(
@@ -60,7 +60,7 @@
                 'Calls with a key',
                 'Claims/s',
                 '3 hosts, busy %',
-                f'{letter.CONTROL_HOSTS} hosts, 3 voters a shard, busy %',
+                f'{design.CONTROL_HOSTS} hosts, 3 voters a shard, busy %',
                 'Syncs/s at leaders',
                 'Claims kept',
                 'MiB in all, each voter',
--- a/bench/slopes/pictures.py
+++ b/bench/slopes/pictures.py
@@ -9,7 +9,7 @@
 
 from matplotlib import pyplot  # noqa: E402
 
-from bench.slopes import budgets, letter, sheet  # noqa: E402
+from bench.slopes import budgets, design, sheet  # noqa: E402
 
 _SIZE = (7, 4)
 _DPI = 90
@@ -28,10 +28,10 @@
 
 
 def _links(found: sheet.Figures) -> None:
-    targets = numpy.linspace(100, 2 * letter.REPLICAS, 60)
-    each = letter.BEATS * found.slope('heartbeat_cpu_entry')
-    each += letter.REPORTS * found.slope('report_cpu_entry')
-    kept = numpy.minimum(targets, letter.SUBSET * letter.MODELS)
+    targets = numpy.linspace(100, 2 * design.REPLICAS, 60)
+    each = design.BEATS * found.slope('heartbeat_cpu_entry')
+    each += design.REPORTS * found.slope('report_cpu_entry')
+    kept = numpy.minimum(targets, design.SUBSET * design.MODELS)
     _plot(
         'links',
         ('targets', _CORE),
@@ -49,15 +49,15 @@
                 / 1e4,
             ),
         },
-        (letter.REPLICAS, letter.BUDGET_CPU),
+        (design.REPLICAS, design.BUDGET_CPU),
         'heartbeats and reports at an entry',
     )
 
 
 def _relays(found: sheet.Figures) -> None:
-    nodes = numpy.linspace(50, 2 * letter.FOLLOWING, 60)
+    nodes = numpy.linspace(50, 2 * design.FOLLOWING, 60)
     each = found.slope('child_rest_cpu')
-    each += found.slope('child_change_cpu') * letter.CHANGES
+    each += found.slope('child_change_cpu') * design.CHANGES
     _plot(
         'relays',
         ('nodes that follow the configuration', _CORE),
@@ -66,23 +66,23 @@
             'all at the leader': nodes * each / 1e4,
             'tree of relays: leader': numpy.minimum(
                 nodes,
-                letter.CONTROL_CHILDREN,
+                design.CONTROL_CHILDREN,
             )
             * each
             / 1e4,
             'tree of relays: a node': numpy.full_like(
                 nodes,
-                letter.RELAY_CHILDREN * each / 1e4,
+                design.RELAY_CHILDREN * each / 1e4,
             ),
         },
-        (letter.FOLLOWING, letter.BUDGET_CPU),
+        (design.FOLLOWING, design.BUDGET_CPU),
         'feed at rest and with changes',
     )
 
 
 def _claims(found: sheet.Figures) -> None:
     known = budgets.claims(found)
-    hosts = numpy.arange(3, letter.CONTROL_HOSTS + 1)
+    hosts = numpy.arange(3, design.CONTROL_HOSTS + 1)
     _plot(
         'claims',
         ('control hosts', 'claims a second'),
@@ -95,7 +95,7 @@
                 [known.spread(int(count)) for count in hosts],
             ),
         },
-        (letter.CONTROL_HOSTS, letter.REQUESTS),
+        (design.CONTROL_HOSTS, design.REQUESTS),
         'claims that control hosts carry',
     )
 
@@ -108,7 +108,7 @@
         ('layers', 'processor time of a plan, ms'),
         layers,
         {'32 ranks, 256 experts': layers * each},
-        (letter.LAYERS, letter.PLAN_SECONDS * 1000 / 2),
+        (design.LAYERS, design.PLAN_SECONDS * 1000 / 2),
         'plan of an expert map',
     )
 
@@ -120,8 +120,8 @@
         'tokens',
         ('entries', 'core of each entry, %'),
         entries,
-        {'relayed tokens': letter.TOKENS / entries * each / 1e4},
-        (letter.NODES, 100),
+        {'relayed tokens': design.TOKENS / entries * each / 1e4},
+        (design.NODES, 100),
         '3.8 million tokens a second',
     )
 
@@ -137,7 +137,7 @@
     figure, axis = pyplot.subplots(figsize=_SIZE)
     for label, heights in curves.items():
         axis.plot(sizes, heights, label=label)
-    axis.axvline(bound[0], color='tab:gray', linestyle=':', label='letter 1')
+    axis.axvline(bound[0], color='tab:gray', linestyle=':', label='design size')
     axis.axhline(bound[1], color='tab:red', linestyle=':', label='bound')
     axis.set_xlabel(labels[0])
     axis.set_ylabel(labels[1])
--- a/bench/slopes/roles.py
+++ b/bench/slopes/roles.py
@@ -1,8 +1,8 @@
-"""Work out what each role uses at the letter's size."""
+"""Work out what each role uses at the design size."""
 
 from __future__ import annotations
 
-from bench.slopes import costs, letter, sheet
+from bench.slopes import costs, design, sheet
 
 ENTRY = 'entry'
 AGENT = 'agent'
@@ -30,11 +30,11 @@
 def looked_over(found: sheet.Figures) -> float:
     """Give the microseconds that a change holds up an entry's loop."""
     slope = found.slope('change_cpu_by_targets')
-    return found.base('change_cpu_by_targets') + slope * letter.REPLICAS
+    return found.base('change_cpu_by_targets') + slope * design.REPLICAS
 
 
 def _entry_control(found: sheet.Figures) -> list[sheet.Line]:
-    links = _Factor(letter.ENTRY_LINKS, 'links')
+    links = _Factor(design.ENTRY_LINKS, 'links')
     return [
         costs.rest(found, ENTRY, 'entry'),
         *costs.beats(found, ENTRY, links, 'heartbeat_cpu_entry'),
@@ -43,7 +43,7 @@
             'load reports',
             'subsets',
             links,
-            _Factor(letter.REPORTS, '/s'),
+            _Factor(design.REPORTS, '/s'),
             costs.micro(found, 'report_cpu_entry'),
         ),
         *costs.following(found, ENTRY, 'entry'),
@@ -51,7 +51,7 @@
             ENTRY,
             'its subsets looked over at each change',
             'ranks kept from change to change',
-            _Factor(letter.CHANGES + letter.HOST_CHANGES, 'changes/s'),
+            _Factor(design.CHANGES + design.HOST_CHANGES, 'changes/s'),
             _Factor(looked_over(found), 'us'),
         ),
         costs.kept(
@@ -65,9 +65,9 @@
 
 
 def _entry_calls(found: sheet.Figures) -> list[sheet.Line]:
-    calls = _Factor(letter.REQUESTS / letter.NODES, 'calls/s')
-    tokens = _Factor(letter.TOKENS / letter.NODES, 'tokens/s')
-    streams = _Factor(letter.STREAMS / letter.NODES, 'streams')
+    calls = _Factor(design.REQUESTS / design.NODES, 'calls/s')
+    tokens = _Factor(design.TOKENS / design.NODES, 'tokens/s')
+    streams = _Factor(design.STREAMS / design.NODES, 'streams')
     claim = found.slope('keyed_call_cpu_entry') - found.slope('call_cpu_entry')
     carried = 'spread over entries by the platform'
     return [
@@ -106,7 +106,7 @@
 
 
 def _agent_control(found: sheet.Figures) -> list[sheet.Line]:
-    links = _Factor(letter.AGENT_LINKS, 'entries')
+    links = _Factor(design.AGENT_LINKS, 'entries')
     return [
         costs.rest(found, AGENT, 'agent'),
         costs.cpu(
@@ -130,9 +130,9 @@
 
 def _agent_calls(found: sheet.Figures) -> list[sheet.Line]:
     carried = 'one target each'
-    calls = _Factor(letter.REQUESTS / letter.REPLICAS, 'calls/s')
-    tokens = _Factor(letter.TOKENS / letter.REPLICAS, 'tokens/s')
-    streams = _Factor(letter.STREAMS / letter.REPLICAS, 'streams')
+    calls = _Factor(design.REQUESTS / design.REPLICAS, 'calls/s')
+    tokens = _Factor(design.TOKENS / design.REPLICAS, 'tokens/s')
+    streams = _Factor(design.STREAMS / design.REPLICAS, 'streams')
     return [
         costs.call(
             AGENT,
@@ -160,8 +160,8 @@
 
 def _leader(found: sheet.Figures) -> list[sheet.Line]:
     portion = found.base('portion_cpu_leader')
-    portion += found.slope('portion_cpu_leader') * letter.NODES
-    asked = letter.REQUESTS / letter.NODES
+    portion += found.slope('portion_cpu_leader') * design.NODES
+    asked = design.REQUESTS / design.NODES
     return [
         costs.rest(found, LEADER, 'leader'),
         *costs.recorded(found, LEADER, 'change_cpu_leader'),
@@ -169,23 +169,23 @@
             LEADER,
             'hosts that come and go',
             'written only when something differs',
-            _Factor(letter.HOST_CHANGES, '/s'),
+            _Factor(design.HOST_CHANGES, '/s'),
             costs.micro(found, 'announcement_cpu_leader'),
         ),
-        *costs.children(found, LEADER, letter.CONTROL_CHILDREN),
+        *costs.children(found, LEADER, design.CONTROL_CHILDREN),
         costs.cpu(
             LEADER,
             "renewals of groups' leases",
             'soft state, no write',
-            _Factor(letter.GROUPS, 'groups'),
-            _Factor(letter.GROUP_LEASE_RENEWALS, '/s'),
+            _Factor(design.GROUPS, 'groups'),
+            _Factor(design.GROUP_LEASE_RENEWALS, '/s'),
             costs.micro(found, 'lease_cpu_leader'),
         ),
         costs.cpu(
             LEADER,
             'portions of caps, all organisations at all entries',
             'leased portions',
-            _Factor(letter.NODES, 'entries'),
+            _Factor(design.NODES, 'entries'),
             _Factor(asked, 'organisations/s'),
             _Factor(portion, 'us'),
         ),
@@ -198,22 +198,22 @@
     return [
         costs.rest(found, FOLLOWER, 'follower'),
         *costs.recorded(found, FOLLOWER, 'change_cpu_follower'),
-        *costs.children(found, FOLLOWER, letter.CONTROL_CHILDREN),
+        *costs.children(found, FOLLOWER, design.CONTROL_CHILDREN),
         *costs.idle_groups(found, FOLLOWER),
         *costs.control_memory(found, FOLLOWER, 'follower'),
     ]
 
 
 def _owner(found: sheet.Figures) -> list[sheet.Line]:
-    layers = _Factor(letter.LAYERS, 'layers')
+    layers = _Factor(design.LAYERS, 'layers')
     return [
         costs.cpu(
             OWNER,
-            f'a plan each {letter.PLAN_SECONDS} s, in a thread',
+            f'a plan each {design.PLAN_SECONDS} s, in a thread',
             'one owner for each group',
             layers,
             _Factor(found.slope('plan_cpu_by_layers') * 1000, 'us'),
-            _Factor(1 / letter.PLAN_SECONDS, '/s'),
+            _Factor(1 / design.PLAN_SECONDS, '/s'),
         ),
         costs.kept(
             OWNER,
--- a/bench/slopes/sheet.py
+++ b/bench/slopes/sheet.py
@@ -77,7 +77,7 @@
 class Line:
     """Be one cost of a role: a product of factors, and what carries it.
 
-    ``is_control`` tells whether the letter's budget for control counts it,
+    ``is_control`` tells whether the budget for control counts it,
     or whether it is the work on calls themselves.
     """
 
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from bench.slopes import budgets, fit, letter, page, roles, sheet
+from bench.slopes import budgets, design, fit, page, roles, sheet
 
 
 class TestCapacityPage(unittest.TestCase):
@@ -72,5 +72,5 @@
     def test_spread_claims(self) -> None:
         """More hosts carry more claims only if shards are spread."""
         known = budgets.Claims(leader_us=300, follower_us=150)
-        self.assertLess(known.shared(letter.CONTROL_HOSTS), 1e6 / 150)
+        self.assertLess(known.shared(design.CONTROL_HOSTS), 1e6 / 150)
         self.assertAlmostEqual(known.spread(24), 8 * known.spread(3))
