Test refusals and silence of engines, and planning by a profile

Cause: the engine's client has three endings (done, refused, unknown), and only the first was tested. A lost answer to an arm, a restart between the list of weights and the record, orders that fail, end half way or are cancelled, and token counts that cannot be read are tested now; so are the gate's word to the loader and a plan made on real sockets by a profile's balance fields.

--- a/tamarackthread/agent/grouping.py
+++ b/tamarackthread/agent/grouping.py
@@ -94,6 +94,11 @@
         """Give the group's part; ``None`` before the engine was heard."""
         return self._part
 
+    @property
+    def planning(self) -> balancer.Balancer | None:
+        """Give the balancer in force; candidates have one by a profile."""
+        return None if self._in_force is None else self._in_force.planning
+
     async def start(self) -> None:
         """Start to wait for the engine, in a group."""
         if not self._own.group:
--- a/tests/test_grouping.py
+++ b/tests/test_grouping.py
@@ -41,6 +41,7 @@
 GROUP = 'group-1'
 SHAPE = expert_map.GroupShape(layers=2, experts=8, ranks=4, slots=3)
 STEP_SECONDS = 0.01
+POPULARITY = 0.9
 KEY = b'ranks' * 8
 POLL_SECONDS = 0.01
 LONGEST_SECONDS = 20
@@ -182,6 +183,7 @@
             SHAPE,
             STEP_SECONDS,
             journal.Journal(self.path),
+            popularity=POPULARITY,
         )
         self.handler = ControlHandler()
         self.held = catalogue.Catalogue()
@@ -324,6 +326,30 @@
         self.assertEqual(found.undecided, 0)
         self.assertEqual(set(history.steps[-1].maps), {record.settled_map})
 
+    async def test_planned_by_the_profile(self):
+        """Uneven ranks get another map once a profile has been heard."""
+        scene = self.scene
+        owner = scene.owner()
+        self.assertIsNone(owner.group.planning)
+        balance = documents.Balance(
+            interval_seconds=1,
+            forecast_seconds=1,
+            hysteresis_share=0.02,
+        )
+        for agent in scene.agents:
+            agent.group.use(balance)
+        planning = owner.group.planning
+        owner.group.use(attrs.evolve(balance, move_weight=2))
+        self.assertIs(owner.group.planning, planning)
+        first = expert_map.cold_start(SHAPE).digest()
+        steps = scene.ranked.group.history.steps
+        await until(lambda: steps and set(steps[-1].maps) != {first})
+        found, _ = scene.findings()
+        self.assertEqual(found.mixed_map_steps, 0)
+        self.assertEqual(found.unrecorded_map_steps, 0)
+        owner.group.use(attrs.evolve(balance, interval_seconds=2))
+        self.assertIsNot(owner.group.planning, planning)
+
     async def test_operator_order(self):
         """An operator's order runs at each engine once, over its HTTP."""
         order = messages.GroupOrder(
--- /dev/null
+++ b/tests/test_http_engine.py
@@ -0,0 +1,236 @@
+"""Prove what becomes of an engine's answers, refusals and silence."""
+
+import asyncio
+import json
+import unittest
+
+from aiohttp import web
+
+from bench.engines import journal, ranked
+from tamarackthread.agent import (
+    engine_client,
+    engine_tokens,
+    http_engine,
+    order_errors,
+    switch_record,
+)
+from tamarackthread.policy import expert_map
+
+LONGEST_SECONDS = 20
+RECORD = switch_record.SwitchRecord(
+    number=1,
+    stage=switch_record.Stage.PREPARED,
+    from_step=100,
+    base='a',
+    target='b',
+)
+SHAPE = expert_map.GroupShape(layers=1, experts=4, ranks=2, slots=2)
+
+
+class FakeEngine:
+    """Answer as told, one answer after the other and the last for ever."""
+
+    def __init__(self, path, *answers):
+        self.app = web.Application()
+        self.app.router.add_route('*', path, self._answer)
+        self.asked = []
+        self._answers = list(answers)
+
+    async def _answer(self, request):
+        self.asked.append(await request.text())
+        answer = self._answers[0]
+        if len(self._answers) > 1:
+            self._answers.pop(0)
+        return await answer(request)
+
+
+def saying(body, status=200):
+    async def answer(request):
+        return web.json_response(body, status=status)
+
+    return answer
+
+
+def lines(*objects):
+    async def answer(request):
+        text = ''.join(f'{json.dumps(one)}\n' for one in objects)
+        return web.Response(text=text)
+
+    return answer
+
+
+async def soon(work):
+    """Await what would hang if it failed."""
+    return await asyncio.wait_for(work, LONGEST_SECONDS)
+
+
+async def lost(request):
+    request.transport.abort()
+    return web.Response()
+
+
+class EngineCase(unittest.IsolatedAsyncioTestCase):
+    async def reach(self, path, *answers):
+        fake = FakeEngine(path, *answers)
+        runner = web.AppRunner(
+            fake.app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=0,
+        )
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        port = runner.addresses[0][1]
+        return fake, await self.engine(f'127.0.0.1:{port}')
+
+    async def engine(self, address):
+        self.client = engine_client.EngineClient(f'http://{address}', 1)
+        await self.client.start()
+        self.addAsyncCleanup(self.client.stop)
+        return http_engine.HttpEngine(self.client, 0)
+
+
+class RecordCase(EngineCase):
+    async def test_lost_answer(self):
+        """The engine takes an arm and its answer is lost on the way.
+
+        Were the arm taken as failed, the agent would not tell the engine the
+        outcome and it would hold for ever; so the record is sent again.
+        """
+        fake, engine = await self.reach(
+            http_engine.RECORD_PATH,
+            lost,
+            saying({}, 503),
+            saying({}),
+        )
+        await soon(engine.follow(RECORD, 7))
+        self.assertEqual(len(fake.asked), 3)
+        sent = json.loads(fake.asked[0])
+        self.assertEqual(sent['fence'], 7)
+        self.assertEqual(set(fake.asked), {fake.asked[0]})
+
+    async def test_too_late(self):
+        refusal = saying({'reason': http_engine.TOO_LATE}, 409)
+        fake, engine = await self.reach(http_engine.RECORD_PATH, refusal)
+        with self.assertRaises(order_errors.ArmTooLate):
+            await engine.follow(RECORD, 1)
+        self.assertEqual(len(fake.asked), 1)
+
+    async def test_refused(self):
+        fake, engine = await self.reach(
+            http_engine.RECORD_PATH,
+            saying({'reason': 'old number'}, 409),
+        )
+        with self.assertRaises(order_errors.EngineFailed):
+            await engine.follow(RECORD, 1)
+        self.assertEqual(len(fake.asked), 1)
+
+    async def test_engine_started_anew(self):
+        """The engine restarts after its weights were listed.
+
+        A record would have it run steps with weights that it has lost, so it
+        refuses until the agent has listed them again.
+        """
+        group = ranked.RankedGroup(SHAPE, 0.01, journal.Journal(None))
+        addresses = await group.start()
+        self.addAsyncCleanup(group.stop)
+        engine = await self.engine(addresses[0])
+        await engine.loaded()
+        emulated = group.group.engines[0]
+        await emulated.restart(0)
+        with self.assertRaises(engine_client.EngineRefused):
+            await engine.follow(RECORD, 1)
+        self.assertIsNone(emulated.record)
+        await engine.loaded()
+        await engine.follow(RECORD, 1)
+        self.assertEqual(emulated.record, RECORD)
+
+
+class OrderCase(EngineCase):
+    async def execute(self, engine):
+        self.reported = []
+        return await engine.execute('set_role', '{}', 1, self.reported.append)
+
+    async def test_progress_and_result(self):
+        _, engine = await self.reach(
+            http_engine.ORDERS_PATH,
+            lines({'done': 0.5}, {'done': 1}, {'result': 'loaded'}),
+        )
+        self.assertEqual(await self.execute(engine), 'loaded')
+        self.assertEqual(self.reported, [0.5, 1])
+
+    async def test_failure(self):
+        _, engine = await self.reach(
+            http_engine.ORDERS_PATH,
+            lines({'done': 0.5}, {'failed': 'no such model'}),
+        )
+        failure = order_errors.EngineFailed
+        with self.assertRaisesRegex(failure, 'no such model'):
+            await self.execute(engine)
+
+    async def test_ended_half_way(self):
+        _, engine = await self.reach(
+            http_engine.ORDERS_PATH,
+            lines({'done': 0.5}),
+        )
+        with self.assertRaises(engine_client.EngineSilent):
+            await self.execute(engine)
+
+    async def test_cancelled(self):
+        """Cancelling an order stops it at the engine."""
+        begun = asyncio.Event()
+        stopped = asyncio.Event()
+
+        async def endless(request):
+            begun.set()
+            try:
+                await asyncio.Event().wait()
+            finally:
+                stopped.set()
+
+        _, engine = await self.reach(http_engine.ORDERS_PATH, endless)
+        work = asyncio.create_task(self.execute(engine))
+        await soon(begun.wait())
+        work.cancel()
+        await soon(stopped.wait())
+
+
+class AnswerCase(EngineCase):
+    async def test_unreadable_status(self):
+        for answer in (saying({}), saying([]), saying({'rank': 'x'})):
+            _, engine = await self.reach(http_engine.STATUS_PATH, answer)
+            with self.assertRaises(order_errors.EngineFailed):
+                await engine.status()
+
+    async def test_waits_for_a_start(self):
+        """A silent engine is asked again until it has started."""
+        _, engine = await self.reach(
+            http_engine.START_PATH,
+            lost,
+            saying({'incarnation': 3}),
+            saying({'incarnation': 1}),
+        )
+        self.assertEqual(await soon(engine.wait_started(3)), 1)
+
+    async def test_token_windows(self):
+        """Windows are summed; what cannot be read counts as a gap."""
+        good = [
+            {'age_ms': 2000, 'tokens': [[1, 2, 3, 4]]},
+            {'age_ms': 1000, 'tokens': [[1, 1, 1, 1]]},
+        ]
+        bad = [{'age_ms': 1, 'tokens': [[1]]}]
+        await self.reach(
+            engine_tokens.TOKENS_PATH,
+            saying({'sequence': 2, 'windows': good}),
+            saying({'sequence': 3, 'windows': bad}),
+            saying({}, 503),
+        )
+        source = engine_tokens.EngineTokens(self.client, SHAPE)
+        windows = await source.windows()
+        self.assertEqual(len(windows), 1)
+        self.assertEqual(windows[0].tokens.tolist(), [[2, 3, 4, 5]])
+        with self.assertLogs('tamarackthread.balancer'):
+            self.assertEqual(await source.windows(), [])
+        with self.assertLogs('tamarackthread.balancer'):
+            self.assertEqual(await source.windows(), [])
--- /dev/null
+++ b/tests/test_urgent_gate.py
@@ -0,0 +1,73 @@
+"""Prove that the gate tells the weight loader of urgent calls."""
+
+import asyncio
+import types
+import unittest
+
+from tamarackthread.agent import claims, gate, loading
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import moves
+from tamarackthread.shared import target_errors
+
+LONGEST_SECONDS = 20
+
+
+class SlowClient:
+    """Hold a call until told, then fail it."""
+
+    def __init__(self):
+        self.entered = asyncio.Event()
+        self.going_on = asyncio.Event()
+
+    async def hand_over(self, opening, body, idle_seconds):
+        self.entered.set()
+        await self.going_on.wait()
+        raise target_errors.TargetUnreachable()
+
+    async def cancel(self, call_id):
+        """Have nothing to stop."""
+
+
+class Call:
+    """Be a call without a body whose caller stays."""
+
+    async def receive(self):
+        """Give no part of a body, which is its end."""
+
+    async def wait_failed(self):
+        await asyncio.Event().wait()
+
+    def finish(self, end):
+        self.end = end
+
+
+class UrgentGateCase(unittest.IsolatedAsyncioTestCase):
+    async def near_while_open(self, priority):
+        """Tell whether urgent work is near during a call and after it."""
+        client = SlowClient()
+        signal = loading.UrgentSignal(moves.UrgentWatch(quiet_seconds=0))
+        guard = gate.Gate(
+            gate.GateOptions(target_id='t', is_model=True, call_limit=1),
+            client,
+            types.SimpleNamespace(is_stuck=False),
+            claims.ClaimGate('t', 1),
+            signal,
+        )
+        opening = messages.OpenCall(
+            call_id=b'1',
+            target='t',
+            priority=priority,
+            deadline_ms=LONGEST_SECONDS * 1000,
+        )
+        serving = asyncio.create_task(guard.serve(Call(), opening))
+        await asyncio.wait_for(client.entered.wait(), LONGEST_SECONDS)
+        during = signal.is_near()
+        client.going_on.set()
+        await serving
+        return during, signal.is_near()
+
+    async def test_urgent_call(self):
+        self.assertEqual(await self.near_while_open(0), (True, False))
+
+    async def test_normal_call(self):
+        self.assertEqual(await self.near_while_open(1), (False, False))
