--- a/tamarackthread/agent/owner.py
+++ b/tamarackthread/agent/owner.py
@@ -25,6 +25,8 @@
 
 _log = logging.getLogger('tamarackthread.owner')
 _MS = 1000
+# No order can arrive in less of a lease than this.
+_LEAST_SECONDS = 0.001
 
 
 @attrs.frozen
@@ -135,7 +137,7 @@
         """
         wanted = seconds or self._settings.order_seconds
         left = min(wanted, self._lease.seconds_left)
-        if left <= 0:
+        if left < _LEAST_SECONDS:
             raise order_errors.NotOwner()
         order = messages.GroupOrder(
             group=self.group,
--- a/tamarackthread/agent/switching.py
+++ b/tamarackthread/agent/switching.py
@@ -43,6 +43,7 @@
     least_step_ms: float = 1
     arm_seconds: float = 1
     ask_seconds: float = 0.2
+    ask_pause_seconds: float = 0.05
     load_seconds: float = 600
     poll_seconds: float = 0.1
     longest_poll_seconds: float = 2
@@ -216,8 +217,11 @@
                 for rank, answer in found.items()
                 if isinstance(answer, _SILENCE)
             ]
-            if any(map(_is_refusal, found.values())):
+            if not silent or any(map(_is_refusal, found.values())):
                 break
+            # A link that is down fails at once: without a pause the asking
+            # would take the whole processor until the time is up.
+            await asyncio.sleep(self._settings.ask_pause_seconds)
         return answers
 
 
