--- a/tamarackthread/policy/portions.py
+++ b/tamarackthread/policy/portions.py
@@ -23,17 +23,24 @@
     demands: collections.abc.Mapping[str, float],
 ) -> dict[str, float]:
     """Split a cap in units a second by demand in the same units."""
-    if not demands:
-        return {}
-    leased = cap * (1 - RESERVE_SHARE)
-    even = leased * EVEN_SHARE / len(demands)
-    by_demand = leased - even * len(demands)
     total = sum(demands.values())
-    portions = {}
-    for node, demand in demands.items():
-        weight = demand / total if total > 0 else 1 / len(demands)
-        portions[node] = even + by_demand * weight
-    return portions
+    return {
+        node: portion_of(cap, demand, total, len(demands))
+        for node, demand in demands.items()
+    }
+
+
+def portion_of(
+    cap: float,
+    demand: float,
+    total: float,
+    nodes: int,
+) -> float:
+    """Give one of ``nodes`` its part of a cap, by its part of the demand."""
+    leased = cap * (1 - RESERVE_SHARE)
+    even = leased * EVEN_SHARE / nodes
+    weight = demand / total if total > 0 else 1 / nodes
+    return even + (leased - even * nodes) * weight
 
 
 def safe_share(cap: float, entries: int) -> float:
@@ -48,6 +55,60 @@
     ends_at: float
 
 
+class _Organisation:
+    """Hold one organisation's portions and their sums.
+
+    Portions all run equally long, so the order of renewal is the order of
+    their ends.  The sums are kept, because adding up hundreds of entries at
+    each of their requests would grow with their square.
+    """
+
+    def __init__(self) -> None:
+        self._leased: dict[str, _Leased] = {}
+        self._demand: float = 0
+        self._rate: float = 0
+
+    def expire(self, now: float) -> None:
+        """Drop what has ended."""
+        while self._leased:
+            node = next(iter(self._leased))
+            if self._leased[node].ends_at > now:
+                return
+            self.drop(node)
+
+    def drop(self, node: str) -> None:
+        """Drop a node's portion, if it has one."""
+        old = self._leased.pop(node, None)
+        if old is None:
+            return
+        self._demand -= old.demand
+        self._rate -= old.rate
+        if not self._leased:
+            # Sums of many small steps drift; an empty table is exactly none.
+            self._demand = 0
+            self._rate = 0
+
+    def put(self, node: str, leased: _Leased) -> None:
+        """Lease a node its portion, as the newest one."""
+        self._leased[node] = leased
+        self._demand += leased.demand
+        self._rate += leased.rate
+
+    def wanted(self, cap: float, demand: float) -> float:
+        """Give what ``split`` gives a further node with this demand."""
+        return portion_of(
+            cap,
+            demand,
+            self._demand + demand,
+            len(self._leased) + 1,
+        )
+
+    @property
+    def rate(self) -> float:
+        """Give what is leased out, in units a second."""
+        return self._rate
+
+
 class PortionTable:
     """Hold the portions that are leased out; times are the caller's clock."""
 
@@ -55,7 +116,7 @@
         """Start at ``began_at`` without knowing what was leased before."""
         self._lease_seconds = lease_seconds
         self._began_at = began_at
-        self._leased: dict[str, dict[str, _Leased]] = {}
+        self._organisations: dict[str, _Organisation] = {}
 
     def ask(
         self,
@@ -71,22 +132,12 @@
         In the first lease time nobody gets more than it has been using:
         portions of the leader before are still in use.
         """
-        nodes = self._live(organisation, now)
-        demands = {name: leased.demand for name, leased in nodes.items()}
-        demands[node] = demand
-        wanted = split(cap, demands)[node]
-        others = sum(
-            leased.rate for name, leased in nodes.items() if name != node
-        )
-        rate = min(wanted, max(cap * (1 - RESERVE_SHARE) - others, 0))
+        held = self._organisations.setdefault(organisation, _Organisation())
+        held.expire(now)
+        held.drop(node)
+        left = max(cap * (1 - RESERVE_SHARE) - held.rate, 0)
+        rate = min(held.wanted(cap, demand), left)
         if now < self._began_at + self._lease_seconds:
             rate = min(rate, used)
-        nodes[node] = _Leased(demand, rate, now + self._lease_seconds)
+        held.put(node, _Leased(demand, rate, now + self._lease_seconds))
         return rate
-
-    def _live(self, organisation: str, now: float) -> dict[str, _Leased]:
-        nodes = self._leased.setdefault(organisation, {})
-        for name, leased in tuple(nodes.items()):
-            if leased.ends_at <= now:
-                nodes.pop(name)
-        return nodes
