Bound the reports of an agent and halve an entry's links

An agent now spreads 40 reports a second over its entries, at least one a second each, and a subset is 12 targets of a service. At today's sites nothing changes: three entries get ten reports a second and twelve replicas are all linked.

--- a/bench/slopes/design.py
+++ b/bench/slopes/design.py
@@ -35,11 +35,10 @@
 )
 
 # Defaults of settings and profiles.
-SUBSET = 24
+SUBSET = 12
 BEATS = 2
-REPORTS = 10
 RENEWALS = 2
-RELAY_CHILDREN = 12
+RELAY_CHILDREN = 8
 CONTROL_CHILDREN = 64
 GROUP_LEASE_RENEWALS = 1.5
 KEEP_SECONDS = 7200
@@ -53,6 +52,9 @@
 
 ENTRY_LINKS = min(SUBSET * MODELS, REPLICAS)
 AGENT_LINKS = ENTRY_LINKS * NODES / REPLICAS
+# An agent's reports to all its entries together are bounded.
+REPORTS_OF_AGENT = 40
+REPORTS = min(10, REPORTS_OF_AGENT / AGENT_LINKS)
 STREAMS = TOKENS * TOKEN_GAP_SECONDS
 FOLLOWING = NODES + REPLICAS
 # Addresses, counters and time stamps of one packet, in bytes.
--- a/tamarackthread/agent/reports.py
+++ b/tamarackthread/agent/reports.py
@@ -16,6 +16,9 @@
 from tamarackthread.shared import link, target_errors
 
 FRESH_SECONDS = 1.5
+REPORTS_PER_SECOND = 40
+# Polling must stay well within the time after which a target counts as silent.
+MOST_INTERVAL_SECONDS = 1.0
 MAX_NOTES = 256
 _log = logging.getLogger('tamarackthread.agent')
 
@@ -93,7 +96,18 @@
             notes = await self._ask()
             self._tell(notes)
             spent = loop.time() - started
-            await asyncio.sleep(max(self._every - spent, self._every / 4))
+            every = self._interval()
+            await asyncio.sleep(max(every - spent, every / 4))
+
+    def _interval(self) -> float:
+        """Report the less often the more entries share the target.
+
+        Reports to all entries together stay bounded, or they would grow with
+        targets and entries at once.  An entry among many has few calls here,
+        so it loses little by an older report.
+        """
+        shared = len(self._entries) / REPORTS_PER_SECOND
+        return max(self._every, min(shared, MOST_INTERVAL_SECONDS))
 
     async def _ask(self) -> collections.abc.Sequence[tuple[int, bool]]:
         loop = asyncio.get_running_loop()
