--- a/tamarackthread/agent/role.py
+++ b/tamarackthread/agent/role.py
@@ -49,7 +49,6 @@
         """Serve through the gate; relay the configuration to other nodes."""
         self._gate = guard
         self._reporter = reporter
-        self._feed = known
         self._group = group
         self._relay = relay.FeedServer(known, known.below, relay.Limits())
 
@@ -60,9 +59,7 @@
     ) -> messages.Reply:
         """Answer a request by what it asks."""
         if request.feed is not None:
-            reply = await self._relay.answer(link, request.feed)
-            self._feed.take_report()
-            return reply
+            return await self._relay.answer(link, request.feed)
         if request.drain is not None:
             self._gate.leave(leaving=not request.drain.cancel)
             return messages.Reply(
--- a/tamarackthread/control/consensus.py
+++ b/tamarackthread/control/consensus.py
@@ -195,11 +195,6 @@
         await self._within(self._applier.wait(index), timeout_seconds)
         return index
 
-    async def wait_applied(self, index: int) -> None:
-        """Return once the machine has applied an index."""
-        self._require_running()
-        await self._applier.wait(index)
-
     async def transfer(self) -> None:
         """Hand leadership to another voter and go on as a follower."""
         self._require_running()
--- a/tamarackthread/control/reign.py
+++ b/tamarackthread/control/reign.py
@@ -24,7 +24,6 @@
     disk_id: bytes = b''
     is_full: bool = False
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
-    round_at: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def note_disk(self, disk_id: bytes, last_index: int) -> None:
         """Begin again if the member answers from another disk."""
--- a/tamarackthread/entry/role.py
+++ b/tamarackthread/entry/role.py
@@ -48,7 +48,6 @@
 
     def __init__(self, known: feed.ConfigFeed) -> None:
         """Serve what the feed holds."""
-        self._feed = known
         self._relay = relay.FeedServer(known, known.below, relay.Limits())
 
     async def on_request(
--- a/tamarackthread/policy/fairness.py
+++ b/tamarackthread/policy/fairness.py
@@ -36,18 +36,6 @@
         return 1
 
 
-class WeightedShares(Shares):
-    """Give the weights from the configuration, 1 where none is set."""
-
-    def __init__(self, weights: dict[str, float]) -> None:
-        """Keep the weights by organisation; each must be above 0."""
-        self._weights = weights
-
-    def weight(self, organisation: str) -> float:
-        """Return the organisation's weight."""
-        return self._weights.get(organisation, 1)
-
-
 @attrs.define(slots=True, eq=False)
 class Entry(typing.Generic[_Item]):
     """Be one queued item; ``cost`` is in units of one plain call."""
--- a/tamarackthread/policy/refusals.py
+++ b/tamarackthread/policy/refusals.py
@@ -55,10 +55,3 @@
 
     code = 'TT4007'
     status = 503
-
-
-class RetryBudgetSpent(errors.CodedError):
-    """Call did not run and the retry budget is spent."""
-
-    code = 'TT4008'
-    status = 503
--- a/tamarackthread/policy/retries.py
+++ b/tamarackthread/policy/retries.py
@@ -81,19 +81,6 @@
         """
 
 
-class NoRetry(RetryPolicy):
-    """Give each failure to the caller."""
-
-    def delay(
-        self,
-        call: calls.CallFacts,
-        ran: messages.Ran,
-        attempt: int,
-        now: float,
-    ) -> float | None:
-        """Return ``None``."""
-
-
 class BudgetedRetry(RetryPolicy):
     """Retry what may repeat, within the budget, the attempts and the deadline."""
 
--- a/tamarackthread/shared/confirmed.py
+++ b/tamarackthread/shared/confirmed.py
@@ -46,11 +46,6 @@
         """Give the floor of the snapshot that is half fetched, if any."""
         return self._staged_floor
 
-    @property
-    def lease_ends_at(self) -> float:
-        """Give the time at which the lease ends or has ended."""
-        return self._lease_ends_at
-
     def lease_remaining(self) -> float:
         """Give the seconds that the lease still runs, 0 once it has ended."""
         now = asyncio.get_running_loop().time()
--- a/tamarackthread/shared/feed.py
+++ b/tamarackthread/shared/feed.py
@@ -126,11 +126,6 @@
         while not self.is_current():
             await self._changed.wait(self._now() + self._wait_seconds)
 
-    async def wait_revision(self, revision: int) -> None:
-        """Return once this node holds a revision."""
-        while self.revision < revision:
-            await self._changed.wait(self._now() + self._wait_seconds)
-
     def start(self) -> None:
         """Start to pull, to report and to watch the lease."""
         loop = asyncio.get_running_loop()
