--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -250,6 +250,23 @@
   9: list<DecisionRequest> decisions, 10: i64 index,
 }
 
+// ---- site: one atomic configuration, targets without an agent -------------
+// A follower names what it has; the answer carries what is newer.  The book of
+// announcements is soft state of one control host: epoch names its start and
+// serial grows with each change of the book.
+enum TargetState { READY = 1, LEAVING = 2, GONE = 3, SILENT = 4 }
+struct SiteTarget {
+  1: string id, 2: string service_name, 3: string address, 4: string zone, 5: i32 slots,
+  6: TargetState state, 7: i64 sequence, 8: i32 cold_ms,
+}
+struct SiteFeedRequest { 1: i64 version, 2: i64 epoch, 3: i64 serial, 4: i32 wait_ms }
+// document is packed and only there if newer; members are control hosts and
+// entries the followers, both as addresses of their links.
+struct SiteFeedReply {
+  1: i64 version, 2: optional binary document, 3: i64 epoch, 4: i64 serial, 5: list<SiteTarget> targets,
+  6: list<string> members, 7: list<string> entries,
+}
+
 // One request or reply each frame; exactly one field is set.
 struct Request {
   1: optional VoteRequest vote, 2: optional AppendRequest append,
@@ -262,7 +279,7 @@
   15: optional ClaimLookup claim_lookup, 16: optional ClaimProbe claim_probe,
   17: optional LeaseRequest lease, 18: optional PortionsRequest portions,
   19: optional GroupOrder order, 20: optional DecisionRequest decision,
-  21: optional LoadReport report,
+  21: optional LoadReport report, 22: optional SiteFeedRequest site,
 }
 struct Reply {
   1: optional Failure failure, 2: optional Done done,
@@ -273,4 +290,5 @@
   13: optional ClaimReply claim, 14: optional ClaimProof claim_proof,
   15: optional LeaseReply lease, 16: optional PortionsReply portions,
   17: optional GroupOrderReply order, 18: optional DecisionReply decision,
+  19: optional SiteFeedReply site,
 }
--- a/tamarackthread/control/proposing.py
+++ b/tamarackthread/control/proposing.py
@@ -119,13 +119,18 @@
         return reply.propose
 
     async def _confirm(self, term: reign.Reign) -> int:
-        """Prove that this member still leads, by its lease or by asking."""
+        """Prove that this member still leads, by its lease or by asking.
+
+        A suspended host wakes with the clock that it fell asleep with, and
+        its lease looks whole although another has been elected.  Where that
+        may happen, only answers to what was sent after the read began count.
+        """
         await self._applier.wait(term.first_index)
         if term.over.is_set():
             raise failures.NotLeader(leader=self._state.leader)
         index = self._state.commit_index
         began = self._state.now
-        if term.lease_until(self._state.membership, began) > began:
+        if self._has_lease(term, began):
             return index
         rounds = [
             asyncio.create_task(peer.confirm())
@@ -138,6 +143,11 @@
                 task.cancel()
         return index
 
+    def _has_lease(self, term: reign.Reign, now: float) -> bool:
+        if not self._state.parts.times.is_lease_trusted:
+            return False
+        return term.lease_until(self._state.membership, now) > now
+
     async def _await_quorum(self, term: reign.Reign, began: float) -> None:
         while True:
             if term.over.is_set():
--- a/tamarackthread/control/reconfiguration.py
+++ b/tamarackthread/control/reconfiguration.py
@@ -31,6 +31,8 @@
             return listing(state)
         case 'add':
             add(state, request.node, request.address)
+        case 'join':
+            join(state, request.node, request.address)
         case 'remove':
             remove(state, request.node)
         case 'replace':
@@ -49,6 +51,24 @@
     _write(state, state.membership.put(fresh), f'{node} is added as a learner')
 
 
+def join(state: replica.Replica, node: str, address: str) -> None:
+    """Add a host that asks for it; it takes a silent voter's place if any.
+
+    A host that was replaced for good never says so.  Its successor would make
+    one voter more, of which one is always lost, and the next loss would stop
+    the group.  A voter that was only silent asks to join when it is back.
+    """
+    if state.reign is None:
+        raise failures.NotLeader(leader=state.leader)
+    if state.membership.find(node) is not None:
+        return
+    silent = _silent_voter(state, state.reign)
+    if silent:
+        replace(state, silent, node, address)
+        return
+    add(state, node, address)
+
+
 def remove(state: replica.Replica, node: str) -> None:
     """Remove a member, voter or learner."""
     _require_settled(state)
@@ -94,6 +114,7 @@
         if wanted is not None:
             _write(state, wanted, why)
             return
+    _let_go(state, term)
 
 
 def listing(state: replica.Replica) -> messages.MemberReply:
@@ -118,6 +139,35 @@
     )
 
 
+def _let_go(state: replica.Replica, term: reign.Reign) -> None:
+    """Remove a voter that is silent, while enough others are left.
+
+    A voter more than the group needs is one that may be lost.  One that was
+    taken away for good would count against the others for ever.
+    """
+    least = state.parts.times.voters_least
+    if not least or len(state.membership.voters) <= least:
+        return
+    silent = _silent_voter(state, term)
+    if silent:
+        left = state.membership.drop(silent)
+        _write(state, left, f'{silent} is silent and is let go')
+
+
+def _silent_voter(state: replica.Replica, term: reign.Reign) -> str:
+    """Return a voter that has not answered for long, empty if there is none."""
+    for voter in state.membership.voters:
+        if voter.node == state.parts.node:
+            continue
+        held = term.progress.get(voter.node)
+        heard_at = term.began_at
+        if held is not None:
+            heard_at = max(heard_at, held.acked_at)
+        if state.now - heard_at > state.parts.times.gone:
+            return voter.node
+    return ''
+
+
 def _fill_progress(state: replica.Replica, row: messages.Member) -> None:
     if row.node == state.parts.node:
         row.match_index = state.log.durable_index
--- a/tamarackthread/control/reign.py
+++ b/tamarackthread/control/reign.py
@@ -72,6 +72,11 @@
         """Return the index of the term's first entry."""
         return self._first_index
 
+    @property
+    def began_at(self) -> float:
+        """Return when this member was elected, in loop time."""
+        return self._began_at
+
     @property
     def over(self) -> asyncio.Event:
         """Return an event set when this member leads the term no longer."""
--- /dev/null
+++ b/tamarackthread/control/site/api.py
@@ -0,0 +1,99 @@
+"""Take an operator's configuration and give it back, on any control host."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from tamarackthread.control import consensus, failures
+from tamarackthread.control.site import machine
+from tamarackthread.shared import errors
+from tamarackthread.shared.site import configuration, document
+
+# An operator turns to another host after a second without an answer.  Less
+# than that is spent on a leader that is being elected.
+PATIENCE_SECONDS = 0.85
+PAUSE_SECONDS = 0.04
+_log = logging.getLogger('tamarackthread.control')
+
+
+class ChangeUnsettled(errors.CodedError):
+    """Change may or may not be in force; sending it again is safe."""
+
+    code = 'TT7103'
+    status = 503
+
+
+class NewestUnknown(errors.CodedError):
+    """This host can't be sure which configuration is the newest."""
+
+    code = 'TT7104'
+    status = 503
+
+
+class SiteApi:
+    """Replace and read the configuration of a site."""
+
+    def __init__(
+        self,
+        group: consensus.Consensus,
+        site: machine.SiteMachine,
+        reader: configuration.Reader,
+    ) -> None:
+        """Propose to ``group``, which drives ``site``."""
+        self._group = group
+        self._site = site
+        self._reader = reader
+
+    async def replace(self, body: bytes) -> int:
+        """Put a configuration in force and return its version.
+
+        One that a higher version has overtaken is accepted without effect.
+        Raises ``InvalidError`` before anything else is looked at, and
+        ``ChangeUnsettled`` when no quorum has answered.
+        """
+        version = self._reader.read(body).version
+        # What this host has applied is committed, so a held version may be
+        # acknowledged without asking anybody.  That keeps a resent change
+        # from being refused while no leader is known.
+        if version <= self._site.held.version:
+            return version
+        await self._propose(document.pack(version, body))
+        _log.info('control: accepted version %d', version)
+        return version
+
+    async def read(self) -> document.Document:
+        """Return the newest configuration; raise ``NewestUnknown``.
+
+        A host that was cut off or suspended may hold an older one and not
+        know it, so a quorum is asked each time.
+        """
+        try:
+            await self._group.read_barrier(PATIENCE_SECONDS)
+        except errors.CodedError as exc:
+            raise NewestUnknown(str(exc)) from exc
+        if not self._site.held.version:
+            raise NewestUnknown('there is no configuration yet')
+        return self._site.held
+
+    async def _propose(self, asked: document.Document) -> None:
+        """Propose until the change is committed or patience ends.
+
+        Proposing twice is safe: the version alone decides, and the second
+        copy changes nothing.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + PATIENCE_SECONDS
+        failure: errors.CodedError = failures.NotLeader('no leader is known')
+        while loop.time() < until:
+            left = until - loop.time()
+            try:
+                await self._group.submit(asked.encode(), left)
+            except failures.CommandTooLarge:
+                raise
+            except errors.CodedError as exc:
+                failure = exc
+                await asyncio.sleep(PAUSE_SECONDS)
+                continue
+            return
+        raise ChangeUnsettled(f'{failure.code} {failure}')
--- /dev/null
+++ b/tamarackthread/control/site/book.py
@@ -0,0 +1,126 @@
+"""Keep what targets announced to this control host."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from tamarackthread.shared.site import announcements
+
+# Beats a target may miss before it counts as silent.  One may be late by
+# seconds and one may be lost with the host that it went to; the next is due
+# within the third.
+BEATS_MISSED = 3.5
+# Farewells are remembered for so many beats, longer than an announcement may
+# be held up on its way.
+BEATS_REMEMBERED = 50
+# A host tells of a target again after so many beats, although nothing has
+# changed: else another host's older word that it is silent would stand.
+BEATS_REFRESHED = 2.5
+SWEEP_SECONDS = 0.25
+
+
+@attrs.define(eq=False)
+class _Row:
+    said: announcements.Announcement
+    heard_at: float
+    told_at: float
+    serial: int
+
+
+class Book:
+    """Hold the newest announcement of each start of a target.
+
+    Soft state: nothing here is written to disk or agreed on.  A host that
+    starts anew has an empty book, which the targets fill within one beat.
+    """
+
+    def __init__(self, beat_seconds: float) -> None:
+        """Start empty; targets announce themselves once a beat."""
+        self._beat = beat_seconds
+        self._rows: dict[str, _Row] = {}
+        self._serial = 0
+        self._on_change: list[collections.abc.Callable[[], None]] = []
+
+    @property
+    def serial(self) -> int:
+        """Return a number that grows with each change that was told."""
+        return self._serial
+
+    def on_change(self, listener: collections.abc.Callable[[], None]) -> None:
+        """Call ``listener`` after each change that followers must learn."""
+        self._on_change.append(listener)
+
+    def take(self, said: announcements.Announcement) -> None:
+        """Take an announcement unless a later one is held."""
+        now = asyncio.get_running_loop().time()
+        row = self._rows.get(said.target)
+        if row is None:
+            self._tell(_Row(said, now, now, 0), now)
+            return
+        if not said.follows(row.said):
+            return
+        row.heard_at = now
+        is_news = _is_news(row.said, said)
+        row.said = said
+        if is_news or now - row.told_at > self._beat * BEATS_REFRESHED:
+            self._tell(row, now)
+
+    def farewell(self, target: str) -> None:
+        """Note that a target takes no more work, known or not."""
+        row = self._rows.get(target)
+        if row is None:
+            gone = announcements.Announcement(
+                target=target,
+                service='',
+                address='',
+                state=announcements.State.GONE,
+            )
+        else:
+            gone = attrs.evolve(row.said, state=announcements.State.GONE)
+        self.take(gone)
+
+    def after(self, serial: int) -> list[announcements.Announcement]:
+        """List what has changed since a serial."""
+        return [row.said for row in self._rows.values() if row.serial > serial]
+
+    def sweep(self) -> None:
+        """Mark targets that have fallen silent, forget those long gone."""
+        now = asyncio.get_running_loop().time()
+        for target, row in tuple(self._rows.items()):
+            quiet = now - row.heard_at
+            if quiet > self._beat * BEATS_REMEMBERED:
+                self._rows.pop(target)
+                continue
+            is_ready = row.said.state == announcements.State.READY
+            if is_ready and quiet > self._beat * BEATS_MISSED:
+                row.said = attrs.evolve(
+                    row.said, state=announcements.State.SILENT
+                )
+                self._tell(row, now)
+
+    async def run(self) -> None:
+        """Sweep for ever."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self.sweep()
+
+    def _tell(self, row: _Row, now: float) -> None:
+        self._serial += 1
+        row.serial = self._serial
+        row.told_at = now
+        self._rows[row.said.target] = row
+        for listener in self._on_change:
+            listener()
+
+
+def _is_news(
+    held: announcements.Announcement,
+    said: announcements.Announcement,
+) -> bool:
+    """Tell whether more than the sequence and the warming up differ."""
+    return attrs.evolve(held, sequence=0, cold=0) != attrs.evolve(
+        said, sequence=0, cold=0
+    )
--- /dev/null
+++ b/tamarackthread/control/site/feeding.py
@@ -0,0 +1,91 @@
+"""Answer the followers of a control host as soon as there is news."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+
+from tamarackthread.control.site import book, machine
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import link
+from tamarackthread.shared.site import announcements
+
+MILLISECONDS = 1000
+# A follower counts among the entries for so long after its last question.
+FOLLOWER_SECONDS = 5.0
+
+Members = collections.abc.Callable[[], list[str]]
+
+
+class Feeding:
+    """Hold each follower's question until something is newer."""
+
+    def __init__(
+        self,
+        site: machine.SiteMachine,
+        targets: book.Book,
+        members: Members,
+        epoch: int,
+    ) -> None:
+        """Serve from ``site`` and ``targets``; ``epoch`` is this start."""
+        self._site = site
+        self._targets = targets
+        self._members = members
+        self._epoch = epoch
+        self._news = asyncio.Event()
+        self._followers: dict[str, float] = {}
+        site.on_change(self._wake)
+        targets.on_change(self._wake)
+
+    async def answer(
+        self,
+        peer: link.Link,
+        asked: messages.SiteFeedRequest,
+    ) -> messages.SiteFeedReply:
+        """Reply at once if there is news, else when there is or time is up."""
+        loop = asyncio.get_running_loop()
+        if peer.peer.role == messages.Role.ENTRY:
+            self._followers[peer.peer.address] = loop.time()
+        until = loop.time() + (asked.wait_ms or 0) / MILLISECONDS
+        while not self._has_news(asked) and loop.time() < until:
+            news = self._news
+            try:
+                async with asyncio.timeout_at(until):
+                    await news.wait()
+            except TimeoutError:
+                break
+        return self._reply(asked)
+
+    def _wake(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def _has_news(self, asked: messages.SiteFeedRequest) -> bool:
+        if self._site.held.version > (asked.version or 0):
+            return True
+        return self._serial_of(asked) < self._targets.serial
+
+    def _serial_of(self, asked: messages.SiteFeedRequest) -> int:
+        """Return how far the follower is in this start's book."""
+        return asked.serial or 0 if asked.epoch == self._epoch else 0
+
+    def _reply(self, asked: messages.SiteFeedRequest) -> messages.SiteFeedReply:
+        held = self._site.held
+        is_newer = held.version > (asked.version or 0)
+        rows = self._targets.after(self._serial_of(asked))
+        return messages.SiteFeedReply(
+            version=held.version,
+            document=held.packed if is_newer else None,
+            epoch=self._epoch,
+            serial=self._targets.serial,
+            targets=[announcements.to_message(said) for said in rows],
+            members=self._members(),
+            entries=self._entries(),
+        )
+
+    def _entries(self) -> list[str]:
+        now = asyncio.get_running_loop().time()
+        for address, asked_at in tuple(self._followers.items()):
+            if now - asked_at > FOLLOWER_SECONDS:
+                self._followers.pop(address)
+        return sorted(self._followers)
--- /dev/null
+++ b/tamarackthread/control/site/host.py
@@ -0,0 +1,239 @@
+"""Run a control host of a site."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import contextlib
+import logging
+import random
+
+import attrs
+
+from tamarackthread.control import (
+    consensus,
+    disk,
+    failures,
+    folder,
+    timing,
+    transport,
+)
+from tamarackthread.control.site import (
+    api,
+    book,
+    feeding,
+    joining,
+    machine,
+)
+from tamarackthread.generated import settings as generated
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors, link, listener, peers, process
+from tamarackthread.shared.site import configuration, places
+
+GROUP = 'site'
+TEND_SECONDS = 0.5
+# A heartbeat takes two ways between availability zones of a region, some
+# milliseconds; a host that is busy or slowed answers within a tenth of a
+# second.  An election must end well within the four seconds that an operator
+# waits for an acknowledgement, with one vote that is split.
+TIMES = timing.Timing(
+    heartbeat=0.12,
+    election_min=0.7,
+    election_max=1.2,
+    drift=0.15,
+    append_timeout=1.5,
+    stall=0.6,
+    segment_bytes=1 << 20,
+    snapshot_entries=500,
+    snapshot_bytes=2 << 20,
+    trailing_entries=50,
+    reserve_bytes=4 << 20,
+    handover=1.5,
+    is_lease_trusted=False,
+)
+_log = logging.getLogger('tamarackthread.control')
+
+
+class Door(abc.ABC):
+    """Be the HTTP through which operators and targets reach this host."""
+
+    @abc.abstractmethod
+    async def open(
+        self,
+        address: str,
+        site: api.SiteApi,
+        targets: book.Book,
+    ) -> str:
+        """Serve at HOST:PORT and return the address in use."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Stop serving."""
+
+
+class SiteHandler(link.Handler):
+    """Answer other control hosts and the followers."""
+
+    def __init__(
+        self,
+        group: consensus.Consensus,
+        followers: feeding.Feeding,
+    ) -> None:
+        """Direct requests to the group or to the feed."""
+        self._group = group
+        self._followers = followers
+
+    async def on_request(
+        self,
+        link: link.Link,
+        request: messages.Request,
+    ) -> messages.Reply:
+        """Answer a request by what it asks."""
+        if request.site is not None:
+            reply = await self._followers.answer(link, request.site)
+            return messages.Reply(site=reply)
+        # Any process with the shared secret can dial; only control hosts may
+        # vote or write to the log.
+        if link.peer.role != messages.Role.CONTROL:
+            raise errors.RequestUnsupported(f'not for role {link.peer.role}')
+        return await self._group.handle(request)
+
+
+class SiteHost:
+    """Hold the parts of a control host's process."""
+
+    def __init__(
+        self,
+        settings: generated.Settings,
+        reader: configuration.Reader,
+        door: Door,
+    ) -> None:
+        """Build the parts; ``run`` starts them."""
+        assert settings.control is not None
+        assert settings.site is not None
+        self._site = settings.site
+        self._node = settings.node.id
+        self._drain_seconds = settings.control.drain_seconds
+        self._folder = folder.DataFolder(settings.control.data_folder)
+        self._place = process.take_place(settings)
+        self._address = self._place.options.identity.address
+        self._links = peers.Peers(
+            self._place.options, most_backoff=places.MOST_BACKOFF_SECONDS
+        )
+        self._machine = machine.SiteMachine()
+        self._group = self._build_group()
+        self._book = book.Book(self._site.announce_seconds)
+        self._api = api.SiteApi(self._group, self._machine, reader)
+        self._joining = joining.Joining(
+            self._group, self._links, self._node, self._address, self._others
+        )
+        self._door = door
+        self._listener = listener.Listener(
+            self._place.options,
+            SiteHandler(
+                self._group,
+                feeding.Feeding(
+                    self._machine,
+                    self._book,
+                    self._member_addresses,
+                    self._place.options.identity.incarnation,
+                ),
+            ),
+        )
+
+    async def run(self, announce: process.Announce | None) -> None:
+        """Run until asked to stop, then hand over and end."""
+        address = await self._listener.start_on(self._place.bound)
+        await self._group.start()
+        http = await self._door.open(
+            self._site.http_address, self._api, self._book
+        )
+        loop = asyncio.get_running_loop()
+        working = [
+            loop.create_task(self._joining.run()),
+            loop.create_task(self._book.run()),
+        ]
+        if announce is not None:
+            announce({'link': address, 'http': http})
+        _log.info('control: listens on %s, operators at %s', address, http)
+        stopping = loop.create_task(process.stop_asked())
+        failing = loop.create_task(self._failure())
+        await asyncio.wait(
+            (stopping, failing), return_when=asyncio.FIRST_COMPLETED
+        )
+        await self._leave()
+        for work in (*working, stopping):
+            work.cancel()
+        if failing.done():
+            raise failing.result()
+        failing.cancel()
+
+    def _build_group(self) -> consensus.Consensus:
+        return consensus.Consensus(
+            group=GROUP,
+            node=self._node,
+            machine=self._machine,
+            disk=disk.FolderDisk(self._folder.of_group(GROUP)),
+            transport=transport.LinkTransport(self._links),
+            members=self._founders(),
+            timing=times_for(self._site.lost_hosts),
+            rng=random.Random(),
+        )
+
+    def _founders(self) -> dict[str, str]:
+        """Name the hosts that form the group, if this is the first start.
+
+        Only the first start may form a group: a host that lost its disk has
+        a blank one too, and must be taken in by those that still know.
+        """
+        if not self._site.first_start:
+            return {}
+        return {
+            places.host_of(address): address
+            for address in places.link_addresses(self._site)
+        }
+
+    def _member_addresses(self) -> list[str]:
+        return [member.address for member in self._group.members()]
+
+    def _others(self) -> list[str]:
+        known = dict.fromkeys(places.link_addresses(self._site))
+        known.update(dict.fromkeys(self._member_addresses()))
+        return [address for address in known if address]
+
+    async def _failure(self) -> Exception:
+        """Wait until the group can't go on, and give the reason.
+
+        A group that a fault has halted votes and answers no more, while its
+        process would look alive for ever.
+        """
+        while True:
+            await asyncio.sleep(TEND_SECONDS)
+            if self._group.failure is not None:
+                return self._group.failure
+
+    async def _leave(self) -> None:
+        _log.info('control: leaves')
+        with contextlib.suppress(TimeoutError, failures.ConsensusStopped):
+            async with asyncio.timeout(self._drain_seconds):
+                self._listener.stop_accepting()
+                await self._group.stop()
+        await self._door.close()
+        self._listener.close()
+        self._links.close()
+        self._folder.close()
+
+
+def times_for(lost_hosts: int) -> timing.Timing:
+    """Give the group's times where so many hosts may be lost at once."""
+    return attrs.evolve(TIMES, voters_least=2 * lost_hosts + 1)
+
+
+async def run(
+    settings: generated.Settings,
+    reader: configuration.Reader,
+    door: Door,
+    announce: process.Announce | None = None,
+) -> None:
+    """Run a control host until SIGTERM; ``announce`` gets its addresses."""
+    await SiteHost(settings, reader, door).run(announce)
--- a/tamarackthread/control/timing.py
+++ b/tamarackthread/control/timing.py
@@ -11,7 +11,11 @@
 
     Times are in seconds of the event loop's clock.  ``drift`` is the greatest
     share by which two hosts' clocks may differ in rate; the leader's lease is
-    shorter than the voters' silence by this share.
+    shorter than the voters' silence by this share.  ``is_lease_trusted`` says
+    whether reads rest on the leader's lease: not where a host may be suspended
+    with its clock.  A voter that is silent for ``gone`` makes room for another
+    that joins, and is let go while more than ``voters_least`` are left; 0
+    leaves that to operators.
     """
 
     heartbeat: float = 0.15
@@ -31,6 +35,9 @@
     reserve_bytes: int = 16 << 20
     pending_proposals: int = 8_192
     handover: float = 3.0
+    is_lease_trusted: bool = True
+    gone: float = 1.5
+    voters_least: int = 0
 
     @property
     def lease(self) -> float:
--- /dev/null
+++ b/tamarackthread/entry/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers of a site by calling its targets directly."""
--- /dev/null
+++ b/tamarackthread/entry/direct/calls.py
@@ -0,0 +1,46 @@
+"""Hold one caller's request as it goes through an entry."""
+
+from __future__ import annotations
+
+import attrs
+
+from tamarackthread.shared.site import configuration
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@attrs.frozen(kw_only=True)
+class Asked:
+    """Be a request as it was read, before anything is decided.
+
+    ``left`` is how long the caller will wait, in seconds, ``None`` if it did
+    not say.  ``position`` is the last event of a stream that the caller has.
+    """
+
+    call_id: str
+    method: str
+    host: str
+    path: str
+    headers: Headers
+    key: str = ''
+    left: float | None = None
+    position: str = ''
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """Be an accepted request: where it may go and until when.
+
+    ``deadline`` is on the loop's clock and the earlier of the caller's and
+    the route's.  ``organisation`` is empty where the route is open.
+    """
+
+    asked: Asked
+    body: bytes
+    route: configuration.Route
+    service: str
+    organisation: str
+    arrived: float
+    deadline: float
--- /dev/null
+++ b/tamarackthread/entry/direct/follower.py
@@ -0,0 +1,168 @@
+"""Follow every control host of the site."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import logging
+
+import attrs
+
+from tamarackthread.entry.direct import table, targets
+from tamarackthread.generated import settings as generated
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors, peers
+from tamarackthread.shared.site import (
+    announcements,
+    configuration,
+    document,
+    places,
+)
+
+WAIT_MS = 2000
+ANSWER_SECONDS = 4.0
+RETRY_SECONDS = 0.15
+SWEEP_SECONDS = 0.5
+# A host that no settings and no other host name any more is let go.
+FORGOTTEN_SECONDS = 10.0
+_log = logging.getLogger('tamarackthread.entry')
+
+
+@attrs.define(eq=False)
+class _Source:
+    """Be one control host and how far this entry is in its book."""
+
+    named_at: float
+    task: asyncio.Task[None] | None = None
+    epoch: int = 0
+    serial: int = 0
+
+
+class Follower:
+    """Keep the newest configuration and all announcements.
+
+    There is no agreement among control hosts on announcements: each tells
+    what it has heard, and the sequence says which word counts.  A drain so
+    needs one connection to work and no leader.
+    """
+
+    def __init__(
+        self,
+        site: generated.Site,
+        links: peers.Peers,
+        known: targets.Targets,
+        reader: configuration.Reader,
+    ) -> None:
+        """Follow nobody until ``run``."""
+        self._site = site
+        self._links = links
+        self._known = known
+        self._reader = reader
+        self._table: table.Table | None = None
+        self._sources: dict[str, _Source] = {}
+        self._entries: tuple[str, ...] = ()
+
+    @property
+    def table(self) -> table.Table | None:
+        """Return the configuration in force, ``None`` before the first."""
+        return self._table
+
+    @property
+    def entries(self) -> tuple[str, ...]:
+        """Return where the entries of the site accept links."""
+        return self._entries
+
+    async def run(self) -> None:
+        """Follow for ever, also hosts that are named later."""
+        try:
+            while True:
+                self._name(places.link_addresses(self._site))
+                self._let_go()
+                self._known.sweep()
+                await asyncio.sleep(SWEEP_SECONDS)
+        finally:
+            for source in self._sources.values():
+                if source.task is not None:
+                    source.task.cancel()
+
+    def _name(self, addresses: collections.abc.Iterable[str]) -> None:
+        loop = asyncio.get_running_loop()
+        for address in addresses:
+            source = self._sources.get(address)
+            if source is None:
+                source = _Source(loop.time())
+                self._sources[address] = source
+                source.task = loop.create_task(self._follow(address, source))
+            source.named_at = loop.time()
+
+    def _let_go(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for address, source in tuple(self._sources.items()):
+            if now - source.named_at < FORGOTTEN_SECONDS:
+                continue
+            self._sources.pop(address)
+            if source.task is not None:
+                source.task.cancel()
+            _log.info('entry: nobody names control host %s any more', address)
+
+    async def _follow(self, address: str, source: _Source) -> None:
+        is_up = False
+        while True:
+            try:
+                reply = await self._ask(address, source)
+            except (errors.CodedError, TimeoutError) as exc:
+                if is_up:
+                    _log.warning('entry: lost control %s, %s', address, exc)
+                is_up = False
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            if not is_up:
+                _log.info('entry: follows control %s', address)
+            is_up = True
+            self._take(source, reply)
+
+    async def _ask(
+        self,
+        address: str,
+        source: _Source,
+    ) -> messages.SiteFeedReply:
+        asked = messages.SiteFeedRequest(
+            version=0 if self._table is None else self._table.version,
+            epoch=source.epoch,
+            serial=source.serial,
+            wait_ms=WAIT_MS,
+        )
+        async with asyncio.timeout(ANSWER_SECONDS):
+            reply = await self._links.request(
+                address, messages.Request(site=asked), ANSWER_SECONDS
+            )
+        if reply.site is None:
+            raise errors.FrameInvalid('control host answered something else')
+        return reply.site
+
+    def _take(self, source: _Source, reply: messages.SiteFeedReply) -> None:
+        source.epoch = reply.epoch
+        source.serial = reply.serial
+        for row in reply.targets:
+            self._known.take(announcements.of_message(row))
+        if reply.document is not None:
+            self._adopt(document.Document(reply.version, reply.document))
+        self._name(reply.members)
+        self._entries = tuple(reply.entries)
+
+    def _adopt(self, held: document.Document) -> None:
+        """Put a configuration in force unless it is older than the own.
+
+        A control host that was cut off may tell of an older one.
+        """
+        if self._table is not None and held.version <= self._table.version:
+            return
+        try:
+            read = self._reader.read(held.body)
+        except errors.CodedError as exc:
+            # Control accepted it, so this entry runs an older program.  It
+            # goes on with what it has, which is better than nothing.
+            _log.error('entry: cannot read version %d, %s', held.version, exc)
+            return
+        self._table = table.Table(read)
+        _log.info('entry: version %d is in force', held.version)
--- /dev/null
+++ b/tamarackthread/entry/direct/front.py
@@ -0,0 +1,204 @@
+"""Serve callers' HTTP and the platform's question whether to send more."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import json
+import logging
+import random
+
+from aiohttp import web
+
+from tamarackthread.entry.direct import (
+    calls,
+    dialect,
+    failures,
+    running,
+    sink,
+    table,
+    upstream,
+)
+from tamarackthread.shared import errors
+
+# Callers keep a connection that was idle for most of the idle limit; closing
+# later than any of them costs a descriptor and cuts off nobody.
+KEEP_SECONDS = 75.0
+# Another entry takes the call at once.
+STOPPING_RETRY_SECONDS = 0.01
+# What a fault of this entry's own code or of a library raises.
+_FAULTS = (OSError, ValueError, LookupError, TypeError, AttributeError)
+_log = logging.getLogger('tamarackthread.entry')
+
+Tables = collections.abc.Callable[[], table.Table | None]
+
+
+class Front:
+    """Take requests, run them and answer."""
+
+    def __init__(
+        self,
+        spoken: dialect.Dialect,
+        tables: Tables,
+        runner: running.Runner,
+        generator: random.Random,
+    ) -> None:
+        """Serve nothing until ``start``."""
+        self._dialect = spoken
+        self._tables = tables
+        self._runner = runner
+        self._random = generator
+        self._is_leaving = False
+        self._is_refusing = False
+        self._open = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._runners: list[web.ServerRunner] = []
+
+    @property
+    def open_calls(self) -> int:
+        """Count the calls in this entry."""
+        return self._open
+
+    async def start(self, address: str) -> str:
+        """Serve callers at HOST:PORT and return the address in use."""
+        return await self._serve(self._handle, address)
+
+    async def start_readiness(self, address: str) -> str:
+        """Serve the platform's question and return the address in use."""
+        return await self._serve(self._answer_readiness, address)
+
+    def leave(self) -> None:
+        """Say not ready and ask callers to reconnect; go on serving."""
+        self._is_leaving = True
+
+    def refuse_new(self) -> None:
+        """Refuse new calls, which have then not run, and close what is idle.
+
+        A call that is accepted late in a stop would be cut off at its end.
+        """
+        self._is_refusing = True
+        for runner in self._runners:
+            if runner.server is not None:
+                runner.server.pre_shutdown()
+
+    async def wait_idle(self) -> None:
+        """Wait until no call is open."""
+        await self._idle.wait()
+
+    async def stop(self) -> None:
+        """Close the addresses and all connections."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _serve(
+        self,
+        handler: collections.abc.Callable[
+            [web.BaseRequest],
+            collections.abc.Awaitable[web.StreamResponse],
+        ],
+        address: str,
+    ) -> str:
+        server = web.Server(
+            handler,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEP_SECONDS,
+            lingering_time=0,
+        )
+        runner = web.ServerRunner(
+            server, handle_signals=False, shutdown_timeout=0.1
+        )
+        await runner.setup()
+        self._runners.append(runner)
+        host, _, port = address.rpartition(':')
+        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+        bound_host, bound_port = runner.addresses[0][:2]
+        return f'{bound_host}:{bound_port}'
+
+    async def _answer_readiness(
+        self,
+        request: web.BaseRequest,
+    ) -> web.StreamResponse:
+        is_ready = self._tables() is not None and not self._is_leaving
+        return web.Response(status=200 if is_ready else 503)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._open += 1
+        self._idle.clear()
+        out = sink.HttpSink(request, self._is_leaving)
+        try:
+            await self._answer(request, out)
+        except sink.CallerLeft:
+            _log.info('entry: a caller left before its answer was whole')
+            out.break_off()
+        finally:
+            self._open -= 1
+            if not self._open:
+                self._idle.set()
+        return out.response
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        out: sink.HttpSink,
+    ) -> None:
+        call_id = ''
+        try:
+            asked = self._dialect.read(request)
+            call_id = asked.call_id
+            call = await self._accept(request, asked)
+            await self._runner.run(call, out)
+        except errors.CodedError as exc:
+            await self._tell(call_id, out, exc)
+        except _FAULTS as exc:
+            # A fault of this entry: whether the call ran is not known.
+            _log.exception('entry: call %s failed by a fault', call_id)
+            await self._tell(call_id, out, failures.TargetFailed(str(exc)))
+
+    async def _accept(
+        self,
+        request: web.BaseRequest,
+        asked: calls.Asked,
+    ) -> calls.Call:
+        """Find the call's place; raise a coded refusal if it has none."""
+        arrived = asyncio.get_running_loop().time()
+        if self._is_refusing:
+            raise failures.EntryStops(retry_after=STOPPING_RETRY_SECONDS)
+        held = self._tables()
+        if held is None:
+            raise failures.NoConfiguration(retry_after=0.5)
+        path = asked.path.partition('?')[0]
+        found = held.find(asked.host, path, asked.key)
+        body = await request.read()
+        left = found.route.timeout
+        if asked.left is not None:
+            left = min(left, asked.left)
+        return calls.Call(
+            asked=asked,
+            body=body,
+            route=found.route,
+            service=table.pick_service(found.route, self._random),
+            organisation=found.organisation,
+            arrived=arrived,
+            deadline=arrived + left,
+        )
+
+    async def _tell(
+        self,
+        call_id: str,
+        out: sink.HttpSink,
+        failure: errors.CodedError,
+    ) -> None:
+        _log.info('entry: call %s ended, %s %s', call_id, failure.code, failure)
+        if out.has_started:
+            out.break_off()
+            return
+        headers = self._dialect.refusal(call_id)
+        headers.append(('Content-Type', 'application/json'))
+        if failure.retry_after > 0:
+            headers.append(('Retry-After', f'{failure.retry_after:.2f}'))
+        body = {'error': {'code': failure.code, 'message': str(failure)}}
+        await out.whole(
+            upstream.Head(failure.status, headers), json.dumps(body).encode()
+        )
--- /dev/null
+++ b/tamarackthread/entry/direct/role.py
@@ -0,0 +1,111 @@
+"""Run an entry of a site."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from tamarackthread.entry.direct import (
+    budgets,
+    dialect,
+    follower,
+    front,
+    running,
+    targets,
+    upstream,
+)
+from tamarackthread.generated import settings as generated
+from tamarackthread.shared import peers, process
+from tamarackthread.shared.site import configuration, places
+
+_log = logging.getLogger('tamarackthread.entry')
+
+
+class DirectEntry:
+    """Hold the parts of an entry's process."""
+
+    def __init__(
+        self,
+        settings: generated.Settings,
+        reader: configuration.Reader,
+        spoken: dialect.Dialect,
+    ) -> None:
+        """Build the parts; ``run`` starts them."""
+        assert settings.site is not None
+        self._site = settings.site
+        self._own = settings.entry
+        generator = random.Random()
+        loop = asyncio.get_running_loop()
+        self._place = process.take_place(settings)
+        self._links = peers.Peers(
+            self._place.options, most_backoff=places.MOST_BACKOFF_SECONDS
+        )
+        self._targets = targets.Targets(
+            settings.node.zone, self._site.announce_seconds, generator
+        )
+        self._follower = follower.Follower(
+            self._site, self._links, self._targets, reader
+        )
+        self._upstream = upstream.Upstream(spoken)
+        self._front = front.Front(
+            spoken,
+            lambda: self._follower.table,
+            running.Runner(
+                self._targets,
+                self._upstream,
+                budgets.Budgets(
+                    self._site,
+                    lambda: len(self._follower.entries),
+                    loop.time,
+                ),
+                generator,
+            ),
+            generator,
+        )
+
+    async def run(self, announce: process.Announce | None) -> None:
+        """Run until asked to stop, then end without cutting anything off."""
+        await self._upstream.start()
+        loop = asyncio.get_running_loop()
+        following = loop.create_task(self._follower.run())
+        http = await self._front.start(self._site.callers_address)
+        ready = await self._front.start_readiness(self._site.http_address)
+        if announce is not None:
+            announce({'http': http, 'ready': ready})
+        _log.info('entry: serves callers on %s', http)
+        await process.stop_asked()
+        await self._leave()
+        following.cancel()
+        self._links.close()
+
+    async def _leave(self) -> None:
+        """Stop in order: not ready, then no new call, then nothing open.
+
+        The platform sends new connections here until it has asked twice, so
+        the address stays open for that long.  Callers with an open connection
+        are asked at each answer to make a new one, which goes elsewhere.
+        """
+        _log.info('entry: leaves, %d calls open', self._front.open_calls)
+        self._front.leave()
+        await asyncio.sleep(self._own.health_grace_seconds)
+        self._front.refuse_new()
+        try:
+            async with asyncio.timeout(self._own.drain_seconds):
+                await self._front.wait_idle()
+        except TimeoutError:
+            _log.warning(
+                'entry: ends with %d calls open', self._front.open_calls
+            )
+        await self._front.stop()
+        await self._upstream.close()
+
+
+async def run(
+    settings: generated.Settings,
+    reader: configuration.Reader,
+    spoken: dialect.Dialect,
+    announce: process.Announce | None = None,
+) -> None:
+    """Run an entry until SIGTERM; ``announce`` gets its addresses."""
+    await DirectEntry(settings, reader, spoken).run(announce)
--- /dev/null
+++ b/tamarackthread/entry/direct/running.py
@@ -0,0 +1,236 @@
+"""Run a call at targets until one has answered or no try is left."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+import attrs
+
+from tamarackthread.entry.direct import (
+    budgets,
+    calls,
+    events,
+    failures,
+    sink,
+    targets,
+    upstream,
+)
+from tamarackthread.shared import errors
+from tamarackthread.shared.site import configuration
+
+# Tries at which no connection came about cost a target nothing; a caller
+# would still wait for each of them.
+CONNECT_TRIES = 4
+# A full target has a place again within about a tenth of a second; callers
+# that come back spread over more than that do not meet again.
+RETRY_AFTER_SECONDS = 0.25
+NO_TARGET_SECONDS = 0.5
+_log = logging.getLogger('tamarackthread.entry')
+
+
+@attrs.define(eq=False)
+class _Progress:
+    """Be how far a call has come over all its tries.
+
+    ``sent`` names the targets that the call was sent to, ``skipped`` those
+    that could not be reached, ``may_have_run`` whether any might have run it.
+    ``position`` is the last event that the caller was sent, and ``is_trying``
+    whether a target may have the call at this moment.
+    """
+
+    sent: list[str] = attrs.field(factory=list)
+    skipped: set[str] = attrs.field(factory=set)
+    may_have_run: bool = False
+    is_trying: bool = False
+    position: int = -1
+    failure: errors.CodedError | None = None
+
+
+class Runner:
+    """Run calls at the targets of their services."""
+
+    def __init__(
+        self,
+        known: targets.Targets,
+        sender: upstream.Upstream,
+        budget: budgets.Budgets,
+        generator: random.Random,
+    ) -> None:
+        """Choose among ``known`` and send with ``sender``."""
+        self._known = known
+        self._sender = sender
+        self._budget = budget
+        self._random = generator
+
+    async def run(self, call: calls.Call, out: sink.Sink) -> None:
+        """Answer the caller, or raise why there is no whole answer.
+
+        A coded error raised here tells whether the call may have run; the
+        answer may have begun by then.
+        """
+        progress = _Progress()
+        self._budget.earn(call.service)
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                await self._try_until_answered(call, progress, out)
+        except TimeoutError as exc:
+            if progress.may_have_run or progress.is_trying:
+                raise failures.DeadlinePassed(_names(progress)) from exc
+            raise failures.DeadlineBeforeSend(
+                retry_after=self._soon(RETRY_AFTER_SECONDS),
+            ) from exc
+
+    async def _try_until_answered(
+        self,
+        call: calls.Call,
+        progress: _Progress,
+        out: sink.Sink,
+    ) -> None:
+        while True:
+            target = self._next_target(call, progress)
+            target.own += 1
+            progress.is_trying = True
+            try:
+                await self._try(call, target, progress, out)
+            except errors.CodedError as exc:
+                self._learn(target, progress, exc)
+                _log.info(
+                    'entry: %s of call %s failed, %s %s',
+                    target.name,
+                    call.asked.call_id,
+                    exc.code,
+                    exc,
+                )
+            else:
+                target.answered()
+                return
+            finally:
+                target.own -= 1
+
+    def _next_target(
+        self,
+        call: calls.Call,
+        progress: _Progress,
+    ) -> targets.Target:
+        """Choose where to try next; raise the call's end if nowhere."""
+        if progress.failure is not None and not self._may_try(call, progress):
+            raise self._end(progress)
+        target = self._known.choose(
+            call.service, progress.skipped.union(progress.sent)
+        )
+        if target is None:
+            raise self._end(progress)
+        return target
+
+    def _may_try(self, call: calls.Call, progress: _Progress) -> bool:
+        if progress.may_have_run and not call.route.may_repeat:
+            return False
+        if len(progress.skipped) >= CONNECT_TRIES:
+            return False
+        if not progress.sent:
+            return True
+        if len(progress.sent) >= call.route.attempts:
+            return False
+        return self._budget.spend(call.service)
+
+    async def _try(
+        self,
+        call: calls.Call,
+        target: targets.Target,
+        progress: _Progress,
+        out: sink.Sink,
+    ) -> None:
+        position = call.asked.position
+        if progress.position >= 0:
+            position = str(progress.position)
+        async with self._sender.send(call, target, position) as answer:
+            is_stream = call.route.kind is configuration.Kind.STREAM
+            if is_stream and answer.head.status == 200:
+                await self._relay(call, answer, progress, out)
+                return
+            body = await answer.whole()
+            if self._is_worth_another(call, progress, answer.head.status):
+                raise upstream.Lost(f'status {answer.head.status}')
+            if out.has_started:
+                raise upstream.Lost(f'status {answer.head.status}')
+            await out.whole(answer.head, body)
+
+    def _is_worth_another(
+        self,
+        call: calls.Call,
+        progress: _Progress,
+        status: int,
+    ) -> bool:
+        """Tell whether a failure of a target's own may be tried elsewhere."""
+        if status < 500 or not call.route.may_repeat:
+            return False
+        if len(progress.sent) + 1 >= call.route.attempts:
+            return False
+        return self._budget.has_room(call.service)
+
+    async def _relay(
+        self,
+        call: calls.Call,
+        answer: upstream.Answer,
+        progress: _Progress,
+        out: sink.Sink,
+    ) -> None:
+        """Pass events on as they come, each at most once and in order."""
+        splitter = events.Splitter()
+        if not out.has_started:
+            await out.start(answer.head)
+        async for piece in answer.pieces():
+            ready = []
+            for event in splitter.feed(piece):
+                if 0 <= event.number <= progress.position:
+                    continue
+                progress.position = max(progress.position, event.number)
+                ready.append(event.payload)
+            if ready:
+                await out.write(b''.join(ready))
+        if splitter.rest:
+            await out.write(splitter.rest)
+        await out.finish()
+
+    def _learn(
+        self,
+        target: targets.Target,
+        progress: _Progress,
+        failure: errors.CodedError,
+    ) -> None:
+        progress.failure = failure
+        progress.is_trying = False
+        now = asyncio.get_running_loop().time()
+        if isinstance(failure, upstream.NotSent):
+            target.failed(now)
+            progress.skipped.add(target.name)
+            return
+        progress.sent.append(target.name)
+        if isinstance(failure, upstream.Elsewhere):
+            self._known.gone(target)
+            return
+        if isinstance(failure, upstream.Refused):
+            return
+        progress.may_have_run = True
+
+    def _end(self, progress: _Progress) -> errors.CodedError:
+        """Tell the caller's end: not run, or may have run."""
+        if progress.may_have_run:
+            return failures.TargetFailed(str(progress.failure))
+        if progress.sent:
+            return failures.TargetsFull(
+                retry_after=self._soon(RETRY_AFTER_SECONDS),
+            )
+        return failures.NoTargetReady(
+            retry_after=self._soon(NO_TARGET_SECONDS),
+        )
+
+    def _soon(self, seconds: float) -> float:
+        """Spread a time to come back, so that callers don't as one."""
+        return seconds * self._random.uniform(0.7, 1.5)
+
+
+def _names(progress: _Progress) -> str:
+    return ', '.join(progress.sent)
--- /dev/null
+++ b/tamarackthread/entry/direct/targets.py
@@ -0,0 +1,184 @@
+"""Know the targets of each service and choose one for a call."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import collections.abc
+import logging
+import random
+
+import attrs
+
+from tamarackthread.shared.site import announcements
+
+State = announcements.State
+
+# A target without any word for so many beats counts as silent even if no
+# control host says so: the host that heard it last may be gone itself.
+BEATS_UNHEARD = 7
+# Time out of the choice after a connection could not be made, doubled up to
+# the most: a restart takes about a second, a cut some seconds.
+FIRST_PAUSE_SECONDS = 0.3
+MOST_PAUSE_SECONDS = 4.0
+# Used where neither announcement nor answer tells how many run at once.
+ASSUMED_SLOTS = 6
+_log = logging.getLogger('tamarackthread.entry')
+
+
+@attrs.define(eq=False)
+class Target:
+    """Be one start of a target as this entry sees it.
+
+    ``own`` counts this entry's calls there and ``others`` those that other
+    entries told of.
+    """
+
+    said: announcements.Announcement
+    heard_at: float
+    own: int = 0
+    others: int = 0
+    paused_until: float = 0
+    pause: float = 0
+
+    @property
+    def name(self) -> str:
+        """Return the name of this start of the target."""
+        return self.said.target
+
+    @property
+    def slots(self) -> int:
+        """Return how many calls the target runs at once."""
+        return self.said.slots or ASSUMED_SLOTS
+
+    @property
+    def load(self) -> float:
+        """Return the calls there for each place."""
+        return (self.own + self.others) / self.slots
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether the target is surely up."""
+        return self.said.state == State.READY and self.paused_until <= now
+
+    def failed(self, now: float) -> None:
+        """Keep calls away for a while after one could not be delivered."""
+        doubled = min(MOST_PAUSE_SECONDS, 2 * self.pause)
+        self.pause = max(FIRST_PAUSE_SECONDS, doubled)
+        self.paused_until = now + self.pause
+
+    def answered(self) -> None:
+        """Note that the target has answered."""
+        self.pause = 0
+        self.paused_until = 0
+
+
+class Targets:
+    """Hold all targets that were announced."""
+
+    def __init__(
+        self,
+        zone: str,
+        beat_seconds: float,
+        generator: random.Random,
+    ) -> None:
+        """Start without targets; ``zone`` is this entry's own."""
+        self._zone = zone
+        self._unheard = beat_seconds * BEATS_UNHEARD
+        self._random = generator
+        self._by_name: dict[str, Target] = {}
+        self._by_service: dict[str, set[str]] = collections.defaultdict(set)
+
+    def take(self, said: announcements.Announcement) -> None:
+        """Take an announcement unless a later one is held."""
+        now = asyncio.get_running_loop().time()
+        held = self._by_name.get(said.target)
+        if held is None:
+            self._add(said, now)
+            return
+        if not said.follows(held.said):
+            return
+        if said.state != held.said.state:
+            _log.info(
+                'entry: target %s of %s is %s',
+                said.target,
+                held.said.service,
+                said.state.name.lower(),
+            )
+        held.heard_at = now
+        if said.state == State.GONE:
+            said = attrs.evolve(held.said, state=State.GONE)
+        held.said = said
+
+    def get(self, name: str) -> Target | None:
+        """Return a start of a target."""
+        return self._by_name.get(name)
+
+    def gone(self, target: Target) -> None:
+        """Note that another start of a target answers at the address."""
+        target.said = attrs.evolve(target.said, state=State.GONE)
+        _log.info('entry: target %s is not at its address', target.name)
+
+    def of_service(self, service: str) -> list[Target]:
+        """List the targets of a service, usable or not."""
+        return [
+            self._by_name[name] for name in self._by_service.get(service, ())
+        ]
+
+    def choose(
+        self,
+        service: str,
+        tried: collections.abc.Collection[str],
+    ) -> Target | None:
+        """Choose the least loaded target, in the own zone among equals.
+
+        Without one that is surely up, one that has fallen silent or refused
+        a connection may still answer, and a try costs the caller less than a
+        refusal.
+        """
+        now = asyncio.get_running_loop().time()
+        usable = [
+            target
+            for target in self.of_service(service)
+            if target.name not in tried and not target.said.is_leaving
+        ]
+        ready = [target for target in usable if target.is_ready(now)]
+        if ready:
+            return min(ready, key=self._rank)
+        return min(usable, key=_paused_until, default=None)
+
+    def sweep(self) -> None:
+        """Mark targets that nobody has spoken of for long."""
+        now = asyncio.get_running_loop().time()
+        for name, target in tuple(self._by_name.items()):
+            quiet = now - target.heard_at
+            if target.said.is_leaving and quiet > self._unheard * 4:
+                self._forget(name)
+                continue
+            if target.said.state != State.READY or quiet < self._unheard:
+                continue
+            target.said = attrs.evolve(target.said, state=State.SILENT)
+            _log.warning('entry: nobody tells of target %s any more', name)
+
+    def _add(self, said: announcements.Announcement, now: float) -> None:
+        self._by_name[said.target] = Target(said, now)
+        if said.service:
+            self._by_service[said.service].add(said.target)
+        _log.info(
+            'entry: target %s of %s at %s is %s',
+            said.target,
+            said.service,
+            said.address,
+            said.state.name.lower(),
+        )
+
+    def _forget(self, name: str) -> None:
+        gone = self._by_name.pop(name)
+        self._by_service[gone.said.service].discard(name)
+
+    def _rank(self, target: Target) -> tuple[float, bool, float]:
+        is_far = target.said.zone != self._zone
+        return target.load, is_far, self._random.random()
+
+
+def _paused_until(target: Target) -> float:
+    return target.paused_until
--- /dev/null
+++ b/tamarackthread/platform/wire.py
@@ -0,0 +1,35 @@
+"""Name the headers and paths of the platform."""
+
+from __future__ import annotations
+
+READY = '/tamarackthread/readiness'
+# ``{target}`` is one start of a target.
+ANNOUNCE = '/tamarackthread/replicas/{target}/heartbeat'
+FAREWELL = '/tamarackthread/replicas/{target}/deregister'
+REPLACE = '/tamarackthread/configuration/replace'
+READ = '/tamarackthread/configuration/read'
+
+# One client attempt: a caller that repeats itself sends another.
+CALL_ID = 'Attempt-Id'
+# Milliseconds that are left.
+LEFT = 'Deadline-Ms'
+POSITION = 'Last-Event-Id'
+CREDENTIAL = 'Authorization'
+CREDENTIAL_SCHEME = 'Bearer '
+# Prompt tokens and the most answer tokens, separated by a comma.
+TOKENS = 'Token-Counts'
+
+# Set towards targets: which start of a target is meant, and for whom.
+EXPECTED_TARGET = 'Expect-Replica'
+ORGANISATION = 'Tenant'
+
+# Set by targets.  The signature marks an answer as the target's own; the
+# refusal says that the call did not run.
+SIGNATURE = 'Response-Signature'
+REFUSAL = 'Not-Executed'
+LOAD = 'Replica-Load'
+TARGET = 'Replica-Id'
+AT_SERVER = 'At-Server'
+
+# Another target, or other weights, than the call expected.
+MISDIRECTED = 421
--- a/tamarackthread/shared/peers.py
+++ b/tamarackthread/shared/peers.py
@@ -42,8 +42,10 @@
         options: identity.LinkOptions,
         handler: link.Handler | None = None,
         rng: random.Random | None = None,
+        most_backoff: float = MAX_BACKOFF_SECONDS,
     ) -> None:
         """Dial nothing yet; ``rng`` spreads reconnects after a failure."""
+        self._most_backoff = most_backoff
         self._options = options
         self._handler = handler or QuietHandler()
         self._rng = rng or random.Random()
@@ -145,5 +147,5 @@
         # Jitter spreads the reconnects of many peers after a host returns;
         # without it they would all come back in the same instant.
         backoff.until = now + backoff.seconds * self._rng.uniform(0.5, 1)
-        backoff.seconds = min(backoff.seconds * 2, MAX_BACKOFF_SECONDS)
+        backoff.seconds = min(backoff.seconds * 2, self._most_backoff)
         backoff.error = error
--- a/tamarackthread/shared/reload.py
+++ b/tamarackthread/shared/reload.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import pathlib
 import signal
 import typing
 
@@ -40,9 +41,19 @@
     because the files that the settings name may have new contents.
     """
 
-    def __init__(self, path: str, source: live.Source) -> None:
-        """Reload a file into the source of the settings in force."""
+    def __init__(
+        self,
+        path: str,
+        source: live.Source,
+        base: pathlib.Path | None = None,
+    ) -> None:
+        """Reload a file into the source of the settings in force.
+
+        ``base`` is where relative paths in it are taken from, by default the
+        file's own folder.
+        """
         self._path = path
+        self._base = base
         self._source = source
 
     def watch(self) -> None:
@@ -70,7 +81,9 @@
         return True
 
     def _read(self) -> Merged:
-        merged = merge(self._source.current, settings.load(self._path))
+        merged = merge(
+            self._source.current, settings.load(self._path, self._base)
+        )
         # A key file or certificate that can't be used is found here, before
         # half of the change is taken over.
         secrets = merged.settings.security
--- a/tamarackthread/shared/settings.py
+++ b/tamarackthread/shared/settings.py
@@ -28,12 +28,19 @@
 )
 
 
-def load(path: str | pathlib.Path) -> generated.Settings:
-    """Read a settings file; raise ``InvalidError`` with all findings."""
+def load(
+    path: str | pathlib.Path,
+    base: pathlib.Path | None = None,
+) -> generated.Settings:
+    """Read a settings file; raise ``InvalidError`` with all findings.
+
+    Relative paths in it are taken from ``base`` where it is given, else from
+    the file's own folder.
+    """
     text, found = _read(pathlib.Path(path))
     if found:
         raise findings.InvalidError(found)
-    _resolve(text.value, pathlib.Path(path).absolute().parent)
+    _resolve(text.value, base or pathlib.Path(path).absolute().parent)
     return structure.build(generated.Settings, text.value)
 
 
--- a/tamarackthread/shared/settings_rules.py
+++ b/tamarackthread/shared/settings_rules.py
@@ -42,7 +42,8 @@
             findings.SectionMissing.code,
             f'role "{role}" needs a section "{role}"',
         )
-    if role != 'control' and not body.get('control_addresses'):
+    is_alone = body.get('site') is None and not body.get('control_addresses')
+    if role != 'control' and is_alone:
         yield validation.Violation(
             (),
             findings.KeyMissing.code,
--- /dev/null
+++ b/tamarackthread/shared/site/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what a site's control hosts and entries share."""
--- /dev/null
+++ b/tamarackthread/shared/site/configuration.py
@@ -0,0 +1,109 @@
+"""Hold one whole configuration of a site, and how it is read."""
+
+from __future__ import annotations
+
+import abc
+import enum
+
+import attrs
+
+
+class Kind(enum.Enum):
+    """Say what of a route's calls may be repeated."""
+
+    IDEMPOTENT = 'idempotent'
+    ONCE = 'once'
+    STREAM = 'stream'
+
+
+@attrs.frozen
+class Share:
+    """Be one service's part of a route's calls."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Say where calls for a host and a path prefix go.
+
+    ``attempts`` is how many targets one call may be sent to, ``timeout`` how
+    long it is kept waiting and ``aim`` the time to its first byte that its
+    caller hopes for, both in seconds.  A lower ``priority`` goes first.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    shares: tuple[Share, ...]
+    timeout: float
+    aim: float
+    attempts: int = 1
+    priority: int = 0
+    is_open: bool = False
+    is_resumable: bool = False
+    gap: float = 0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether a call may run more than once.
+
+        A stream that can be resumed continues its answer elsewhere, so a
+        second run gives the caller nothing twice.
+        """
+        if self.kind is Kind.STREAM:
+            return self.is_resumable
+        return self.kind is Kind.IDEMPOTENT
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """Be a set of targets that answer alike.
+
+    ``connections`` bounds what one target takes from all callers; ``slots``
+    is how many calls it runs at once, 0 if only its announcement says so.
+    """
+
+    name: str
+    connections: int = 0
+    slots: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Organisation:
+    """Be one organisation, its secret keys and its rank; 0 goes first."""
+
+    name: str
+    keys: frozenset[str]
+    priority: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """Bound what a caller may send; times are in seconds."""
+
+    header_bytes: int = 16 << 10
+    body_bytes: int = 4 << 20
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@attrs.frozen(kw_only=True)
+class Configuration:
+    """Be everything that is in force under one version."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    organisations: tuple[Organisation, ...] = ()
+    limits: Limits = Limits()
+
+
+class Reader(abc.ABC):
+    """Read a configuration in the form in which operators send it."""
+
+    @abc.abstractmethod
+    def read(self, body: bytes) -> Configuration:
+        """Read all of it; raise ``InvalidError`` with all findings."""
--- /dev/null
+++ b/tamarackthread/shared/site/places.py
@@ -0,0 +1,20 @@
+"""Work out where the hosts of a site are reached."""
+
+from __future__ import annotations
+
+from tamarackthread.generated import settings as generated
+
+# A host that is back is dialled within so many seconds: a target may say its
+# farewell to it at once, and entries must hear of that within two seconds.
+MOST_BACKOFF_SECONDS = 0.3
+
+
+def host_of(address: str) -> str:
+    """Give the host of HOST:PORT."""
+    return address.rpartition(':')[0]
+
+
+def link_addresses(site: generated.Site) -> list[str]:
+    """List where the control hosts of the settings accept links."""
+    hosts = dict.fromkeys(host_of(seed) for seed in site.seeds)
+    return [f'{host}:{site.link_port}' for host in hosts]
