Close idle connections in a stop and take a reset for no answer's end

Cause: the HTTP library's pre-shutdown leaves idle connections open and drops what comes on them, so a caller's next request waited until the process ended; and it takes the reset of an answer without a length for its end.

Ruled out: calls accepted late in a stop (refused since 2.6 s after SIGTERM); a target that closes in good order.

Tests on real sockets fail without either change.

--- a/tamarackthread/entry/direct/front.py
+++ b/tamarackthread/entry/direct/front.py
@@ -51,6 +51,7 @@
         self._is_leaving = False
         self._is_refusing = False
         self._open = 0
+        self._busy: set[web.RequestHandler] = set()
         self._idle = asyncio.Event()
         self._idle.set()
         self._runners: list[web.ServerRunner] = []
@@ -79,8 +80,13 @@
         """
         self._is_refusing = True
         for runner in self._runners:
-            if runner.server is not None:
-                runner.server.pre_shutdown()
+            if runner.server is None:
+                continue
+            # The library's own way leaves idle connections open and drops
+            # what comes on them, so that a caller waits for nothing.
+            for connection in runner.server.connections:
+                if connection not in self._busy:
+                    connection.force_close()
 
     async def wait_idle(self) -> None:
         """Wait until no call is open."""
@@ -124,20 +130,30 @@
         return web.Response(status=200 if is_ready else 503)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._open += 1
-        self._idle.clear()
-        out = sink.HttpSink(request, self._is_leaving)
+        self._began(request)
+        out = sink.HttpSink(request, lambda: self._is_leaving)
         try:
             await self._answer(request, out)
         except sink.CallerLeft:
             _log.info('entry: a caller left before its answer was whole')
             out.break_off()
         finally:
-            self._open -= 1
-            if not self._open:
-                self._idle.set()
+            self._ended(request)
+        if self._is_leaving:
+            out.end_connection()
         return out.response
 
+    def _began(self, request: web.BaseRequest) -> None:
+        self._open += 1
+        self._busy.add(request.protocol)
+        self._idle.clear()
+
+    def _ended(self, request: web.BaseRequest) -> None:
+        self._open -= 1
+        self._busy.discard(request.protocol)
+        if not self._open:
+            self._idle.set()
+
     async def _answer(
         self,
         request: web.BaseRequest,
--- a/tamarackthread/entry/direct/sink.py
+++ b/tamarackthread/entry/direct/sink.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import collections.abc
 
 from aiohttp import web
 
@@ -41,7 +42,11 @@
 class HttpSink(Sink):
     """Write to an HTTP caller."""
 
-    def __init__(self, request: web.BaseRequest, is_last: bool) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        is_last: collections.abc.Callable[[], bool],
+    ) -> None:
         """Send nothing yet; ``is_last`` asks the caller to reconnect."""
         self._request = request
         self._is_last = is_last
@@ -96,6 +101,11 @@
         except OSError as exc:
             raise CallerLeft from exc
 
+    def end_connection(self) -> None:
+        """Let no further request come on this connection."""
+        if self._response is not None:
+            self._response.force_close()
+
     def break_off(self) -> None:
         """Cut the connection, so that the answer can't be taken for whole.
 
@@ -109,5 +119,5 @@
     def _fill(self, response: web.StreamResponse, head: upstream.Head) -> None:
         for name, value in head.headers:
             response.headers.add(name, value)
-        if self._is_last:
+        if self._is_last():
             response.force_close()
--- a/tamarackthread/entry/direct/upstream.py
+++ b/tamarackthread/entry/direct/upstream.py
@@ -80,6 +80,9 @@
         """Read the body with ``pieces`` or ``whole``."""
         self._head = head
         self._response = response
+        connection = response.connection
+        # An answer that has come whole has let its connection go already.
+        self._protocol = None if connection is None else connection.protocol
 
     @property
     def head(self) -> Head:
@@ -89,7 +92,9 @@
     async def whole(self) -> bytes:
         """Read the body to its end; raise ``Lost`` if it broke off."""
         with _losing():
-            return await self._response.read()
+            body = await self._response.read()
+        self._require_end()
+        return body
 
     async def pieces(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the body as it comes; raise ``Lost`` if it breaks off."""
@@ -98,9 +103,22 @@
             with _losing():
                 piece = await content.readany()
             if not piece:
+                self._require_end()
                 return
             yield piece
 
+    def _require_end(self) -> None:
+        """Raise ``Lost`` if the end of the connection was not a planned one.
+
+        An answer without a length ends with its connection.  The library
+        takes a reset for that end too, and a target that crashed half way
+        would seem to have said all.
+        """
+        if self._protocol is None or _is_framed(self._response):
+            return
+        if isinstance(self._protocol.exception(), aiohttp.ClientOSError):
+            raise Lost('connection was reset before the answer had ended')
+
 
 class Upstream:
     """Hold the connections to all targets."""
@@ -208,6 +226,14 @@
         raise Lost(str(exc) or type(exc).__name__) from exc
 
 
+def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Tell whether the answer itself says where it ends."""
+    if 'Content-Length' in response.headers:
+        return True
+    coding = response.headers.get('Transfer-Encoding', '')
+    return 'chunked' in coding.lower()
+
+
 def _session(**connector: object) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0, **connector),
--- a/tests/consensus_net.py
+++ b/tests/consensus_net.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import random
+import typing
 import unittest
 import warnings
 
@@ -44,20 +45,25 @@
 class Net:
     """Be some hosts of one group."""
 
-    def __init__(self, **times: float) -> None:
+    def __init__(
+        self,
+        machine_of: collections.abc.Callable[[], machine.Machine] = Rows,
+        **times: float,
+    ) -> None:
         """Use a timing that differs by ``times``."""
+        self._machine_of = machine_of
         self.rng = random.Random(7)
         self.network = network.Network(self.rng)
         self.platters: dict[str, disks.Platter] = {}
         self.processes: dict[str, consensus.Consensus] = {}
-        self.machines: dict[str, Rows] = {}
+        self.machines: dict[str, typing.Any] = {}
         self._times = timing.Timing(**times)
 
     async def start(self, *nodes: str, named: bool = True) -> None:
         """Start hosts, known to each other by their settings or not."""
         for node in nodes:
             platter = self.platters.setdefault(node, disks.Platter(self.rng))
-            self.machines[node] = Rows()
+            self.machines[node] = self._machine_of()
             process = consensus.Consensus(
                 group=GROUP,
                 node=node,
--- /dev/null
+++ b/tests/test_direct_calls.py
@@ -0,0 +1,390 @@
+"""Prove what callers get when an entry calls targets directly."""
+
+import asyncio
+import random
+import socket
+import struct
+import unittest
+
+import aiohttp
+
+from tamarackthread.entry.direct import (
+    budgets,
+    front,
+    running,
+    table,
+    targets,
+    upstream,
+)
+from tamarackthread.generated import settings
+from tamarackthread.platform import calls as spoken
+from tamarackthread.shared.site import announcements, configuration
+
+LONGEST_SECONDS = 20
+HOST = 'h.example'
+ONCE = configuration.Kind.ONCE
+STREAM = configuration.Kind.STREAM
+IDEMPOTENT = configuration.Kind.IDEMPOTENT
+RESET = struct.pack('ii', 1, 0)
+ANSWER = (
+    'HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s.{name}\r\n'
+)
+
+
+class FakeTarget:
+    """Answer each call by a script: a coroutine that writes bytes."""
+
+    def __init__(self, name, script):
+        self.name = name
+        self.heads = []
+        self.closed = asyncio.Event()
+        self._script = script
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        return f'{host}:{port}'
+
+    def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b'\r\n\r\n')).decode()
+                self.heads.append(head)
+                await self._script(self, head, writer)
+        except (asyncio.IncompleteReadError, OSError):
+            self.closed.set()
+            writer.close()
+
+
+def header(head, name):
+    """Find a header's value in a request's head."""
+    for line in head.split('\r\n'):
+        if line.lower().startswith(f'{name.lower()}: '):
+            return line.split(': ', 1)[1]
+    return ''
+
+
+def head_of(target, head):
+    return ANSWER.format(id=header(head, 'Attempt-Id'), name=target.name)
+
+
+def whole(text, status='200 OK'):
+    """Answer with a whole body."""
+
+    async def script(target, head, writer):
+        start = head_of(target, head).replace('200 OK', status)
+        writer.write(
+            f'{start}Content-Length: {len(text)}\r\n\r\n{text}'.encode()
+        )
+
+    return script
+
+
+async def refusing(target, head, writer):
+    writer.write(
+        b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+
+
+async def dropping(target, head, writer):
+    writer.close()
+
+
+async def resetting_unframed(target, head, writer):
+    start = head_of(target, head)
+    writer.write(f'{start}Connection: close\r\n\r\nhalf'.encode())
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    raw = writer.get_extra_info('socket')
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
+
+
+async def ending_unframed(target, head, writer):
+    start = head_of(target, head)
+    writer.write(f'{start}Connection: close\r\n\r\nall of it'.encode())
+    writer.close()
+
+
+async def answering_another(target, head, writer):
+    text = ANSWER.format(id='another', name=target.name)
+    writer.write(f'{text}Content-Length: 5\r\n\r\nwrong'.encode())
+
+
+def streaming(first, last, is_whole):
+    """Send numbered events; break off in the middle of one unless whole."""
+
+    async def script(target, head, writer):
+        position = int(header(head, 'Last-Event-Id') or 0)
+        start = head_of(target, head)
+        writer.write(f'{start}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        for number in range(max(first, position + 1), last + 1):
+            writer.write(_chunk(f'id: {number}\ndata: e{number}\n\n'))
+        if is_whole:
+            writer.write(b'0\r\n\r\n')
+            return
+        writer.write(_chunk(f'id: {last + 1}\ndata: ha'))
+        writer.close()
+
+    return script
+
+
+def _chunk(text):
+    return f'{len(text):x}\r\n{text}\r\n'.encode()
+
+
+class DirectCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        loop = asyncio.get_running_loop()
+        rng = random.Random(3)
+        self.known = targets.Targets('z', 1.0, rng)
+        self.sender = upstream.Upstream(spoken.PlatformDialect())
+        await self.sender.start()
+        site = settings.Site(seeds=(), link_port=1, retry_reserve=20)
+        self.table = None
+        self.front = front.Front(
+            spoken.PlatformDialect(),
+            lambda: self.table,
+            running.Runner(
+                self.known,
+                self.sender,
+                budgets.Budgets(site, lambda: 1, loop.time),
+                rng,
+            ),
+            rng,
+        )
+        self.address = await self.front.start('127.0.0.1:0')
+        self.session = aiohttp.ClientSession()
+        self.fakes = []
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.front.stop()
+        await self.sender.close()
+        for fake in self.fakes:
+            fake.close()
+
+    def serve(self, kind, **fields):
+        route = configuration.Route(
+            name='r',
+            host=HOST,
+            prefix='/a/',
+            kind=kind,
+            shares=(configuration.Share('s', 1),),
+            **{'timeout': 5, 'aim': 0.4, 'attempts': 2, **fields},
+        )
+        owner = configuration.Organisation(
+            name='org', keys=frozenset(('secret',))
+        )
+        self.table = table.Table(
+            configuration.Configuration(
+                version=1,
+                routes=(route,),
+                services=(configuration.Service(name='s'),),
+                organisations=(owner,),
+            )
+        )
+
+    async def add(self, script, zone='z'):
+        fake = FakeTarget(f't{len(self.fakes) + 1}', script)
+        self.fakes.append(fake)
+        self.known.take(
+            announcements.Announcement(
+                target=fake.name,
+                service='s',
+                address=await fake.start(),
+                zone=zone,
+            )
+        )
+        return fake
+
+    async def ask(self, path='/a/b', method='POST', key='secret', **headers):
+        asked = {
+            'Host': HOST,
+            'Attempt-Id': 'c1',
+            'Deadline-Ms': '4000',
+            'Authorization': f'Bearer {key}',
+            **headers,
+        }
+        async with asyncio.timeout(LONGEST_SECONDS):
+            async with self.session.request(
+                method, f'http://{self.address}{path}', headers=asked
+            ) as response:
+                return response.status, await response.read(), response.headers
+
+
+class AnswersCase(DirectCase):
+    async def test_key_stays_and_organisation_goes(self):
+        """A target learns whose call it is and never sees the key."""
+        self.serve(ONCE)
+        fake = await self.add(whole('yes'))
+        status, body, headers = await self.ask(Tenant='forged')
+        self.assertEqual((200, b'yes'), (status, body))
+        self.assertEqual('s.t1', headers['Response-Signature'])
+        self.assertNotIn('secret', fake.heads[0])
+        self.assertEqual('org', header(fake.heads[0], 'Tenant'))
+        self.assertEqual('t1', header(fake.heads[0], 'Expect-Replica'))
+        self.assertLessEqual(int(header(fake.heads[0], 'Deadline-Ms')), 4000)
+
+    async def test_no_configuration_is_not_a_missing_route(self):
+        """An entry without a configuration says 'not run', never 404."""
+        self.assertEqual(503, (await self.ask())[0])
+        self.serve(ONCE)
+        self.assertEqual(404, (await self.ask('/c/'))[0])
+        self.assertEqual(401, (await self.ask(key='wrong'))[0])
+
+    async def test_reset_does_not_end_an_answer(self):
+        """A target crashes while it sends an answer without a length.
+
+        Such an answer ends with its connection.  A reset is no such end, and
+        the half must not reach the caller as a whole answer.
+        """
+        self.serve(ONCE)
+        await self.add(resetting_unframed)
+        self.assertEqual(502, (await self.ask())[0])
+
+    async def test_answer_without_a_length(self):
+        """An answer that ends with its connection in good order is whole."""
+        self.serve(ONCE)
+        await self.add(ending_unframed)
+        self.assertEqual((200, b'all of it'), (await self.ask())[:2])
+
+    async def test_stray_answer_is_not_passed_on(self):
+        """The answer to another call lies where ours is expected.
+
+        The caller must not get it, and as the call may have run, it is sent
+        again only where that is harmless.
+        """
+        self.serve(ONCE)
+        await self.add(answering_another)
+        self.assertEqual(502, (await self.ask())[0])
+
+
+class TriesCase(DirectCase):
+    async def test_lost_answer_is_not_tried_again(self):
+        """A call that must not repeat meets a target that drops it.
+
+        It may have run, so no other target sees it, and the answer does not
+        say 'not run'.
+        """
+        self.serve(ONCE)
+        first = await self.add(dropping)
+        second = await self.add(whole('yes'), zone='far')
+        self.assertEqual(502, (await self.ask())[0])
+        self.assertEqual((1, 0), (len(first.heads), len(second.heads)))
+
+    async def test_library_does_not_repeat(self):
+        """A read is sent once to a target that drops it, then elsewhere.
+
+        The HTTP library would send it to the same target again by itself,
+        a run that no budget counts.
+        """
+        self.serve(IDEMPOTENT)
+        first = await self.add(dropping)
+        second = await self.add(whole('yes'), zone='far')
+        self.assertEqual(200, (await self.ask(method='GET'))[0])
+        self.assertEqual((1, 1), (len(first.heads), len(second.heads)))
+
+    async def test_refused_unrun(self):
+        """All targets refuse: the caller is told 'not run' and when to come."""
+        self.serve(ONCE)
+        await self.add(refusing)
+        await self.add(refusing)
+        status, _, headers = await self.ask()
+        self.assertEqual(503, status)
+        self.assertGreater(float(headers['Retry-After']), 0)
+
+    async def test_unreachable_target(self):
+        """A call goes on to another target when one can't be connected to."""
+        self.serve(ONCE, attempts=1)
+        gone = await self.add(whole('no'))
+        gone.close()
+        await self.add(whole('yes'), zone='far')
+        self.assertEqual((200, b'yes'), (await self.ask())[:2])
+
+    async def test_own_failure_is_tried_elsewhere(self):
+        """A target's own failure of a read is tried at another target."""
+        self.serve(IDEMPOTENT)
+        await self.add(whole('bad', '500 Bad'))
+        await self.add(whole('good'), zone='far')
+        self.assertEqual((200, b'good'), (await self.ask(method='GET'))[:2])
+
+
+class StreamCase(DirectCase):
+    async def test_resumed_elsewhere(self):
+        """A stream breaks in the middle of an event and goes on elsewhere.
+
+        The caller sees each event once and in order, and nothing of the half
+        event, in one answer.
+        """
+        self.serve(STREAM, is_resumable=True)
+        await self.add(streaming(1, 3, is_whole=False))
+        second = await self.add(streaming(1, 5, is_whole=True), zone='far')
+        status, body, _ = await self.ask()
+        wanted = ''.join(
+            f'id: {number}\ndata: e{number}\n\n' for number in range(1, 6)
+        )
+        self.assertEqual((200, wanted.encode()), (status, body))
+        self.assertEqual('3', header(second.heads[0], 'Last-Event-Id'))
+
+    async def test_broken_visibly(self):
+        """A stream that can't go on ends so that no caller takes it for whole."""
+        self.serve(STREAM)
+        await self.add(streaming(1, 3, is_whole=False))
+        with self.assertRaises(aiohttp.ClientError):
+            await self.ask()
+
+    async def test_caller_leaves(self):
+        """A caller closes its connection; the target's is closed at once."""
+        self.serve(STREAM, is_resumable=True)
+        started = asyncio.Event()
+
+        async def endless(target, head, writer):
+            start = head_of(target, head)
+            writer.write(f'{start}Transfer-Encoding: chunked\r\n\r\n'.encode())
+            writer.write(_chunk('id: 1\ndata: a\n\n'))
+            started.set()
+
+        fake = await self.add(endless)
+        asking = asyncio.create_task(self.ask())
+        await started.wait()
+        asking.cancel()
+        async with asyncio.timeout(LONGEST_SECONDS):
+            await fake.closed.wait()
+
+
+class StopCase(DirectCase):
+    async def test_idle_connection_is_closed(self):
+        """A caller with an idle connection sees a stop, and waits for nothing.
+
+        The HTTP library's own close leaves the connection open and drops what
+        comes on it, so that the next request would never be answered.
+        """
+        self.serve(ONCE)
+        await self.add(whole('yes'))
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        request = (
+            f'POST /a/b HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: c\r\n'
+            'Authorization: Bearer secret\r\nContent-Length: 0\r\n\r\n'
+        )
+        writer.write(request.encode())
+        await reader.readuntil(b'yes')
+        self.front.leave()
+        self.front.refuse_new()
+        async with asyncio.timeout(LONGEST_SECONDS):
+            self.assertEqual(b'', await reader.read())
+        writer.close()
+
+    async def test_call_in_a_stop(self):
+        """A call that comes after the grace of a stop is told 'not run'."""
+        self.serve(ONCE)
+        await self.add(whole('yes'))
+        self.front.leave()
+        status, _, headers = await self.ask()
+        self.assertEqual((200, 'close'), (status, headers['Connection']))
+        self.front.refuse_new()
+        self.assertEqual(503, (await self.ask())[0])
