--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -46,7 +46,10 @@
     append_timeout=1.5,
     stall=0.6,
     segment_bytes=1 << 20,
-    snapshot_entries=500,
+    # A host that starts knows only of its snapshot that it was committed; the
+    # rest of its log waits for a leader.  With each change in a snapshot the
+    # entries that start with it have a configuration a second earlier.
+    snapshot_entries=1,
     snapshot_bytes=2 << 20,
     trailing_entries=50,
     reserve_bytes=4 << 20,
--- a/tamarackthread/entry/direct/front.py
+++ b/tamarackthread/entry/direct/front.py
@@ -30,7 +30,11 @@
 _FAULTS = (OSError, ValueError, LookupError, TypeError, AttributeError)
 _log = logging.getLogger('tamarackthread.entry')
 
-Tables = collections.abc.Callable[[], table.Table | None]
+# A call that comes before the first configuration waits for it, for at most
+# this part of its caller's time: after a restart it is there within a second,
+# and a caller that is refused has used up a try.
+WAIT_SHARE = 0.3
+MOST_WAIT_SECONDS = 1.5
 
 
 class Front:
@@ -39,7 +43,7 @@
     def __init__(
         self,
         spoken: dialect.Dialect,
-        tables: Tables,
+        tables: table.Holder,
         runner: running.Runner,
         generator: random.Random,
     ) -> None:
@@ -126,7 +130,8 @@
         self,
         request: web.BaseRequest,
     ) -> web.StreamResponse:
-        is_ready = self._tables() is not None and not self._is_leaving
+        has_table = self._tables.current is not None
+        is_ready = has_table and not self._is_leaving
         return web.Response(status=200 if is_ready else 503)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -181,9 +186,7 @@
         arrived = asyncio.get_running_loop().time()
         if self._is_refusing:
             raise failures.EntryStops(retry_after=STOPPING_RETRY_SECONDS)
-        held = self._tables()
-        if held is None:
-            raise failures.NoConfiguration(retry_after=0.5)
+        held = await self._tables.wait(_patience(asked))
         path = asked.path.partition('?')[0]
         found = held.find(asked.host, path, asked.key)
         body = await request.read()
@@ -218,3 +221,10 @@
         await out.whole(
             upstream.Head(failure.status, headers), json.dumps(body).encode()
         )
+
+
+def _patience(asked: calls.Asked) -> float:
+    """Return how long a call waits for what a start brings, in seconds."""
+    if asked.left is None:
+        return MOST_WAIT_SECONDS
+    return min(MOST_WAIT_SECONDS, WAIT_SHARE * asked.left)
--- a/tamarackthread/entry/direct/learned.py
+++ b/tamarackthread/entry/direct/learned.py
@@ -23,21 +23,18 @@
         self,
         known: targets.Targets,
         reader: configuration.Reader,
+        tables: table.Holder,
     ) -> None:
-        """Begin without a configuration."""
+        """Put what is learned into ``known`` and ``tables``."""
         self._known = known
         self._reader = reader
-        self._table: table.Table | None = None
+        self._tables = tables
 
     @property
     def version(self) -> int:
         """Return the version in force, 0 before the first."""
-        return 0 if self._table is None else self._table.version
-
-    @property
-    def table(self) -> table.Table | None:
-        """Return the configuration in force, ``None`` before the first."""
-        return self._table
+        current = self._tables.current
+        return 0 if current is None else current.version
 
     def learn_target(self, said: announcements.Announcement) -> None:
         """Take an announcement."""
@@ -52,5 +49,5 @@
             # goes on with what it has, which is better than nothing.
             _log.error('entry: cannot read version %d, %s', held.version, exc)
             return
-        self._table = table.Table(read)
+        self._tables.put(table.Table(read))
         _log.info('entry: version %d is in force', held.version)
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -12,6 +12,7 @@
     front,
     learned,
     running,
+    table,
     targets,
     upstream,
 )
@@ -44,14 +45,16 @@
         self._targets = targets.Targets(
             settings.node.zone, self._site.announce_seconds, generator
         )
-        self._learned = learned.Learned(self._targets, reader)
+        tables = table.Holder()
         self._follower = following.Follower(
-            self._site, self._links, self._learned
+            self._site,
+            self._links,
+            learned.Learned(self._targets, reader, tables),
         )
         self._upstream = upstream.Upstream(spoken)
         self._front = front.Front(
             spoken,
-            lambda: self._learned.table,
+            tables,
             running.Runner(
                 self._targets,
                 self._upstream,
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -23,6 +23,10 @@
 # Tries at which no connection came about cost a target nothing; a caller
 # would still wait for each of them.
 CONNECT_TRIES = 4
+# A call that finds no target announced yet waits for the first, for at most
+# this part of its time.
+WAIT_SHARE = 0.3
+MOST_WAIT_SECONDS = 1.5
 # A full target has a place again within about a tenth of a second; callers
 # that come back spread over more than that do not meet again.
 RETRY_AFTER_SECONDS = 0.25
@@ -89,7 +93,7 @@
         out: sink.Sink,
     ) -> None:
         while True:
-            target = self._next_target(call, progress)
+            target = await self._next_target(call, progress)
             target.own += 1
             progress.is_trying = True
             try:
@@ -109,7 +113,7 @@
             finally:
                 target.own -= 1
 
-    def _next_target(
+    async def _next_target(
         self,
         call: calls.Call,
         progress: _Progress,
@@ -117,6 +121,10 @@
         """Choose where to try next; raise the call's end if nowhere."""
         if progress.failure is not None and not self._may_try(call, progress):
             raise self._end(progress)
+        # An entry that has just started learns of targets within a beat.
+        left = call.deadline - asyncio.get_running_loop().time()
+        patience = min(MOST_WAIT_SECONDS, WAIT_SHARE * left)
+        await self._known.arrival(call.service, patience)
         target = self._known.choose(
             call.service, progress.skipped.union(progress.sent)
         )
--- a/tamarackthread/entry/direct/table.py
+++ b/tamarackthread/entry/direct/table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import random
 
 import attrs
@@ -9,6 +11,9 @@
 from tamarackthread.entry.direct import failures
 from tamarackthread.shared.site import configuration
 
+# A process that has just started has a configuration soon, if at all.
+NOT_YET_SECONDS = 0.5
+
 
 @attrs.frozen
 class Found:
@@ -69,6 +74,35 @@
         return None
 
 
+class Holder:
+    """Hold the table in force, and let calls wait for the first one."""
+
+    def __init__(self) -> None:
+        """Begin without a table."""
+        self._current: Table | None = None
+        self._first = asyncio.Event()
+
+    @property
+    def current(self) -> Table | None:
+        """Return the table in force, ``None`` before the first."""
+        return self._current
+
+    def put(self, fresh: Table) -> None:
+        """Put a table in force."""
+        self._current = fresh
+        self._first.set()
+
+    async def wait(self, seconds: float) -> Table:
+        """Return the table; raise ``NoConfiguration`` if there is none yet."""
+        if self._current is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await self._first.wait()
+        if self._current is None:
+            raise failures.NoConfiguration(retry_after=NOT_YET_SECONDS)
+        return self._current
+
+
 def pick_service(
     route: configuration.Route,
     generator: random.Random,
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -86,6 +86,7 @@
         self._zone = zone
         self._unheard = beat_seconds * BEATS_UNHEARD
         self._random = generator
+        self._arrived = asyncio.Event()
         self._by_name: dict[str, Target] = {}
         self._by_service: dict[str, set[str]] = collections.defaultdict(set)
 
@@ -153,6 +154,18 @@
             await asyncio.sleep(SWEEP_SECONDS)
             self.sweep()
 
+    async def arrival(self, service: str, seconds: float) -> bool:
+        """Wait for the first target of a service; tell whether it has come."""
+        until = asyncio.get_running_loop().time() + seconds
+        while not self._by_service.get(service):
+            arrived = self._arrived
+            try:
+                async with asyncio.timeout_at(until):
+                    await arrived.wait()
+            except TimeoutError:
+                return False
+        return True
+
     def sweep(self) -> None:
         """Mark targets that nobody has spoken of for long."""
         now = asyncio.get_running_loop().time()
@@ -170,6 +183,8 @@
         self._by_name[said.target] = Target(said, now)
         if said.service:
             self._by_service[said.service].add(said.target)
+            self._arrived.set()
+            self._arrived = asyncio.Event()
         _log.info(
             'entry: target %s of %s at %s is %s',
             said.target,
