Read counts only where passes are long, free slow ranks, log decisions

Decisions are logged with names and inputs, and 'explain' tells a request's story from the logs of many processes.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -259,12 +259,14 @@
   1: string id, 2: string service_name, 3: string address, 4: string zone, 5: i32 slots,
   6: TargetState state, 7: i64 sequence, 8: i32 cold_ms,
 }
+// How much slower than usual a target works, in percent; 100 is its usual pace.
+struct SitePace { 1: string id, 2: i32 percent }
 struct SiteFeedRequest { 1: i64 version, 2: i64 epoch, 3: i64 serial, 4: i32 wait_ms }
 // document is packed and only there if newer; members are control hosts and
 // entries the followers, both as addresses of their links.
 struct SiteFeedReply {
   1: i64 version, 2: optional binary document, 3: i64 epoch, 4: i64 serial, 5: list<SiteTarget> targets,
-  6: list<string> members, 7: list<string> entries,
+  6: list<string> members, 7: list<string> entries, 8: list<SitePace> paces,
 }
 
 // One request or reply each frame; exactly one field is set.
--- a/tamarackthread/cli/application.py
+++ b/tamarackthread/cli/application.py
@@ -15,6 +15,7 @@
 from tamarackthread.cli.commands import (
     check,
     documents,
+    explain,
     members,
     roles,
     system,
@@ -33,6 +34,7 @@
                  edit my.json, then profile apply NAME my.json -s FILE --wait
   Undo           tamarackthread profile history NAME, then profile rollback
   Look           tamarackthread status, audit, target list, control members
+  Ask why        tamarackthread explain REQUEST-ID LOG...
   Learn more     tamarackthread COMMAND --help"""
 
 
@@ -72,6 +74,7 @@
     yield roles.AgentCommand()
     yield roles.ControlCommand()
     yield check.CheckCommand()
+    yield explain.ExplainCommand()
     for kind in _WRITTEN_KINDS:
         yield from documents.for_kind(kind)
     yield targets.TargetListCommand()
--- /dev/null
+++ b/tamarackthread/cli/commands/explain.py
@@ -0,0 +1,54 @@
+"""Tell one request's story from the logs of many processes."""
+
+from __future__ import annotations
+
+import collections.abc
+import pathlib
+import sys
+import typing
+
+from cleo import helpers
+
+from tamarackthread.cli import exit_codes, failures, story
+from tamarackthread.cli.commands import base
+
+
+class ExplainCommand(base.BaseCommand):
+    """Print a request's decisions in order, and what led to them."""
+
+    name = 'explain'
+    description = "Tell one request's story from logs written as JSON."
+    help = (
+        'Reads the files, or standard input, and mixes the lines by time. '
+        'docs/OPERATIONS.md shows how to go on from there.'
+    )
+    arguments: typing.ClassVar = [
+        helpers.argument('request', 'Identity of the request.'),
+        helpers.argument(
+            'files', 'Logs of processes.', optional=True, multiple=True
+        ),
+    ]
+
+    def perform(self) -> exit_codes.ExitCode:
+        """Print the story; refuse if no line names the request."""
+        told = story.tell(self.argument('request'), self._texts())
+        if told.unreadable:
+            self.complain(f'{told.unreadable} lines are no JSON and left out')
+        if not told.lines:
+            self.complain('no line names this request')
+            return exit_codes.ExitCode.REFUSED
+        for text in story.describe(told):
+            self.say(text)
+        return exit_codes.ExitCode.DONE
+
+    def _texts(self) -> collections.abc.Iterator[str]:
+        names = self.argument('files')
+        if not names:
+            yield from sys.stdin
+            return
+        for name in names:
+            try:
+                content = pathlib.Path(name).read_text(errors='replace')
+            except OSError as exc:
+                raise failures.OptionInvalid(f'{name}: {exc.strerror}') from exc
+            yield from content.splitlines()
--- a/tamarackthread/cli/commands/roles.py
+++ b/tamarackthread/cli/commands/roles.py
@@ -66,7 +66,7 @@
         # Whatever has written the settings may send SIGHUP before the loop
         # listens for it; by default that would end the process.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
-        writer = logs.start(loaded.logs)
+        writer = logs.start(loaded.logs, node=loaded.node.id)
         source = live.Source(loaded)
         source.watch(lambda: writer.change(source.current.logs))
         try:
--- a/tamarackthread/control/leading.py
+++ b/tamarackthread/control/leading.py
@@ -12,6 +12,7 @@
     replica,
     replication,
 )
+from tamarackthread.shared import log_events
 
 _log = logging.getLogger('tamarackthread.control.leading')
 
@@ -34,11 +35,15 @@
         """Lead until the term ends for this member."""
         state = self._state
         term = state.begin_reign()
-        _log.info(
+        log_events.tell(
+            _log,
+            log_events.Event.LEADER,
             'consensus: %s leads %s in term %d',
             state.parts.node,
             state.parts.group,
             term.term,
+            group=state.parts.group,
+            term=term.term,
         )
         try:
             await self._watch(term)
--- a/tamarackthread/control/reconfiguration.py
+++ b/tamarackthread/control/reconfiguration.py
@@ -14,7 +14,7 @@
     segments,
 )
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors
+from tamarackthread.shared import errors, log_events
 
 _log = logging.getLogger('tamarackthread.control.reconfiguration')
 
@@ -233,4 +233,12 @@
     state: replica.Replica, members: membership.Membership, why: str
 ) -> None:
     state.append_own(segments.Kind.MEMBERS, members.encode())
-    _log.info('members: %s: %s', state.parts.group, why)
+    log_events.tell(
+        _log,
+        log_events.Event.MEMBERS,
+        'members: %s: %s',
+        state.parts.group,
+        why,
+        group=state.parts.group,
+        voters=[voter.node for voter in members.voters],
+    )
--- a/tamarackthread/control/site/api.py
+++ b/tamarackthread/control/site/api.py
@@ -7,7 +7,7 @@
 
 from tamarackthread.control import consensus, failures
 from tamarackthread.control.site import machine
-from tamarackthread.shared import errors
+from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import configuration, document
 
 # An operator turns to another host after a second without an answer.  Less
@@ -59,7 +59,13 @@
         if version <= self._site.held.version:
             return version
         await self._propose(document.pack(version, body))
-        _log.info('control: accepted version %d', version)
+        log_events.tell(
+            _log,
+            log_events.Event.CONFIGURATION,
+            'control: accepted version %d',
+            version,
+            version=version,
+        )
         return version
 
     async def read(self) -> document.Document:
--- a/tamarackthread/control/site/book.py
+++ b/tamarackthread/control/site/book.py
@@ -20,6 +20,13 @@
 # changed: else another host's older word that it is silent would stand.
 BEATS_REFRESHED = 2.5
 SWEEP_SECONDS = 0.25
+# Paces below this are the usual spread of targets, and a change by less than
+# this part is no news.
+LEAST_PACE = 1.2
+PACE_CHANGE = 0.2
+# A pace that the owner of a group does not repeat is forgotten: another owns it
+# now, or the target is gone.
+PACE_SECONDS = 5.0
 
 
 @attrs.define(eq=False)
@@ -30,6 +37,12 @@
     serial: int
 
 
+@attrs.define(eq=False)
+class _Pace:
+    pace: float
+    noted_at: float
+
+
 class Book:
     """Hold the newest announcement of each start of a target.
 
@@ -41,6 +54,7 @@
         """Start empty; targets announce themselves once a beat."""
         self._beat = beat_seconds
         self._rows: dict[str, _Row] = {}
+        self._paces: dict[str, _Pace] = {}
         self._serial = 0
         self._on_change: list[collections.abc.Callable[[], None]] = []
 
@@ -82,6 +96,34 @@
             gone = attrs.evolve(row.said, state=announcements.State.GONE)
         self.take(gone)
 
+    def note_pace(self, target: str, pace: float) -> None:
+        """Note how much longer than usual a target takes; 1 is usual.
+
+        Followers are told of a clear change only: a figure that flickers
+        would wake all of them at each look.
+        """
+        now = asyncio.get_running_loop().time()
+        held = self._paces.get(target)
+        told = 1 if held is None else held.pace
+        if pace < LEAST_PACE:
+            pace = 1
+        if held is not None and abs(pace - told) < PACE_CHANGE * told:
+            held.noted_at = now
+            return
+        if pace == told:
+            return
+        self._paces[target] = _Pace(pace, now)
+        self._change()
+
+    def paces(self) -> dict[str, float]:
+        """Return the targets that were noted to be slow of late."""
+        now = asyncio.get_running_loop().time()
+        return {
+            target: held.pace
+            for target, held in self._paces.items()
+            if held.pace > 1 and now - held.noted_at < PACE_SECONDS
+        }
+
     def after(self, serial: int) -> list[announcements.Announcement]:
         """List what has changed since a serial."""
         return [row.said for row in self._rows.values() if row.serial > serial]
@@ -108,10 +150,13 @@
             self.sweep()
 
     def _tell(self, row: _Row, now: float) -> None:
-        self._serial += 1
-        row.serial = self._serial
+        row.serial = self._serial + 1
         row.told_at = now
         self._rows[row.said.target] = row
+        self._change()
+
+    def _change(self) -> None:
+        self._serial += 1
         for listener in self._on_change:
             listener()
 
--- a/tamarackthread/control/site/feeding.py
+++ b/tamarackthread/control/site/feeding.py
@@ -11,6 +11,7 @@
 from tamarackthread.shared.site import announcements
 
 MILLISECONDS = 1000
+PERCENT = 100
 # A follower counts among the entries for so long after its last question.
 FOLLOWER_SECONDS = 5.0
 
@@ -81,6 +82,10 @@
             targets=[announcements.to_message(said) for said in rows],
             members=self._members(),
             entries=self._entries(),
+            paces=[
+                messages.SitePace(id=target, percent=round(pace * PERCENT))
+                for target, pace in self._targets.paces().items()
+            ],
         )
 
     def _entries(self) -> list[str]:
--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -29,7 +29,14 @@
 from tamarackthread.control.site.maps import duty, owner, ranks
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, link, listener, peers, process
+from tamarackthread.shared import (
+    errors,
+    link,
+    listener,
+    log_events,
+    peers,
+    process,
+)
 from tamarackthread.shared.site import configuration, following, places
 
 GROUP = 'site'
@@ -143,7 +150,7 @@
             self._group,
             self._book,
             known,
-            owner.Owner(asked, known.members),
+            owner.Owner(asked, known.members, self._book.note_pace),
         )
         self._listener = listener.Listener(
             self._place.options,
@@ -174,7 +181,14 @@
         ]
         if announce is not None:
             announce({'link': address, 'http': http})
-        _log.info('control: listens on %s, operators at %s', address, http)
+        log_events.tell(
+            _log,
+            log_events.Event.STARTED,
+            'control: listens on %s, operators at %s',
+            address,
+            http,
+            address=address,
+        )
         stopping = loop.create_task(process.stop_asked())
         failing = loop.create_task(self._failure(working))
         await asyncio.wait(
@@ -240,7 +254,7 @@
                     return fault
 
     async def _leave(self) -> None:
-        _log.info('control: leaves')
+        log_events.tell(_log, log_events.Event.STOPPING, 'control: leaves')
         with contextlib.suppress(TimeoutError, failures.ConsensusStopped):
             async with asyncio.timeout(self._drain_seconds):
                 self._listener.stop_accepting()
--- a/tamarackthread/control/site/maps/duty.py
+++ b/tamarackthread/control/site/maps/duty.py
@@ -10,6 +10,8 @@
 from tamarackthread.control.site.maps import owner
 from tamarackthread.shared import errors
 
+# A new leader looks at once: the former one may have left a group held.
+LEAD_LOOK_SECONDS = 0.1
 _log = logging.getLogger('tamarackthread.control')
 
 
@@ -38,16 +40,19 @@
     async def run(self) -> None:
         """Look for ever, as leader."""
         while True:
-            await asyncio.sleep(owner.LOOK_SECONDS)
-            if not self._group.has_lease():
+            while not self._group.has_lease():
                 self._term = 0
-                continue
+                await asyncio.sleep(LEAD_LOOK_SECONDS)
             if self._term != self._group.term:
                 self._term = self._group.term
                 self._maps.begin()
-            for said in self._targets.after(0):
-                self._known.learn_target(said)
-            try:
-                await self._maps.look(self._known.services(), self._term)
-            except errors.CodedError as exc:
-                _log.error('control: look at maps failed, %s', exc)
+            await self._look()
+            await asyncio.sleep(owner.LOOK_SECONDS)
+
+    async def _look(self) -> None:
+        for said in self._targets.after(0):
+            self._known.learn_target(said)
+        try:
+            await self._maps.look(self._known.services(), self._term)
+        except errors.CodedError as exc:
+            _log.error('control: look at maps failed, %s', exc)
--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -10,11 +10,12 @@
 
 from tamarackthread.control.site.maps import demand, ranks, switching
 from tamarackthread.policy import evening
+from tamarackthread.shared import log_events
 from tamarackthread.shared.site import configuration
 
-# The experts in demand change every three to four seconds; looking twice in
-# that time finds a change while most of it is still ahead.
-LOOK_SECONDS = 1.5
+# The experts in demand change every three to four seconds; looking at least
+# three times in that finds a change while most of it is still ahead.
+LOOK_SECONDS = 1.0
 # Ranks whose counts are read at each look.  Calls are spread evenly, so a
 # third of the ranks shows the demand of all; each reading is charged for and
 # rests the group.
@@ -23,6 +24,10 @@
 # group has work; below, the copies cost more than the steps they shorten.
 LEAST_SKEW = 1.45
 LEAST_GAIN = 0.25
+# A pass that is shorter than this delays nobody, however uneven its ranks are:
+# about half of the pause that callers of a stream take without notice.  With
+# 0.055 a calm day had half as many copies again, with no caller served better.
+LONG_STEP_SECONDS = 0.066
 # Calls a rank that keep a group busy enough for a switch to pay.
 LEAST_RUNNING = 0.8
 # A look at what has been copied, up to the time at which a rank must have it.
@@ -31,12 +36,15 @@
 # Time from the look at the step to the switch: the report's lag, the orders'
 # way there and back, and one second try.
 AHEAD_SECONDS = 0.45
-ASSUMED_STEP_SECONDS = 0.04
+# Before a step was timed, a group is taken for pressed: a new owner would else
+# need one look more until it can plan.
+ASSUMED_STEP_SECONDS = 0.07
 # A term has this many fences, one more for each switch that is taken back.
 FENCES_OF_TERM = 1000
 _log = logging.getLogger('tamarackthread.control')
 
 Members = collections.abc.Callable[[str], list[ranks.Rank]]
+NotePace = collections.abc.Callable[[str, float], None]
 
 
 @attrs.define(eq=False)
@@ -47,6 +55,7 @@
     version: int = -1
     placement: ranks.GroupMap = ()
     demand: demand.Demand = attrs.field(factory=demand.Demand)
+    step_epoch: int = -1
     step: int = 0
     step_at: float = 0
     step_seconds: float = ASSUMED_STEP_SECONDS
@@ -59,8 +68,10 @@
         self,
         asked: ranks.Ranks,
         members: Members,
+        note_pace: NotePace,
     ) -> None:
-        """Find a service's targets with ``members``."""
+        """Find a service's targets with ``members``; tell how fast they are."""
+        self._note_pace = note_pace
         self._ranks = asked
         self._members = members
         self._known: dict[str, _Known] = {}
@@ -93,6 +104,7 @@
         for member, report in zip(members, reports, strict=True):
             if report is None:
                 continue
+            self._note_pace(member.target, report.pace)
             rows = by_epoch.setdefault((report.group, report.epoch), {})
             rows[report.rank] = (member, report)
         return [
@@ -114,6 +126,8 @@
             return
         known = self._known.setdefault(group.name, _Known())
         self._learn_step(known, group)
+        if not _is_pressed(known, group):
+            return
         if not await self._learn_placement(known, group):
             return
         await self._learn_demand(known, group)
@@ -164,8 +178,9 @@
     def _learn_step(self, known: _Known, group: switching.Group) -> None:
         now = asyncio.get_running_loop().time()
         steps = group.step - known.step
-        if known.epoch == group.epoch and steps > 0 and known.step_at:
+        if known.step_epoch == group.epoch and steps > 0:
             known.step_seconds = (now - known.step_at) / steps
+        known.step_epoch = group.epoch
         known.step = group.step
         known.step_at = now
 
@@ -221,18 +236,18 @@
     ) -> ranks.GroupMap | None:
         """Return a better map, ``None`` where none pays."""
         tokens = known.demand.tokens
-        busy = sum(report.running + report.waiting for report in group.reports)
-        if not tokens or busy < LEAST_RUNNING * len(group.members):
+        if not tokens:
             return None
-        now = _skew_of(known.placement, tokens)
+        paces = [report.pace for report in group.reports]
+        now = _skew_of(known.placement, tokens, paces)
         if now < LEAST_SKEW:
             return None
         bounds = evening.Bounds(shape.places, shape.spare)
         # In a thread, so that heartbeats of the log go on meanwhile.
         wanted = await asyncio.to_thread(
-            _plan_sets, known.placement, tokens, bounds
+            _plan_sets, known.placement, tokens, bounds, paces
         )
-        planned = _skew_of(wanted, tokens)
+        planned = _skew_of(wanted, tokens, paces)
         _log.info(
             'control: group %s is uneven by %.2f, a map of %d copies has %.2f',
             group.name,
@@ -261,11 +276,17 @@
             return
         known.version = version
         known.placement = wanted
-        _log.info(
+        log_events.tell(
+            _log,
+            log_events.Event.MAP,
             'control: group %s switches to map %d at step %d',
             group.name,
             version,
             step,
+            group=group.name,
+            map_version=version,
+            step=step,
+            step_ms=round(known.step_seconds * 1000),
         )
 
     async def _prepared(
@@ -317,10 +338,26 @@
     )
 
 
-def _skew_of(placement: ranks.GroupMap, tokens: list[list[float]]) -> float:
+def _is_pressed(known: _Known, group: switching.Group) -> bool:
+    """Tell whether evener ranks would be felt by anybody.
+
+    Reading counts rests the group and is charged for, so it is left where
+    passes are short or hardly anybody waits for them.
+    """
+    if known.step_seconds < LONG_STEP_SECONDS:
+        return False
+    busy = sum(report.running + report.waiting for report in group.reports)
+    return busy >= LEAST_RUNNING * len(group.members)
+
+
+def _skew_of(
+    placement: ranks.GroupMap,
+    tokens: list[list[float]],
+    paces: list[float],
+) -> float:
     """Return the mean over the sets: each set's busiest rank is waited for."""
     found = [
-        evening.skew(held, counts)
+        evening.skew(held, counts, paces)
         for held, counts in zip(placement, tokens, strict=True)
     ]
     return sum(found) / max(1, len(found))
@@ -330,9 +367,10 @@
     placement: ranks.GroupMap,
     tokens: list[list[float]],
     bounds: evening.Bounds,
+    paces: list[float],
 ) -> ranks.GroupMap:
     return tuple(
-        evening.even(held, counts, bounds)
+        evening.even(held, counts, bounds, paces)
         for held, counts in zip(placement, tokens, strict=True)
     )
 
--- a/tamarackthread/control/site/maps/ranks.py
+++ b/tamarackthread/control/site/maps/ranks.py
@@ -38,7 +38,8 @@
     """Be what a rank tells of itself, as of some hundred milliseconds ago.
 
     ``prepared`` is the version whose experts it has whole, ``held`` the step
-    that its group does not begin, both ``None`` if there is none.
+    that its group does not begin, both ``None`` if there is none.  A ``pace``
+    of 2 means that it takes twice as long as usual.
     """
 
     group: str
@@ -51,6 +52,7 @@
     prepared: int | None = None
     armed: Armed | None = None
     held: int | None = None
+    pace: float = 1
     running: int = 0
     waiting: int = 0
 
--- a/tamarackthread/entry/direct/front.py
+++ b/tamarackthread/entry/direct/front.py
@@ -14,12 +14,13 @@
     calls,
     dialect,
     failures,
+    ledger,
     running,
     sink,
     table,
     upstream,
 )
-from tamarackthread.shared import errors
+from tamarackthread.shared import errors, logs
 
 # Callers keep a connection that was idle for most of the idle limit; closing
 # later than any of them costs a descriptor and cuts off nobody.
@@ -46,8 +47,10 @@
         tables: table.Holder,
         runner: running.Runner,
         generator: random.Random,
+        counted: ledger.Ledger,
     ) -> None:
         """Serve nothing until ``start``."""
+        self._ledger = counted
         self._dialect = spoken
         self._tables = tables
         self._runner = runner
@@ -65,6 +68,11 @@
         """Count the calls in this entry."""
         return self._open
 
+    @property
+    def _version(self) -> int:
+        current = self._tables.current
+        return 0 if current is None else current.version
+
     async def start(self, address: str) -> str:
         """Serve callers at HOST:PORT and return the address in use."""
         return await self._serve(self._handle, address)
@@ -140,7 +148,7 @@
         try:
             await self._answer(request, out)
         except sink.CallerLeft:
-            _log.info('entry: a caller left before its answer was whole')
+            self._ledger.left(out)
             out.break_off()
         finally:
             self._ended(request)
@@ -164,18 +172,33 @@
         request: web.BaseRequest,
         out: sink.HttpSink,
     ) -> None:
-        call_id = ''
         try:
             asked = self._dialect.read(request)
-            call_id = asked.call_id
+        except errors.CodedError as exc:
+            await self._tell('', None, out, exc)
+            return
+        with logs.request(asked.call_id):
+            await self._answer_asked(request, asked, out)
+
+    async def _answer_asked(
+        self,
+        request: web.BaseRequest,
+        asked: calls.Asked,
+        out: sink.HttpSink,
+    ) -> None:
+        call: calls.Call | None = None
+        try:
             call = await self._accept(request, asked)
             await self._runner.run(call, out)
         except errors.CodedError as exc:
-            await self._tell(call_id, out, exc)
+            await self._tell(asked.call_id, call, out, exc)
         except _FAULTS as exc:
             # A fault of this entry: whether the call ran is not known.
-            _log.exception('entry: call %s failed by a fault', call_id)
-            await self._tell(call_id, out, failures.TargetFailed(str(exc)))
+            _log.exception('entry: call failed by a fault')
+            fault = failures.TargetFailed(str(exc))
+            await self._tell(asked.call_id, call, out, fault)
+        else:
+            self._ledger.answered(call, self._version)
 
     async def _accept(
         self,
@@ -206,10 +229,11 @@
     async def _tell(
         self,
         call_id: str,
+        call: calls.Call | None,
         out: sink.HttpSink,
         failure: errors.CodedError,
     ) -> None:
-        _log.info('entry: call %s ended, %s %s', call_id, failure.code, failure)
+        self._ledger.ended(failure, call, self._version, out.has_started)
         if out.has_started:
             out.break_off()
             return
--- a/tamarackthread/entry/direct/learned.py
+++ b/tamarackthread/entry/direct/learned.py
@@ -5,7 +5,7 @@
 import logging
 
 from tamarackthread.entry.direct import table, targets
-from tamarackthread.shared import errors
+from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import (
     announcements,
     configuration,
@@ -40,6 +40,10 @@
         """Take an announcement."""
         self._known.take(said)
 
+    def learn_paces(self, source: str, paces: dict[str, float]) -> None:
+        """Take the slow targets that a control host knows of."""
+        self._known.slow(source, paces)
+
     def learn_document(self, held: document.Document) -> None:
         """Put a configuration in force if it can be read."""
         try:
@@ -50,4 +54,10 @@
             _log.error('entry: cannot read version %d, %s', held.version, exc)
             return
         self._tables.put(table.Table(read))
-        _log.info('entry: version %d is in force', held.version)
+        log_events.tell(
+            _log,
+            log_events.Event.CONFIGURATION,
+            'entry: version %d is in force',
+            held.version,
+            version=held.version,
+        )
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -11,13 +11,14 @@
     dialect,
     front,
     learned,
+    ledger,
     running,
     table,
     targets,
     upstream,
 )
 from tamarackthread.generated import settings as generated
-from tamarackthread.shared import peers, process
+from tamarackthread.shared import log_events, peers, process
 from tamarackthread.shared.site import configuration, following, places
 
 _log = logging.getLogger('tamarackthread.entry')
@@ -45,6 +46,7 @@
         self._targets = targets.Targets(
             settings.node.zone, self._site.announce_seconds, generator
         )
+        self._ledger = ledger.Ledger()
         tables = table.Holder()
         self._follower = following.Follower(
             self._site,
@@ -66,6 +68,7 @@
                 generator,
             ),
             generator,
+            self._ledger,
         )
 
     async def run(self, announce: process.Announce | None) -> None:
@@ -75,12 +78,19 @@
         working = [
             loop.create_task(self._follower.run()),
             loop.create_task(self._targets.run()),
+            loop.create_task(self._ledger.run()),
         ]
         http = await self._front.start(self._site.callers_address)
         ready = await self._front.start_readiness(self._site.http_address)
         if announce is not None:
             announce({'http': http, 'ready': ready})
-        _log.info('entry: serves callers on %s', http)
+        log_events.tell(
+            _log,
+            log_events.Event.STARTED,
+            'entry: serves callers on %s',
+            http,
+            address=http,
+        )
         await process.stop_asked()
         await self._leave()
         for work in working:
@@ -94,7 +104,13 @@
         the address stays open for that long.  Callers with an open connection
         are asked at each answer to make a new one, which goes elsewhere.
         """
-        _log.info('entry: leaves, %d calls open', self._front.open_calls)
+        log_events.tell(
+            _log,
+            log_events.Event.STOPPING,
+            'entry: leaves, %d calls open',
+            self._front.open_calls,
+            open_calls=self._front.open_calls,
+        )
         self._front.leave()
         await asyncio.sleep(self._own.health_grace_seconds)
         self._front.refuse_new()
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -17,7 +17,7 @@
     targets,
     upstream,
 )
-from tamarackthread.shared import errors
+from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import configuration
 
 # Tries at which no connection came about cost a target nothing; a caller
@@ -100,13 +100,7 @@
                 await self._try(call, target, progress, out)
             except errors.CodedError as exc:
                 self._learn(target, progress, exc)
-                _log.info(
-                    'entry: %s of call %s failed, %s %s',
-                    target.name,
-                    call.asked.call_id,
-                    exc.code,
-                    exc,
-                )
+                _tell(call, target, progress, exc)
             else:
                 target.answered()
                 return
@@ -240,5 +234,37 @@
         return seconds * self._random.uniform(0.7, 1.5)
 
 
+def _tell(
+    call: calls.Call,
+    target: targets.Target,
+    progress: _Progress,
+    failure: errors.CodedError,
+) -> None:
+    now = asyncio.get_running_loop().time()
+    log_events.tell(
+        _log,
+        log_events.Event.TRY_FAILED,
+        'entry: try at %s failed, %s %s',
+        target.name,
+        failure.code,
+        failure,
+        target=target.name,
+        service=call.service,
+        code=failure.code,
+        after_ms=_milliseconds(now - call.arrived),
+        left_ms=_milliseconds(call.deadline - now),
+        own_calls=target.own,
+        other_calls=target.others,
+        state=target.said.state.name.lower(),
+        heard_ms_ago=_milliseconds(now - target.heard_at),
+        may_have_run=progress.may_have_run,
+        last_event=progress.position,
+    )
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
 def _names(progress: _Progress) -> str:
     return ', '.join(progress.sent)
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from tamarackthread.shared import log_events
 from tamarackthread.shared.site import announcements
 
 State = announcements.State
@@ -32,7 +33,7 @@
     """Be one start of a target as this entry sees it.
 
     ``own`` counts this entry's calls there and ``others`` those that other
-    entries told of.
+    entries told of.  A ``pace`` of 2 means that it takes twice its usual time.
     """
 
     said: announcements.Announcement
@@ -41,6 +42,7 @@
     others: int = 0
     paused_until: float = 0
     pause: float = 0
+    pace: float = 1
 
     @property
     def name(self) -> str:
@@ -54,8 +56,12 @@
 
     @property
     def load(self) -> float:
-        """Return the calls there for each place."""
-        return (self.own + self.others) / self.slots
+        """Return what one call more would make of the target's load.
+
+        Ranks advance together, so a slow one holds up all calls of its group
+        by what it has to do itself: at twice the time it gets half the calls.
+        """
+        return (self.own + self.others + 1) * self.pace / self.slots
 
     def is_ready(self, now: float) -> bool:
         """Tell whether the target is surely up."""
@@ -88,6 +94,7 @@
         self._random = generator
         self._arrived = asyncio.Event()
         self._by_name: dict[str, Target] = {}
+        self._paces: dict[str, dict[str, float]] = {}
         self._by_service: dict[str, set[str]] = collections.defaultdict(set)
 
     def take(self, said: announcements.Announcement) -> None:
@@ -100,17 +107,23 @@
         if not said.follows(held.said):
             return
         if said.state != held.said.state:
-            _log.info(
-                'entry: target %s of %s is %s',
-                said.target,
-                held.said.service,
-                said.state.name.lower(),
-            )
+            _tell(attrs.evolve(held.said, state=said.state))
         held.heard_at = now
         if said.state == State.GONE:
             said = attrs.evolve(held.said, state=State.GONE)
         held.said = said
 
+    def slow(self, source: str, paces: dict[str, float]) -> None:
+        """Take the slow targets that one control host knows of.
+
+        Only the owner of a group knows them; what a former owner has said
+        ends within seconds, and until then the slower word counts.
+        """
+        self._paces[source] = paces
+        for target in self._by_name.values():
+            told = [held.get(target.name, 1) for held in self._paces.values()]
+            target.pace = max(told)
+
     def get(self, name: str) -> Target | None:
         """Return a start of a target."""
         return self._by_name.get(name)
@@ -118,7 +131,7 @@
     def gone(self, target: Target) -> None:
         """Note that another start of a target answers at the address."""
         target.said = attrs.evolve(target.said, state=State.GONE)
-        _log.info('entry: target %s is not at its address', target.name)
+        _tell(target.said)
 
     def of_service(self, service: str) -> list[Target]:
         """List the targets of a service, usable or not."""
@@ -177,7 +190,7 @@
             if target.said.state != State.READY or quiet < self._unheard:
                 continue
             target.said = attrs.evolve(target.said, state=State.SILENT)
-            _log.warning('entry: nobody tells of target %s any more', name)
+            _tell(target.said)
 
     def _add(self, said: announcements.Announcement, now: float) -> None:
         self._by_name[said.target] = Target(said, now)
@@ -185,13 +198,7 @@
             self._by_service[said.service].add(said.target)
             self._arrived.set()
             self._arrived = asyncio.Event()
-        _log.info(
-            'entry: target %s of %s at %s is %s',
-            said.target,
-            said.service,
-            said.address,
-            said.state.name.lower(),
-        )
+        _tell(said)
 
     def _forget(self, name: str) -> None:
         gone = self._by_name.pop(name)
@@ -204,3 +211,19 @@
 
 def _paused_until(target: Target) -> float:
     return target.paused_until
+
+
+def _tell(said: announcements.Announcement) -> None:
+    log_events.tell(
+        _log,
+        log_events.Event.TARGET,
+        'entry: target %s of %s at %s is %s',
+        said.target,
+        said.service,
+        said.address,
+        said.state.name.lower(),
+        target=said.target,
+        service=said.service,
+        state=said.state.name.lower(),
+        sequence=said.sequence,
+    )
--- a/tamarackthread/platform/__main__.py
+++ b/tamarackthread/platform/__main__.py
@@ -34,7 +34,7 @@
     # A changed file may be told before the loop listens for it; by default
     # that would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    writer = logs.start(loaded.logs)
+    writer = logs.start(loaded.logs, sys.stdout, _name_of(loaded))
     source = live.Source(loaded)
     try:
         reloader = reload.Reloader(path, source, pathlib.Path.cwd())
@@ -44,6 +44,11 @@
     return 0
 
 
+def _name_of(held: generated.Settings) -> str:
+    """Name a process in its log lines: two roles may share a host."""
+    return f'{held.node.id}/{held.role}'
+
+
 async def _run(
     role: str,
     source: live.Source,
--- a/tamarackthread/platform/ranks.py
+++ b/tamarackthread/platform/ranks.py
@@ -135,6 +135,7 @@
             else ranks.Armed(int(armed['version']), int(armed['step']))
         ),
         held=_step(body.get('held')),
+        pace=float(body.get('pace') or 1),
         running=int(body.get('running') or 0),
         waiting=int(body.get('waiting') or 0),
     )
--- a/tamarackthread/policy/evening.py
+++ b/tamarackthread/policy/evening.py
@@ -37,10 +37,13 @@
 
 @attrs.frozen
 class _Step:
-    """Give ``expert`` to rank ``taker`` in place of ``dropped``, if any."""
+    """Give ``expert`` to rank ``taker``, which drops ``dropped``, if any.
+
+    Without an expert the rank only drops one, which copies nothing.
+    """
 
-    expert: int
     taker: int
+    expert: int | None
     dropped: int | None
 
 
@@ -52,8 +55,10 @@
         current: SetMap,
         tokens: collections.abc.Sequence[float],
         bounds: Bounds,
+        paces: collections.abc.Sequence[float],
     ) -> None:
         self._tokens = tokens
+        self._paces = paces or tuple(1 for _ in current)
         self._bounds = bounds
         self._before = [frozenset(held) for held in current]
         self._held = [set(held) for held in current]
@@ -68,11 +73,12 @@
         return tuple(tuple(sorted(held)) for held in self._held)
 
     def loads(self) -> list[float]:
-        """Return the tokens of each rank."""
+        """Return the time that each rank takes, in tokens of a usual rank."""
         found: list[float] = [0 for _ in self._held]
         for expert, owners in enumerate(self._owners):
             for rank in owners:
-                found[rank] += self._tokens[expert] / len(owners)
+                share = self._tokens[expert] / len(owners)
+                found[rank] += share * self._paces[rank]
         return found
 
     def improve(self, least: float) -> bool:
@@ -80,9 +86,11 @@
         loads = self.loads()
         busiest = max(range(len(loads)), key=loads.__getitem__)
         best = None
-        best_peak = loads[busiest] - least
+        best_peak = loads[busiest]
         for step in self._steps(busiest, loads):
             peak = self._peak_after(step, loads)
+            if step.expert is not None:
+                peak += least
             if peak < best_peak:
                 best = step
                 best_peak = peak
@@ -96,36 +104,41 @@
         busiest: int,
         loads: list[float],
     ) -> collections.abc.Iterator[_Step]:
+        for held in self._shared_by(busiest):
+            yield _Step(busiest, None, held)
         takers = sorted(range(len(loads)), key=loads.__getitem__)[:TAKERS]
         for taker in takers:
             if taker == busiest or not self._takes_more(taker):
                 continue
             for expert in self._held[busiest] - self._held[taker]:
                 for dropped in self._droppable(taker):
-                    yield _Step(expert, taker, dropped)
+                    yield _Step(taker, expert, dropped)
 
     def _takes_more(self, rank: int) -> bool:
         fresh = self._held[rank] - self._before[rank]
         return len(fresh) < self._bounds.spare
 
-    def _droppable(
-        self,
-        rank: int,
-    ) -> collections.abc.Iterator[int | None]:
-        """Yield what may make room: nothing, or experts held elsewhere too."""
+    def _droppable(self, rank: int) -> list[int] | list[None]:
+        """List what may make room: nothing, or experts held elsewhere too."""
         if len(self._held[rank]) < self._bounds.places:
-            yield None
-            return
-        for expert in self._held[rank]:
-            if len(self._owners[expert]) > 1:
-                yield expert
+            return [None]
+        return self._shared_by(rank)
+
+    def _shared_by(self, rank: int) -> list[int]:
+        """List the experts of a rank that others hold as well."""
+        return [
+            expert
+            for expert in self._held[rank]
+            if len(self._owners[expert]) > 1
+        ]
 
     def _peak_after(self, step: _Step, loads: list[float]) -> float:
         """Return the greatest load once a step is taken."""
         changed = list(loads)
         if step.dropped is not None:
             self._shift(changed, step.dropped, step.taker, -1)
-        self._shift(changed, step.expert, step.taker, 1)
+        if step.expert is not None:
+            self._shift(changed, step.expert, step.taker, 1)
         return max(changed)
 
     def _shift(
@@ -140,26 +153,33 @@
         before = self._tokens[expert] / len(owners)
         after = self._tokens[expert] / (len(owners) + change)
         for owner in owners:
-            loads[owner] += after - before
-        loads[rank] += after if change > 0 else -after
+            loads[owner] += (after - before) * self._paces[owner]
+        moved = after if change > 0 else -after
+        loads[rank] += moved * self._paces[rank]
 
     def _take(self, step: _Step) -> None:
         if step.dropped is not None:
             self._held[step.taker].discard(step.dropped)
             self._owners[step.dropped].discard(step.taker)
-        self._held[step.taker].add(step.expert)
-        self._owners[step.expert].add(step.taker)
+        if step.expert is not None:
+            self._held[step.taker].add(step.expert)
+            self._owners[step.expert].add(step.taker)
 
 
 def skew(
     current: SetMap,
     tokens: collections.abc.Sequence[float],
+    paces: collections.abc.Sequence[float] = (),
 ) -> float:
-    """Return the busiest rank's tokens over the mean, 1 without any."""
-    loads = _Plan(current, tokens, Bounds(0, 0)).loads()
-    total = sum(loads)
+    """Return the time of the busiest rank over that of even usual ranks.
+
+    ``paces`` are how much longer than usual each rank takes; 1 without any
+    tokens.
+    """
+    total = sum(tokens)
     if not total:
         return 1
+    loads = _Plan(current, tokens, Bounds(0, 0), paces).loads()
     return max(loads) * len(loads) / total
 
 
@@ -167,15 +187,16 @@
     current: SetMap,
     tokens: collections.abc.Sequence[float],
     bounds: Bounds,
-    least_step: float = LEAST_STEP,
+    paces: collections.abc.Sequence[float] = (),
 ) -> SetMap:
     """Return a map that differs from ``current`` by few experts.
 
     ``tokens`` are the expected tokens by expert.  Each expert keeps a rank at
-    least, no rank holds more than ``places`` or gets more than ``spare`` new.
+    least, no rank holds more than ``places`` or gets more than ``spare`` new.  A rank
+    that takes longer than usual, by ``paces``, is left less to do.
     """
-    plan = _Plan(current, tokens, bounds)
-    least = least_step * sum(tokens) / max(1, len(current))
+    plan = _Plan(current, tokens, bounds, paces)
+    least = LEAST_STEP * sum(tokens) / max(1, len(current))
     if not least:
         return plan.result
     is_better = True
--- a/tamarackthread/shared/logs.py
+++ b/tamarackthread/shared/logs.py
@@ -68,6 +68,11 @@
 class JsonFormatter(logging.Formatter):
     """Lay a record out as one JSON object."""
 
+    def __init__(self, node: str = '') -> None:
+        """Name the node in each line, so that lines of many can be mixed."""
+        super().__init__()
+        self._node = node
+
     def format(self, record: logging.LogRecord) -> str:
         """Build the object; a traceback is one string in it."""
         fields = {
@@ -76,6 +81,9 @@
             'part': _part(record),
             'text': _sentence(record),
             'request_id': getattr(record, 'request_id', ''),
+            'node': self._node,
+            'event': getattr(record, 'event', ''),
+            **getattr(record, 'fields', {}),
         }
         if record.exc_info:
             fields['traceback'] = self.formatException(record.exc_info)
@@ -133,8 +141,10 @@
         chosen: settings.Logs,
         stream: typing.TextIO,
         waiting_lines: int = WAITING_LINES,
+        node: str = '',
     ) -> None:
         """Take over the package's logger; ``change`` and ``close`` remain."""
+        self._node = node
         self._lines: queue.Queue[logging.LogRecord | None]
         self._lines = queue.Queue(waiting_lines)
         self._output = logging.StreamHandler(stream)
@@ -150,7 +160,7 @@
 
     def change(self, chosen: settings.Logs) -> None:
         """Use another level or form from the next line on."""
-        form = JsonFormatter() if chosen.json else TextFormatter()
+        form = JsonFormatter(self._node) if chosen.json else TextFormatter()
         self._output.setFormatter(form)
         self._logger.setLevel(chosen.level.upper())
 
@@ -174,9 +184,13 @@
             self._lines.task_done()
 
 
-def start(chosen: settings.Logs, stream: typing.TextIO | None = None) -> Writer:
+def start(
+    chosen: settings.Logs,
+    stream: typing.TextIO | None = None,
+    node: str = '',
+) -> Writer:
     """Begin to write the log, to standard error unless told otherwise."""
-    return Writer(chosen, stream or sys.stderr)
+    return Writer(chosen, stream or sys.stderr, node=node)
 
 
 def _time(record: logging.LogRecord) -> str:
--- a/tamarackthread/shared/site/following.py
+++ b/tamarackthread/shared/site/following.py
@@ -11,10 +11,11 @@
 
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, peers
+from tamarackthread.shared import errors, log_events, peers
 from tamarackthread.shared.site import announcements, document, places
 
 WAIT_MS = 2000
+PERCENT = 100
 ANSWER_SECONDS = 4.0
 RETRY_SECONDS = 0.15
 NAME_SECONDS = 0.5
@@ -45,6 +46,13 @@
     def learn_target(self, said: announcements.Announcement) -> None:
         """Take an announcement, which may be older than one that is held."""
 
+    def learn_paces(  # noqa: B027  only who places calls needs them
+        self,
+        source: str,
+        paces: dict[str, float],
+    ) -> None:
+        """Take all slow targets that a control host knows of."""
+
     @abc.abstractmethod
     def learn_document(self, held: document.Document) -> None:
         """Take a configuration with a higher version than the one held."""
@@ -119,14 +127,14 @@
                 reply = await self._ask(address, source)
             except (errors.CodedError, TimeoutError) as exc:
                 if is_up:
-                    _log.warning('site: lost control %s, %s', address, exc)
+                    _tell(address, is_up=False, why=str(exc))
                 is_up = False
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             if not is_up:
-                _log.info('site: follows control %s', address)
+                _tell(address, is_up=True)
             is_up = True
-            self._take(source, reply)
+            self._take(address, source, reply)
 
     async def _ask(
         self,
@@ -147,11 +155,20 @@
             raise errors.FrameInvalid('control host answered something else')
         return reply.site
 
-    def _take(self, source: _Source, reply: messages.SiteFeedReply) -> None:
+    def _take(
+        self,
+        address: str,
+        source: _Source,
+        reply: messages.SiteFeedReply,
+    ) -> None:
         source.epoch = reply.epoch
         source.serial = reply.serial
         for row in reply.targets:
             self._pupil.learn_target(announcements.of_message(row))
+        self._pupil.learn_paces(
+            address,
+            {slow.id: slow.percent / PERCENT for slow in reply.paces},
+        )
         is_newer = reply.version > self._pupil.version
         # A host that was cut off may tell of an older configuration.
         if reply.document is not None and is_newer:
@@ -159,3 +176,17 @@
             self._pupil.learn_document(held)
         self._name(reply.members)
         self._entries = tuple(reply.entries)
+
+
+def _tell(address: str, *, is_up: bool, why: str = '') -> None:
+    log_events.tell(
+        _log,
+        log_events.Event.DEPENDENCY,
+        'site: %s control %s%s',
+        'follows' if is_up else 'lost',
+        address,
+        f', {why}' if why else '',
+        level=logging.INFO if is_up else logging.WARNING,
+        address=address,
+        is_up=is_up,
+    )
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -11,6 +11,7 @@
 from tamarackthread.entry.direct import (
     budgets,
     front,
+    ledger,
     running,
     table,
     targets,
@@ -155,6 +156,7 @@
                 rng,
             ),
             rng,
+            ledger.Ledger(),
         )
         self.address = await self.front.start('127.0.0.1:0')
         self.session = aiohttp.ClientSession()
--- a/tests/test_site_maps.py
+++ b/tests/test_site_maps.py
@@ -100,6 +100,9 @@
         found = self._carry_out(self.rows[row], asked)
         return ranks.Outcome.DONE if found else ranks.Outcome.REFUSED
 
+    def note_pace(self, target, pace):
+        """Take how fast a target is, which no test here looks at."""
+
     async def close(self):
         for task in self._tasks:
             task.cancel()
@@ -247,7 +250,7 @@
                 group.restart()
         group.lost = 0
         group.late = 0
-        calm = owner.Owner(group, group.members)
+        calm = owner.Owner(group, group.members, group.note_pace)
         before = group.step
         for _ in range(6):
             await asyncio.wait_for(
@@ -265,7 +268,7 @@
 
     async def _reign(self, group, generator, fence):
         """Own the group for a while, then die or freeze at any moment."""
-        owning = owner.Owner(group, group.members)
+        owning = owner.Owner(group, group.members, group.note_pace)
         service = configuration.Service(name='s', experts=SHAPE)
 
         async def work():
@@ -300,7 +303,7 @@
 
         arriving = asyncio.create_task(late())
         await asyncio.sleep(1.5)
-        await owner.Owner(group, group.members).look(
+        await owner.Owner(group, group.members, group.note_pace).look(
             [configuration.Service(name='s', experts=SHAPE)], 2
         )
         await arriving
@@ -346,6 +349,25 @@
         placed = {expert for held in planned for expert in held}
         self.assertEqual(set(range(72)), placed)
 
+    def test_slow_rank(self):
+        """A rank that takes long is freed of experts, and gets none.
+
+        All ranks of a group wait for it in each step, whatever it is that
+        slows it, so what it does must be little.
+        """
+        current = tuple(
+            tuple(range(rank * 6, rank * 6 + 6)) for rank in range(12)
+        )
+        tokens = tuple(10 for _ in range(72))
+        paces = [12, *(1 for _ in range(11))]
+        bounds = evening.Bounds(places=8, spare=3)
+        planned = evening.even(current, tokens, bounds, paces)
+        self.assertGreater(evening.skew(current, tokens, paces), 10)
+        self.assertLess(evening.skew(planned, tokens, paces), 2)
+        placed = {expert for held in planned for expert in held}
+        self.assertEqual(set(range(72)), placed)
+        self.assertLessEqual(set(planned[0]), set(current[0]))
+
     def test_even_load_moves_nothing(self):
         """Where nothing is gained, nothing is copied."""
         current = tuple((rank, rank + 4) for rank in range(4))
