Show figures as text, and bound the counts that one look reads

A failed trial, taken back: calls held for up to 0.8 s while every target refuses, then told to come after 4.5 s.

--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -37,7 +37,7 @@
     peers,
     process,
 )
-from tamarackthread.shared.site import configuration, following, places
+from tamarackthread.shared.site import configuration, figures, following, places
 
 GROUP = 'site'
 TEND_SECONDS = 0.5
@@ -141,6 +141,7 @@
             self._group, self._links, self._node, self._address, self._others
         )
         self._door = door
+        self._page = figures.Page()
         self._ranks = asked
         known = roster.Roster(self._machine, reader)
         self._follower = following.Follower(
@@ -172,6 +173,7 @@
         http = await self._door.open(
             self._site.http_address, self._api, self._book
         )
+        await self._page.start(self._site.metrics_address)
         loop = asyncio.get_running_loop()
         working = [
             loop.create_task(self._joining.run()),
@@ -246,6 +248,7 @@
         """
         while True:
             await asyncio.sleep(TEND_SECONDS)
+            self._measure()
             if self._group.failure is not None:
                 return self._group.failure
             for task in working:
@@ -253,6 +256,13 @@
                 if fault is not None:
                     return fault
 
+    def _measure(self) -> None:
+        figures.TERM.set(self._group.term)
+        figures.LEADS.set(self._group.has_lease())
+        figures.VERSION.set(self._machine.held.version)
+        voters = [row for row in self._group.members() if row.voter]
+        figures.VOTERS.set(len(voters))
+
     async def _leave(self) -> None:
         log_events.tell(_log, log_events.Event.STOPPING, 'control: leaves')
         with contextlib.suppress(TimeoutError, failures.ConsensusStopped):
@@ -260,6 +270,7 @@
                 self._listener.stop_accepting()
                 await self._group.stop()
         await self._door.close()
+        await self._page.stop()
         await self._ranks.close()
         self._listener.close()
         self._links.close()
--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -11,7 +11,7 @@
 from tamarackthread.control.site.maps import demand, ranks, switching
 from tamarackthread.policy import evening
 from tamarackthread.shared import log_events
-from tamarackthread.shared.site import configuration
+from tamarackthread.shared.site import configuration, figures
 
 # The experts in demand change every three to four seconds; looking at least
 # three times in that finds a change while most of it is still ahead.
@@ -20,6 +20,10 @@
 # third of the ranks shows the demand of all; each reading is charged for and
 # rests the group.
 SAMPLE_SHARE = 0.34
+# Counts read at one look.  A reading rests the whole group by half a
+# millisecond for each 400 counts; with large groups a third of the ranks would
+# rest it for longer than the pause that callers of a stream take.
+MOST_COUNTS = 1200
 # A switch pays where the busiest rank has this much more than the mean and the
 # group has work; below, the copies cost more than the steps they shorten.
 LEAST_SKEW = 1.45
@@ -130,7 +134,7 @@
             return
         if not await self._learn_placement(known, group):
             return
-        await self._learn_demand(known, group)
+        await self._learn_demand(shape, known, group)
         wanted = await self._plan(shape, known, group)
         if wanted is not None:
             switcher = switching.Switcher(self._ranks, self._fence(term))
@@ -183,6 +187,7 @@
         known.step_epoch = group.epoch
         known.step = group.step
         known.step_at = now
+        figures.STEP_SECONDS.labels(group.name).set(known.step_seconds)
 
     async def _learn_placement(
         self,
@@ -208,10 +213,13 @@
 
     async def _learn_demand(
         self,
+        shape: configuration.Experts,
         known: _Known,
         group: switching.Group,
     ) -> None:
-        count = max(1, round(len(group.members) * SAMPLE_SHARE))
+        count = round(len(group.members) * SAMPLE_SHARE)
+        each = shape.sets * shape.experts
+        count = max(1, min(count, MOST_COUNTS // each))
         # The same ranks each time: a rank counts from its second reading on.
         sample = group.members[:count]
         found = await asyncio.gather(
@@ -248,6 +256,7 @@
             _plan_sets, known.placement, tokens, bounds, paces
         )
         planned = _skew_of(wanted, tokens, paces)
+        figures.GROUP_SKEW.labels(group.name).set(now)
         _log.info(
             'control: group %s is uneven by %.2f, a map of %d copies has %.2f',
             group.name,
@@ -276,6 +285,7 @@
             return
         known.version = version
         known.placement = wanted
+        figures.MAP_SWITCHES.inc()
         log_events.tell(
             _log,
             log_events.Event.MAP,
--- a/tamarackthread/entry/direct/front.py
+++ b/tamarackthread/entry/direct/front.py
@@ -21,6 +21,7 @@
     upstream,
 )
 from tamarackthread.shared import errors, logs
+from tamarackthread.shared.site import figures
 
 # Callers keep a connection that was idle for most of the idle limit; closing
 # later than any of them costs a descriptor and cuts off nobody.
@@ -158,11 +159,13 @@
 
     def _began(self, request: web.BaseRequest) -> None:
         self._open += 1
+        figures.OPEN_CALLS.set(self._open)
         self._busy.add(request.protocol)
         self._idle.clear()
 
     def _ended(self, request: web.BaseRequest) -> None:
         self._open -= 1
+        figures.OPEN_CALLS.set(self._open)
         self._busy.discard(request.protocol)
         if not self._open:
             self._idle.set()
--- a/tamarackthread/entry/direct/learned.py
+++ b/tamarackthread/entry/direct/learned.py
@@ -10,6 +10,7 @@
     announcements,
     configuration,
     document,
+    figures,
     following,
 )
 
@@ -54,6 +55,7 @@
             _log.error('entry: cannot read version %d, %s', held.version, exc)
             return
         self._tables.put(table.Table(read))
+        figures.VERSION.set(held.version)
         log_events.tell(
             _log,
             log_events.Event.CONFIGURATION,
--- a/tamarackthread/entry/direct/ledger.py
+++ b/tamarackthread/entry/direct/ledger.py
@@ -9,6 +9,7 @@
 from tamarackthread.entry.direct import calls, sink
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, log_events
+from tamarackthread.shared.site import figures
 
 SUM_SECONDS = 10.0
 # One of so many ordinary answers is logged by itself.  At 32 calls a second,
@@ -33,6 +34,8 @@
     def answered(self, call: calls.Call, version: int) -> None:
         """Note a whole answer; it is logged if it was late, or by sample."""
         took = asyncio.get_running_loop().time() - call.arrived
+        figures.CALLS.labels(call.service, 'answered').inc()
+        figures.CALL_SECONDS.labels(call.service).observe(took)
         self._counts['answered'] += 1
         self._answered += 1
         is_late = 0 < call.route.aim < took and not call.route.gap
@@ -60,6 +63,8 @@
     ) -> None:
         """Log a call that has no whole answer, with what it is told."""
         event = _event_of(failure, has_started)
+        service = '' if call is None else call.service
+        figures.CALLS.labels(service, event.value).inc()
         self._counts[event.value] += 1
         fields: dict[str, object] = {
             'code': failure.code,
@@ -84,6 +89,7 @@
     def left(self, out: sink.HttpSink) -> None:
         """Log that the caller has closed its connection."""
         self._counts[_Event.CALLER_LEFT.value] += 1
+        figures.CALLS.labels('', _Event.CALLER_LEFT.value).inc()
         log_events.tell(
             _log,
             _Event.CALLER_LEFT,
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -19,7 +19,7 @@
 )
 from tamarackthread.generated import settings as generated
 from tamarackthread.shared import log_events, peers, process
-from tamarackthread.shared.site import configuration, following, places
+from tamarackthread.shared.site import configuration, figures, following, places
 
 _log = logging.getLogger('tamarackthread.entry')
 
@@ -47,6 +47,7 @@
             settings.node.zone, self._site.announce_seconds, generator
         )
         self._ledger = ledger.Ledger()
+        self._page = figures.Page()
         tables = table.Holder()
         self._follower = following.Follower(
             self._site,
@@ -82,6 +83,7 @@
         ]
         http = await self._front.start(self._site.callers_address)
         ready = await self._front.start_readiness(self._site.http_address)
+        await self._page.start(self._site.metrics_address)
         if announce is not None:
             announce({'http': http, 'ready': ready})
         log_events.tell(
@@ -122,6 +124,7 @@
                 'entry: ends with %d calls open', self._front.open_calls
             )
         await self._front.stop()
+        await self._page.stop()
         await self._upstream.close()
 
 
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -18,7 +18,7 @@
     upstream,
 )
 from tamarackthread.shared import errors, log_events
-from tamarackthread.shared.site import configuration
+from tamarackthread.shared.site import configuration, figures
 
 # Tries at which no connection came about cost a target nothing; a caller
 # would still wait for each of them.
@@ -181,6 +181,8 @@
     ) -> None:
         """Pass events on as they come, each at most once and in order."""
         splitter = events.Splitter()
+        now = asyncio.get_running_loop().time()
+        figures.FIRST_SECONDS.labels(call.service).observe(now - call.arrived)
         if not out.has_started:
             await out.start(answer.head)
         async for piece in answer.pieces():
@@ -241,6 +243,7 @@
     failure: errors.CodedError,
 ) -> None:
     now = asyncio.get_running_loop().time()
+    figures.TRIES_FAILED.labels(call.service, failure.code).inc()
     log_events.tell(
         _log,
         log_events.Event.TRY_FAILED,
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -11,7 +11,7 @@
 import attrs
 
 from tamarackthread.shared import log_events
-from tamarackthread.shared.site import announcements
+from tamarackthread.shared.site import announcements, figures
 
 State = announcements.State
 
@@ -191,6 +191,14 @@
                 continue
             target.said = attrs.evolve(target.said, state=State.SILENT)
             _tell(target.said)
+        self._count()
+
+    def _count(self) -> None:
+        figures.TARGETS.clear()
+        for service in self._by_service:
+            for target in self.of_service(service):
+                state = target.said.state.name.lower()
+                figures.TARGETS.labels(service, state).inc()
 
     def _add(self, said: announcements.Announcement, now: float) -> None:
         self._by_name[said.target] = Target(said, now)
--- /dev/null
+++ b/tamarackthread/shared/site/figures.py
@@ -0,0 +1,125 @@
+"""Count what a process of a site does, and show it as text over HTTP.
+
+Names begin with ``tamarackthread_`` and end with their unit.  Labels are few:
+services and kinds of ends, never requests, callers or targets.
+"""
+
+from __future__ import annotations
+
+import prometheus_client
+from aiohttp import web
+
+PATH = '/metrics'
+# From a plain service's answer to a stream's longest, in seconds.
+BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+_registry = prometheus_client.CollectorRegistry()
+
+CALLS = prometheus_client.Counter(
+    'tamarackthread_calls',
+    'Calls by service and end.',
+    ('service', 'end'),
+    registry=_registry,
+)
+CALL_SECONDS = prometheus_client.Histogram(
+    'tamarackthread_call_seconds',
+    'Time from a call to the end of its answer.',
+    ('service',),
+    buckets=BUCKETS,
+    registry=_registry,
+)
+FIRST_SECONDS = prometheus_client.Histogram(
+    'tamarackthread_first_byte_seconds',
+    'Time from a call to the first byte of its answer.',
+    ('service',),
+    buckets=BUCKETS,
+    registry=_registry,
+)
+TRIES_FAILED = prometheus_client.Counter(
+    'tamarackthread_tries_failed',
+    'Tries at targets without a whole answer, by error code.',
+    ('service', 'code'),
+    registry=_registry,
+)
+OPEN_CALLS = prometheus_client.Gauge(
+    'tamarackthread_open_calls',
+    'Calls in this entry now.',
+    registry=_registry,
+)
+VERSION = prometheus_client.Gauge(
+    'tamarackthread_configuration_version',
+    'Version of the configuration in force here.',
+    registry=_registry,
+)
+TERM = prometheus_client.Gauge(
+    'tamarackthread_log_term',
+    'Newest term of the replicated log that was seen here.',
+    registry=_registry,
+)
+LEADS = prometheus_client.Gauge(
+    'tamarackthread_log_leads',
+    'Whether this control host leads.',
+    registry=_registry,
+)
+VOTERS = prometheus_client.Gauge(
+    'tamarackthread_log_voters',
+    'Voters of the replicated log.',
+    registry=_registry,
+)
+TARGETS = prometheus_client.Gauge(
+    'tamarackthread_targets',
+    'Targets known here, by service and state.',
+    ('service', 'state'),
+    registry=_registry,
+)
+MAP_SWITCHES = prometheus_client.Counter(
+    'tamarackthread_map_switches',
+    'Expert maps that a group was switched to.',
+    registry=_registry,
+)
+GROUP_SKEW = prometheus_client.Gauge(
+    'tamarackthread_group_skew_ratio',
+    'Time of the busiest rank over that of even ranks, at the last plan.',
+    ('group',),
+    registry=_registry,
+)
+STEP_SECONDS = prometheus_client.Gauge(
+    'tamarackthread_group_step_seconds',
+    'Time of a step, from the last two looks.',
+    ('group',),
+    registry=_registry,
+)
+
+
+class Page:
+    """Serve the figures to whoever collects them."""
+
+    def __init__(self) -> None:
+        """Serve nothing until ``start``."""
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, address: str) -> None:
+        """Serve at HOST:PORT; an empty address serves nowhere."""
+        if not address:
+            return
+        self._runner = web.ServerRunner(
+            web.Server(_answer, access_log=None), handle_signals=False
+        )
+        await self._runner.setup()
+        host, _, port = address.rpartition(':')
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+def text() -> bytes:
+    """Write all figures as text."""
+    return prometheus_client.generate_latest(_registry)
+
+
+async def _answer(request: web.BaseRequest) -> web.StreamResponse:
+    if request.path != PATH:
+        return web.Response(status=404)
+    return web.Response(body=text(), content_type='text/plain')
