Take bodies and headers up to the configuration's limits

Cause: the HTTP library refuses bodies over 1 MB and headers over 8 KB by itself, though the configuration allows 4 MB and 16 KB; found by reading, no run showed it. The test of a long body and header fails without the change; the one of a body over the limit does not, because the library's lower limit refused it too.

What nothing used is gone: load headers, token counts and limits that were read and left.

--- a/tamarackthread/entry/direct/calls.py
+++ b/tamarackthread/entry/direct/calls.py
@@ -25,8 +25,6 @@
     key: str = ''
     left: float | None = None
     position: str = ''
-    prompt_tokens: int = 0
-    answer_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/tamarackthread/entry/direct/dialect.py
+++ b/tamarackthread/entry/direct/dialect.py
@@ -5,7 +5,6 @@
 import abc
 import enum
 
-import attrs
 import multidict
 from aiohttp import web
 
@@ -27,16 +26,6 @@
     STRAY = 'stray'
 
 
-@attrs.frozen
-class Verdict:
-    """Be what a target's head tells: ``waiting`` and ``running`` if it says."""
-
-    said: Said
-    running: int | None = None
-    waiting: int | None = None
-    slots: int | None = None
-
-
 class Dialect(abc.ABC):
     """Read and write the headers that callers and targets use."""
 
@@ -68,7 +57,7 @@
         call: calls.Call,
         status: int,
         headers: multidict.CIMultiDictProxy[str],
-    ) -> Verdict:
+    ) -> Said:
         """Tell what a target's head says of the call."""
 
     @abc.abstractmethod
--- a/tamarackthread/entry/direct/failures.py
+++ b/tamarackthread/entry/direct/failures.py
@@ -71,6 +71,13 @@
     ran = messages.Ran.MAY_HAVE_RUN
 
 
+class BodyOverLimit(errors.CodedError):
+    """Body of the request is over the configuration's limit."""
+
+    code = 'TT7211'
+    status = 413
+
+
 class EntryStops(errors.CodedError):
     """Entry is about to end and takes no new call."""
 
--- a/tamarackthread/entry/direct/front.py
+++ b/tamarackthread/entry/direct/front.py
@@ -28,6 +28,9 @@
 KEEP_SECONDS = 75.0
 # Another entry takes the call at once.
 STOPPING_RETRY_SECONDS = 0.01
+# One header's most bytes; callers stay within 16 KB for all of theirs.  The
+# library's own limit is half of that and would refuse a proper call.
+HEADER_BYTES = 32 << 10
 # What a fault of this entry's own code or of a library raises.
 _FAULTS = (OSError, ValueError, LookupError, TypeError, AttributeError)
 _log = logging.getLogger('tamarackthread.entry')
@@ -124,6 +127,8 @@
             handler_cancellation=True,
             keepalive_timeout=KEEP_SECONDS,
             lingering_time=0,
+            max_line_size=HEADER_BYTES,
+            max_field_size=HEADER_BYTES,
         )
         runner = web.ServerRunner(
             server, handle_signals=False, shutdown_timeout=0.1
@@ -215,7 +220,7 @@
         held = await self._tables.wait(_patience(asked))
         path = asked.path.partition('?')[0]
         found = held.find(asked.host, path, asked.key)
-        body = await request.read()
+        body = await _body_of(request, held.held.limits.body_bytes)
         left = found.route.timeout
         if asked.left is not None:
             left = min(left, asked.left)
@@ -255,3 +260,16 @@
     if asked.left is None:
         return MOST_WAIT_SECONDS
     return min(MOST_WAIT_SECONDS, WAIT_SHARE * asked.left)
+
+
+async def _body_of(request: web.BaseRequest, most: int) -> bytes:
+    """Read a body; raise ``BodyOverLimit`` as soon as it is too long."""
+    parts = []
+    size = 0
+    while not request.content.at_eof():
+        part = await request.content.readany()
+        size += len(part)
+        if size > most:
+            raise failures.BodyOverLimit(f'at most {most} bytes')
+        parts.append(part)
+    return b''.join(parts)
--- a/tamarackthread/entry/direct/upstream.py
+++ b/tamarackthread/entry/direct/upstream.py
@@ -192,8 +192,7 @@
         call: calls.Call,
         response: aiohttp.ClientResponse,
     ) -> Answer:
-        verdict = self._dialect.judge(call, response.status, response.headers)
-        said = verdict.said
+        said = self._dialect.judge(call, response.status, response.headers)
         if said is dialect.Said.NOT_RUN:
             raise Refused(f'status {response.status}')
         if said is dialect.Said.ELSEWHERE:
--- a/tamarackthread/platform/calls.py
+++ b/tamarackthread/platform/calls.py
@@ -9,7 +9,7 @@
 from tamarackthread.platform import wire
 
 MILLISECONDS = 1000
-# Statuses of a target that promise, with its refusal, that nothing ran.
+# What callers may not set towards targets.
 _OWN_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -47,7 +47,6 @@
         call_id = headers.get(wire.CALL_ID, '')
         if not call_id:
             raise failures.CallInvalid(f'{wire.CALL_ID} is missing')
-        tokens = headers.get(wire.TOKENS, '').partition(',')
         left_ms = _number(headers.get(wire.LEFT, ''))
         return calls.Asked(
             call_id=call_id,
@@ -58,8 +57,6 @@
             key=_key(headers.get(wire.CREDENTIAL, '')),
             left=None if left_ms is None else left_ms / MILLISECONDS,
             position=headers.get(wire.POSITION, ''),
-            prompt_tokens=int(_number(tokens[0]) or 0),
-            answer_tokens=int(_number(tokens[2]) or 0),
         )
 
     def outgoing(
@@ -88,9 +85,9 @@
         call: calls.Call,
         status: int,
         headers: multidict.CIMultiDictProxy[str],
-    ) -> dialect.Verdict:
+    ) -> dialect.Said:
         """Tell what a target's head says of the call."""
-        return dialect.Verdict(_said(call, status, headers), *_load(headers))
+        return _said(call, status, headers)
 
     def answer(
         self,
@@ -129,18 +126,6 @@
     return dialect.Said.ANSWER
 
 
-def _load(
-    headers: multidict.CIMultiDictProxy[str],
-) -> tuple[int, int, int] | tuple[()]:
-    """Read running, waiting and places, if the target tells them."""
-    parts = headers.get(wire.LOAD, '').split(',')
-    numbers = [_number(part) for part in parts]
-    if len(numbers) != 3 or None in numbers:
-        return ()
-    running, waiting, slots = (int(number or 0) for number in numbers)
-    return running, waiting, slots
-
-
 def _number(text: str) -> float | None:
     try:
         return float(text)
--- a/tamarackthread/platform/configuration.py
+++ b/tamarackthread/platform/configuration.py
@@ -107,8 +107,6 @@
     engine = row.get('engine') or {}
     return site.Service(
         name=_text(row['name']),
-        connections=int(row.get('connection-limit') or 0),
-        slots=int(engine.get('slots') or 0),
         experts=_experts(engine),
     )
 
@@ -134,15 +132,8 @@
 
 def _limits(row: _Row) -> site.Limits:
     usual = site.Limits()
-    header_ms = row.get('header-timeout-ms')
-    idle_ms = row.get('idle-timeout-ms')
     return site.Limits(
-        header_bytes=int(row.get('max-header-bytes') or usual.header_bytes),
         body_bytes=int(row.get('max-body-bytes') or usual.body_bytes),
-        header_seconds=(
-            header_ms / MILLISECONDS if header_ms else usual.header_seconds
-        ),
-        idle_seconds=idle_ms / MILLISECONDS if idle_ms else usual.idle_seconds,
     )
 
 
--- a/tamarackthread/platform/wire.py
+++ b/tamarackthread/platform/wire.py
@@ -16,8 +16,6 @@
 POSITION = 'Last-Event-Id'
 CREDENTIAL = 'Authorization'
 CREDENTIAL_SCHEME = 'Bearer '
-# Prompt tokens and the most answer tokens, separated by a comma.
-TOKENS = 'Token-Counts'
 
 # Set towards targets: which start of a target is meant, and for whom.
 EXPECTED_TARGET = 'Expect-Replica'
--- a/tamarackthread/shared/site/configuration.py
+++ b/tamarackthread/shared/site/configuration.py
@@ -76,14 +76,10 @@
 class Service:
     """Be a set of targets that answer alike.
 
-    ``connections`` bounds what one target takes from all callers; ``slots``
-    is how many calls it runs at once, 0 if only its announcement says so.
     ``experts`` is there where its targets are ranks of groups.
     """
 
     name: str
-    connections: int = 0
-    slots: int = 0
     experts: Experts | None = None
 
 
@@ -98,12 +94,9 @@
 
 @attrs.frozen(kw_only=True)
 class Limits:
-    """Bound what a caller may send; times are in seconds."""
+    """Bound what a caller may send."""
 
-    header_bytes: int = 16 << 10
     body_bytes: int = 4 << 20
-    header_seconds: float = 3.0
-    idle_seconds: float = 15.0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -32,6 +32,13 @@
 )
 
 
+async def measuring(target, head, writer):
+    """Take a body and answer with its length."""
+    text = str(len(await target.body(head)))
+    start = head_of(target, head)
+    writer.write(f'{start}Content-Length: {len(text)}\r\n\r\n{text}'.encode())
+
+
 class FakeTarget:
     """Answer each call by a script: a coroutine that writes bytes."""
 
@@ -49,7 +56,13 @@
     def close(self):
         self._server.close()
 
+    async def body(self, head):
+        return await self._reader.readexactly(
+            int(header(head, 'Content-Length') or 0)
+        )
+
     async def _serve(self, reader, writer):
+        self._reader = reader
         try:
             while True:
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
@@ -206,7 +219,13 @@
         return fake
 
     async def ask(
-        self, path='/a/b', method='POST', key='secret', left='4000', **headers
+        self,
+        path='/a/b',
+        method='POST',
+        key='secret',
+        left='4000',
+        body=None,
+        **headers,
     ):
         asked = {
             'Host': HOST,
@@ -217,7 +236,10 @@
         }
         async with asyncio.timeout(LONGEST_SECONDS):
             async with self.session.request(
-                method, f'http://{self.address}{path}', headers=asked
+                method,
+                f'http://{self.address}{path}',
+                headers=asked,
+                data=body,
             ) as response:
                 return response.status, await response.read(), response.headers
 
@@ -270,6 +292,28 @@
         self.assertEqual(502, (await self.ask())[0])
 
 
+class LimitsCase(DirectCase):
+    async def test_long_body_and_header(self):
+        """A body of megabytes and a header of many kilobytes are proper.
+
+        The HTTP library's own limits are below those of the configuration
+        and would refuse them.
+        """
+        self.serve(ONCE)
+        await self.add(measuring)
+        long = {'X-Note': 'n' * 12_000}
+        answer = await self.ask(body=b'b' * (3 << 20), **long)
+        self.assertEqual((200, str(3 << 20).encode()), answer[:2])
+
+    async def test_body_over_the_limit(self):
+        """A body over the configuration's limit is refused and runs nowhere."""
+        self.serve(ONCE)
+        fake = await self.add(measuring)
+        answer = await self.ask(body=b'b' * (5 << 20))
+        self.assertEqual(413, answer[0])
+        self.assertEqual([], fake.heads)
+
+
 class StartCase(DirectCase):
     async def test_waits_for_configuration_and_targets(self):
         """A call comes to an entry that has just started.
