Start no stream anew whose events carry no numbers

Cause: a break was followed by a second run from the last event's number; events without any would have come twice. Found by reading; the platform's events are numbered. The test fails without the guard.

The module that sends to targets has a name of the glossary now.

--- a/tamarackthread/entry/direct/front.py
+++ b/tamarackthread/entry/direct/front.py
@@ -16,9 +16,9 @@
     failures,
     ledger,
     running,
+    sending,
     sink,
     table,
-    upstream,
 )
 from tamarackthread.shared import errors, logs
 from tamarackthread.shared.site import figures
@@ -251,7 +251,7 @@
             headers.append(('Retry-After', f'{failure.retry_after:.2f}'))
         body = {'error': {'code': failure.code, 'message': str(failure)}}
         await out.whole(
-            upstream.Head(failure.status, headers), json.dumps(body).encode()
+            sending.Head(failure.status, headers), json.dumps(body).encode()
         )
 
 
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -13,9 +13,9 @@
     learned,
     ledger,
     running,
+    sending,
     table,
     targets,
-    upstream,
 )
 from tamarackthread.generated import settings as generated
 from tamarackthread.shared import log_events, peers, process
@@ -54,13 +54,13 @@
             self._links,
             learned.Learned(self._targets, reader, tables),
         )
-        self._upstream = upstream.Upstream(spoken)
+        self._sender = sending.Sender(spoken)
         self._front = front.Front(
             spoken,
             tables,
             running.Runner(
                 self._targets,
-                self._upstream,
+                self._sender,
                 budgets.Budgets(
                     self._site,
                     lambda: len(self._follower.entries),
@@ -74,7 +74,7 @@
 
     async def run(self, announce: process.Announce | None) -> None:
         """Run until asked to stop, then end without cutting anything off."""
-        await self._upstream.start()
+        await self._sender.start()
         loop = asyncio.get_running_loop()
         working = [
             loop.create_task(self._follower.run()),
@@ -125,7 +125,7 @@
             )
         await self._front.stop()
         await self._page.stop()
-        await self._upstream.close()
+        await self._sender.close()
 
 
 async def run(
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -13,9 +13,9 @@
     calls,
     events,
     failures,
+    sending,
     sink,
     targets,
-    upstream,
 )
 from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import configuration, figures
@@ -40,7 +40,8 @@
 
     ``sent`` names the targets that the call was sent to, ``skipped`` those
     that could not be reached, ``may_have_run`` whether any might have run it.
-    ``position`` is the last event that the caller was sent, and ``is_trying``
+    ``position`` is the last event that the caller was sent, ``is_unnumbered``
+    whether it was sent any that can't be told from its copy, and ``is_trying``
     whether a target may have the call at this moment.
     """
 
@@ -48,6 +49,7 @@
     skipped: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
     is_trying: bool = False
+    is_unnumbered: bool = False
     position: int = -1
     failure: errors.CodedError | None = None
 
@@ -58,7 +60,7 @@
     def __init__(
         self,
         known: targets.Targets,
-        sender: upstream.Upstream,
+        sender: sending.Sender,
         budget: budgets.Budgets,
         generator: random.Random,
     ) -> None:
@@ -127,6 +129,10 @@
     def _may_try(self, call: calls.Call, progress: _Progress) -> bool:
         if progress.may_have_run and not call.route.may_repeat:
             return False
+        # Without a number nobody knows where the next run has to go on, and
+        # the caller would read the beginning twice.
+        if progress.is_unnumbered:
+            return False
         if len(progress.skipped) >= CONNECT_TRIES:
             return False
         if not progress.sent:
@@ -152,9 +158,9 @@
                 return
             body = await answer.whole()
             if self._is_worth_another(call, progress, answer.head.status):
-                raise upstream.Lost(f'status {answer.head.status}')
+                raise sending.Lost(f'status {answer.head.status}')
             if out.has_started:
-                raise upstream.Lost(f'status {answer.head.status}')
+                raise sending.Lost(f'status {answer.head.status}')
             await out.whole(answer.head, body)
 
     def _is_worth_another(
@@ -173,7 +179,7 @@
     async def _relay(
         self,
         call: calls.Call,
-        answer: upstream.Answer,
+        answer: sending.Answer,
         progress: _Progress,
         out: sink.Sink,
     ) -> None:
@@ -189,6 +195,7 @@
                 if 0 <= event.number <= progress.position:
                     continue
                 progress.position = max(progress.position, event.number)
+                progress.is_unnumbered |= event.number < 0
                 ready.append(event.payload)
             if ready:
                 await out.write(b''.join(ready))
@@ -205,17 +212,17 @@
         progress.failure = failure
         progress.is_trying = False
         now = asyncio.get_running_loop().time()
-        if isinstance(failure, upstream.NotSent):
+        if isinstance(failure, sending.NotSent):
             target.failed(now)
             progress.skipped.add(target.name)
             return
-        if isinstance(failure, upstream.Elsewhere):
+        if isinstance(failure, sending.Elsewhere):
             # The target that was meant never saw it, so it is no try at one.
             self._known.gone(target)
             progress.skipped.add(target.name)
             return
         progress.sent.append(target.name)
-        if isinstance(failure, upstream.Refused):
+        if isinstance(failure, sending.Refused):
             return
         progress.may_have_run = True
 
--- a/tamarackthread/entry/direct/upstream.py
+++ b/tamarackthread/entry/direct/sending.py
@@ -120,7 +120,7 @@
             raise Lost('connection was reset before the answer had ended')
 
 
-class Upstream:
+class Sender:
     """Hold the connections to all targets."""
 
     def __init__(self, spoken: dialect.Dialect) -> None:
@@ -184,7 +184,7 @@
         if call.route.kind is configuration.Kind.ONCE:
             session = self._fresh
         if session is None:
-            raise errors.CodedError('upstream is not started')
+            raise errors.CodedError('sender is not started')
         return session
 
     def _judged(
--- a/tamarackthread/entry/direct/sink.py
+++ b/tamarackthread/entry/direct/sink.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from tamarackthread.entry.direct import upstream
+from tamarackthread.entry.direct import sending
 
 
 class CallerLeft(Exception):
@@ -23,7 +23,7 @@
         """Tell whether the caller has seen any of an answer."""
 
     @abc.abstractmethod
-    async def start(self, head: upstream.Head) -> None:
+    async def start(self, head: sending.Head) -> None:
         """Send the head; the body follows in pieces."""
 
     @abc.abstractmethod
@@ -35,7 +35,7 @@
         """End the answer as whole."""
 
     @abc.abstractmethod
-    async def whole(self, head: upstream.Head, body: bytes) -> None:
+    async def whole(self, head: sending.Head, body: bytes) -> None:
         """Send a whole answer at once."""
 
 
@@ -63,7 +63,7 @@
         assert self._response is not None
         return self._response
 
-    async def start(self, head: upstream.Head) -> None:
+    async def start(self, head: sending.Head) -> None:
         """Send the head; the body goes out in chunks."""
         response = web.StreamResponse(status=head.status)
         self._fill(response, head)
@@ -89,7 +89,7 @@
         except OSError as exc:
             raise CallerLeft from exc
 
-    async def whole(self, head: upstream.Head, body: bytes) -> None:
+    async def whole(self, head: sending.Head, body: bytes) -> None:
         """Send head and body with their length."""
         response = web.Response(status=head.status, body=body)
         response.headers.popall('Content-Type', None)
@@ -116,7 +116,7 @@
         if self._request.transport is not None:
             self._request.transport.abort()
 
-    def _fill(self, response: web.StreamResponse, head: upstream.Head) -> None:
+    def _fill(self, response: web.StreamResponse, head: sending.Head) -> None:
         for name, value in head.headers:
             response.headers.add(name, value)
         if self._is_last():
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -13,9 +13,9 @@
     front,
     ledger,
     running,
+    sending,
     table,
     targets,
-    upstream,
 )
 from tamarackthread.generated import settings
 from tamarackthread.platform import calls as spoken
@@ -155,7 +155,7 @@
         loop = asyncio.get_running_loop()
         rng = random.Random(3)
         self.known = targets.Targets('z', 1.0, rng)
-        self.sender = upstream.Upstream(spoken.PlatformDialect())
+        self.sender = sending.Sender(spoken.PlatformDialect())
         await self.sender.start()
         site = settings.Site(seeds=(), link_port=1, retry_reserve=20)
         self.tables = table.Holder()
@@ -429,6 +429,25 @@
         self.assertEqual((200, wanted.encode()), (status, body))
         self.assertEqual('3', header(second.heads[0], 'Last-Event-Id'))
 
+    async def test_unnumbered_events(self):
+        """A stream of events without numbers breaks after its first.
+
+        Begun anew elsewhere, its caller would read the first event twice.
+        """
+        self.serve(STREAM, is_resumable=True)
+
+        async def unnumbered(target, head, writer):
+            start = head_of(target, head)
+            writer.write(f'{start}Transfer-Encoding: chunked\r\n\r\n'.encode())
+            writer.write(_chunk('data: first\n\n'))
+            writer.close()
+
+        await self.add(unnumbered)
+        second = await self.add(streaming(1, 2, is_whole=True), zone='far')
+        with self.assertRaises(aiohttp.ClientError):
+            await self.ask()
+        self.assertEqual([], second.heads)
+
     async def test_broken_visibly(self):
         """A stream that can't go on ends so that no caller takes it for whole."""
         self.serve(STREAM)
