Even ranks half a second after a shift of demand, also without a leader

Cause: demand shifts every two to three seconds and makes steps 2.5 to 3 times as long at once. It was read once a second, mixed with what had been in demand before, and a switch then waited for lagging reports: 1.5 to 2 s of each shift were lost.

Now: a few ranks are read five times a second while steps are long; two odd readings in a row replace what was held; copying is worked out, a rank that still copies refuses to be armed and is asked again while the group is held; the step is timed by one rank; the last leader goes on while none is elected, where engines check fences.

--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -152,6 +152,7 @@
             self._book,
             known,
             owner.Owner(asked, known.members, self._book.note_pace),
+            goes_on=self._site.engines_check_fences,
         )
         self._listener = listener.Listener(
             self._place.options,
--- a/tamarackthread/control/site/maps/demand.py
+++ b/tamarackthread/control/site/maps/demand.py
@@ -3,70 +3,114 @@
 from __future__ import annotations
 
 import collections.abc
-
-import attrs
+import math
 
 from tamarackthread.control.site.maps import ranks
 
-# Of what was seen before, so much counts beside what is new: the experts in
-# demand change within seconds, and a sample of ranks is noisy.
-KEPT = 0.35
-
-
-@attrs.define(eq=False)
-class _Seen:
-    epoch: int
-    by_set: tuple[tuple[int, ...], ...]
+# Of what was seen before, so much counts beside what is new; a sample of few
+# ranks is noisy, and at five readings a second this remembers half a second.
+KEPT = 0.7
+# Two readings in a row of the same demand are alike by 0.9 and more (cosine);
+# after a shift they were alike by 0.2 to 0.9.
+ALIKE = 0.8
+# The first reading after a shift covers some time before it too, so that the
+# second is like it by less.
+ALIKE_ODD = 0.6
+_Tokens = list[list[float]]
 
 
 class Demand:
-    """Keep a decayed sum of choices by set and expert."""
+    """Keep a decayed sum of choices by set and expert.
+
+    Demand shifts at once and then stays for seconds.  What was seen before a
+    shift is worth nothing after it, so it is forgotten once two readings in a
+    row are like each other and unlike it.  One alone may be the few calls of
+    one rank, or cover some time before the shift too.
+    """
 
     def __init__(self) -> None:
         """Begin without having seen any."""
-        self._seen: dict[str, _Seen] = {}
-        self._tokens: list[list[float]] = []
+        self._seen: dict[str, ranks.Counts] = {}
+        self._tokens: _Tokens = []
+        self._odd: _Tokens = []
 
     @property
-    def tokens(self) -> list[list[float]]:
+    def tokens(self) -> _Tokens:
         """Return the choices by set and expert; empty before the first."""
         return self._tokens
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the last reading looked like what was seen before."""
+        return bool(self._tokens) and not self._odd
+
     def take(
         self,
         found: collections.abc.Mapping[str, ranks.Counts],
     ) -> None:
-        """Take readings by target; each counts from its second time on."""
-        fresh: list[list[float]] = []
+        """Take readings by target.
+
+        A reading counts where the one before it had the same target in it.
+        """
+        fresh: _Tokens = []
         for target, counts in found.items():
             before = self._seen.get(target)
-            self._seen[target] = _Seen(counts.epoch, counts.by_set)
-            if before is None or before.epoch != counts.epoch:
-                continue
-            _add(fresh, _difference(before.by_set, counts.by_set))
-        if fresh:
+            if before is not None and before.epoch == counts.epoch:
+                _add(fresh, _difference(before.by_set, counts.by_set))
+        self._seen = dict(found)
+        if any(map(any, fresh)):
             self._mix(fresh)
 
-    def _mix(self, fresh: list[list[float]]) -> None:
+    def _mix(self, fresh: _Tokens) -> None:
         if not self._tokens:
             self._tokens = fresh
             return
-        for held, new in zip(self._tokens, fresh, strict=True):
-            for expert, count in enumerate(new):
-                held[expert] = held[expert] * KEPT + count
+        if likeness(self._tokens, fresh) >= ALIKE:
+            self._tokens = _sum(self._tokens, fresh)
+            self._odd = []
+            return
+        if likeness(self._odd, fresh) >= ALIKE_ODD:
+            self._tokens = fresh
+            self._odd = []
+            return
+        self._odd = fresh
+
+
+def likeness(before: _Tokens, after: _Tokens) -> float:
+    """Return the mean cosine over the sets; 0 without any before."""
+    if not before:
+        return 0
+    found = [_cosine(old, new) for old, new in zip(before, after, strict=True)]
+    return sum(found) / len(found)
+
+
+def _sum(held: _Tokens, fresh: _Tokens) -> _Tokens:
+    """Add what is new to what is held, of which a part is forgotten."""
+    return [
+        [old * KEPT + new for old, new in zip(olds, news, strict=True)]
+        for olds, news in zip(held, fresh, strict=True)
+    ]
+
+
+def _cosine(before: list[float], after: list[float]) -> float:
+    lengths = math.hypot(*before) * math.hypot(*after)
+    if not lengths:
+        return 0
+    products = (old * new for old, new in zip(before, after, strict=True))
+    return sum(products) / lengths
 
 
 def _difference(
     before: tuple[tuple[int, ...], ...],
     after: tuple[tuple[int, ...], ...],
-) -> list[list[float]]:
+) -> _Tokens:
     return [
         [float(max(0, new - old)) for old, new in zip(olds, news, strict=True)]
         for olds, news in zip(before, after, strict=True)
     ]
 
 
-def _add(total: list[list[float]], more: list[list[float]]) -> None:
+def _add(total: _Tokens, more: _Tokens) -> None:
     if not total:
         total.extend(more)
         return
--- /dev/null
+++ b/tamarackthread/control/site/maps/groups.py
@@ -0,0 +1,75 @@
+"""Find the groups of a service in what its ranks report."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tamarackthread.control.site.maps import ranks, switching
+
+_Row = tuple[ranks.Rank, ranks.RankReport]
+
+
+async def reports(
+    asked: ranks.Ranks,
+    members: tuple[ranks.Rank, ...] | list[ranks.Rank],
+) -> list[ranks.RankReport | None]:
+    """Ask ranks of themselves, all at once."""
+    return await asyncio.gather(*(asked.report(member) for member in members))
+
+
+async def again(
+    asked: ranks.Ranks,
+    group: switching.Group,
+) -> switching.Group | None:
+    """Return a group as it is now, ``None`` unless it is whole and the same."""
+    found = await reports(asked, group.members)
+    known = [report for report in found if report is not None]
+    if len(known) != len(found):
+        return None
+    if any(report.epoch != group.epoch for report in known):
+        return None
+    return switching.Group(
+        name=group.name,
+        epoch=group.epoch,
+        members=group.members,
+        reports=tuple(known),
+    )
+
+
+def whole(
+    members: list[ranks.Rank],
+    found: list[ranks.RankReport | None],
+) -> list[switching.Group]:
+    """List the groups of which every rank reports the same epoch."""
+    by_epoch: dict[tuple[str, int], dict[int, _Row]] = {}
+    for member, report in zip(members, found, strict=True):
+        if report is None:
+            continue
+        rows = by_epoch.setdefault((report.group, report.epoch), {})
+        rows[report.rank] = (member, report)
+    return [
+        _group_of(name, epoch, rows)
+        for (name, epoch), rows in by_epoch.items()
+        if _is_whole(rows)
+    ]
+
+
+def _is_whole(rows: dict[int, _Row]) -> bool:
+    sizes = {report.size for _, report in rows.values()}
+    if len(sizes) != 1 or sorted(rows) != list(range(sizes.pop())):
+        return False
+    return all(report.is_open for _, report in rows.values())
+
+
+def _group_of(
+    name: str,
+    epoch: int,
+    rows: dict[int, _Row],
+) -> switching.Group:
+    ordered = [rows[rank] for rank in sorted(rows)]
+    return switching.Group(
+        name=name,
+        epoch=epoch,
+        members=tuple(row[0] for row in ordered),
+        reports=tuple(row[1] for row in ordered),
+    )
--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -5,66 +5,56 @@
 import asyncio
 import collections.abc
 import logging
-
-import attrs
-
-from tamarackthread.control.site.maps import demand, ranks, switching
+import math
+
+from tamarackthread.control.site.maps import (
+    groups,
+    planning,
+    ranks,
+    switching,
+    watched,
+)
 from tamarackthread.policy import evening
 from tamarackthread.shared import log_events
 from tamarackthread.shared.site import configuration, figures
 
-# The experts in demand change every three to four seconds; looking at least
-# three times in that finds a change while most of it is still ahead.
+# Ranks are asked for their reports so often, and those of pressed groups for
+# their counts in between.  Demand shifts every two to four seconds and makes
+# steps two to three times as long at once, so each tenth of a second until the
+# switch is waited for by every caller of the group.
 LOOK_SECONDS = 1.0
-# Ranks whose counts are read at each look.  Calls are spread evenly, so a
-# third of the ranks shows the demand of all; each reading is charged for and
-# rests the group.
-SAMPLE_SHARE = 0.34
-# Counts read at one look.  A reading rests the whole group by half a
-# millisecond for each 400 counts; with large groups a third of the ranks would
-# rest it for longer than the pause that callers of a stream take.
-MOST_COUNTS = 1200
-# A switch pays where the busiest rank has this much more than the mean and the
-# group has work; below, the copies cost more than the steps they shorten.
+READ_SECONDS = 0.2
+# Ranks whose counts are read.  Calls are spread evenly, so what one rank chooses
+# in a second is like the choices of the rest by 0.95 (cosine), and a few show
+# that nothing has shifted.  Reading is charged for and rests the group, so more
+# are read only while demand is not known well.  A large group needs more: its
+# even maps are made for more experts, each of which is chosen less often.
+CALM_SHARE = 0.03
+ALERT_SHARE = 0.08
+LEAST_ALERT = 3
+# A switch pays where the busiest rank has this much more than the mean; below,
+# the copies cost more than the steps they shorten.
 LEAST_SKEW = 1.45
 LEAST_GAIN = 0.25
-# A pass that is shorter than this delays nobody, however uneven its ranks are:
-# about half of the pause that callers of a stream take without notice.  With
-# 0.055 a calm day had half as many copies again, with no caller served better.
-LONG_STEP_SECONDS = 0.066
-# Calls a rank that keep a group busy enough for a switch to pay.
-LEAST_RUNNING = 0.8
-# A look at what has been copied, up to the time at which a rank must have it.
-PREPARED_LOOK_SECONDS = 0.2
-PREPARED_SECONDS = 4.0
-# Time from the look at the step to the switch: the report's lag, the orders'
-# way there and back, and one second try.
-AHEAD_SECONDS = 0.45
-# Before a step was timed, a group is taken for pressed: a new owner would else
-# need one look more until it can plan.
-ASSUMED_STEP_SECONDS = 0.07
-# A term has this many fences, one more for each switch that is taken back.
+# Time from the order to hold a step to the step: the way there, and the arms.
+# Preparing took as many answers and longer ones, and where it took long because
+# orders were lost, arming will too.
+LEAST_AHEAD_SECONDS = 0.1
+MOST_AHEAD_SECONDS = 0.8
+# A step that has begun can't be held; a later one is tried, so many times.
+HOLD_TRIES = 4
+# A term has this many fences, one more for each switch that is taken back, and
+# as many versions of maps.  At one switch a second that is a quarter of an hour;
+# a longer reign counts on into the next term's, which only costs a new owner
+# its first switch.
 FENCES_OF_TERM = 1000
+MILLISECONDS = 1000
 _log = logging.getLogger('tamarackthread.control')
 
 Members = collections.abc.Callable[[str], list[ranks.Rank]]
 NotePace = collections.abc.Callable[[str, float], None]
 
 
-@attrs.define(eq=False)
-class _Known:
-    """Be what this owner knows of one group."""
-
-    epoch: int = -1
-    version: int = -1
-    placement: ranks.GroupMap = ()
-    demand: demand.Demand = attrs.field(factory=demand.Demand)
-    step_epoch: int = -1
-    step: int = 0
-    step_at: float = 0
-    step_seconds: float = ASSUMED_STEP_SECONDS
-
-
 class Owner:
     """Look at each group in turn and switch its map where that pays."""
 
@@ -78,67 +68,109 @@
         self._note_pace = note_pace
         self._ranks = asked
         self._members = members
-        self._known: dict[str, _Known] = {}
+        self._watched: dict[str, watched.Watched] = {}
         self._taken_back = 0
+        self._is_outdated = False
+        self._has_released = False
+
+    @property
+    def has_released(self) -> bool:
+        """Tell whether the last look found a group held.
+
+        Its ranks' reports are to be asked for again at once: what the group
+        waited for is over, and its demand has not been read meanwhile.
+        """
+        return self._has_released
+
+    @property
+    def is_outdated(self) -> bool:
+        """Tell whether a rank has seen the orders of a later owner."""
+        return self._is_outdated
 
     def begin(self) -> None:
         """Forget what an earlier time as owner has left."""
-        self._known = {}
+        self._watched = {}
         self._taken_back = 0
+        self._is_outdated = False
 
     async def look(
         self,
         services: collections.abc.Iterable[configuration.Service],
         term: int,
     ) -> None:
-        """Look once at each group of the services, as owner of a term."""
+        """Ask all ranks of the services for reports, as owner of a term."""
+        self._has_released = False
+        whole = set()
         for service in services:
             if service.experts is None:
                 continue
-            for group in await self._groups(service.name):
-                await self._tend(service.experts, group, term)
+            for group in await self._find(service.name):
+                whole.add(group.name)
+                if group.held is None:
+                    self._see(service.experts, group)
+                else:
+                    await self._release(group, group.held, term)
+        for name, known in self._watched.items():
+            if name not in whole:
+                known.group = None
+
+    async def read(self, term: int) -> None:
+        """Read the counts of pressed groups; switch maps where that pays."""
+        for known in tuple(self._watched.values()):
+            if known.group is None or not await self._presses(known):
+                continue
+            if not await self._learn_placement(known, known.group):
+                continue
+            await self._learn_demand(known, known.group)
+            wanted = await self._plan(known, known.group)
+            if wanted is not None:
+                await self._switch(known, known.group, wanted, term)
+
+    async def _presses(self, known: watched.Watched) -> bool:
+        """Tell whether a group's steps are long, as one rank tells."""
+        now = asyncio.get_running_loop().time()
+        if known.is_pressed(now):
+            return True
+        await self._time_step(known, known.group)
+        return known.is_pressed(now)
 
-    async def _groups(self, service: str) -> list[switching.Group]:
-        """Find the groups of which every rank reports the same epoch."""
+    async def _find(self, service: str) -> list[switching.Group]:
         members = self._members(service)
-        reports = await asyncio.gather(
-            *(self._ranks.report(member) for member in members)
-        )
-        by_epoch: dict[tuple[str, int], dict[int, _Row]] = {}
-        for member, report in zip(members, reports, strict=True):
-            if report is None:
-                continue
-            self._note_pace(member.target, report.pace)
-            rows = by_epoch.setdefault((report.group, report.epoch), {})
-            rows[report.rank] = (member, report)
-        return [
-            _group_of(name, epoch, rows)
-            for (name, epoch), rows in by_epoch.items()
-            if _is_whole(rows)
-        ]
+        found = await groups.reports(self._ranks, members)
+        for member, report in zip(members, found, strict=True):
+            if report is not None:
+                self._note_pace(member.target, report.pace)
+        return groups.whole(members, found)
 
-    async def _tend(
+    async def _release(
         self,
-        shape: configuration.Experts,
         group: switching.Group,
+        step: int,
         term: int,
     ) -> None:
-        if group.held is not None:
-            await self._bring_to_end(group, group.held, term)
-            return
-        if group.armed is not None:
-            return
-        known = self._known.setdefault(group.name, _Known())
-        self._learn_step(known, group)
-        if not _is_pressed(known, group):
+        now = asyncio.get_running_loop().time()
+        known = self._watched.get(group.name)
+        if known is not None and known.has_let_go(step, now):
             return
-        if not await self._learn_placement(known, group):
+        await self._bring_to_end(group, step, term)
+        self._has_released = True
+
+    def _see(
+        self,
+        shape: configuration.Experts,
+        group: switching.Group,
+    ) -> None:
+        # Reports lag by different times, so that right after a switch some
+        # ranks seem to have the map before it.
+        if group.armed is not None or group.is_between:
             return
-        await self._learn_demand(shape, known, group)
-        wanted = await self._plan(shape, known, group)
-        if wanted is not None:
-            switcher = switching.Switcher(self._ranks, self._fence(term))
-            await self._switch(switcher, known, group, wanted)
+        known = self._watched.get(group.name)
+        if known is None:
+            known = watched.Watched(shape)
+            self._watched[group.name] = known
+        known.shape = shape
+        known.see(group, asyncio.get_running_loop().time())
+        figures.STEP_SECONDS.labels(group.name).set(known.step_seconds)
 
     def _fence(self, term: int) -> int:
         """Give the fence in use: higher with each term and each taking back."""
@@ -153,25 +185,22 @@
         """Bring to its end what an earlier owner, or a late order, left."""
         _log.warning('control: group %s is held at %d', group.name, step)
         switcher = switching.Switcher(self._ranks, self._fence(term))
-        if not await switcher.fence(group, step):
+        is_fenced = await switcher.fence(group, step)
+        self._is_outdated |= switcher.is_outdated
+        if not is_fenced:
             return
         await asyncio.sleep(switching.LAG_SECONDS)
-        reports = await asyncio.gather(
-            *(self._ranks.report(member) for member in group.members)
-        )
-        if None in reports or any(
-            report.epoch != group.epoch for report in reports
-        ):
+        fenced = await groups.again(self._ranks, group)
+        if fenced is None:
             return
-        group = attrs.evolve(group, reports=tuple(reports))
-        if group.armed is None:
-            await switcher.go(group, step, group.members)
+        if fenced.armed is None:
+            await switcher.go(fenced, step, fenced.members)
             return
-        if await switcher.finish(group, group.armed, group.members):
+        if await switcher.finish(fenced, fenced.armed, fenced.members):
             return
         self._taken_back += 1
         higher = switching.Switcher(self._ranks, self._fence(term))
-        is_back = await higher.take_back(group, group.armed)
+        is_back = await higher.take_back(fenced, fenced.armed)
         _log.warning(
             'control: the switch of group %s at step %d was %s',
             group.name,
@@ -179,24 +208,13 @@
             'taken back' if is_back else 'left to the next look',
         )
 
-    def _learn_step(self, known: _Known, group: switching.Group) -> None:
-        now = asyncio.get_running_loop().time()
-        steps = group.step - known.step
-        if known.step_epoch == group.epoch and steps > 0:
-            known.step_seconds = (now - known.step_at) / steps
-        known.step_epoch = group.epoch
-        known.step = group.step
-        known.step_at = now
-        figures.STEP_SECONDS.labels(group.name).set(known.step_seconds)
-
     async def _learn_placement(
         self,
-        known: _Known,
+        known: watched.Watched,
         group: switching.Group,
     ) -> bool:
         """Read the map in force unless this owner has put it there."""
-        is_known = (known.epoch, known.version) == (group.epoch, group.version)
-        if is_known:
+        if known.epoch == group.epoch and known.version >= group.version:
             return True
         found = await asyncio.gather(
             *(self._ranks.placement(member) for member in group.members)
@@ -213,15 +231,10 @@
 
     async def _learn_demand(
         self,
-        shape: configuration.Experts,
-        known: _Known,
+        known: watched.Watched,
         group: switching.Group,
     ) -> None:
-        count = round(len(group.members) * SAMPLE_SHARE)
-        each = shape.sets * shape.experts
-        count = max(1, min(count, MOST_COUNTS // each))
-        # The same ranks each time: a rank counts from its second reading on.
-        sample = group.members[:count]
+        sample = group.members[: _sample_size(known, group)]
         found = await asyncio.gather(
             *(
                 self._ranks.counts(member, len(known.placement))
@@ -238,53 +251,68 @@
 
     async def _plan(
         self,
-        shape: configuration.Experts,
-        known: _Known,
+        known: watched.Watched,
         group: switching.Group,
     ) -> ranks.GroupMap | None:
         """Return a better map, ``None`` where none pays."""
-        tokens = known.demand.tokens
-        if not tokens:
+        if not known.demand.is_settled:
             return None
+        tokens = known.demand.tokens
         paces = [report.pace for report in group.reports]
-        now = _skew_of(known.placement, tokens, paces)
+        now = planning.skew(known.placement, tokens, paces)
+        figures.GROUP_SKEW.labels(group.name).set(now)
         if now < LEAST_SKEW:
             return None
-        bounds = evening.Bounds(shape.places, shape.spare)
+        bounds = evening.Bounds(known.shape.places, known.shape.spare)
         # In a thread, so that heartbeats of the log go on meanwhile.
         wanted = await asyncio.to_thread(
-            _plan_sets, known.placement, tokens, bounds, paces
+            planning.plan, known.placement, tokens, bounds, paces
         )
-        planned = _skew_of(wanted, tokens, paces)
-        figures.GROUP_SKEW.labels(group.name).set(now)
+        planned = planning.skew(wanted, tokens, paces)
         _log.info(
             'control: group %s is uneven by %.2f, a map of %d copies has %.2f',
             group.name,
             now,
-            _copies(known.placement, wanted),
+            planning.copies(known.placement, wanted),
             planned,
         )
         return wanted if now - planned >= LEAST_GAIN else None
 
     async def _switch(
         self,
-        switcher: switching.Switcher,
-        known: _Known,
+        known: watched.Watched,
         group: switching.Group,
         wanted: ranks.GroupMap,
+        term: int,
     ) -> None:
-        version = group.newest_version + 1
-        if not await switcher.prepare(group, version, wanted):
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await self._time_step(known, group)
+        switcher = switching.Switcher(self._ranks, self._fence(term))
+        version = known.next_version(term * FENCES_OF_TERM)
+        is_prepared = await switcher.prepare(group, version, wanted)
+        self._is_outdated |= switcher.is_outdated
+        if not is_prepared:
             return
-        ready = await self._prepared(group, version)
-        if ready is None:
+        took = loop.time() - began
+        copies = planning.most_copies(known.placement, wanted)
+        await asyncio.sleep(
+            copies * known.shape.copy_seconds * known.copy_slack
+        )
+        step = await self._hold(switcher, known, group, took)
+        if step is None:
             return
-        self._learn_step(known, ready)
-        step = ready.step + 2 + int(AHEAD_SECONDS / known.step_seconds)
-        if not await switcher.switch(ready, version, step):
+        armed = ranks.Armed(version, step)
+        held_at = loop.time()
+        if not await switcher.finish(group, armed, group.members[:1]):
+            # A copy of an arm that got no answer may still be carried out, and
+            # would switch one rank alone once the group was let go.  What
+            # brings this switch to its end has a higher fence, which every
+            # rank is given first, so that they refuse such a copy.
+            self._taken_back += 1
+            known.failed(loop.time())
             return
-        known.version = version
-        known.placement = wanted
+        known.switched(version, wanted, step, loop.time())
         figures.MAP_SWITCHES.inc()
         log_events.tell(
             _log,
@@ -296,96 +324,45 @@
             group=group.name,
             map_version=version,
             step=step,
-            step_ms=round(known.step_seconds * 1000),
+            step_ms=round(known.step_seconds * MILLISECONDS),
+            prepare_ms=round(took * MILLISECONDS),
+            arm_ms=round((loop.time() - held_at) * MILLISECONDS),
         )
 
-    async def _prepared(
+    async def _time_step(
         self,
+        known: watched.Watched,
         group: switching.Group,
-        version: int,
-    ) -> switching.Group | None:
-        """Wait until every rank has a version whole."""
+    ) -> None:
+        """Time steps anew: since a shift they may take three times as long."""
+        report = await self._ranks.report(group.members[0])
+        if report is None or report.epoch != group.epoch:
+            return
+        now = asyncio.get_running_loop().time()
+        known.hear(report, now)
+
+    async def _hold(
+        self,
+        switcher: switching.Switcher,
+        known: watched.Watched,
+        group: switching.Group,
+        took: float,
+    ) -> int | None:
+        """Hold the group at a step soon to come, and return the step."""
         loop = asyncio.get_running_loop()
-        until = loop.time() + PREPARED_SECONDS
-        while loop.time() < until:
-            await asyncio.sleep(PREPARED_LOOK_SECONDS)
-            reports = await asyncio.gather(
-                *(self._ranks.report(member) for member in group.members)
-            )
-            found = [report for report in reports if report is not None]
-            if any(report.epoch != group.epoch for report in found):
-                return None
-            if len(found) == len(reports) and all(
-                report.prepared == version for report in found
-            ):
-                return attrs.evolve(group, reports=tuple(found))
+        await self._time_step(known, group)
+        ahead = min(MOST_AHEAD_SECONDS, max(LEAST_AHEAD_SECONDS, took))
+        for tries in range(HOLD_TRIES):
+            begun = known.step_at(loop.time() + ahead)
+            step = begun + 1 + tries * 2
+            if await switcher.hold(group, step):
+                return step
         return None
 
 
-_Row = tuple[ranks.Rank, ranks.RankReport]
-
-
-def _is_whole(rows: dict[int, _Row]) -> bool:
-    sizes = {report.size for _, report in rows.values()}
-    if len(sizes) != 1 or sorted(rows) != list(range(sizes.pop())):
-        return False
-    versions = {report.version for _, report in rows.values()}
-    is_open = all(report.is_open for _, report in rows.values())
-    return is_open and len(versions) == 1
-
-
-def _group_of(
-    name: str,
-    epoch: int,
-    rows: dict[int, _Row],
-) -> switching.Group:
-    ordered = [rows[rank] for rank in sorted(rows)]
-    return switching.Group(
-        name=name,
-        epoch=epoch,
-        members=tuple(row[0] for row in ordered),
-        reports=tuple(row[1] for row in ordered),
-    )
-
-
-def _is_pressed(known: _Known, group: switching.Group) -> bool:
-    """Tell whether evener ranks would be felt by anybody.
-
-    Reading counts rests the group and is charged for, so it is left where
-    passes are short or hardly anybody waits for them.
-    """
-    if known.step_seconds < LONG_STEP_SECONDS:
-        return False
-    busy = sum(report.running + report.waiting for report in group.reports)
-    return busy >= LEAST_RUNNING * len(group.members)
-
-
-def _skew_of(
-    placement: ranks.GroupMap,
-    tokens: list[list[float]],
-    paces: list[float],
-) -> float:
-    """Return the mean over the sets: each set's busiest rank is waited for."""
-    found = [
-        evening.skew(held, counts, paces)
-        for held, counts in zip(placement, tokens, strict=True)
-    ]
-    return sum(found) / max(1, len(found))
-
-
-def _plan_sets(
-    placement: ranks.GroupMap,
-    tokens: list[list[float]],
-    bounds: evening.Bounds,
-    paces: list[float],
-) -> ranks.GroupMap:
-    return tuple(
-        evening.even(held, counts, bounds, paces)
-        for held, counts in zip(placement, tokens, strict=True)
-    )
-
-
-def _copies(before: ranks.GroupMap, after: ranks.GroupMap) -> int:
-    return sum(
-        evening.copies(old, new) for old, new in zip(before, after, strict=True)
-    )
+def _sample_size(known: watched.Watched, group: switching.Group) -> int:
+    """Return how many ranks to read."""
+    size = len(group.members)
+    if known.demand.is_settled:
+        return math.ceil(size * CALM_SHARE)
+    return max(LEAST_ALERT, math.ceil(size * ALERT_SHARE))
--- a/tamarackthread/control/site/maps/ranks.py
+++ b/tamarackthread/control/site/maps/ranks.py
@@ -16,12 +16,14 @@
     """Say what became of an order.
 
     ``DONE``: carried out, begun or the state holds already.  ``REFUSED``: the
-    rank said no and does nothing.  ``UNKNOWN``: no answer, so the rank may
+    rank said no and does nothing.  ``OUTDATED``: the same, because it has
+    seen a later owner's fence.  ``UNKNOWN``: no answer, so the rank may
     carry it out now, seconds later, or never.
     """
 
     DONE = 'done'
     REFUSED = 'refused'
+    OUTDATED = 'outdated'
     UNKNOWN = 'unknown'
 
 
--- a/tamarackthread/control/site/maps/switching.py
+++ b/tamarackthread/control/site/maps/switching.py
@@ -30,8 +30,12 @@
 
 ORDER_TRIES = 40
 PAUSE_SECONDS = 0.02
+# A rank whose copies take longer than worked out refuses to be armed until it
+# has them.  Each try is 20 ms for which all callers of the group wait.
+ARM_TRIES = 12
 # Steps are reported some hundred milliseconds late.
 LAG_SECONDS = 0.3
+_DISARMED = frozenset((ranks.Outcome.DONE, ranks.Outcome.REFUSED))
 _log = logging.getLogger('tamarackthread.control')
 
 
@@ -54,6 +58,11 @@
         """Return the version in force."""
         return max(report.version for report in self.reports)
 
+    @property
+    def is_between(self) -> bool:
+        """Tell whether ranks report different maps."""
+        return len({report.version for report in self.reports}) > 1
+
     @property
     def newest_version(self) -> int:
         """Return the highest version that any rank is known to have had."""
@@ -88,6 +97,12 @@
         """Order with ``fence``, higher than any owner before."""
         self._ranks = asked
         self._fence = fence
+        self._is_outdated = False
+
+    @property
+    def is_outdated(self) -> bool:
+        """Tell whether a rank has refused an order for a later owner's."""
+        return self._is_outdated
 
     async def prepare(
         self,
@@ -104,19 +119,11 @@
         )
         return all(found is ranks.Outcome.DONE for found in outcomes)
 
-    async def switch(self, group: Group, version: int, step: int) -> bool:
-        """Switch to a version that every rank has prepared.
-
-        Returns ``False`` if the group had begun the step before it could be
-        held; nothing was armed then.
-        """
-        hold = self._order(ranks.HOLD, group, step=step)
-        if await self._until_known(group.members[0], hold) is not (
-            ranks.Outcome.DONE
-        ):
-            return False
-        armed = ranks.Armed(version, step)
-        return await self.finish(group, armed, group.members[:1])
+    async def hold(self, group: Group, step: int) -> bool:
+        """Hold a group at a step; ``False`` if it had begun it."""
+        order = self._order(ranks.HOLD, group, step=step)
+        found = await self._until_known(group.members[0], order)
+        return found is ranks.Outcome.DONE
 
     async def fence(self, group: Group, step: int) -> bool:
         """Shut out all earlier owners of a group that is held at a step.
@@ -145,7 +152,7 @@
             ranks.ARM, group, version=armed.version, step=armed.step
         )
         outcomes = await asyncio.gather(
-            *(self._until_known(rank, order) for rank in group.members)
+            *(self._until_armed(rank, order) for rank in group.members)
         )
         if not all(found is ranks.Outcome.DONE for found in outcomes):
             # Another owner has finished it, or the epoch is over.  If neither
@@ -171,7 +178,7 @@
             *(self._until_known(rank, order) for rank in group.members)
         )
         # A rank that was not armed may refuse; that it is not is what counts.
-        if ranks.Outcome.UNKNOWN in outcomes:
+        if not _DISARMED.issuperset(outcomes):
             return False
         return await self.go(group, armed.step, group.members)
 
@@ -206,6 +213,20 @@
             placement=placement,
         )
 
+    async def _until_armed(
+        self,
+        rank: ranks.Rank,
+        order: ranks.Order,
+    ) -> ranks.Outcome:
+        """Arm a rank, which refuses while it still copies experts."""
+        found = await self._until_known(rank, order)
+        for _ in range(ARM_TRIES):
+            if found is not ranks.Outcome.REFUSED:
+                break
+            await asyncio.sleep(PAUSE_SECONDS)
+            found = await self._until_known(rank, order)
+        return found
+
     async def _until_known(
         self,
         rank: ranks.Rank,
@@ -217,6 +238,8 @@
         """
         for _ in range(ORDER_TRIES):
             found = await self._ranks.order(rank, order)
+            if found is ranks.Outcome.OUTDATED:
+                self._is_outdated = True
             if found is not ranks.Outcome.UNKNOWN:
                 return found
             await asyncio.sleep(PAUSE_SECONDS)
--- /dev/null
+++ b/tamarackthread/control/site/maps/watched.py
@@ -0,0 +1,148 @@
+"""Keep what the owner of a group knows of it between its looks."""
+
+from __future__ import annotations
+
+import attrs
+
+from tamarackthread.control.site.maps import demand, ranks, switching
+from tamarackthread.shared.site import configuration
+
+# A step that is shorter than this delays nobody, however uneven its ranks are:
+# three quarters of the pause that callers of a stream take without notice.
+LONG_STEP_SECONDS = 0.09
+# Steps are timed over so many of them, or so long: one that reads a long prompt
+# is no sign of uneven ranks.
+TIMED_STEPS = 4
+TIMED_SECONDS = 0.5
+# A group stays under watch for so long after its last long step.  An even map
+# makes steps short; that a shift of demand, which comes every two to four
+# seconds, has made them long again would be seen a look too late.
+WATCH_SECONDS = 4.0
+# Calls a rank that keep a group busy enough for a switch to pay.
+LEAST_RUNNING = 0.8
+# Copies share their link with others of the rank.
+COPY_SLACK = 1.15
+# After a switch that had to be taken back, the group is left alone for so long
+# and then given twice the time to copy: each such switch holds all its callers
+# for most of a second.
+REST_SECONDS = 5.0
+# A report tells of some hundred milliseconds ago.
+REPORT_SECONDS = 0.2
+LATE_REPORT_SECONDS = 1.0
+# Before a step was timed, a group is taken for pressed: a new owner would else
+# need one look more until it can plan.
+ASSUMED_STEP_SECONDS = LONG_STEP_SECONDS
+
+
+@attrs.define(eq=False)
+class Watched:
+    """Be a group as its reports, its counts and this owner's orders tell.
+
+    ``placement`` is the map of ``version`` in ``epoch``.  ``highest`` is the
+    highest version that this owner gave out, whether or not it came into
+    force.  ``group`` is ``None`` while not all ranks report alike.
+    """
+
+    shape: configuration.Experts
+    group: switching.Group | None = None
+    epoch: int = -1
+    version: int = -1
+    placement: ranks.GroupMap = ()
+    highest: int = 0
+    demand: demand.Demand = attrs.field(factory=demand.Demand)
+    step_seconds: float = ASSUMED_STEP_SECONDS
+    copy_slack: float = COPY_SLACK
+    _rests_until: float = 0
+    _let_go: int = -1
+    _let_go_at: float = 0
+    _step_epoch: int = -1
+    _step: int = 0
+    _step_at: float = 0
+    _pressed_at: float = -WATCH_SECONDS
+
+    def see(self, group: switching.Group, now: float) -> None:
+        """Take a look's reports."""
+        self.group = group
+        self.highest = max(self.highest, group.newest_version)
+        self._time_step(group.epoch, group.step, now)
+        if self.step_seconds >= LONG_STEP_SECONDS and _is_busy(group):
+            self._pressed_at = now
+
+    def hear(self, report: ranks.RankReport, now: float) -> None:
+        """Take one rank's report, which times the steps of all."""
+        self._time_step(report.epoch, report.step, now)
+        is_busy = report.running + report.waiting >= LEAST_RUNNING
+        if self.step_seconds >= LONG_STEP_SECONDS and is_busy:
+            self._pressed_at = now
+
+    def is_pressed(self, now: float) -> bool:
+        """Tell whether evener ranks would be felt by anybody.
+
+        Reading counts rests the group and is charged for, so it is left
+        where steps are short or hardly anybody waits for them.
+        """
+        if now < self._rests_until:
+            return False
+        return now - self._pressed_at < WATCH_SECONDS
+
+    def switched(
+        self,
+        version: int,
+        placement: ranks.GroupMap,
+        step: int,
+        now: float,
+    ) -> None:
+        """Take it that the group was let go into a new map at a step."""
+        self.version = version
+        self.placement = placement
+        self._let_go = step
+        self._let_go_at = now
+
+    def has_let_go(self, step: int, now: float) -> bool:
+        """Tell whether a report that a group is held is only a late one.
+
+        Holding the group once more, to bring a switch to its end that has
+        ended, would keep all its callers waiting for half a second.  A late
+        copy of the hold may come true after the go, so the report counts when
+        it lasts.
+        """
+        is_same = step == self._let_go
+        return is_same and now - self._let_go_at < LATE_REPORT_SECONDS
+
+    def failed(self, now: float) -> None:
+        """Take it that a switch had to be taken back."""
+        self.copy_slack *= 2
+        self._rests_until = now + REST_SECONDS
+
+    def step_at(self, moment: float) -> int:
+        """Estimate the step that the group has begun by a moment."""
+        since = moment - self._step_at + REPORT_SECONDS
+        return self._step + int(since / self.step_seconds)
+
+    def next_version(self, least: int) -> int:
+        """Give out a version above ``least`` that no rank has had.
+
+        Owners of different terms never give out the same one.  A new owner's
+        reports lag, and a version that its predecessor has prepared since,
+        with another map, would pass for its own: ranks that are armed for it
+        would be armed anew, for another step than those that are not reached.
+        """
+        self.highest = max(self.highest, least) + 1
+        return self.highest
+
+    def _time_step(self, epoch: int, step: int, now: float) -> None:
+        steps = step - self._step
+        since = now - self._step_at
+        if self._step_epoch == epoch:
+            is_short = steps < TIMED_STEPS and since < TIMED_SECONDS
+            if steps <= 0 or is_short:
+                return
+            self.step_seconds = since / steps
+        self._step_epoch = epoch
+        self._step = step
+        self._step_at = now
+
+
+def _is_busy(group: switching.Group) -> bool:
+    busy = sum(report.running + report.waiting for report in group.reports)
+    return busy >= LEAST_RUNNING * len(group.members)
--- a/tamarackthread/platform/configuration.py
+++ b/tamarackthread/platform/configuration.py
@@ -13,6 +13,7 @@
 from tamarackthread.shared.site import configuration as site
 
 MILLISECONDS = 1000
+BITS_OF_BYTE = 8
 _Row = dict[str, typing.Any]
 _Item = typing.TypeVar('_Item')
 _KINDS = types.MappingProxyType(
@@ -119,9 +120,17 @@
         experts=int(engine['experts']),
         places=int(engine['placements']),
         spare=int(engine['spare']),
+        copy_seconds=_copy_seconds(engine),
     )
 
 
+def _copy_seconds(engine: _Row) -> float:
+    """Work out how long one expert takes over a rank's link."""
+    megabits = float(engine.get('expert-mb') or 0) * BITS_OF_BYTE
+    rate = float(engine.get('link-mbps') or 0)
+    return megabits / rate if rate else 0
+
+
 def _organisation(row: _Row) -> site.Organisation:
     return site.Organisation(
         name=_text(row['name']),
--- a/tamarackthread/platform/ranks.py
+++ b/tamarackthread/platform/ranks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import types
 import typing
@@ -14,6 +15,8 @@
 # A rank answers within some milliseconds; an order that has got lost is sent
 # again after this.
 ANSWER_SECONDS = 0.15
+# Orders that may be on their way at once, to one or two groups.
+ENCODED_ORDERS = 4
 _OPERATIONS = types.MappingProxyType(
     {
         ranks.PREPARE: 'prepare',
@@ -78,7 +81,7 @@
             wire.EXPECTED_TARGET: rank.target,
             'Content-Type': 'application/json',
         }
-        body = json.dumps(_order(asked)).encode()
+        body = _encoded(asked)
         try:
             async with self._opened().post(
                 url, data=body, headers=headers
@@ -89,6 +92,8 @@
             return ranks.Outcome.UNKNOWN
         if status in {200, 202}:
             return ranks.Outcome.DONE
+        if status == wire.FENCED:
+            return ranks.Outcome.OUTDATED
         return ranks.Outcome.REFUSED
 
     async def close(self) -> None:
@@ -172,6 +177,16 @@
     )
 
 
+@functools.lru_cache(ENCODED_ORDERS)
+def _encoded(asked: ranks.Order) -> bytes:
+    """Encode an order, which goes to all ranks of a group alike.
+
+    The map of 63 ranks takes a millisecond to encode; once for each rank was
+    most of the time until all had it.
+    """
+    return json.dumps(_order(asked)).encode()
+
+
 def _order(asked: ranks.Order) -> _Body:
     body: _Body = {
         'operation': _OPERATIONS[asked.operation],
--- a/tamarackthread/platform/wire.py
+++ b/tamarackthread/platform/wire.py
@@ -31,6 +31,8 @@
 
 # Another target, or other weights, than the call expected.
 MISDIRECTED = 421
+# A rank has seen a higher fence than the order's.
+FENCED = 412
 
 # Of ranks: what one tells of itself, how often its calls chose each expert,
 # which experts it holds, and where it takes orders.
--- a/tamarackthread/shared/site/configuration.py
+++ b/tamarackthread/shared/site/configuration.py
@@ -63,13 +63,15 @@
     """Say what an expert map of a service's groups may look like.
 
     ``places`` is how many experts a rank holds in each of ``sets`` sets of
-    layers, ``spare`` how many of them one map may bring new to it.
+    layers, ``spare`` how many of them one map may bring new to it, and
+    ``copy_seconds`` how long a rank takes to copy one.
     """
 
     sets: int
     experts: int
     places: int
     spare: int
+    copy_seconds: float = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_site_maps.py
+++ b/tests/test_site_maps.py
@@ -14,6 +14,7 @@
 
 from tamarackthread.control.site.maps import (
     demand,
+    duty,
     owner,
     ranks,
     switching,
@@ -25,13 +26,16 @@
 RANKS = 4
 STEP_SECONDS = 0.05
 LAG_SECONDS = 0.2
-SHAPE = configuration.Experts(sets=1, experts=8, places=4, spare=2)
+SHAPE = configuration.Experts(
+    sets=1, experts=8, places=4, spare=2, copy_seconds=0.1
+)
 
 
 @attrs.define
 class _Rank:
     version: int = 0
     prepared: int | None = None
+    copied_at: float = 0
     highest: int = 0
     fence: int = 0
     armed: ranks.Armed | None = None
@@ -48,9 +52,12 @@
         self.mixed = []
         self.lost = 0.0
         self.late = 0.0
+        self.copying = 0.0
+        self.answering = 0.002
         self.seen = []
         self._tasks = set()
-        self._counted = 0
+        self._counted = [0 for _ in range(8)]
+        self._favoured = 0
         self._restart()
 
     def members(self, service):
@@ -77,11 +84,13 @@
         return self.seen[0][int(rank.address[1:])]
 
     async def counts(self, rank, sets):
-        self._counted += 100
-        busy = tuple(
-            self._counted * weight for weight in (10, 1, 1, 1, 1, 1, 1, 1)
-        )
-        return ranks.Counts(self.epoch, (busy,))
+        for expert in range(8):
+            self._counted[expert] += 1000 if expert == self._favoured else 100
+        return ranks.Counts(self.epoch, (tuple(self._counted),))
+
+    def favour(self, expert):
+        """Have another expert be chosen ten times as often as the rest."""
+        self._favoured = expert
 
     async def placement(self, rank):
         number = int(rank.address[1:])
@@ -96,7 +105,9 @@
             task = asyncio.create_task(self._later(row, asked))
             self._tasks.add(task)
             return ranks.Outcome.UNKNOWN
-        await asyncio.sleep(0.002)
+        await asyncio.sleep(self.answering)
+        if asked.fence < self.rows[row].fence:
+            return ranks.Outcome.OUTDATED
         found = self._carry_out(self.rows[row], asked)
         return ranks.Outcome.DONE if found else ranks.Outcome.REFUSED
 
@@ -162,14 +173,21 @@
             return False
         rank.prepared = asked.version
         rank.highest = asked.version
+        copying = self.random.uniform(0, self.copying)
+        rank.copied_at = asyncio.get_running_loop().time() + copying
         return True
 
+    def _has_copied(self, rank):
+        return asyncio.get_running_loop().time() >= rank.copied_at
+
     def _arm(self, rank, asked):
         wanted = ranks.Armed(asked.version, asked.step)
         if rank.armed == wanted:
             return True
         if asked.step <= self.step or rank.prepared != asked.version:
             return False
+        if not self._has_copied(rank):
+            return False
         rank.armed = wanted
         return True
 
@@ -191,7 +209,7 @@
                 is_open=True,
                 step=self.step,
                 version=rank.version,
-                prepared=rank.prepared,
+                prepared=rank.prepared if self._has_copied(rank) else None,
                 armed=rank.armed,
                 held=rank.held,
                 running=4,
@@ -210,6 +228,39 @@
     )
 
 
+async def look_and_read(owning, term):
+    """Look once and read counts three times, as an owner does for ever."""
+    service = configuration.Service(name='s', experts=SHAPE)
+    await owning.look([service], term)
+    for _ in range(3):
+        await asyncio.sleep(0.1)
+        await owning.read(term)
+
+
+class _Leading:
+    """Be a member of the log that led in term 1."""
+
+    term = 1
+
+    def __init__(self):
+        self._asked = 0
+
+    def has_lease(self):
+        """Lead at the first question only."""
+        self._asked += 1
+        return self._asked == 1
+
+
+class _NoNews:
+    def after(self, serial):
+        return []
+
+
+class _OneService:
+    def services(self):
+        return [configuration.Service(name='s', experts=SHAPE)]
+
+
 class SwitchCase(policy_case.PausedCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
@@ -234,6 +285,40 @@
         """
         self.run_paused(self._on_its_way())
 
+    def test_copies_take_long(self):
+        """Ranks copy for longer than was worked out.
+
+        They refuse to be armed until they have the experts, while the group
+        is held and every caller waits.  The owner asks again at once, and the
+        group goes on with the new map in force on all ranks.
+        """
+        self.run_paused(self._long_copies(0.2))
+
+    def test_copies_never_end(self):
+        """Ranks can't be armed at all, and the group must not stay held.
+
+        The owner gives up after a quarter of a second, and takes the switch
+        back at its next look; the group goes on with the map that it had.
+        """
+        self.run_paused(self._long_copies(100))
+
+    def test_late_report_of_a_hold(self):
+        """A look right after a switch sees the group held, as it was before.
+
+        Reports lag.  Held once more, to bring to its end a switch that has
+        ended, the group would keep all its callers waiting for half a second.
+        """
+        self.run_paused(self._late_report())
+
+    def test_without_leader(self):
+        """Nobody leads for some seconds, then another does.
+
+        Where engines check fences the last leader goes on evening the ranks,
+        until one refuses its orders for the next leader's; it gives none from
+        then on.  Where engines don't, it stops with its lease.
+        """
+        self.run_paused(self._leaderless())
+
     def test_without_holding(self):
         """The check sees ranks switch alone when the hold is left out."""
         self.run_paused(self._without_hold())
@@ -243,6 +328,7 @@
         group = FakeGroup(generator)
         group.lost = generator.choice((0, 0.1, 0.3))
         group.late = generator.choice((0, 0.1, 0.3))
+        group.copying = generator.choice((0, 0.1, 1))
         stepping = asyncio.create_task(group.run())
         for fence in range(1, 6):
             await self._reign(group, generator, fence)
@@ -253,10 +339,7 @@
         calm = owner.Owner(group, group.members, group.note_pace)
         before = group.step
         for _ in range(6):
-            await asyncio.wait_for(
-                calm.look([configuration.Service(name='s', experts=SHAPE)], 9),
-                60,
-            )
+            await asyncio.wait_for(look_and_read(calm, 9), 60)
             await asyncio.sleep(1)
         await asyncio.sleep(7)
         await calm.look([configuration.Service(name='s', experts=SHAPE)], 9)
@@ -269,11 +352,10 @@
     async def _reign(self, group, generator, fence):
         """Own the group for a while, then die or freeze at any moment."""
         owning = owner.Owner(group, group.members, group.note_pace)
-        service = configuration.Service(name='s', experts=SHAPE)
 
         async def work():
             while True:
-                await owning.look([service], fence)
+                await look_and_read(owning, fence)
                 await asyncio.sleep(0.3)
 
         working = asyncio.create_task(work())
@@ -312,6 +394,64 @@
         self.assertEqual([], group.mixed)
         self.assertGreater(group.step, step)
 
+    async def _long_copies(self, copying):
+        group = FakeGroup(random.Random(1))
+        group.copying = copying
+        stepping = asyncio.create_task(group.run())
+        owning = owner.Owner(group, group.members, group.note_pace)
+        for _ in range(4):
+            await look_and_read(owning, 1)
+        stepping.cancel()
+        self.assertEqual([], group.mixed)
+        self.assertGreater(group.step, 15)
+        versions = {row.version for row in group.rows}
+        self.assertEqual(1, len(versions))
+        self.assertEqual(copying < 1, versions != {0})
+
+    async def _late_report(self):
+        group = FakeGroup(random.Random(1))
+        group.answering = 0.05
+        stepping = asyncio.create_task(group.run())
+        owning = owner.Owner(group, group.members, group.note_pace)
+        service = configuration.Service(name='s', experts=SHAPE)
+        await owning.look([service], 1)
+        while owning._watched['g'].version <= 0:
+            await owning.read(1)
+        while group.seen[0][0].held is None:
+            await asyncio.sleep(0.01)
+        self.assertIsNone(group.rows[0].held)
+        before = group.step
+        await owning.look([service], 1)
+        await asyncio.sleep(0.4)
+        stepping.cancel()
+        self.assertFalse(owning.has_released)
+        self.assertGreater(group.step, before + 6)
+
+    async def _leaderless(self):
+        for goes_on in (True, False):
+            group = FakeGroup(random.Random(1))
+            maps = owner.Owner(group, group.members, group.note_pace)
+            leading = _Leading()
+            working = duty.Duty(
+                leading, _NoNews(), _OneService(), maps, goes_on=goes_on
+            )
+            tasks = [
+                asyncio.create_task(group.run()),
+                asyncio.create_task(working.run()),
+            ]
+            await asyncio.sleep(3)
+            switched = group.rows[0].version
+            self.assertEqual(goes_on, switched > 0)
+            for row in group.rows:
+                row.fence = 5000
+            group.favour(7)
+            await asyncio.sleep(3)
+            self.assertEqual(switched, group.rows[0].version)
+            self.assertEqual(goes_on, maps.is_outdated)
+            for task in tasks:
+                task.cancel()
+            self.assertEqual([], group.mixed)
+
     async def _without_hold(self):
         group = FakeGroup(random.Random(1))
         stepping = asyncio.create_task(group.run())
@@ -400,11 +540,59 @@
 
 
 class DemandCase(unittest.TestCase):
+    """Answer the load in which other experts are in demand all at once."""
+
+    def setUp(self):
+        self.known = demand.Demand()
+        self._sums = [0, 0, 0]
+
+    def choose(self, *more):
+        """Have one rank choose its experts so many times more."""
+        for expert, count in enumerate(more):
+            self._sums[expert] += count
+        self.known.take({'t': ranks.Counts(2, (tuple(self._sums),))})
+
     def test_restart_is_no_demand(self):
         """Counts that began anew with an epoch are not taken for choices."""
-        known = demand.Demand()
-        known.take({'t': ranks.Counts(1, ((900, 900),))})
-        known.take({'t': ranks.Counts(2, ((5, 0),))})
-        self.assertEqual([], known.tokens)
-        known.take({'t': ranks.Counts(2, ((7, 1),))})
-        self.assertEqual([[2, 1]], known.tokens)
+        self.known.take({'t': ranks.Counts(1, ((900, 900, 9),))})
+        self.choose(5, 0, 0)
+        self.assertEqual([], self.known.tokens)
+        for _ in range(2):
+            self.choose(2, 1, 0)
+        self.assertTrue(self.known.is_settled)
+        self.assertEqual([[3.4, 1.7, 0]], self.known.tokens)
+
+    def test_shift_is_taken_at_once(self):
+        """What was in demand before a shift is forgotten by the second look.
+
+        Mixed into the new demand, it would have maps made for experts that
+        nobody chooses any more, for as long as it is remembered.
+        """
+        for _ in range(9):
+            self.choose(90, 10, 0)
+        self.choose(0, 10, 90)
+        self.assertFalse(self.known.is_settled)
+        self.choose(0, 10, 90)
+        self.assertTrue(self.known.is_settled)
+        self.assertEqual(0, self.known.tokens[0][0])
+
+    def test_odd_reading_is_no_shift(self):
+        """A few calls of another kind on one rank don't change the demand."""
+        for _ in range(9):
+            self.choose(90, 10, 0)
+        self.choose(0, 10, 90)
+        self.choose(90, 10, 0)
+        self.assertTrue(self.known.is_settled)
+        self.assertEqual(0, self.known.tokens[0][2])
+
+    def test_rank_that_was_not_read(self):
+        """A rank counts only beside its own reading just before.
+
+        One that was left out for a while has counted through a shift.
+        """
+        for _ in range(3):
+            self.choose(10, 0, 0)
+        before = [list(row) for row in self.known.tokens]
+        self.known.take({'u': ranks.Counts(2, ((0, 0, 900),))})
+        self.known.take({'t': ranks.Counts(2, ((900, 0, 0),))})
+        self.assertEqual(before, self.known.tokens)
