--- a/tamarackthread/control/site/maps/watched.py
+++ b/tamarackthread/control/site/maps/watched.py
@@ -65,15 +65,13 @@
         self.group = group
         self.highest = max(self.highest, group.newest_version)
         self._time_step(group.epoch, group.step, now)
-        if self.step_seconds >= LONG_STEP_SECONDS and _is_busy(group):
-            self._pressed_at = now
+        busy = sum(map(_calls_of, group.reports)) / len(group.reports)
+        self._note_pressure(busy, now)
 
     def hear(self, report: ranks.RankReport, now: float) -> None:
         """Take one rank's report, which times the steps of all."""
         self._time_step(report.epoch, report.step, now)
-        is_busy = report.running + report.waiting >= LEAST_RUNNING
-        if self.step_seconds >= LONG_STEP_SECONDS and is_busy:
-            self._pressed_at = now
+        self._note_pressure(_calls_of(report), now)
 
     def is_pressed(self, now: float) -> bool:
         """Tell whether evener ranks would be felt by anybody.
@@ -130,6 +128,17 @@
         self.highest = max(self.highest, least) + 1
         return self.highest
 
+    def _note_pressure(self, calls: float, now: float) -> None:
+        """Take how many calls a rank has.
+
+        A group that has never had a map made for it is the most uneven one,
+        and its first map serves in part after each shift: it is made as soon
+        as there are calls to make it from, before they are late.
+        """
+        is_slow = self.step_seconds >= LONG_STEP_SECONDS
+        if calls >= LEAST_RUNNING and (is_slow or self.version <= 0):
+            self._pressed_at = now
+
     def _time_step(self, epoch: int, step: int, now: float) -> None:
         steps = step - self._step
         since = now - self._step_at
@@ -143,6 +152,5 @@
         self._step_at = now
 
 
-def _is_busy(group: switching.Group) -> bool:
-    busy = sum(report.running + report.waiting for report in group.reports)
-    return busy >= LEAST_RUNNING * len(group.members)
+def _calls_of(report: ranks.RankReport) -> int:
+    return report.running + report.waiting
