Name the target that a deadline passed at, and crowd none after a start

Ruled out for the refusals: the budget itself. A larger reserve would be doubled by a restart of all entries within one window.

Now: such a try has its line with the target; an entry that has just started has one call at a target and waits up to 0.2 s for a calmer one. Both tests fail without it.

--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -41,14 +41,14 @@
     ``sent`` names the targets that the call was sent to, ``skipped`` those
     that could not be reached, ``may_have_run`` whether any might have run it.
     ``position`` is the last event that the caller was sent, ``is_unnumbered``
-    whether it was sent any that can't be told from its copy, and ``is_trying``
-    whether a target may have the call at this moment.
+    whether it was sent any that can't be told from its copy, and ``trying``
+    the target that may have the call at this moment.
     """
 
     sent: list[str] = attrs.field(factory=list)
     skipped: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
-    is_trying: bool = False
+    trying: targets.Target | None = None
     is_unnumbered: bool = False
     position: int = -1
     failure: errors.CodedError | None = None
@@ -82,7 +82,12 @@
             async with asyncio.timeout_at(call.deadline):
                 await self._try_until_answered(call, progress, out)
         except TimeoutError as exc:
-            if progress.may_have_run or progress.is_trying:
+            if progress.trying is not None:
+                progress.sent.append(progress.trying.name)
+                progress.may_have_run = True
+                passed = failures.DeadlinePassed('no answer')
+                _tell(call, progress.trying, progress, passed)
+            if progress.may_have_run:
                 raise failures.DeadlinePassed(_names(progress)) from exc
             raise failures.DeadlineBeforeSend(
                 retry_after=self._soon(RETRY_AFTER_SECONDS),
@@ -97,7 +102,7 @@
         while True:
             target = await self._next_target(call, progress)
             target.own += 1
-            progress.is_trying = True
+            progress.trying = target
             try:
                 await self._try(call, target, progress, out)
             except errors.CodedError as exc:
@@ -210,7 +215,7 @@
         failure: errors.CodedError,
     ) -> None:
         progress.failure = failure
-        progress.is_trying = False
+        progress.trying = None
         now = asyncio.get_running_loop().time()
         if isinstance(failure, sending.NotSent):
             target.failed(now)
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -21,6 +21,13 @@
 BEATS_UNHEARD = 7
 # After so many beats every target has announced itself, one beat being lost.
 BEATS_TO_WARM = 2.2
+# Calls that an entry which has just started has at one target.  Others start
+# with it, and together they fill the few that are known by then: of seven, each
+# may have one call at a target with six places.
+WARM_CALLS = 1
+# A call waits for a calmer target for so long at most: half of a beat brings
+# some, and most aims are twice this.
+CALM_SECONDS = 0.2
 # Time out of the choice after a connection could not be made, doubled up to
 # the most: a restart takes about a second, a cut some seconds.
 FIRST_PAUSE_SECONDS = 0.3
@@ -184,18 +191,31 @@
         """Wait for a target that was not tried, while more may be announced.
 
         A process that has just started knows the targets one by one, as each
-        announces itself within a beat.  Calls that all go to the first one
-        are refused by it, though there is room at the others.
+        announces itself within a beat.  Calls that all go to the first ones
+        are refused by them, though there is room at the others, and each
+        refusal uses up a try that the budget allows.
         """
         loop = asyncio.get_running_loop()
         warm_at = self._started_at + self._beat * BEATS_TO_WARM
-        until = min(loop.time() + seconds, warm_at)
-        while loop.time() < until and self.choose(service, tried) is None:
+        began = loop.time()
+        until = min(began + seconds, warm_at)
+        while loop.time() < until and not self._has_calm(service, tried):
+            if self.choose(service, tried) is not None:
+                until = min(until, began + CALM_SECONDS)
             arrived = self._arrived
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(until):
                     await arrived.wait()
 
+    def _has_calm(
+        self,
+        service: str,
+        tried: collections.abc.Collection[str],
+    ) -> bool:
+        """Tell whether a target is known that others hardly can have filled."""
+        found = self.choose(service, tried)
+        return found is not None and found.own < WARM_CALLS
+
     def sweep(self) -> None:
         """Mark targets that nobody has spoken of for long."""
         now = asyncio.get_running_loop().time()
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -103,6 +103,10 @@
     )
 
 
+async def silent(target, head, writer):
+    """Take a call and never answer."""
+
+
 async def dropping(target, head, writer):
     writer.close()
 
@@ -342,6 +346,25 @@
         await self.add(streaming(1, 2, is_whole=True))
         self.assertEqual(200, (await asking)[0])
 
+    async def test_first_target_is_not_crowded(self):
+        """Entries that start together know one target at first.
+
+        Each sends it one call and waits a moment for others; all their calls
+        there would fill it, and its refusals use up the budget for tries.
+        """
+        self.serve(STREAM, is_resumable=True)
+        first = await self.add(silent)
+        waiting = asyncio.create_task(self.ask())
+        while not first.heads:
+            await asyncio.sleep(0)
+        asking = asyncio.create_task(self.ask())
+        while self.front.open_calls < 2:
+            await asyncio.sleep(0)
+        await self.add(streaming(1, 2, is_whole=True))
+        self.assertEqual(200, (await asking)[0])
+        self.assertEqual(1, len(first.heads))
+        waiting.cancel()
+
 
 class TriesCase(DirectCase):
     async def test_lost_answer_is_not_tried_again(self):
@@ -356,6 +379,20 @@
         self.assertEqual(502, (await self.ask())[0])
         self.assertEqual((1, 0), (len(first.heads), len(second.heads)))
 
+    async def test_silent_target_is_named(self):
+        """The deadline passes while a target has the call.
+
+        Whoever looks for the cause needs to know which target kept it.
+        """
+        self.serve(ONCE)
+        await self.add(silent)
+        logged = self.enterContext(self.assertLogs('tamarackthread.entry'))
+        status, body, _ = await self.ask(left='50')
+        self.assertEqual(504, status)
+        self.assertIn(b't1', body)
+        tries = [row for row in logged.records if row.event == 'try_failed']
+        self.assertEqual(['t1'], [row.fields['target'] for row in tries])
+
     async def test_library_does_not_repeat(self):
         """A read is sent once to a target that drops it, then elsewhere.
 
