Send no calls to slow ranks while half of the group is swift

Cause: a slow rank got calls in proportion to its pace, so that with three calls at every other rank it had one nearly always, and its own work set the time of every step for all 63 ranks (0.2 to 0.29 s at four times the usual pace, while its experts had been taken away).

Ruled out: leaving out any slow rank; where most are slow the rest have not the places, and calls are shared by pace as before.

--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -32,6 +32,11 @@
 # the most: a restart takes about a second, a cut some seconds.
 FIRST_PAUSE_SECONDS = 0.3
 MOST_PAUSE_SECONDS = 4.0
+# A rank that takes so many times its usual time slows its whole group; the usual
+# spread of ranks is under 1.2.
+SLOW_PACE = 1.5
+# Below this share of swift ranks, the others have not the places for all calls.
+SWIFT_SHARE = 0.5
 # Used where neither announcement nor answer tells how many run at once.
 ASSUMED_SLOTS = 6
 SWEEP_SECONDS = 0.5
@@ -173,7 +178,7 @@
         ]
         ready = [target for target in usable if target.is_ready(now)]
         if ready:
-            return min(ready, key=self._rank)
+            return min(_swift(ready), key=self._rank)
         return min(usable, key=_paused_until, default=None)
 
     async def run(self) -> None:
@@ -254,6 +259,16 @@
         return target.load, is_far, self._random.random()
 
 
+def _swift(ready: list[Target]) -> list[Target]:
+    """Leave slow ranks out, unless they are too many.
+
+    Ranks advance together, so one call at a slow rank slows the calls of all
+    ranks, while a rank without calls holds up nobody by its own work.
+    """
+    found = [target for target in ready if target.pace < SLOW_PACE]
+    return found if len(found) >= SWIFT_SHARE * len(ready) else ready
+
+
 def _paused_until(target: Target) -> float:
     return target.paused_until
 
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -366,6 +366,32 @@
         waiting.cancel()
 
 
+class SlowRankCase(DirectCase):
+    """Answer the load of a group in which some ranks take several times long.
+
+    All ranks wait in each step for the slowest one's own work.
+    """
+
+    async def test_slow_rank_gets_no_call(self):
+        """A slow rank without calls is left so, however busy the others are."""
+        self.serve(ONCE)
+        for _ in range(4):
+            await self.add(whole('yes'))
+        self.known.slow('c', {'t2': 3.0})
+        for name in ('t1', 't3', 't4'):
+            self.known.get(name).own = 5
+        self.assertNotEqual('t2', self.known.choose('s', ()).name)
+
+    async def test_many_slow_ranks_share(self):
+        """Where most ranks are slow, the others have not places for all."""
+        self.serve(ONCE)
+        for _ in range(4):
+            await self.add(whole('yes'))
+        self.known.slow('c', dict.fromkeys(('t1', 't2', 't3'), 2.0))
+        self.known.get('t4').own = 2
+        self.assertNotEqual('t4', self.known.choose('s', ()).name)
+
+
 class TriesCase(DirectCase):
     async def test_lost_answer_is_not_tried_again(self):
         """A call that must not repeat meets a target that drops it.
