End an entry whose own work has failed, and say once how long calls wait

Cause: a fault in the task that follows control, watches targets or sums the log ended it unseen, and the entry went on with what it knew. A control host watched its tasks already; both use one function now.

The patience of a call with an entry that has just started stood in two modules with the same constants; it is one function of the calls module.

No figures: no fault of this kind has been seen on the machines.

--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -243,19 +243,17 @@
     ) -> BaseException:
         """Wait until this host can't go on, and give the reason.
 
-        A group that a fault has halted votes and answers no more, and work
-        that a fault has ended is missed by nobody, while the process would
-        look alive for ever.
+        A group that a fault has halted votes and answers no more, while the
+        process would look alive for ever.
         """
         while True:
             await asyncio.sleep(TEND_SECONDS)
             self._measure()
             if self._group.failure is not None:
                 return self._group.failure
-            for task in working:
-                fault = task.exception() if task.done() else None
-                if fault is not None:
-                    return fault
+            fault = process.first_fault(working)
+            if fault is not None:
+                return fault
 
     def _measure(self) -> None:
         figures.TERM.set(self._group.term)
--- a/tamarackthread/entry/direct/calls.py
+++ b/tamarackthread/entry/direct/calls.py
@@ -6,6 +6,12 @@
 
 from tamarackthread.shared.site import configuration
 
+# A call that comes to an entry which has just started waits for what is missing,
+# for at most this part of its caller's time: it is there within a second, and a
+# caller that is refused has used up a try.
+WAIT_SHARE = 0.3
+MOST_WAIT_SECONDS = 1.5
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -42,3 +48,13 @@
     organisation: str
     arrived: float
     deadline: float
+
+
+def patience(left: float | None) -> float:
+    """Return how long a call waits for what a start brings, in seconds.
+
+    ``left`` is how long its caller will wait, ``None`` if it did not say.
+    """
+    if left is None:
+        return MOST_WAIT_SECONDS
+    return min(MOST_WAIT_SECONDS, WAIT_SHARE * left)
--- a/tamarackthread/entry/direct/front.py
+++ b/tamarackthread/entry/direct/front.py
@@ -35,12 +35,6 @@
 _FAULTS = (OSError, ValueError, LookupError, TypeError, AttributeError)
 _log = logging.getLogger('tamarackthread.entry')
 
-# A call that comes before the first configuration waits for it, for at most
-# this part of its caller's time: after a restart it is there within a second,
-# and a caller that is refused has used up a try.
-WAIT_SHARE = 0.3
-MOST_WAIT_SECONDS = 1.5
-
 
 class Front:
     """Take requests, run them and answer."""
@@ -217,7 +211,7 @@
         arrived = asyncio.get_running_loop().time()
         if self._is_refusing:
             raise failures.EntryStops(retry_after=STOPPING_RETRY_SECONDS)
-        held = await self._tables.wait(_patience(asked))
+        held = await self._tables.wait(calls.patience(asked.left))
         path = asked.path.partition('?')[0]
         found = held.find(asked.host, path, asked.key)
         body = await _body_of(request, held.held.limits.body_bytes)
@@ -255,13 +249,6 @@
         )
 
 
-def _patience(asked: calls.Asked) -> float:
-    """Return how long a call waits for what a start brings, in seconds."""
-    if asked.left is None:
-        return MOST_WAIT_SECONDS
-    return min(MOST_WAIT_SECONDS, WAIT_SHARE * asked.left)
-
-
 async def _body_of(request: web.BaseRequest, most: int) -> bytes:
     """Read a body; raise ``BodyOverLimit`` as soon as it is too long."""
     parts = []
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -73,7 +73,10 @@
         )
 
     async def run(self, announce: process.Announce | None) -> None:
-        """Run until asked to stop, then end without cutting anything off."""
+        """Run until asked to stop, then end without cutting anything off.
+
+        Raises what has ended one of the entry's own tasks.
+        """
         await self._sender.start()
         loop = asyncio.get_running_loop()
         working = [
@@ -93,11 +96,17 @@
             http,
             address=http,
         )
-        await process.stop_asked()
+        stopping = loop.create_task(process.stop_asked())
+        await asyncio.wait(
+            (stopping, *working), return_when=asyncio.FIRST_COMPLETED
+        )
+        fault = process.first_fault(working)
         await self._leave()
-        for work in working:
+        for work in (*working, stopping):
             work.cancel()
         self._links.close()
+        if fault is not None:
+            raise fault
 
     async def _leave(self) -> None:
         """Stop in order: not ready, then no new call, then nothing open.
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -23,10 +23,6 @@
 # Tries at which no connection came about cost a target nothing; a caller
 # would still wait for each of them.
 CONNECT_TRIES = 4
-# A call that finds no target in an entry that has just started waits for one,
-# for at most this part of its time.
-WAIT_SHARE = 0.3
-MOST_WAIT_SECONDS = 1.5
 # A full target has a place again within about a tenth of a second; callers
 # that come back spread over more than that do not meet again.
 RETRY_AFTER_SECONDS = 0.25
@@ -124,8 +120,7 @@
             raise self._end(progress)
         tried = progress.skipped.union(progress.sent)
         left = call.deadline - asyncio.get_running_loop().time()
-        patience = min(MOST_WAIT_SECONDS, WAIT_SHARE * left)
-        await self._known.arrival(call.service, tried, patience)
+        await self._known.arrival(call.service, tried, calls.patience(left))
         target = self._known.choose(call.service, tried)
         if target is None:
             raise self._end(progress)
--- a/tamarackthread/shared/process.py
+++ b/tamarackthread/shared/process.py
@@ -93,6 +93,21 @@
     await asked.wait()
 
 
+def first_fault(
+    working: collections.abc.Iterable[asyncio.Task[None]],
+) -> BaseException | None:
+    """Return why one of a process's endless tasks has ended, if any has.
+
+    Work that a fault has ended is missed by nobody, while the process would
+    look alive for ever: an entry that follows nobody any more goes on with an
+    old configuration.  Ended, it is started anew.
+    """
+    for task in working:
+        if task.done() and not task.cancelled():
+            return task.exception() or RuntimeError(f'{task!r} has ended')
+    return None
+
+
 async def drained(
     idle: collections.abc.Awaitable[None],
     seconds: float,
