Measure calls and maps of one group under heavy, shifting load

make bench NAME=heavy plays three patterns on an emulator of ranks in lock-step (63 ranks, 8 sets of 252 experts, 18 blind entries): demand that shifts every 2.3 s, the same past capacity, one slow rank. It runs the product's own choice of targets and owner of the maps beside round robin, least in flight, the first map for ever, and a map that is even from the moment of each shift, which nobody can have.

--- /dev/null
+++ b/bench/experiments/heavy.py
@@ -0,0 +1,249 @@
+"""Press one group of ranks, and compare how calls and experts are placed.
+
+Patterns: demand that shifts every 2.3 s at 0.8 of what even ranks can do, the
+same at 1.2 of it, and one rank at a quarter of its pace.  Many entries choose
+ranks without a word between them.  ``ours`` places calls with the entry's own
+choice and has the owner of the maps switch them; ``oracle`` has a map that is
+even from the moment of each shift, which nobody can have.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import statistics
+import typing
+
+import async_solipsism
+import attrs
+import numpy
+
+from bench.engines import lockstep
+from tamarackthread.control.site.maps import owner, planning
+from tamarackthread.entry.direct import targets
+from tamarackthread.policy import evening
+from tamarackthread.shared.site import announcements, configuration
+
+SEEDS = (17, 18, 19)
+SECONDS = 16.0
+QUICK_SECONDS = 6.0
+ENTRIES = 18
+SHIFT_SECONDS = 2.3
+SHIFT_SHARE = 0.65
+# What callers take: the time to the first event, and the pause between two.
+FIRST_SECONDS = 0.406
+GAP_SECONDS = 0.12
+MEAN_EVENTS = 23
+MEAN_PROMPT = 835
+# Streams a second that 63 even ranks can serve within the pause.
+CAPACITY = 190.0
+SERVICE = 's'
+
+
+@attrs.frozen
+class Pattern:
+    """Be a load: a part of the capacity, and one rank's pace."""
+
+    name: str
+    load: float
+    pace: float = 1
+
+
+@attrs.frozen
+class Variant:
+    """Be a way to place calls (``route``) and experts (``maps``)."""
+
+    name: str
+    route: str
+    maps: str
+
+
+PATTERNS = (
+    Pattern('shifts', 0.8),
+    Pattern('overload', 1.2),
+    Pattern('slow_rank', 0.6, pace=4.0),
+)
+VARIANTS = (
+    Variant('round_robin_static', 'round_robin', 'static'),
+    Variant('least_own_static', 'least_own', 'static'),
+    Variant('least_own_ours', 'least_own', 'ours'),
+    Variant('ours', 'ours', 'ours'),
+    Variant('oracle', 'ours', 'oracle'),
+)
+
+
+def run(quick: bool) -> dict:
+    """Run every pattern with every variant; seeds are the same for all."""
+    seeds = SEEDS[:1] if quick else SEEDS
+    seconds = QUICK_SECONDS if quick else SECONDS
+    found: dict[str, dict[str, typing.Any]] = {}
+    for pattern, variant in itertools.product(PATTERNS, VARIANTS):
+        rows = [_play(pattern, variant, seed, seconds) for seed in seeds]
+        summed = {
+            field: round(statistics.mean(row[field] for row in rows), 3)
+            for field in rows[0]
+        }
+        found.setdefault(pattern.name, {})[variant.name] = summed
+        print(f'{pattern.name:10} {variant.name:20} {summed}')
+    return {**found, 'seeds': len(seeds), 'seconds': seconds}
+
+
+def _play(
+    pattern: Pattern,
+    variant: Variant,
+    seed: int,
+    seconds: float,
+) -> dict[str, float]:
+    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+        return runner.run(_Day(pattern, variant, seed).run(seconds))
+
+
+class _Day:
+    """Be one run: a group, its entries, its owner and its callers."""
+
+    def __init__(self, pattern: Pattern, variant: Variant, seed: int) -> None:
+        self._pattern = pattern
+        self._variant = variant
+        self._random = random.Random(seed)
+        self._engine = lockstep.Engine()
+        self._group = lockstep.Group(
+            self._engine, numpy.random.default_rng(seed)
+        )
+        self._streams: list[lockstep.Stream] = []
+        self._calls: set[asyncio.Task[None]] = set()
+        self._refused = 0
+        self._turn = 0
+
+    async def run(self, seconds: float) -> dict[str, float]:
+        """Play for so long and return what callers and ranks saw."""
+        self._entries = [self._entry() for _ in range(ENTRIES)]
+        if self._pattern.pace != 1:
+            self._group.slow(5, self._pattern.pace)
+            for entry in self._entries:
+                entry.slow('owner', {'5': self._pattern.pace})
+        working = [
+            asyncio.create_task(self._group.run()),
+            asyncio.create_task(self._shift()),
+        ]
+        if self._variant.maps == 'ours':
+            working.append(asyncio.create_task(self._own()))
+        await self._press(seconds)
+        await asyncio.wait(self._calls)
+        for task in working:
+            task.cancel()
+        return self._figures()
+
+    def _entry(self) -> targets.Targets:
+        known = targets.Targets('z', 1.0, self._random)
+        for rank in range(self._engine.ranks):
+            known.take(
+                announcements.Announcement(
+                    target=str(rank),
+                    service=SERVICE,
+                    address='127.0.0.1:1',
+                    zone='z',
+                    slots=self._engine.slots,
+                )
+            )
+        return known
+
+    async def _press(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        rate = self._pattern.load * CAPACITY
+        while loop.time() < until:
+            await asyncio.sleep(self._random.expovariate(rate))
+            call = asyncio.create_task(self._call())
+            self._calls.add(call)
+
+    async def _call(self) -> None:
+        stream = lockstep.Stream(
+            prompt=1 + int(self._random.expovariate(1 / MEAN_PROMPT)),
+            events=1 + int(self._random.expovariate(1 / MEAN_EVENTS)),
+            arrived=asyncio.get_running_loop().time(),
+        )
+        self._streams.append(stream)
+        known = self._random.choice(self._entries)
+        tried: list[str] = []
+        for _ in range(2):
+            target = self._choose(known, tried)
+            tried.append(target.name)
+            if self._group.take(int(target.name), stream):
+                target.own += 1
+                await stream.done.wait()
+                target.own -= 1
+                return
+        self._refused += 1
+
+    def _choose(
+        self,
+        known: targets.Targets,
+        tried: list[str],
+    ) -> targets.Target:
+        if self._variant.route == 'ours':
+            found = known.choose(SERVICE, tried)
+            assert found is not None
+            return found
+        free = [
+            target
+            for target in known.of_service(SERVICE)
+            if target.name not in tried
+        ]
+        if self._variant.route == 'round_robin':
+            self._turn += 1
+            return free[self._turn % len(free)]
+        return min(free, key=lambda one: (one.own, self._random.random()))
+
+    async def _shift(self) -> None:
+        while True:
+            if self._variant.maps == 'oracle':
+                self._group.put(self._even_map())
+            await asyncio.sleep(SHIFT_SECONDS)
+            self._group.shift(SHIFT_SHARE)
+
+    def _even_map(self) -> tuple:
+        shape = self._engine.shape
+        paces = [1.0 for _ in range(self._engine.ranks)]
+        paces[5] = self._pattern.pace
+        return planning.plan(
+            self._group.placement_in_force,
+            self._group.demand.tolist(),
+            evening.Bounds(shape.places, shape.places),
+            paces,
+        )
+
+    async def _own(self) -> None:
+        maps = owner.Owner(
+            self._group, self._group.members, self._group.note_pace
+        )
+        service = configuration.Service(
+            name=SERVICE, experts=self._engine.shape
+        )
+        loop = asyncio.get_running_loop()
+        while True:
+            await maps.look([service], 1)
+            until = loop.time() + owner.LOOK_SECONDS
+            while loop.time() < until:
+                await asyncio.sleep(owner.READ_SECONDS)
+                await maps.read(1)
+
+    def _figures(self) -> dict[str, float]:
+        served = [stream for stream in self._streams if stream.done.is_set()]
+        on_time = [stream for stream in served if _is_on_time(stream)]
+        asked = max(1, len(self._streams))
+        return {
+            'on_time_share': len(on_time) / asked,
+            'late_share': (len(served) - len(on_time)) / asked,
+            'refused_share': self._refused / asked,
+            'skew_mean': statistics.mean(self._group.skews),
+            'first_p50_ms': 1000
+            * statistics.median(one.first_at - one.arrived for one in served),
+            'switches': self._group.switches,
+            'copies': self._group.copies,
+        }
+
+
+def _is_on_time(stream: lockstep.Stream) -> bool:
+    first = stream.first_at - stream.arrived
+    return first <= FIRST_SECONDS and stream.longest_gap <= GAP_SECONDS
