Free a group whose ranks are held at different steps

Cause: a rank is held at one step at a time. Two owners that met left rank 0 held at step 64 and the others at 47; every later owner held them all at the step that it saw first, was refused by the others, and the group stayed held for good.

Now: the first step counts, and a rank that is held at another is let go there before it is held here, by the same owner's fence.

--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -8,6 +8,7 @@
 import math
 
 from tamarackthread.control.site.maps import (
+    changing,
     groups,
     planning,
     ranks,
@@ -15,7 +16,6 @@
     watched,
 )
 from tamarackthread.policy import evening
-from tamarackthread.shared import log_events
 from tamarackthread.shared.site import configuration, figures
 
 # Ranks are asked for their reports so often, and those of pressed groups for
@@ -36,23 +36,9 @@
 # the copies cost more than the steps they shorten.
 LEAST_SKEW = 1.45
 LEAST_GAIN = 0.25
-# Time from the order to hold a step to the step: the way there, and the arms.
-# Preparing took as many answers, and three times as long for the maps to get
-# there.  Where an order was lost, which shows by its limit, an arm will be too,
-# and a step that comes before all ranks are armed is waited for by all callers.
-LEAST_AHEAD_SECONDS = 0.05
-AHEAD_SHARE = 0.6
-LOST_ORDER_SECONDS = 0.15
-LOST_AHEAD_SHARE = 1.2
-MOST_AHEAD_SECONDS = 0.8
-# A step that has begun can't be held; a later one is tried, so many times.
-HOLD_TRIES = 4
-# A term has this many fences, one more for each switch that is taken back, and
-# as many versions of maps.  At one switch a second that is a quarter of an hour;
-# a longer reign counts on into the next term's, which only costs a new owner
-# its first switch.
-FENCES_OF_TERM = 1000
-MILLISECONDS = 1000
+# A term has this many fences, one more for each switch that is taken back, and as
+# many versions of maps: at one switch a second, those of eleven days.
+FENCES_OF_TERM = 1_000_000
 _log = logging.getLogger('tamarackthread.control')
 
 Members = collections.abc.Callable[[str], list[ranks.Rank]]
@@ -130,7 +116,7 @@
         now = asyncio.get_running_loop().time()
         if known.is_pressed(now):
             return True
-        await self._time_step(known, known.group)
+        await changing.time_step(self._ranks, known, known.group)
         return known.is_pressed(now)
 
     async def _find(self, service: str) -> list[switching.Group]:
@@ -287,89 +273,17 @@
         wanted: ranks.GroupMap,
         term: int,
     ) -> None:
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        await self._time_step(known, group)
         switcher = switching.Switcher(self._ranks, self._fence(term))
+        change = changing.Change(self._ranks, switcher, known, group)
         version = known.next_version(term * FENCES_OF_TERM)
-        is_prepared = await switcher.prepare(group, version, wanted)
+        is_sound = await change.run(version, wanted)
         self._is_outdated |= switcher.is_outdated
-        if not is_prepared:
-            return
-        took = loop.time() - began
-        copies = planning.most_copies(known.placement, wanted)
-        await asyncio.sleep(
-            copies * known.shape.copy_seconds * known.copy_slack
-        )
-        step = await self._hold(switcher, known, group, took)
-        if step is None:
-            return
-        armed = ranks.Armed(version, step)
-        held_at = loop.time()
-        if not await switcher.finish(group, armed, group.members[:1]):
+        if not is_sound:
             # A copy of an arm that got no answer may still be carried out, and
             # would switch one rank alone once the group was let go.  What
             # brings this switch to its end has a higher fence, which every
             # rank is given first, so that they refuse such a copy.
             self._taken_back += 1
-            known.failed(loop.time())
-            return
-        known.switched(version, wanted, step, loop.time())
-        figures.MAP_SWITCHES.inc()
-        log_events.tell(
-            _log,
-            log_events.Event.MAP,
-            'control: group %s switches to map %d at step %d',
-            group.name,
-            version,
-            step,
-            group=group.name,
-            map_version=version,
-            step=step,
-            step_ms=round(known.step_seconds * MILLISECONDS),
-            prepare_ms=round(took * MILLISECONDS),
-            arm_ms=round((loop.time() - held_at) * MILLISECONDS),
-        )
-
-    async def _time_step(
-        self,
-        known: watched.Watched,
-        group: switching.Group,
-    ) -> None:
-        """Time steps anew: since a shift they may take three times as long."""
-        report = await self._ranks.report(group.members[0])
-        if report is None or report.epoch != group.epoch:
-            return
-        now = asyncio.get_running_loop().time()
-        known.hear(report, now)
-
-    async def _hold(
-        self,
-        switcher: switching.Switcher,
-        known: watched.Watched,
-        group: switching.Group,
-        took: float,
-    ) -> int | None:
-        """Hold the group at a step soon to come, and return the step."""
-        loop = asyncio.get_running_loop()
-        await self._time_step(known, group)
-        ahead = _ahead(took)
-        for tries in range(HOLD_TRIES):
-            begun = known.step_at(loop.time() + ahead)
-            step = begun + 1 + tries * 2
-            if await switcher.hold(group, step):
-                return step
-        return None
-
-
-def _ahead(took: float) -> float:
-    """Return how far ahead the step of a switch lies, in seconds.
-
-    ``took`` is how long it took until all ranks had a map.
-    """
-    if took >= LOST_ORDER_SECONDS:
-        return min(MOST_AHEAD_SECONDS, took * LOST_AHEAD_SHARE)
-    return max(LEAST_AHEAD_SECONDS, took * AHEAD_SHARE)
 
 
 def _sample_size(known: watched.Watched, group: switching.Group) -> int:
--- a/tamarackthread/control/site/maps/switching.py
+++ b/tamarackthread/control/site/maps/switching.py
@@ -75,11 +75,12 @@
 
     @property
     def held(self) -> int | None:
-        """Return the step at which the group is held, if any."""
-        for report in self.reports:
-            if report.held is not None:
-                return report.held
-        return None
+        """Return the step at which the group is held, if any.
+
+        Ranks may be held at different steps; the first of them is in force.
+        """
+        held = (report.held for report in self.reports)
+        return min((step for step in held if step is not None), default=None)
 
     @property
     def armed(self) -> ranks.Armed | None:
@@ -132,12 +133,36 @@
         refuses an arm that an earlier owner may still have on its way, which
         would else be carried out between our look and our go.
         """
-        hold = self._order(ranks.HOLD, group, step=step)
         outcomes = await asyncio.gather(
-            *(self._until_known(rank, hold) for rank in group.members)
+            *(
+                self._hold_at(group, rank, report.held, step)
+                for rank, report in zip(
+                    group.members, group.reports, strict=True
+                )
+            )
         )
         return all(found is ranks.Outcome.DONE for found in outcomes)
 
+    async def _hold_at(
+        self,
+        group: Group,
+        rank: ranks.Rank,
+        held: int | None,
+        step: int,
+    ) -> ranks.Outcome:
+        """Hold one rank at a step, and at no other.
+
+        A rank is held at one step at a time.  One that two owners have left
+        held at a later step than the rest would refuse this for good, and the
+        group would never go on.  Others hold it at ``step`` meanwhile.
+        """
+        if held is not None and held != step:
+            let_go = self._order(ranks.GO, group, step=held)
+            await self._until_known(rank, let_go)
+        return await self._until_known(
+            rank, self._order(ranks.HOLD, group, step=step)
+        )
+
     async def finish(
         self,
         group: Group,
--- a/tests/test_site_maps.py
+++ b/tests/test_site_maps.py
@@ -28,6 +28,9 @@
 LAG_SECONDS = 0.2
 # The limit of an order without an answer, and the way of its second copy.
 LOST_SECONDS = 0.17
+# Histories that have failed: a late copy of an owner's own arm is in 21, one
+# version given out twice, and holds at two steps.
+FAILED_SEEDS = (1659, 9799)
 SHAPE = configuration.Experts(
     sets=1, experts=8, places=4, spare=2, copy_seconds=0.1
 )
@@ -282,7 +285,7 @@
         go on; ranks restart.  No step may begin with two maps, and a group
         that was held must go on once an owner has looked at it in peace.
         """
-        for seed in range(60):
+        for seed in (*range(60), *FAILED_SEEDS):
             with self.subTest(seed=seed):
                 self.run_paused(self._history(seed))
 
@@ -320,6 +323,15 @@
         """
         self.run_paused(self._lossy())
 
+    def test_holds_at_two_steps(self):
+        """Two owners have left ranks of one group held at different steps.
+
+        A rank is held at one step at a time and refuses to be held at the
+        other.  The next owner has all of them held at the first step, brings
+        the switch there to its end, and the group goes on.
+        """
+        self.run_paused(self._two_holds())
+
     def test_lost_orders_hold_nobody(self):
         """Orders to one rank get lost and are sent again after their limit.
 
@@ -448,6 +460,26 @@
         self.assertLess(0, group.rows[0].version)
         self.assertEqual([], group.mixed)
 
+    async def _two_holds(self):
+        group = FakeGroup(random.Random(1))
+        stepping = asyncio.create_task(group.run())
+        old = switching.Switcher(group, 1)
+        placement = (tuple(map(group._experts, range(RANKS))),)
+        await old.prepare(held_by(group), 1, placement)
+        for row in group.rows:
+            row.held = group.step + 3
+            row.armed = ranks.Armed(1, group.step + 3)
+        group.rows[0].held = group.step + 20
+        await asyncio.sleep(1)
+        before = group.step
+        await owner.Owner(group, group.members, group.note_pace).look(
+            [configuration.Service(name='s', experts=SHAPE)], 2
+        )
+        await asyncio.sleep(2)
+        stepping.cancel()
+        self.assertEqual([], group.mixed)
+        self.assertGreater(group.step, before + 20)
+
     async def _lost_orders(self):
         group = FakeGroup(random.Random(1))
         group.losing = 'a2'
@@ -499,7 +531,7 @@
             switched = group.rows[0].version
             self.assertEqual(goes_on, switched > 0)
             for row in group.rows:
-                row.fence = 5000
+                row.fence = 5_000_000
             group.favour(7)
             await asyncio.sleep(3)
             self.assertEqual(switched, group.rows[0].version)
