Bound the time that a group is given to copy after failed switches

Cause: each switch that was taken back doubled it without an end, and the owner looks at no group while one copies; found by reading. The test fails without the bound.

--- a/tamarackthread/control/site/maps/watched.py
+++ b/tamarackthread/control/site/maps/watched.py
@@ -24,8 +24,10 @@
 COPY_SLACK = 1.15
 # After a switch that had to be taken back, the group is left alone for so long
 # and then given twice the time to copy: each such switch holds all its callers
-# for most of a second.
+# for most of a second.  Nothing else is looked at while a group copies, so the
+# time is bounded.
 REST_SECONDS = 5.0
+MOST_COPY_SLACK = 4 * COPY_SLACK
 # A report tells of some hundred milliseconds ago.
 REPORT_SECONDS = 0.2
 LATE_REPORT_SECONDS = 1.0
@@ -109,7 +111,7 @@
 
     def failed(self, now: float) -> None:
         """Take it that a switch had to be taken back."""
-        self.copy_slack *= 2
+        self.copy_slack = min(MOST_COPY_SLACK, 2 * self.copy_slack)
         self._rests_until = now + REST_SECONDS
 
     def step_at(self, moment: float) -> int:
--- a/tests/test_site_maps.py
+++ b/tests/test_site_maps.py
@@ -18,6 +18,7 @@
     owner,
     ranks,
     switching,
+    watched,
 )
 from tamarackthread.policy import evening
 from tamarackthread.shared.site import configuration
@@ -555,6 +556,20 @@
         self.assertTrue(group.mixed)
 
 
+class WatchedCase(unittest.TestCase):
+    def test_failures_do_not_add_up(self):
+        """Switches that were taken back give copies a little more time.
+
+        Doubled each time without an end, some days of lost orders would have
+        the owner wait for minutes, and look at no group meanwhile.
+        """
+        known = watched.Watched(SHAPE)
+        for _ in range(20):
+            known.failed(0)
+        self.assertLess(known.copy_slack, 10 * watched.COPY_SLACK)
+        self.assertGreater(known.copy_slack, watched.COPY_SLACK)
+
+
 class EveningCase(unittest.TestCase):
     """Answer the load in which a few experts take most of the choices."""
 
