--- a/tamarackthread/cli/commands/roles.py
+++ b/tamarackthread/cli/commands/roles.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import abc
-import asyncio
 import collections.abc
 import importlib
-import signal
 import typing
 
 from cleo import helpers
@@ -17,10 +15,8 @@
 from tamarackthread.shared import (
     errors,
     findings,
-    live,
-    logs,
     process,
-    reload,
+    role_start,
     settings,
 )
 
@@ -63,14 +59,8 @@
             raise failures.OptionInvalid(
                 f'{name} is for role "{loaded.role}", not "{self.role}"',
             )
-        # Whatever has written the settings may send SIGHUP before the loop
-        # listens for it; by default that would end the process.
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
-        writer = logs.start(loaded.logs, node=loaded.node.id)
-        source = live.Source(loaded)
-        source.watch(lambda: writer.change(source.current.logs))
         try:
-            asyncio.run(self._run(reload.Reloader(name, source), source))
+            role_start.run(loaded, name, self._run)
         except findings.InvalidError:
             raise
         except errors.CodedError as exc:
@@ -81,21 +71,14 @@
         except OSError as exc:
             self.complain(f'{self.role} could not run: {exc}')
             return exit_codes.ExitCode.START_FAILED
-        finally:
-            writer.close()
         return exit_codes.ExitCode.DONE
 
-    async def _run(
-        self,
-        reloader: reload.Reloader,
-        source: live.Source,
-    ) -> None:
+    async def _run(self, loaded: generated.Settings) -> None:
         # Only the role that runs is imported: an agent's process then holds
         # neither the entry's nor control's code in its memory.
         run: _Run = importlib.import_module(self.module).run
         announce = self._announce if self.option('print-addresses') else None
-        reloader.watch()
-        await run(source.settings, announce)
+        await run(loaded, announce)
 
     def _announce(self, addresses: dict[str, str]) -> None:
         self.say(render.as_json(addresses))
--- a/tests/test_role_memory.py
+++ b/tests/test_role_memory.py
@@ -20,13 +20,13 @@
 ROLES = types.MappingProxyType(
     {
         'entry': (
-            'tamarackthread.platform.__main__',
+            'tamarackthread.platform.starting',
             'tamarackthread.entry.direct.role',
             'tamarackthread.platform.calls',
             'tamarackthread.platform.configuration',
         ),
         'control': (
-            'tamarackthread.platform.__main__',
+            'tamarackthread.platform.starting',
             'tamarackthread.control.site.host',
             'tamarackthread.platform.door',
             'tamarackthread.platform.ranks',
