Know the targets of the last run at once

Cause: after all control hosts were gone, a leader stood at once and made its first map 2.5 s later. Each target had to announce itself first, which takes a beat of 1.2 s, and entries waited as long.

Each control host keeps the targets that take work in a file, written when one comes or goes, and tells of them at its start with a sequence that no newer word follows. Nothing that any process holds is replaced by it, and a target that does not speak falls silent as usual.

--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -25,6 +25,7 @@
     joining,
     machine,
     roster,
+    target_file,
 )
 from tamarackthread.control.site.maps import duty, owner, ranks
 from tamarackthread.generated import settings as generated
@@ -38,9 +39,16 @@
     peers,
     process,
 )
-from tamarackthread.shared.site import configuration, figures, following, places
+from tamarackthread.shared.site import (
+    announcements,
+    configuration,
+    figures,
+    following,
+    places,
+)
 
 GROUP = 'site'
+TARGETS = 'targets'
 TEND_SECONDS = 0.5
 # A heartbeat takes two ways between availability zones of a region, some
 # milliseconds; a host that is busy or slowed answers within a tenth of a
@@ -157,6 +165,10 @@
         self._page = figures.Page()
         self._ranks = asked
         known = roster.Roster(self._machine, reader)
+        self._known = known
+        self._targets = target_file.TargetFile(
+            disk.FolderDisk(self._folder.of_group(TARGETS))
+        )
         self._follower = following.Follower(
             self._site, self._links, known, self._address
         )
@@ -189,6 +201,9 @@
         """Run until asked to stop, then hand over and end."""
         address = await self._listener.start_on(self._place.bound)
         await self._group.start()
+        for said in await self._targets.load():
+            self._book.take(said)
+            self._known.learn_target(said)
         http = await self._door.open(
             self._site.http_address, self._api, self._book
         )
@@ -199,6 +214,7 @@
             loop.create_task(self._book.run()),
             loop.create_task(self._follower.run()),
             loop.create_task(self._duty.run()),
+            loop.create_task(self._targets.run(self._all_targets)),
         ]
         if announce is not None:
             announce({'link': address, 'http': http})
@@ -250,6 +266,11 @@
     def _member_addresses(self) -> list[str]:
         return [member.address for member in self._group.members()]
 
+    def _all_targets(self) -> list[announcements.Announcement]:
+        for said in self._book.after(0):
+            self._known.learn_target(said)
+        return self._known.said()
+
     def _others(self) -> list[str]:
         known = dict.fromkeys(places.link_addresses(self._site))
         known.update(dict.fromkeys(self._member_addresses()))
--- a/tamarackthread/control/site/roster.py
+++ b/tamarackthread/control/site/roster.py
@@ -54,6 +54,10 @@
     def learn_document(self, held: document.Document) -> None:
         """Leave it: this host's own log brings it."""
 
+    def said(self) -> list[announcements.Announcement]:
+        """List what is known of each target."""
+        return list(self._said.values())
+
     def members(self, service: str) -> list[ranks.Rank]:
         """List the targets of a service that are up."""
         return [
