Make coarse maps where they make steps short

A plan whose copies each take 0.15 of the mean off the busiest rank has half of the copies of one with 0.05. It is used if it makes steps short; else the fine one is planned as before.

--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -51,6 +51,9 @@
 # to every rank twice over.  Emulated at 0.8 of the capacity it leaves one switch
 # in twenty out and no more calls late; 0.02 makes calls late past the capacity.
 LEAST_SAVED_SECONDS = 0.015
+# Steps that are expected to take less than this are short enough, half of the
+# pause that callers of a stream take.
+SHORT_STEP_SECONDS = 0.06
 # A term has this many fences, one more for each switch that is taken back, and as
 # many versions of maps: at one switch a second, those of eleven days.
 FENCES_OF_TERM = 1_000_000
@@ -307,10 +310,7 @@
         figures.GROUP_SKEW.labels(group.name).set(now)
         if now < LEAST_SKEW:
             return None
-        bounds = evening.Bounds(known.shape.places, known.shape.spare)
-        wanted = await self._work.run(
-            planning.plan, known.placement, tokens, bounds, paces
-        )
+        wanted = await self._plan_even(known, tokens, paces, now)
         planned = planning.skew(wanted, tokens, paces)
         _log.info(
             'control: group %s is uneven by %.2f, a map of %d copies has %.2f',
@@ -324,6 +324,30 @@
             return None
         return wanted
 
+    async def _plan_even(
+        self,
+        known: watched.Watched,
+        tokens: planning.Tokens,
+        paces: planning.Paces,
+        now: float,
+    ) -> ranks.GroupMap:
+        """Plan a map that makes steps short, with few copies if these do.
+
+        Past the capacity steps are long with any map, and the last tenth of
+        evenness is felt by every caller; else half of the copies are enough.
+        """
+        for least in (evening.COARSE_STEP, evening.FINE_STEP):
+            bounds = evening.Bounds(
+                known.shape.places, known.shape.spare, least
+            )
+            wanted = await self._work.run(
+                planning.plan, known.placement, tokens, bounds, paces
+            )
+            even = planning.skew(wanted, tokens, paces) / now
+            if known.step_seconds * even < SHORT_STEP_SECONDS:
+                break
+        return wanted
+
     async def _switch(
         self,
         known: watched.Watched,
--- a/tamarackthread/policy/evening.py
+++ b/tamarackthread/policy/evening.py
@@ -22,7 +22,9 @@
 # A step must take so much of the mean off the busiest rank.  Measured with 252
 # experts on 63 ranks (72 on 12): 0.02 ends at 1.08 (1.04) times the mean with
 # 29 (11) copies a set, 0.05 at 1.10 (1.07) with 26 (8), 0.1 at 1.16 for 12.
-LEAST_STEP = 0.05
+FINE_STEP = 0.05
+# Where evener ranks than that serve nobody better: half of the copies.
+COARSE_STEP = 0.15
 # Ranks with least to do that are tried as takers in each step.  With 63 ranks,
 # 4 end at 1.17 times the mean, 8 at 1.13 and 16 at 1.10; all 63 take three
 # times as long and end at 1.10 too.
@@ -31,10 +33,15 @@
 
 @attrs.frozen
 class Bounds:
-    """Bound what a rank holds, and what of it may be new in one map."""
+    """Bound what a rank holds, and what of it may be new in one map.
+
+    ``least_step`` is what each copy must take off the busiest rank, as a part
+    of the mean.
+    """
 
     places: int
     spare: int
+    least_step: float = FINE_STEP
 
 
 @attrs.frozen
@@ -208,7 +215,7 @@
     that takes longer than usual, by ``paces``, is left less to do.
     """
     plan = _Plan(current, tokens, bounds, paces)
-    least = LEAST_STEP * sum(tokens) / max(1, len(current))
+    least = bounds.least_step * sum(tokens) / max(1, len(current))
     if not least:
         return plan.result
     is_better = True
