--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -25,6 +25,7 @@
 # switch is waited for by every caller of the group.
 LOOK_SECONDS = 1.0
 READ_SECONDS = 0.2
+CALM_READ_SECONDS = 0.39
 # A new owner knows neither the groups nor their demand, and may have been left a
 # group that is held.  It looks and reads so often until it knows them: reports
 # lag by some tenths of a second, and the first look may tell of before the hold.
@@ -150,6 +151,8 @@
         for known in tuple(self._watched.values()):
             if known.group is None or not await self._presses(known):
                 continue
+            if not await self._is_due(known, known.group):
+                continue
             if not await self._learn_placement(known, known.group):
                 continue
             await self._learn_demand(known, known.group)
@@ -165,6 +168,25 @@
         await changing.time_step(self._ranks, known, known.group)
         return known.is_pressed(now)
 
+    async def _is_due(
+        self,
+        known: watched.Watched,
+        group: switching.Group,
+    ) -> bool:
+        """Tell whether counts are worth reading again.
+
+        While steps are short, nothing has shifted that anybody would feel.
+        """
+        now = asyncio.get_running_loop().time()
+        if known.read_at + CALM_READ_SECONDS <= now:
+            known.read_at = now
+            return True
+        await changing.time_step(self._ranks, known, group)
+        if known.step_seconds < SHORT_STEP_SECONDS and known.demand.is_settled:
+            return False
+        known.read_at = now
+        return True
+
     async def _find(self, service: str) -> list[switching.Group]:
         members = self._members(service)
         found = await groups.reports(self._ranks, members)
--- a/tamarackthread/control/site/maps/watched.py
+++ b/tamarackthread/control/site/maps/watched.py
@@ -55,6 +55,7 @@
     demand: demand.Demand = attrs.field(factory=demand.Demand)
     step_seconds: float = ASSUMED_STEP_SECONDS
     copy_slack: float = COPY_SLACK
+    read_at: float = 0
     _rests_until: float = 0
     _let_go: int = -1
     _let_go_at: float = 0
