--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -152,7 +152,9 @@
         self._place = process.take_place(settings)
         self._address = self._place.options.identity.address
         self._links = peers.Peers(
-            self._place.options, most_backoff=places.MOST_BACKOFF_SECONDS
+            self._place.options,
+            most_backoff=places.MOST_BACKOFF_SECONDS,
+            dial_seconds=places.DIAL_SECONDS,
         )
         self._machine = machine.SiteMachine()
         self._group = self._build_group()
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -41,7 +41,9 @@
         loop = asyncio.get_running_loop()
         self._place = process.take_place(settings)
         self._links = peers.Peers(
-            self._place.options, most_backoff=places.MOST_BACKOFF_SECONDS
+            self._place.options,
+            most_backoff=places.MOST_BACKOFF_SECONDS,
+            dial_seconds=places.DIAL_SECONDS,
         )
         self._targets = targets.Targets(
             settings.node.zone, self._site.announce_seconds, generator
--- a/tamarackthread/shared/connecting.py
+++ b/tamarackthread/shared/connecting.py
@@ -11,11 +11,15 @@
     address: str,
     options: identity.LinkOptions,
     handler: link.Handler,
+    seconds: float | None = None,
 ) -> link.Link:
-    """Dial an address and greet; raise ``AddressUnreachable`` if nobody is."""
+    """Dial an address and greet; raise ``AddressUnreachable`` if nobody is.
+
+    A connection must come about in ``seconds``, by default the link's timeout.
+    """
     host, _, port = address.rpartition(':')
     try:
-        async with asyncio.timeout(options.timeout_seconds):
+        async with asyncio.timeout(seconds or options.timeout_seconds):
             reader, writer = await asyncio.open_connection(
                 host,
                 int(port),
--- a/tamarackthread/shared/peers.py
+++ b/tamarackthread/shared/peers.py
@@ -43,8 +43,14 @@
         handler: link.Handler | None = None,
         rng: random.Random | None = None,
         most_backoff: float = MAX_BACKOFF_SECONDS,
+        dial_seconds: float | None = None,
     ) -> None:
-        """Dial nothing yet; ``rng`` spreads reconnects after a failure."""
+        """Dial nothing yet; ``rng`` spreads reconnects after a failure.
+
+        A connection must come about in ``dial_seconds``, by default the link's
+        timeout.
+        """
+        self._dial_seconds = dial_seconds
         self._most_backoff = most_backoff
         self._options = options
         self._handler = handler or QuietHandler()
@@ -133,6 +139,7 @@
                 address,
                 self._options,
                 self._handler,
+                self._dial_seconds,
             )
         except errors.CodedError as exc:
             self._back_off(address, str(exc))
