--- a/tamarackthread/control/election.py
+++ b/tamarackthread/control/election.py
@@ -17,7 +17,6 @@
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors
 
-_LEAST_SLEEP_SECONDS = 0.001
 _log = logging.getLogger('tamarackthread.control.election')
 
 
@@ -27,10 +26,7 @@
 ) -> None:
     """Follow, stand when the leader is silent, and ``lead`` when elected."""
     while True:
-        wait = state.timer.due_in
-        if wait > 0:
-            await asyncio.sleep(max(wait, _LEAST_SLEEP_SECONDS))
-            continue
+        await state.timer.wait()
         state.timer.try_again()
         try:
             elected = await _stand(state)
--- a/tamarackthread/control/election_timer.py
+++ b/tamarackthread/control/election_timer.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 
 from tamarackthread.control import timing
 
+_LEAST_WAIT_SECONDS = 0.001
+
 
 class ElectionTimer:
     """Know when a leader was last heard and when to stand for election.
@@ -21,6 +24,7 @@
         self._rng = rng
         self._heard_at = -math.inf
         self._due_at = math.inf
+        self._sooner = asyncio.Event()
 
     @property
     def due_in(self) -> float:
@@ -32,6 +36,15 @@
         """Say whether a leader's lease may still rest on this member."""
         return _now() < self._heard_at + self._times.election_min
 
+    async def wait(self) -> None:
+        """Wait until this member has to stand, however that moment moves."""
+        while self.due_in > 0:
+            self._sooner.clear()
+            # A shorter wait may end without the clock having moved on.
+            wait = max(self.due_in, _LEAST_WAIT_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._sooner.wait(), wait)
+
     def restart(self) -> None:
         """Begin after the process has started.
 
@@ -55,6 +68,7 @@
         """Wait for no leader any more, and stand within a moment."""
         self._heard_at = -math.inf
         self._due_at = _now() + self._rng.uniform(0, self._times.hurry)
+        self._sooner.set()
 
     def try_again(self) -> None:
         """Wait a random time before standing once more.
@@ -80,6 +94,7 @@
     def run_out(self) -> None:
         """Stand for election as soon as possible."""
         self._due_at = _now()
+        self._sooner.set()
 
 
 def _now() -> float:
--- /dev/null
+++ b/tamarackthread/control/site/maps/deciding.py
@@ -0,0 +1,90 @@
+"""Decide whether another map pays for a group, and which."""
+
+from __future__ import annotations
+
+import logging
+
+from tamarackthread.control.site.maps import (
+    planning,
+    ranks,
+    switching,
+    watched,
+)
+from tamarackthread.policy import evening
+from tamarackthread.shared import offload
+from tamarackthread.shared.site import figures
+
+# A switch pays where the busiest rank has this much more than the mean; below,
+# the copies cost more than the steps they shorten.
+LEAST_SKEW = 1.45
+LEAST_GAIN = 0.25
+# It must also take so much off each step, an eighth of the pause that callers of
+# a stream take: below, no caller is served better, and each switch costs an order
+# to every rank twice over.  Emulated at 0.8 of the capacity it leaves one switch
+# in twenty out and no more calls late; 0.02 makes calls late past the capacity.
+LEAST_SAVED_SECONDS = 0.015
+# Steps that are expected to take less than this are short enough: less than half
+# of the pause that callers of a stream take, so that one that reads a prompt and
+# has a tenth of the group's work more is short of it too.
+SHORT_STEP_SECONDS = 0.05
+_log = logging.getLogger('tamarackthread.control')
+
+
+class Decider:
+    """Plan maps that serve callers better, each by as few copies as do."""
+
+    def __init__(self, work: offload.Offload) -> None:
+        """Plan by ``work``, so that heartbeats go on meanwhile."""
+        self._work = work
+
+    async def plan(
+        self,
+        known: watched.Watched,
+        group: switching.Group,
+    ) -> ranks.GroupMap | None:
+        """Return a better map, ``None`` where none pays."""
+        if not known.demand.is_settled:
+            return None
+        tokens = known.demand.tokens
+        paces = [report.pace for report in group.reports]
+        now = planning.skew(known.placement, tokens, paces)
+        figures.GROUP_SKEW.labels(group.name).set(now)
+        if now < LEAST_SKEW:
+            return None
+        wanted = await self._even(known, tokens, paces, now)
+        planned = planning.skew(wanted, tokens, paces)
+        _log.info(
+            'control: group %s is uneven by %.2f, a map of %d copies has %.2f',
+            group.name,
+            now,
+            planning.copies(known.placement, wanted),
+            planned,
+        )
+        saved = known.step_seconds * (1 - planned / now)
+        if now - planned < LEAST_GAIN or saved < LEAST_SAVED_SECONDS:
+            return None
+        return wanted
+
+    async def _even(
+        self,
+        known: watched.Watched,
+        tokens: planning.Tokens,
+        paces: planning.Paces,
+        now: float,
+    ) -> ranks.GroupMap:
+        """Plan a map that makes steps short, with few copies if these do.
+
+        Past the capacity steps are long with any map, and the last tenth of
+        evenness is felt by every caller; else half of the copies are enough.
+        """
+        for least in (evening.COARSE_STEP, evening.FINE_STEP):
+            bounds = evening.Bounds(
+                known.shape.places, known.shape.spare, least
+            )
+            wanted = await self._work.run(
+                planning.plan, known.placement, tokens, bounds, paces
+            )
+            even = planning.skew(wanted, tokens, paces) / now
+            if known.step_seconds * even < SHORT_STEP_SECONDS:
+                break
+        return wanted
--- /dev/null
+++ b/tamarackthread/control/site/maps/learning.py
@@ -0,0 +1,69 @@
+"""Learn a group's map and the demand for its experts from its ranks."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+from tamarackthread.control.site.maps import ranks, switching, watched
+
+# Ranks whose counts are read.  Calls are spread evenly, so what one rank chooses
+# in a second is like the choices of the rest by 0.95 (cosine), and a few show
+# that nothing has shifted.  Reading is charged for and rests the group, so more
+# are read only while demand is not known well.  A large group needs more: its
+# even maps are made for more experts, each of which is chosen less often.
+CALM_SHARE = 0.03
+ALERT_SHARE = 0.08
+LEAST_ALERT = 3
+
+
+async def learn_placement(
+    asked: ranks.Ranks,
+    known: watched.Watched,
+    group: switching.Group,
+) -> bool:
+    """Read the map in force unless the owner has put it there.
+
+    Returns whether it is known.
+    """
+    if known.epoch == group.epoch and known.version >= group.version:
+        return True
+    found = await asyncio.gather(
+        *(asked.placement(member) for member in group.members)
+    )
+    if None in found or len({row[0] for row in found}) != 1:
+        return False
+    known.epoch = group.epoch
+    known.version = found[0][0]
+    by_rank = [row[1] for row in found]
+    known.placement = tuple(
+        tuple(experts) for experts in zip(*by_rank, strict=True)
+    )
+    return True
+
+
+async def learn_demand(
+    asked: ranks.Ranks,
+    known: watched.Watched,
+    group: switching.Group,
+) -> None:
+    """Read the counts of some ranks into what is known of the demand."""
+    sample = group.members[: _sample_size(known, group)]
+    found = await asyncio.gather(
+        *(asked.counts(member, len(known.placement)) for member in sample)
+    )
+    known.demand.take(
+        {
+            member.target: counts
+            for member, counts in zip(sample, found, strict=True)
+            if counts is not None
+        }
+    )
+
+
+def _sample_size(known: watched.Watched, group: switching.Group) -> int:
+    """Return how many ranks to read."""
+    size = len(group.members)
+    if known.demand.is_settled:
+        return math.ceil(size * CALM_SHARE)
+    return max(LEAST_ALERT, math.ceil(size * ALERT_SHARE))
--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -9,13 +9,13 @@
 
 from tamarackthread.control.site.maps import (
     changing,
+    deciding,
     groups,
-    planning,
+    learning,
     ranks,
     switching,
     watched,
 )
-from tamarackthread.policy import evening
 from tamarackthread.shared import offload
 from tamarackthread.shared.site import configuration, figures
 
@@ -25,6 +25,9 @@
 # switch is waited for by every caller of the group.
 LOOK_SECONDS = 1.0
 READ_SECONDS = 0.2
+# While steps are short they are timed as often, which costs a report, and counts
+# are read half as often: a shift shows in the steps as soon.  It leaves a quarter
+# of the counts out and serves as many callers in time.
 CALM_READ_SECONDS = 0.39
 # A new owner knows neither the groups nor their demand, and may have been left a
 # group that is held.  It looks and reads so often until it knows them: reports
@@ -35,26 +38,6 @@
 # A group that stays incomplete, because a rank is down, is looked for eagerly so
 # long at most after this owner began.
 MOST_EAGER_SECONDS = 3.0
-# Ranks whose counts are read.  Calls are spread evenly, so what one rank chooses
-# in a second is like the choices of the rest by 0.95 (cosine), and a few show
-# that nothing has shifted.  Reading is charged for and rests the group, so more
-# are read only while demand is not known well.  A large group needs more: its
-# even maps are made for more experts, each of which is chosen less often.
-CALM_SHARE = 0.03
-ALERT_SHARE = 0.08
-LEAST_ALERT = 3
-# A switch pays where the busiest rank has this much more than the mean; below,
-# the copies cost more than the steps they shorten.
-LEAST_SKEW = 1.45
-LEAST_GAIN = 0.25
-# It must also take so much off each step, an eighth of the pause that callers of
-# a stream take: below, no caller is served better, and each switch costs an order
-# to every rank twice over.  Emulated at 0.8 of the capacity it leaves one switch
-# in twenty out and no more calls late; 0.02 makes calls late past the capacity.
-LEAST_SAVED_SECONDS = 0.015
-# Steps that are expected to take less than this are short enough, half of the
-# pause that callers of a stream take.
-SHORT_STEP_SECONDS = 0.06
 # A term has this many fences, one more for each switch that is taken back, and as
 # many versions of maps: at one switch a second, those of eleven days.
 FENCES_OF_TERM = 1_000_000
@@ -78,7 +61,7 @@
 
         Plans are made by ``work``, so that heartbeats go on meanwhile.
         """
-        self._work = work
+        self._decider = deciding.Decider(work)
         self._note_pace = note_pace
         self._ranks = asked
         self._members = members
@@ -149,16 +132,23 @@
     async def read(self, term: int) -> None:
         """Read the counts of pressed groups; switch maps where that pays."""
         for known in tuple(self._watched.values()):
-            if known.group is None or not await self._presses(known):
-                continue
-            if not await self._is_due(known, known.group):
-                continue
-            if not await self._learn_placement(known, known.group):
-                continue
-            await self._learn_demand(known, known.group)
-            wanted = await self._plan(known, known.group)
-            if wanted is not None:
-                await self._switch(known, known.group, wanted, term)
+            if known.group is not None and await self._presses(known):
+                await self._read_group(known, known.group, term)
+
+    async def _read_group(
+        self,
+        known: watched.Watched,
+        group: switching.Group,
+        term: int,
+    ) -> None:
+        if not await self._is_due(known, group):
+            return
+        if not await learning.learn_placement(self._ranks, known, group):
+            return
+        await learning.learn_demand(self._ranks, known, group)
+        wanted = await self._decider.plan(known, group)
+        if wanted is not None:
+            await self._switch(known, group, wanted, term)
 
     async def _presses(self, known: watched.Watched) -> bool:
         """Tell whether a group's steps are long, as one rank tells."""
@@ -182,7 +172,10 @@
             known.read_at = now
             return True
         await changing.time_step(self._ranks, known, group)
-        if known.step_seconds < SHORT_STEP_SECONDS and known.demand.is_settled:
+        if (
+            known.step_seconds < deciding.SHORT_STEP_SECONDS
+            and known.demand.is_settled
+        ):
             return False
         known.read_at = now
         return True
@@ -277,99 +270,6 @@
         )
         return is_back
 
-    async def _learn_placement(
-        self,
-        known: watched.Watched,
-        group: switching.Group,
-    ) -> bool:
-        """Read the map in force unless this owner has put it there."""
-        if known.epoch == group.epoch and known.version >= group.version:
-            return True
-        found = await asyncio.gather(
-            *(self._ranks.placement(member) for member in group.members)
-        )
-        if None in found or len({row[0] for row in found}) != 1:
-            return False
-        known.epoch = group.epoch
-        known.version = found[0][0]
-        by_rank = [row[1] for row in found]
-        known.placement = tuple(
-            tuple(experts) for experts in zip(*by_rank, strict=True)
-        )
-        return True
-
-    async def _learn_demand(
-        self,
-        known: watched.Watched,
-        group: switching.Group,
-    ) -> None:
-        sample = group.members[: _sample_size(known, group)]
-        found = await asyncio.gather(
-            *(
-                self._ranks.counts(member, len(known.placement))
-                for member in sample
-            )
-        )
-        known.demand.take(
-            {
-                member.target: counts
-                for member, counts in zip(sample, found, strict=True)
-                if counts is not None
-            }
-        )
-
-    async def _plan(
-        self,
-        known: watched.Watched,
-        group: switching.Group,
-    ) -> ranks.GroupMap | None:
-        """Return a better map, ``None`` where none pays."""
-        if not known.demand.is_settled:
-            return None
-        tokens = known.demand.tokens
-        paces = [report.pace for report in group.reports]
-        now = planning.skew(known.placement, tokens, paces)
-        figures.GROUP_SKEW.labels(group.name).set(now)
-        if now < LEAST_SKEW:
-            return None
-        wanted = await self._plan_even(known, tokens, paces, now)
-        planned = planning.skew(wanted, tokens, paces)
-        _log.info(
-            'control: group %s is uneven by %.2f, a map of %d copies has %.2f',
-            group.name,
-            now,
-            planning.copies(known.placement, wanted),
-            planned,
-        )
-        saved = known.step_seconds * (1 - planned / now)
-        if now - planned < LEAST_GAIN or saved < LEAST_SAVED_SECONDS:
-            return None
-        return wanted
-
-    async def _plan_even(
-        self,
-        known: watched.Watched,
-        tokens: planning.Tokens,
-        paces: planning.Paces,
-        now: float,
-    ) -> ranks.GroupMap:
-        """Plan a map that makes steps short, with few copies if these do.
-
-        Past the capacity steps are long with any map, and the last tenth of
-        evenness is felt by every caller; else half of the copies are enough.
-        """
-        for least in (evening.COARSE_STEP, evening.FINE_STEP):
-            bounds = evening.Bounds(
-                known.shape.places, known.shape.spare, least
-            )
-            wanted = await self._work.run(
-                planning.plan, known.placement, tokens, bounds, paces
-            )
-            even = planning.skew(wanted, tokens, paces) / now
-            if known.step_seconds * even < SHORT_STEP_SECONDS:
-                break
-        return wanted
-
     async def _switch(
         self,
         known: watched.Watched,
@@ -388,11 +288,3 @@
             # brings this switch to its end has a higher fence, which every
             # rank is given first, so that they refuse such a copy.
             self._taken_back += 1
-
-
-def _sample_size(known: watched.Watched, group: switching.Group) -> int:
-    """Return how many ranks to read."""
-    size = len(group.members)
-    if known.demand.is_settled:
-        return math.ceil(size * CALM_SHARE)
-    return max(LEAST_ALERT, math.ceil(size * ALERT_SHARE))
