Log late streams, plans of maps and groups found held

Cause: a stream that paused too long left no line, so no log told which calls were late, let alone what they waited for. Such a stream now has the line that late plain answers have, with the time to its first piece, its longest pause and when that was over; the owner's plans and the holds it finds are events. Ordinary answers stay sampled.

--- a/tamarackthread/control/site/maps/deciding.py
+++ b/tamarackthread/control/site/maps/deciding.py
@@ -11,7 +11,7 @@
     watched,
 )
 from tamarackthread.policy import evening
-from tamarackthread.shared import offload
+from tamarackthread.shared import log_events, offload
 from tamarackthread.shared.site import figures
 
 # A switch pays where the busiest rank has this much more than the mean; below,
@@ -27,6 +27,7 @@
 # of the pause that callers of a stream take, so that one that reads a prompt and
 # has a tenth of the group's work more is short of it too.
 SHORT_STEP_SECONDS = 0.05
+MILLISECONDS = 1000
 _log = logging.getLogger('tamarackthread.control')
 
 
@@ -53,12 +54,20 @@
             return None
         wanted = await self._even(known, tokens, paces, now)
         planned = planning.skew(wanted, tokens, paces)
-        _log.info(
+        copies = planning.copies(known.placement, wanted)
+        log_events.tell(
+            _log,
+            log_events.Event.PLAN,
             'control: group %s is uneven by %.2f, a map of %d copies has %.2f',
             group.name,
             now,
-            planning.copies(known.placement, wanted),
+            copies,
             planned,
+            group=group.name,
+            skew=round(now, 2),
+            planned=round(planned, 2),
+            copies=copies,
+            step_ms=round(known.step_seconds * MILLISECONDS),
         )
         saved = known.step_seconds * (1 - planned / now)
         if now - planned < LEAST_GAIN or saved < LEAST_SAVED_SECONDS:
--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -16,7 +16,7 @@
     switching,
     watched,
 )
-from tamarackthread.shared import offload
+from tamarackthread.shared import log_events, offload
 from tamarackthread.shared.site import configuration, figures
 
 # Ranks are asked for their reports so often, and those of pressed groups for
@@ -245,7 +245,16 @@
 
         Returns whether the group was let go.
         """
-        _log.warning('control: group %s is held at %d', group.name, step)
+        log_events.tell(
+            _log,
+            log_events.Event.HELD,
+            'control: group %s is held at %d',
+            group.name,
+            step,
+            level=logging.WARNING,
+            group=group.name,
+            step=step,
+        )
         switcher = switching.Switcher(self._ranks, self._fence(term))
         is_fenced = await switcher.fence(group, step)
         self._is_outdated |= switcher.is_outdated
--- a/tamarackthread/entry/direct/front.py
+++ b/tamarackthread/entry/direct/front.py
@@ -200,7 +200,7 @@
             fault = failures.TargetFailed(str(exc))
             await self._tell(asked.call_id, call, out, fault)
         else:
-            self._ledger.answered(call, self._version)
+            self._ledger.answered(call, self._version, out.tempo)
 
     async def _accept(
         self,
--- a/tamarackthread/entry/direct/ledger.py
+++ b/tamarackthread/entry/direct/ledger.py
@@ -6,7 +6,7 @@
 import collections
 import logging
 
-from tamarackthread.entry.direct import calls, sink
+from tamarackthread.entry.direct import calls, sink, tempo
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import figures
@@ -31,14 +31,20 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._answered = 0
 
-    def answered(self, call: calls.Call, version: int) -> None:
+    def answered(
+        self,
+        call: calls.Call,
+        version: int,
+        pieces: tempo.Tempo,
+    ) -> None:
         """Note a whole answer; it is logged if it was late, or by sample."""
-        took = asyncio.get_running_loop().time() - call.arrived
+        now = asyncio.get_running_loop().time()
+        took = now - call.arrived
         figures.CALLS.labels(call.service, 'answered').inc()
         figures.CALL_SECONDS.labels(call.service).observe(took)
         self._counts['answered'] += 1
         self._answered += 1
-        is_late = 0 < call.route.aim < took and not call.route.gap
+        is_late = _is_late(call, took, pieces)
         if not is_late and self._answered % SAMPLE:
             self._counts['left_out'] += 1
             return
@@ -52,6 +58,13 @@
             service=call.service,
             organisation=call.organisation,
             version=version,
+            is_late=is_late,
+            target=pieces.target,
+            first_ms=_milliseconds(max(0, pieces.first_at - call.arrived)),
+            pause_ms=_milliseconds(pieces.pause),
+            since_pause_ms=_milliseconds(
+                now - pieces.paused_until if pieces.pause else 0
+            ),
         )
 
     def ended(
@@ -114,6 +127,23 @@
             self._counts.clear()
 
 
+def _is_late(
+    call: calls.Call,
+    took: float,
+    pieces: tempo.Tempo,
+) -> bool:
+    """Tell whether an answer came too late, or a stream paused too long."""
+    if not pieces.first_at:
+        return 0 < call.route.aim < took
+    if 0 < call.route.aim < pieces.first_at - call.arrived:
+        return True
+    return 0 < call.route.gap < pieces.pause
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
 def _event_of(failure: errors.CodedError, has_started: bool) -> _Event:
     if has_started:
         return _Event.CALL_BROKEN
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -189,6 +189,9 @@
         figures.FIRST_SECONDS.labels(call.service).observe(now - call.arrived)
         if not out.has_started:
             await out.start(answer.head)
+        out.tempo.target = (
+            '' if progress.trying is None else progress.trying.name
+        )
         async for piece in answer.pieces():
             ready = []
             for event in splitter.feed(piece):
--- a/tamarackthread/entry/direct/sink.py
+++ b/tamarackthread/entry/direct/sink.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 import collections.abc
 
 from aiohttp import web
 
-from tamarackthread.entry.direct import sending
+from tamarackthread.entry.direct import sending, tempo
 
 
 class CallerLeft(Exception):
@@ -22,6 +23,11 @@
     def has_started(self) -> bool:
         """Tell whether the caller has seen any of an answer."""
 
+    @property
+    @abc.abstractmethod
+    def tempo(self) -> tempo.Tempo:
+        """Return when the pieces of the body left."""
+
     @abc.abstractmethod
     async def start(self, head: sending.Head) -> None:
         """Send the head; the body follows in pieces."""
@@ -51,12 +57,18 @@
         self._request = request
         self._is_last = is_last
         self._response: web.StreamResponse | None = None
+        self._tempo = tempo.Tempo()
 
     @property
     def has_started(self) -> bool:
         """Tell whether the head has left."""
         return self._response is not None
 
+    @property
+    def tempo(self) -> tempo.Tempo:
+        """Return when the pieces of a stream left."""
+        return self._tempo
+
     @property
     def response(self) -> web.StreamResponse:
         """Give the response that the server must return."""
@@ -77,6 +89,7 @@
 
     async def write(self, piece: bytes) -> None:
         """Send a piece and wait while the caller's window is closed."""
+        self._tempo.note(asyncio.get_running_loop().time())
         try:
             await self.response.write(piece)
         except OSError as exc:
--- a/tamarackthread/shared/log_events.py
+++ b/tamarackthread/shared/log_events.py
@@ -28,6 +28,8 @@
     LEADER = 'leader'
     MEMBERS = 'members'
     MAP = 'map'
+    PLAN = 'plan'
+    HELD = 'held'
     # Of the process itself.
     STARTED = 'started'
     STOPPING = 'stopping'
