--- a/tamarackthread/cli/application.py
+++ b/tamarackthread/cli/application.py
@@ -16,6 +16,7 @@
     check,
     documents,
     explain,
+    losses,
     members,
     roles,
     system,
@@ -23,6 +24,24 @@
 )
 
 NAME = 'tamarackthread'
+_FIRST = (
+    roles.EntryCommand,
+    roles.AgentCommand,
+    roles.ControlCommand,
+    check.CheckCommand,
+    explain.ExplainCommand,
+    losses.LossesCommand,
+)
+_LAST = (
+    targets.TargetListCommand,
+    targets.TargetDrainCommand,
+    system.StatusCommand,
+    system.AuditCommand,
+    members.MembersCommand,
+    members.AddCommand,
+    members.RemoveCommand,
+    members.ReplaceCommand,
+)
 _WRITTEN_KINDS = ('profile', 'service', 'organisation')
 
 
@@ -34,7 +53,7 @@
                  edit my.json, then profile apply NAME my.json -s FILE --wait
   Undo           tamarackthread profile history NAME, then profile rollback
   Look           tamarackthread status, audit, target list, control members
-  Ask why        tamarackthread explain REQUEST-ID LOG...
+  Ask why        tamarackthread explain REQUEST-ID LOG..., losses LOG...
   Learn more     tamarackthread COMMAND --help"""
 
 
@@ -70,18 +89,9 @@
 
 
 def _commands() -> collections.abc.Iterator[command.Command]:
-    yield roles.EntryCommand()
-    yield roles.AgentCommand()
-    yield roles.ControlCommand()
-    yield check.CheckCommand()
-    yield explain.ExplainCommand()
+    for first in _FIRST:
+        yield first()
     for kind in _WRITTEN_KINDS:
         yield from documents.for_kind(kind)
-    yield targets.TargetListCommand()
-    yield targets.TargetDrainCommand()
-    yield system.StatusCommand()
-    yield system.AuditCommand()
-    yield members.MembersCommand()
-    yield members.AddCommand()
-    yield members.RemoveCommand()
-    yield members.ReplaceCommand()
+    for last in _LAST:
+        yield last()
--- a/tamarackthread/cli/failures.py
+++ b/tamarackthread/cli/failures.py
@@ -63,6 +63,22 @@
     exit_code = exit_codes.ExitCode.NOT_IN_FORCE
 
 
+class LineUnreadable(CommandFailed):
+    """Line of a log is cut or is no line of ours; the others are read."""
+
+    code = 'TT2107'
+    status = 400
+    exit_code = exit_codes.ExitCode.INVALID
+
+
+class LogsEmpty(CommandFailed):
+    """Files hold no line of a process's log."""
+
+    code = 'TT2108'
+    status = 400
+    exit_code = exit_codes.ExitCode.INVALID
+
+
 def describe(exc: errors.CodedError) -> str:
     """Say what failed: the code, what it stands for, and the particulars."""
     meaning = (type(exc).__doc__ or '').partition('\n')[0]
--- a/tamarackthread/cli/story.py
+++ b/tamarackthread/cli/story.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import collections.abc
-import json
 import typing
 
 import attrs
 
+from tamarackthread.cli import log_lines
 from tamarackthread.shared import log_events
 
 _Event = log_events.Event
@@ -24,29 +24,6 @@
         _Event.STOPPING.value,
     ),
 )
-# Fields that every line has; the others are the inputs of a decision.
-_PLAIN = frozenset(
-    ('time', 'level', 'part', 'text', 'request_id', 'node', 'event'),
-)
-
-
-@attrs.frozen
-class Line:
-    """Be one line of a process's log."""
-
-    time: str
-    node: str
-    event: str
-    text: str
-    request_id: str
-    level: str
-    fields: dict[str, typing.Any]
-
-    @property
-    def subject(self) -> tuple[str, ...]:
-        """Return what a belief is about, so that the newest replaces others."""
-        about = self.fields.get('target') or self.fields.get('address') or ''
-        return self.node, self.event, str(about)
 
 
 @attrs.frozen
@@ -56,28 +33,11 @@
     ``unreadable`` counts lines of the files that are no JSON of ours.
     """
 
-    lines: tuple[Line, ...]
-    beliefs: tuple[Line, ...]
+    lines: tuple[log_lines.Line, ...]
+    beliefs: tuple[log_lines.Line, ...]
     unreadable: int
 
 
-def read(texts: collections.abc.Iterable[str]) -> tuple[list[Line], int]:
-    """Read lines, each an object with or without something before it."""
-    found = []
-    unreadable = 0
-    for text in texts:
-        start = text.find('{')
-        if start < 0:
-            continue
-        line = _line(text[start:])
-        if line is None:
-            unreadable += 1
-            continue
-        found.append(line)
-    found.sort(key=_time)
-    return found, unreadable
-
-
 def tell(
     request_id: str,
     texts: collections.abc.Iterable[str],
@@ -87,13 +47,15 @@
     Of beliefs those are kept that its own processes held when they decided:
     the newest of each subject, of targets only those that the request met.
     """
-    every, unreadable = read(texts)
+    reading = log_lines.read({'': texts})
+    every = reading.lines
+    unreadable = len(reading.unreadable)
     own = [line for line in every if line.request_id == request_id]
     if not own:
         return Story((), (), unreadable)
     nodes = {line.node for line in own}
     met = {line.fields.get('target') for line in own}
-    beliefs: dict[tuple[str, ...], Line] = {}
+    beliefs: dict[tuple[str, ...], log_lines.Line] = {}
     for line in every:
         if line.time > own[-1].time:
             break
@@ -116,29 +78,11 @@
             yield f'      {" ".join(inputs)}'
 
 
-def _is_belief(line: Line, met: set[typing.Any]) -> bool:
+def _is_belief(line: log_lines.Line, met: set[typing.Any]) -> bool:
     if line.event == _Event.TARGET:
         return line.fields.get('target') in met
     return line.event in _BELIEFS
 
 
-def _line(text: str) -> Line | None:
-    try:
-        row = json.loads(text)
-    except ValueError:
-        return None
-    if not isinstance(row, dict) or 'text' not in row or 'time' not in row:
-        return None
-    return Line(
-        time=str(row['time']),
-        node=str(row.get('node', '')),
-        event=str(row.get('event', '')),
-        text=str(row['text']),
-        request_id=str(row.get('request_id', '')),
-        level=str(row.get('level', '')),
-        fields={name: held for name, held in row.items() if name not in _PLAIN},
-    )
-
-
-def _time(line: Line) -> str:
+def _time(line: log_lines.Line) -> str:
     return line.time
