Tell the soak's control processes their data folder

Cause: control rests without a second word since it can be on a host without a disk, and the soak started it without one. The deploy file passes the folder; so does the soak now.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -154,7 +154,7 @@
             site['first_start'] = first_start
             body['listen'] = {'host': node.host, 'port': self._link}
             body['control'] = {
-                'data_folder': str(self._folder / f'{node.host}.data'),
+                'data_folder': self._data_folder(node)[0],
                 'drain_seconds': 3.0,
             }
         else:
@@ -166,6 +166,12 @@
             }
         node.settings.write_text(json.dumps(body))
 
+    def _data_folder(self, node: Node) -> tuple[str, ...]:
+        """Give control's data folder, which is its second word as well."""
+        if node.role != 'control':
+            return ()
+        return (str(self._folder / f'{node.host}.data'),)
+
     async def _start(self, node: Node) -> None:
         output = node.settings.with_suffix('.log')
         with output.open('ab') as log:
@@ -174,6 +180,7 @@
                 '-m',
                 'tamarackthread.platform',
                 node.role,
+                *self._data_folder(node),
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
