--- a/tests/test_new_owner.py
+++ b/tests/test_new_owner.py
@@ -146,9 +146,9 @@
 
     def _begin(self, group):
         working = duty.Duty(
-            test_site_maps._Leading(),
-            test_site_maps._NoNews(),
-            test_site_maps._OneService(),
+            test_site_maps.Leading(),
+            test_site_maps.NoNews(),
+            test_site_maps.OneService(),
             test_site_maps.owner_of(group),
             goes_on=True,
         )
--- a/tests/test_site_maps.py
+++ b/tests/test_site_maps.py
@@ -261,7 +261,7 @@
         await owning.read(term)
 
 
-class _Leading:
+class Leading:
     """Be a member of the log that led in term 1."""
 
     term = 1
@@ -275,12 +275,12 @@
         return self._asked == 1
 
 
-class _NoNews:
+class NoNews:
     def after(self, serial):
         return []
 
 
-class _OneService:
+class OneService:
     def services(self):
         return [configuration.Service(name='s', experts=SHAPE)]
 
@@ -531,9 +531,9 @@
         for goes_on in (True, False):
             group = FakeGroup(random.Random(1))
             maps = owner_of(group)
-            leading = _Leading()
+            leading = Leading()
             working = duty.Duty(
-                leading, _NoNews(), _OneService(), maps, goes_on=goes_on
+                leading, NoNews(), OneService(), maps, goes_on=goes_on
             )
             tasks = [
                 asyncio.create_task(group.run()),
