Let entries know each other's calls

Cause: of 39 entries before 129 ranks of three places each sees a thirty-ninth of the calls, and sends the next to a rank that others have filled while most have a place; Start.others, half of the formula of a target's load, was never set.

Each entry tells its calls by target to one control host, which sums them, and gets back the sums that have changed: 400 exchanges a second for all entries together.

Ruled out: the least loaded of all. With sums a tenth of a second old all entries meet at the freest rank: more calls refused than without sums.

--- a/bench/engines/lockstep.py
+++ b/bench/engines/lockstep.py
@@ -1,7 +1,7 @@
 """Emulate one group of ranks in lock-step whose experts in demand shift.
 
-A step takes as long as the slowest rank's own work, plus, set by set, the work
-of the rank whose experts are chosen most.  Reports lag, copies take time, and a
+A step takes as long as the slowest rank's own part, plus, set by set, the part
+of the rank whose experts are chosen most: a share of the work for tokens.  Reports lag, copies take time, and a
 switch of the map needs every rank to be armed, as with real engines.
 """
 
@@ -18,6 +18,11 @@
 
 REPORT_LAG_SECONDS = 0.2
 ANSWER_SECONDS = 0.003
+# All ranks rest so long for so many numbers that are read of one of them.
+REST_SECONDS = 0.0005
+REST_NUMBERS = 400
+# While a rank copies experts, passes take so much longer.
+COPYING_SHARE = 0.15
 # Choices of experts that one token makes in a set, as a rank counts them.
 PICKS = 48
 # Spread of how often experts are chosen (log-normal); with it a map that gives
@@ -29,7 +34,8 @@
 class Engine:
     """Say how fast the ranks of a group are; times in seconds.
 
-    A pass is ``stride`` steps and makes one event of each stream.
+    A pass is ``stride`` steps and makes one event of each stream.  In each step
+    a rank reads at most ``chunk`` tokens of prompts.
     """
 
     ranks: int = 63
@@ -38,12 +44,25 @@
     step: float = 0.00585
     per_call: float = 0.00085
     tokens_per_second: float = 61200.0
+    chunk: int = 512
     expert_share: float = 0.85
     shape: configuration.Experts = configuration.Experts(
         sets=8, experts=252, places=5, spare=2, copy_seconds=0.005
     )
 
 
+# Many ranks that run few calls each, so that one of them is nearly always full.
+LARGE = Engine(
+    ranks=129,
+    slots=3,
+    stride=8,
+    per_call=0.001562,
+    shape=configuration.Experts(
+        sets=16, experts=258, places=3, spare=2, copy_seconds=0.0024
+    ),
+)
+
+
 @attrs.define(eq=False)
 class Stream:
     """Be one call's stream at a rank."""
@@ -104,8 +123,10 @@
         self._reports: collections.deque[tuple[float, list]] = (
             collections.deque()
         )
+        self._rest = float(0)
         self.step = 0
         self.skews: list[float] = []
+        self.passes: list[float] = []
         self.copies = 0
         self.switches = 0
 
@@ -159,7 +180,9 @@
                 self._remember()
                 continue
             self._begin()
-            await asyncio.sleep(self._pass_seconds())
+            seconds = self._pass_seconds()
+            self.passes.append(seconds)
+            await asyncio.sleep(seconds)
             self._end()
             self._remember()
 
@@ -171,6 +194,7 @@
     async def counts(self, rank: ranks.Rank, sets: int) -> ranks.Counts | None:
         """Tell how often a rank's streams chose each expert."""
         await asyncio.sleep(ANSWER_SECONDS)
+        self._rest += self.rest_seconds(self._counts[0].size)
         rows = self._counts[int(rank.address)].tolist()
         return ranks.Counts(1, tuple(tuple(row) for row in rows))
 
@@ -181,8 +205,15 @@
         """Tell the version in force and a rank's experts."""
         await asyncio.sleep(ANSWER_SECONDS)
         row = int(rank.address)
+        self._rest += self.rest_seconds(
+            self._engine.shape.sets * self._engine.shape.places
+        )
         return self._version, tuple(held[row] for held in self._map)
 
+    def rest_seconds(self, numbers: int) -> float:
+        """Return how long all ranks rest while so many numbers are read."""
+        return numbers * REST_SECONDS / REST_NUMBERS
+
     async def order(
         self,
         rank: ranks.Rank,
@@ -261,7 +292,7 @@
             row.armed = None
 
     def _pass_seconds(self) -> float:
-        own = numpy.array([self._own_seconds(row) for row in self._rows])
+        work = numpy.array([self._work_seconds(row) for row in self._rows])
         paces = numpy.array([row.pace for row in self._rows])
         worst = numpy.mean(
             [
@@ -272,17 +303,26 @@
         skew = float(worst) * self._engine.ranks
         self.skews.append(skew)
         share = self._engine.expert_share
-        return float(
-            (1 - share) * max(own * paces) + share * numpy.mean(own) * skew
-        )
+        fixed = self._engine.stride * self._engine.step
+        own = fixed + (1 - share) * work
+        alone = max(own * paces) + share * numpy.mean(work) * skew
+        rest = self._rest
+        self._rest = 0
+        return float(alone * self._copying() + rest)
+
+    def _copying(self) -> float:
+        """Return how many times as long a pass takes for copies under way."""
+        now = asyncio.get_running_loop().time()
+        is_copying = any(row.copied_at > now for row in self._rows)
+        return 1 + COPYING_SHARE if is_copying else 1
 
-    def _own_seconds(self, row: _Rank) -> float:
-        if not row.running:
-            return 0
+    def _work_seconds(self, row: _Rank) -> float:
+        """Return the work for the tokens of a rank's own streams."""
         engine = self._engine
+        writing = engine.stride * engine.per_call * len(row.running)
         unread = sum(stream.prompt for stream in row.running)
-        steps = engine.step + engine.per_call * len(row.running)
-        return engine.stride * steps + unread / engine.tokens_per_second
+        read = min(unread, engine.chunk * engine.stride)
+        return writing + read / engine.tokens_per_second
 
     def _loads(
         self,
@@ -299,9 +339,15 @@
         now = asyncio.get_running_loop().time()
         for number, row in enumerate(self._rows):
             tokens = 0
+            readable = self._engine.chunk * self._engine.stride
             for stream in row.running:
-                tokens += stream.prompt + self._engine.stride
-                stream.prompt = 0
+                read = min(stream.prompt, readable)
+                readable -= read
+                stream.prompt -= read
+                tokens += read
+                if stream.prompt:
+                    continue
+                tokens += self._engine.stride
                 stream.take_event(now)
             row.running = [one for one in row.running if one.events > 0]
             self._count(number, tokens)
--- a/bench/experiments/heavy.py
+++ b/bench/experiments/heavy.py
@@ -1,7 +1,8 @@
 """Press one group of ranks, and compare how calls and experts are placed.
 
 Patterns: demand that shifts every 2.3 s at 0.8 of what even ranks can do, the
-same at 1.2 of it, and one rank at a quarter of its pace.  Many entries choose
+same at 1.2 of it, one rank at a quarter of its pace, and a large group whose
+ranks run three calls each.  Many entries choose
 ranks without a word between them.  ``ours`` places calls with the entry's own
 choice and has the owner of the maps switch them; ``oracle`` has a map that is
 even from the moment of each shift, which nobody can have.
@@ -20,27 +21,58 @@
 import numpy
 
 from bench.engines import lockstep, timed_work
+from tamarackthread.control.site import loads
 from tamarackthread.control.site.maps import owner, planning
-from tamarackthread.entry.direct import targets
+from tamarackthread.entry.direct import sharing, starts, targets
+from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import evening
 from tamarackthread.shared.site import announcements, configuration
 
 SEEDS = (17, 18, 19)
 SECONDS = 16.0
 QUICK_SECONDS = 6.0
-ENTRIES = 18
-SHIFT_SECONDS = 2.3
 SHIFT_SHARE = 0.65
-# What callers take: the time to the first event, and the pause between two.
-FIRST_SECONDS = 0.406
-GAP_SECONDS = 0.12
-MEAN_EVENTS = 23
-MEAN_PROMPT = 835
-# Streams a second that 63 even ranks can serve within the pause.
-CAPACITY = 190.0
 SERVICE = 's'
 
 
+@attrs.frozen(kw_only=True)
+class Site:
+    """Be a group, its entries, and what its callers send and take.
+
+    ``first`` is the time to the first event and ``gap`` the pause between two
+    that callers take, ``shift`` how long demand stays, all in seconds.
+    ``capacity`` is how many streams a second even ranks serve within these.
+    """
+
+    engine: lockstep.Engine
+    entries: int
+    capacity: float
+    first: float
+    gap: float
+    events: int
+    prompt: int = 835
+    shift: float = 2.3
+
+
+MIDDLE = Site(
+    engine=lockstep.Engine(),
+    entries=18,
+    capacity=250.0,
+    first=0.406,
+    gap=0.12,
+    events=23,
+)
+LARGE = Site(
+    engine=lockstep.LARGE,
+    entries=39,
+    capacity=190.0,
+    first=0.508,
+    gap=0.15,
+    events=17,
+    shift=3.8,
+)
+
+
 @attrs.frozen
 class Pattern:
     """Be a load: a part of the capacity, and one rank's pace."""
@@ -48,29 +80,39 @@
     name: str
     load: float
     pace: float = 1
+    site: Site = MIDDLE
 
 
 @attrs.frozen
 class Variant:
-    """Be a way to place calls (``route``) and experts (``maps``)."""
+    """Be a way to place calls (``route``) and experts (``maps``).
+
+    With ``shares`` the entries tell each other of their calls.
+    """
 
     name: str
     route: str
     maps: str
+    shares: bool = False
 
 
 PATTERNS = (
     Pattern('shifts', 0.8),
     Pattern('overload', 1.2),
     Pattern('slow_rank', 0.6, pace=4.0),
+    Pattern('large', 0.8, site=LARGE),
 )
 VARIANTS = (
     Variant('round_robin_static', 'round_robin', 'static'),
     Variant('least_own_static', 'least_own', 'static'),
     Variant('least_own_ours', 'least_own', 'ours'),
-    Variant('ours', 'ours', 'ours'),
-    Variant('oracle', 'ours', 'oracle'),
+    Variant('ours_unshared', 'ours', 'ours'),
+    Variant('ours', 'ours', 'ours', shares=True),
+    Variant('oracle_unshared', 'ours', 'oracle'),
+    Variant('oracle', 'ours', 'oracle', shares=True),
 )
+# From an entry to a control host and back.
+EXCHANGE_SECONDS = 0.003
 
 
 def run(quick: bool) -> dict:
@@ -99,6 +141,29 @@
         return runner.run(_Day(pattern, variant, seed).run(seconds))
 
 
+def _hosts() -> tuple[str, ...]:
+    return ('host',)
+
+
+class _Links:
+    """Be one entry's link to the host that sums all calls."""
+
+    def __init__(self, entry: str, summed: loads.Loads) -> None:
+        self._entry = entry
+        self._summed = summed
+
+    async def request(
+        self,
+        address: str,
+        asked: messages.Request,
+        seconds: float,
+    ) -> messages.Reply:
+        """Answer as a control host does."""
+        await asyncio.sleep(EXCHANGE_SECONDS)
+        reply = self._summed.answer(self._entry, asked.site_load)
+        return messages.Reply(site_load=reply)
+
+
 class _Day:
     """Be one run: a group, its entries, its owner and its callers."""
 
@@ -106,7 +171,8 @@
         self._pattern = pattern
         self._variant = variant
         self._random = random.Random(seed)
-        self._engine = lockstep.Engine()
+        self._site = pattern.site
+        self._engine = pattern.site.engine
         self._group = lockstep.Group(
             self._engine, numpy.random.default_rng(seed)
         )
@@ -117,7 +183,7 @@
 
     async def run(self, seconds: float) -> dict[str, float]:
         """Play for so long and return what callers and ranks saw."""
-        self._entries = [self._entry() for _ in range(ENTRIES)]
+        self._entries = [self._entry() for _ in range(self._site.entries)]
         if self._pattern.pace != 1:
             self._group.slow(5, self._pattern.pace)
             for entry in self._entries:
@@ -126,6 +192,8 @@
             asyncio.create_task(self._group.run()),
             asyncio.create_task(self._shift()),
         ]
+        if self._variant.shares:
+            working.extend(self._exchanging())
         if self._variant.maps == 'ours':
             working.append(asyncio.create_task(self._own()))
         await self._press(seconds)
@@ -134,6 +202,16 @@
             task.cancel()
         return self._figures()
 
+    def _exchanging(self) -> list[asyncio.Task[None]]:
+        summed = loads.Loads(1)
+        names = [str(number) for number in range(self._site.entries)]
+        tasks = []
+        for name, known in zip(names, self._entries, strict=True):
+            links = _Links(name, summed)
+            shared = sharing.Sharing(known, links, _hosts, names.copy)
+            tasks.append(asyncio.create_task(shared.run()))
+        return tasks
+
     def _entry(self) -> targets.Targets:
         known = targets.Targets('z', 1.0, self._random)
         for rank in range(self._engine.ranks):
@@ -151,7 +229,7 @@
     async def _press(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
-        rate = self._pattern.load * CAPACITY
+        rate = self._pattern.load * self._site.capacity
         while loop.time() < until:
             await asyncio.sleep(self._random.expovariate(rate))
             call = asyncio.create_task(self._call())
@@ -159,8 +237,8 @@
 
     async def _call(self) -> None:
         stream = lockstep.Stream(
-            prompt=1 + int(self._random.expovariate(1 / MEAN_PROMPT)),
-            events=1 + int(self._random.expovariate(1 / MEAN_EVENTS)),
+            prompt=1 + int(self._random.expovariate(1 / self._site.prompt)),
+            events=1 + int(self._random.expovariate(1 / self._site.events)),
             arrived=asyncio.get_running_loop().time(),
         )
         self._streams.append(stream)
@@ -180,7 +258,7 @@
         self,
         known: targets.Targets,
         tried: list[str],
-    ) -> targets.Target:
+    ) -> starts.Start:
         if self._variant.route == 'ours':
             found = known.choose(SERVICE, tried)
             assert found is not None
@@ -199,7 +277,7 @@
         while True:
             if self._variant.maps == 'oracle':
                 self._group.put(self._even_map())
-            await asyncio.sleep(SHIFT_SECONDS)
+            await asyncio.sleep(self._site.shift)
             self._group.shift(SHIFT_SHARE)
 
     def _even_map(self) -> tuple:
@@ -221,7 +299,7 @@
             timed_work.TimedWork(timed_work.PLAN_SECONDS),
         )
         service = configuration.Service(
-            name=SERVICE, experts=self._engine.shape
+            name=SERVICE, experts=self._engine.shape, gap=self._site.gap
         )
         loop = asyncio.get_running_loop()
         while True:
@@ -233,7 +311,7 @@
 
     def _figures(self) -> dict[str, float]:
         served = [stream for stream in self._streams if stream.done.is_set()]
-        on_time = [stream for stream in served if _is_on_time(stream)]
+        on_time = [one for one in served if _is_on_time(one, self._site)]
         asked = max(1, len(self._streams))
         return {
             'on_time_share': len(on_time) / asked,
@@ -242,11 +320,16 @@
             'skew_mean': statistics.mean(self._group.skews),
             'first_p50_ms': 1000
             * statistics.median(one.first_at - one.arrived for one in served),
+            'pass_p50_ms': 1000 * statistics.median(self._group.passes),
+            'pass_p95_ms': 1000
+            * statistics.quantiles(self._group.passes, n=20)[-1],
+            'pause_p50_ms': 1000
+            * statistics.median(one.longest_gap for one in served),
             'switches': self._group.switches,
             'copies': self._group.copies,
         }
 
 
-def _is_on_time(stream: lockstep.Stream) -> bool:
+def _is_on_time(stream: lockstep.Stream, site: Site) -> bool:
     first = stream.first_at - stream.arrived
-    return first <= FIRST_SECONDS and stream.longest_gap <= GAP_SECONDS
+    return first <= site.first and stream.longest_gap <= site.gap
--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -23,6 +23,7 @@
     book,
     feeding,
     joining,
+    loads,
     machine,
     roster,
     target_file,
@@ -102,10 +103,12 @@
         self,
         group: consensus.Consensus,
         followers: feeding.Feeding,
+        calls: loads.Loads,
     ) -> None:
-        """Direct requests to the group or to the feed."""
+        """Direct requests to the group, to the feed or to the sums."""
         self._group = group
         self._followers = followers
+        self._calls = calls
         self._checks: set[asyncio.Task[None]] = set()
 
     async def on_request(
@@ -117,6 +120,9 @@
         if request.site is not None:
             reply = await self._followers.answer(link, request.site)
             return messages.Reply(site=reply)
+        if request.site_load is not None:
+            told = self._calls.answer(link.peer.address, request.site_load)
+            return messages.Reply(site_load=told)
         # Any process with the shared secret can dial; only control hosts may
         # vote or write to the log.
         if link.peer.role != messages.Role.CONTROL:
@@ -196,6 +202,7 @@
                     self._member_addresses,
                     self._place.options.identity.incarnation,
                 ),
+                loads.Loads(self._place.options.identity.incarnation),
             ),
         )
 
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -14,6 +14,7 @@
     ledger,
     running,
     sending,
+    sharing,
     table,
     targets,
 )
@@ -56,6 +57,12 @@
             self._links,
             learned.Learned(self._targets, reader, tables),
         )
+        self._sharing = sharing.Sharing(
+            self._targets,
+            self._links,
+            lambda: self._follower.followed,
+            lambda: self._follower.entries,
+        )
         self._sender = sending.Sender(spoken)
         self._front = front.Front(
             spoken,
@@ -84,6 +91,7 @@
         working = [
             loop.create_task(self._follower.run()),
             loop.create_task(self._targets.run()),
+            loop.create_task(self._sharing.run()),
             loop.create_task(self._ledger.run()),
         ]
         http = await self._front.start(self._site.callers_address)
--- /dev/null
+++ b/tamarackthread/entry/direct/sharing.py
@@ -0,0 +1,126 @@
+"""Tell other entries of this one's calls, and learn of theirs."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import logging
+
+from tamarackthread.entry.direct import targets
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors, peers
+
+# Entries exchange so often: a call at a rank lasts ten times as long, and the
+# few that were sent since the last exchange rarely meet at one of many ranks.
+LEAST_SECONDS = 0.05
+# All entries together ask so often, so that the host that sums has a tenth of
+# a core for it at most, however many there are.
+EXCHANGES_A_SECOND = 400
+MOST_SECONDS = 1.0
+# A host that does not answer within this is left for the next one.
+ANSWER_SECONDS = 0.3
+# What others had is no guide after so long without an exchange.
+STALE_SECONDS = 1.0
+_log = logging.getLogger('tamarackthread.entry')
+
+Names = collections.abc.Callable[[], collections.abc.Sequence[str]]
+
+
+class Sharing:
+    """Exchange calls with the first control host that answers.
+
+    All entries ask the same one as long as they see the same hosts.  Nothing
+    here is agreed on or kept: an entry that reaches none goes by its own calls.
+    """
+
+    def __init__(
+        self,
+        known: targets.Targets,
+        links: peers.Peers,
+        hosts: Names,
+        entries: Names,
+    ) -> None:
+        """Exchange what ``known`` holds with one of ``hosts``."""
+        self._known = known
+        self._links = links
+        self._hosts = hosts
+        self._entries = entries
+        self._host = ''
+        self._epoch = 0
+        self._serial = 0
+        self._sums: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Exchange for ever."""
+        loop = asyncio.get_running_loop()
+        exchanged_at = loop.time()
+        while True:
+            await asyncio.sleep(_pause(len(self._entries())))
+            if await self.exchange():
+                exchanged_at = loop.time()
+            elif loop.time() - exchanged_at > STALE_SECONDS:
+                self._forget()
+
+    async def exchange(self) -> bool:
+        """Exchange once; tell whether a host has answered."""
+        for host in sorted(self._hosts()):
+            if host != self._host:
+                self._forget()
+                self._host = host
+            try:
+                await self._ask(host)
+            except (errors.CodedError, TimeoutError) as exc:
+                _log.debug('entry: no calls of others, %s', exc)
+                continue
+            return True
+        return False
+
+    async def _ask(self, host: str) -> None:
+        own = self._known.own_calls()
+        asked = messages.SiteLoadRequest(
+            epoch=self._epoch,
+            serial=self._serial,
+            own=[
+                messages.SiteCalls(id=target, calls=calls)
+                for target, calls in own.items()
+            ],
+        )
+        async with asyncio.timeout(ANSWER_SECONDS):
+            reply = await self._links.request(
+                host, messages.Request(site_load=asked), ANSWER_SECONDS
+            )
+        if reply.site_load is None:
+            raise errors.FrameInvalid('control host answered something else')
+        self._take(reply.site_load, own)
+
+    def _take(
+        self,
+        reply: messages.SiteLoadReply,
+        own: dict[str, int],
+    ) -> None:
+        if reply.epoch != self._epoch:
+            self._sums = {}
+        self._epoch = reply.epoch
+        self._serial = reply.serial
+        for row in reply.changed:
+            self._sums[row.id] = row.calls
+            if not row.calls:
+                self._sums.pop(row.id)
+        self._known.share(
+            {
+                target: calls - own.get(target, 0)
+                for target, calls in self._sums.items()
+            }
+        )
+
+    def _forget(self) -> None:
+        self._epoch = 0
+        self._serial = 0
+        self._sums = {}
+        self._known.share({})
+
+
+def _pause(entries: int) -> float:
+    """Return how long to wait until the next exchange."""
+    wanted = entries / EXCHANGES_A_SECOND
+    return min(MOST_SECONDS, max(LEAST_SECONDS, wanted))
--- a/tamarackthread/shared/site/following.py
+++ b/tamarackthread/shared/site/following.py
@@ -29,6 +29,7 @@
     """Be one control host and how far this process is in its book."""
 
     named_at: float
+    is_up: bool = False
     task: asyncio.Task[None] | None = None
     epoch: int = 0
     serial: int = 0
@@ -81,6 +82,13 @@
         self._sources: dict[str, _Source] = {}
         self._entries: tuple[str, ...] = ()
 
+    @property
+    def followed(self) -> tuple[str, ...]:
+        """Return the control hosts that have answered last."""
+        return tuple(
+            address for address, source in self._sources.items() if source.is_up
+        )
+
     @property
     def entries(self) -> tuple[str, ...]:
         """Return where the entries of the site accept links."""
@@ -121,19 +129,18 @@
             _log.info('site: nobody names control host %s any more', address)
 
     async def _follow(self, address: str, source: _Source) -> None:
-        is_up = False
         while True:
             try:
                 reply = await self._ask(address, source)
             except (errors.CodedError, TimeoutError) as exc:
-                if is_up:
+                if source.is_up:
                     _tell(address, is_up=False, why=str(exc))
-                is_up = False
+                source.is_up = False
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            if not is_up:
+            if not source.is_up:
                 _tell(address, is_up=True)
-            is_up = True
+            source.is_up = True
             self._take(address, source, reply)
 
     async def _ask(
