Read and switch maps of large groups within what callers bear

The part follows the entries that are known.

The HTTP of the adapter that translates nothing has moved into the product.

--- a/tamarackthread/control/site/maps/deciding.py
+++ b/tamarackthread/control/site/maps/deciding.py
@@ -18,12 +18,6 @@
 # the copies cost more than the steps they shorten.
 LEAST_SKEW = 1.45
 LEAST_GAIN = 0.25
-# It must also take so much off each step, an eighth of the pause that callers of
-# a stream take, since each switch costs an order to every rank twice over.
-# Emulated with 12 ranks it leaves one switch in thirty out and no more calls
-# late, where 0.02 does past the capacity; with 63 ranks, one of them slow, 0.32
-# of the calls and not 0.37 were in time.
-LEAST_SAVED_SECONDS = 0.015
 # Steps that are expected to take less than this are short enough: less than half
 # of the pause that callers of a stream take, so that one that reads a prompt and
 # has a tenth of the group's work more is short of it too.
@@ -69,10 +63,7 @@
             copies=copies,
             step_ms=round(known.step_seconds * MILLISECONDS),
         )
-        saved = known.step_seconds * (1 - planned / now)
-        if now - planned < LEAST_GAIN or saved < LEAST_SAVED_SECONDS:
-            return None
-        return wanted
+        return wanted if now - planned >= LEAST_GAIN else None
 
     async def _even(
         self,
@@ -96,6 +87,7 @@
                 planning.plan, known.placement, tokens, bounds, paces
             )
             planned = planning.skew(wanted, tokens, paces)
-            if known.step_seconds * planned / now < SHORT_STEP_SECONDS:
+            is_short = known.step_seconds * planned / now < SHORT_STEP_SECONDS
+            if is_short and not known.is_full:
                 break
         return wanted, planned
--- a/tamarackthread/control/site/maps/demand.py
+++ b/tamarackthread/control/site/maps/demand.py
@@ -55,7 +55,7 @@
         fresh: _Tokens = []
         for target, counts in found.items():
             before = self._seen.get(target)
-            if before is not None and before.epoch == counts.epoch:
+            if before is not None and before.is_of_start(counts):
                 _add(fresh, _difference(before.by_set, counts.by_set))
         self._seen = dict(found)
         if any(map(any, fresh)):
--- a/tamarackthread/control/site/maps/learning.py
+++ b/tamarackthread/control/site/maps/learning.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import math
 
 from tamarackthread.control.site.maps import ranks, switching, watched
@@ -28,9 +29,7 @@
     """
     if known.epoch == group.epoch and known.version >= group.version:
         return True
-    found = await asyncio.gather(
-        *(asked.placement(member) for member in group.members)
-    )
+    found = await _placements(asked, known, group)
     if None in found or len({row[0] for row in found}) != 1:
         return False
     known.epoch = group.epoch
@@ -48,7 +47,7 @@
     group: switching.Group,
 ) -> None:
     """Read the counts of some ranks into what is known of the demand."""
-    sample = group.members[: _sample_size(known, group)]
+    sample = group.members[: _sample_size(asked, known, group)]
     found = await asyncio.gather(
         *(asked.counts(member, len(known.placement)) for member in sample)
     )
@@ -61,9 +60,44 @@
     )
 
 
-def _sample_size(known: watched.Watched, group: switching.Group) -> int:
+async def _placements(
+    asked: ranks.Ranks,
+    known: watched.Watched,
+    group: switching.Group,
+) -> list[ranks.Placement | None]:
+    """Read what each rank holds, a few ranks at a time."""
+    numbers = known.shape.sets * known.shape.places
+    at_once = known.readable(asked.rest_seconds(numbers))
+    found: list[ranks.Placement | None] = []
+    for members in _batches(group.members, at_once):
+        if found:
+            await asyncio.sleep(known.between_reads)
+        found.extend(
+            await asyncio.gather(
+                *(asked.placement(member) for member in members)
+            )
+        )
+    return found
+
+
+def _batches(
+    members: tuple[ranks.Rank, ...],
+    at_once: int | None,
+) -> collections.abc.Iterator[tuple[ranks.Rank, ...]]:
+    size = at_once or len(members)
+    for first in range(0, len(members), size):
+        yield members[first : first + size]
+
+
+def _sample_size(
+    asked: ranks.Ranks,
+    known: watched.Watched,
+    group: switching.Group,
+) -> int:
     """Return how many ranks to read."""
     size = len(group.members)
+    wanted = max(LEAST_ALERT, math.ceil(size * ALERT_SHARE))
     if known.demand.is_settled:
-        return math.ceil(size * CALM_SHARE)
-    return max(LEAST_ALERT, math.ceil(size * ALERT_SHARE))
+        wanted = math.ceil(size * CALM_SHARE)
+    numbers = known.shape.sets * known.shape.experts
+    return min(wanted, known.readable(asked.rest_seconds(numbers)) or size)
--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -124,10 +124,11 @@
             found = await self._find(service.name)
             self._is_missing |= not found
             for group in found:
+                known = self._know(service, group)
                 if group.held is None:
-                    self._see(service.experts, group)
+                    _see(known, group)
                 else:
-                    await self._release(service.experts, group, term)
+                    await self._release(known, group, term)
 
     async def read(self, term: int) -> None:
         """Read the counts of pressed groups; switch maps where that pays."""
@@ -175,6 +176,7 @@
         if (
             known.step_seconds < deciding.SHORT_STEP_SECONDS
             and known.demand.is_settled
+            and not known.is_full
         ):
             return False
         known.read_at = now
@@ -193,12 +195,11 @@
 
     async def _release(
         self,
-        shape: configuration.Experts,
+        known: watched.Watched,
         group: switching.Group,
         term: int,
     ) -> None:
         loop = asyncio.get_running_loop()
-        known = self._know(shape, group)
         step = group.held
         if step is None or known.has_let_go(step, loop.time()):
             return
@@ -208,29 +209,17 @@
 
     def _know(
         self,
-        shape: configuration.Experts,
+        service: configuration.Service,
         group: switching.Group,
     ) -> watched.Watched:
         known = self._watched.get(group.name)
         if known is None:
-            known = watched.Watched(shape)
+            known = watched.Watched(service.experts)
             self._watched[group.name] = known
-        known.shape = shape
+        known.shape = service.experts
+        known.gap = service.gap
         return known
 
-    def _see(
-        self,
-        shape: configuration.Experts,
-        group: switching.Group,
-    ) -> None:
-        # Reports lag by different times, so that right after a switch some
-        # ranks seem to have the map before it.
-        if group.armed is not None or group.is_between:
-            return
-        known = self._know(shape, group)
-        known.see(group, asyncio.get_running_loop().time())
-        figures.STEP_SECONDS.labels(group.name).set(known.step_seconds)
-
     def _fence(self, term: int) -> int:
         """Give the fence in use: higher with each term and each taking back."""
         return term * FENCES_OF_TERM + self._taken_back
@@ -297,3 +286,12 @@
             # brings this switch to its end has a higher fence, which every
             # rank is given first, so that they refuse such a copy.
             self._taken_back += 1
+
+
+def _see(known: watched.Watched, group: switching.Group) -> None:
+    # Reports lag by different times, so that right after a switch some
+    # ranks seem to have the map before it.
+    if group.armed is not None or group.is_between:
+        return
+    known.see(group, asyncio.get_running_loop().time())
+    figures.STEP_SECONDS.labels(group.name).set(known.step_seconds)
--- a/tamarackthread/control/site/maps/ranks.py
+++ b/tamarackthread/control/site/maps/ranks.py
@@ -10,6 +10,8 @@
 from tamarackthread.policy import evening
 
 GroupMap = tuple[evening.SetMap, ...]
+# The version in force and a rank's experts by set.
+Placement = tuple[int, tuple[tuple[int, ...], ...]]
 # A rank answers within some milliseconds, and one whose link has lost a packet
 # after a fifth of a second.
 PATIENCE_SECONDS = 0.15
@@ -44,7 +46,8 @@
 
     ``prepared`` is the version whose experts it has whole, ``held`` the step
     that its group does not begin, both ``None`` if there is none.  A ``pace``
-    of 2 means that it takes twice as long as usual.
+    of 2 means that it takes twice as long as usual.  ``born`` tells its starts
+    apart, 0 where it does not say.
     """
 
     group: str
@@ -60,6 +63,7 @@
     pace: float = 1
     running: int = 0
     waiting: int = 0
+    born: int = 0
 
 
 @attrs.frozen
@@ -68,6 +72,11 @@
 
     epoch: int
     by_set: tuple[tuple[int, ...], ...]
+    born: int = 0
+
+    def is_of_start(self, other: Counts) -> bool:
+        """Tell whether two readings are of one start, so that they differ."""
+        return self.epoch == other.epoch and self.born == other.born
 
 
 @attrs.frozen
@@ -114,12 +123,16 @@
         """Ask for the choices in so many sets, ``None`` without an answer."""
 
     @abc.abstractmethod
-    async def placement(
-        self,
-        rank: Rank,
-    ) -> tuple[int, tuple[tuple[int, ...], ...]] | None:
+    async def placement(self, rank: Rank) -> Placement | None:
         """Ask for the version in force and the rank's experts by set."""
 
+    @abc.abstractmethod
+    def rest_seconds(self, numbers: int) -> float:
+        """Return how long a group rests while so many numbers are read.
+
+        All its ranks rest for each rank that is read, one after the other.
+        """
+
     @abc.abstractmethod
     async def order(self, rank: Rank, asked: Order) -> Outcome:
         """Send an order once and tell what is known of it."""
--- a/tamarackthread/control/site/maps/switching.py
+++ b/tamarackthread/control/site/maps/switching.py
@@ -42,6 +42,12 @@
 # The step of a switch lies two to four steps ahead, each of which takes 0.1 s
 # where a group is uneven.
 FREE_TRIES = 20
+# Ranks that are sent a map at once.  The failure: the map of a large group is
+# 26 KB, which to 129 ranks at once takes the owner's link longer than an answer
+# is waited for; most are sent again, which takes it longer still, and a map is
+# there after two seconds and not after a third of one.  So many go over a small
+# host's link within the patience for one of them.
+PREPARED_AT_ONCE = 32
 # Steps are reported some hundred milliseconds late.
 LAG_SECONDS = 0.3
 _DISARMED = frozenset((ranks.Outcome.DONE, ranks.Outcome.REFUSED))
@@ -131,14 +137,30 @@
         if first is not ranks.Outcome.DONE:
             _tell_unprepared(group, version, [first])
             return False
+        places = asyncio.Semaphore(PREPARED_AT_ONCE)
         outcomes = await asyncio.gather(
-            *(self._until_known(rank, order) for rank in group.members[1:])
+            *(self._in_turn(places, rank, order) for rank in group.members[1:])
         )
         if all(found is ranks.Outcome.DONE for found in outcomes):
             return True
         _tell_unprepared(group, version, outcomes)
         return False
 
+    async def _in_turn(
+        self,
+        places: asyncio.Semaphore,
+        rank: ranks.Rank,
+        order: ranks.Order,
+    ) -> ranks.Outcome:
+        """Send an order, to others meanwhile while the rank is silent."""
+        for _ in range(ORDER_TRIES):
+            async with places:
+                found = await self._send(rank, order)
+            if found is not ranks.Outcome.UNKNOWN:
+                return found
+            await asyncio.sleep(PAUSE_SECONDS)
+        return ranks.Outcome.UNKNOWN
+
     async def hold(self, group: Group, step: int) -> bool:
         """Hold a group at a step; ``False`` if it had begun it."""
         order = self._order(ranks.HOLD, group, step=step)
@@ -292,16 +314,24 @@
         if order.operation != ranks.PREPARE:
             hurried = attrs.evolve(order, patience=HELD_PATIENCE_SECONDS)
         for tries in range(ORDER_TRIES):
-            found = await self._ranks.order(
-                rank, hurried if tries < HELD_TRIES else order
-            )
-            if found is ranks.Outcome.OUTDATED:
-                self._is_outdated = True
+            is_hurried = tries < HELD_TRIES
+            found = await self._send(rank, hurried if is_hurried else order)
             if found is not ranks.Outcome.UNKNOWN:
                 return found
             await asyncio.sleep(PAUSE_SECONDS)
         return ranks.Outcome.UNKNOWN
 
+    async def _send(
+        self,
+        rank: ranks.Rank,
+        order: ranks.Order,
+    ) -> ranks.Outcome:
+        """Send an order once."""
+        found = await self._ranks.order(rank, order)
+        if found is ranks.Outcome.OUTDATED:
+            self._is_outdated = True
+        return found
+
 
 def _tell_unprepared(
     group: Group,
--- a/tamarackthread/control/site/maps/watched.py
+++ b/tamarackthread/control/site/maps/watched.py
@@ -19,8 +19,19 @@
 # makes steps short; that a shift of demand, which comes every two to four
 # seconds, has made them long again would be seen a look too late.
 WATCH_SECONDS = 4.0
+# With so many of their places taken, some ranks of a group are full, and a call
+# waits there for as long as another one lasts.  Evener ranks make that shorter
+# however short a step is: the group serves more calls in the same time.
+FULL_SHARE = 0.7
 # Calls a rank that keep a group busy enough for a switch to pay.
 LEAST_RUNNING = 0.8
+# What reading a group may add to one of its steps, as a part of what is left
+# between a step and the pause that callers take.  The rest of that time is for
+# what no plan knows: a long prompt that is read in the step, copies, the way of
+# an event to its caller.
+REST_SHARE = 0.25
+# Of the pause itself, so much is taken to be left at least.
+LEAST_LEFT_SHARE = 0.2
 # Copies share their link with others of the rank.
 COPY_SLACK = 1.15
 # After a switch that had to be taken back, the group is left alone for so long
@@ -43,10 +54,13 @@
 
     ``placement`` is the map of ``version`` in ``epoch``.  ``highest`` is the
     highest version that this owner gave out, whether or not it came into
-    force.  ``group`` is ``None`` while not all ranks report alike.
+    force.  ``group`` is ``None`` while not all ranks report alike.  ``gap`` is
+    the pause in seconds that callers take without harm, 0 without a bound, and
+    ``calls`` how many a rank had at the last look, running or waiting.
     """
 
     shape: configuration.Experts
+    gap: float = 0
     group: switching.Group | None = None
     epoch: int = -1
     version: int = -1
@@ -56,6 +70,7 @@
     step_seconds: float = ASSUMED_STEP_SECONDS
     copy_slack: float = COPY_SLACK
     read_at: float = 0
+    calls: float = 0
     _rests_until: float = 0
     _let_go: int = -1
     _let_go_at: float = 0
@@ -69,14 +84,43 @@
         self.group = group
         self.highest = max(self.highest, group.newest_version)
         self._time_step(group.epoch, group.step, now)
-        busy = sum(map(_calls_of, group.reports)) / len(group.reports)
-        self._note_pressure(busy, now)
+        self.calls = sum(map(_calls_of, group.reports)) / len(group.reports)
+        self._note_pressure(self.calls, now)
 
     def hear(self, report: ranks.RankReport, now: float) -> None:
         """Take one rank's report, which times the steps of all."""
         self._time_step(report.epoch, report.step, now)
         self._note_pressure(_calls_of(report), now)
 
+    @property
+    def is_full(self) -> bool:
+        """Tell whether calls have to wait for a place at a rank."""
+        places = self.shape.slots
+        return bool(places) and self.calls >= FULL_SHARE * places
+
+    def readable(self, rest_seconds: float) -> int | None:
+        """Return how many ranks may be read at once, ``None`` for all.
+
+        ``rest_seconds`` is how long all ranks rest for each.  The failure:
+        eleven ranks of a large group that are read at once rest it for 57 ms
+        in one go; on top of a step of 100 ms that is more than callers bear,
+        and every stream of the group is late by that one pause.  Where steps
+        take nearly all of the pause some is read all the same: it is the way to
+        an evener map, without which they stay so.
+        """
+        if not self.gap or not rest_seconds:
+            return None
+        left = max(self.gap - self.step_seconds, self.gap * LEAST_LEFT_SHARE)
+        return max(1, int(left * REST_SHARE / rest_seconds))
+
+    @property
+    def between_reads(self) -> float:
+        """Return how long to wait so that two readings meet no one step.
+
+        Steps of a group that has been idle seem to take as long as that was.
+        """
+        return min(self.step_seconds, self.gap)
+
     def is_pressed(self, now: float) -> bool:
         """Tell whether evener ranks would be felt by anybody.
 
@@ -143,7 +187,7 @@
         and its first map serves in part after each shift: it is made as soon
         as there are calls to make it from, before they are late.
         """
-        is_slow = self.step_seconds >= LONG_STEP_SECONDS
+        is_slow = self.step_seconds >= LONG_STEP_SECONDS or self.is_full
         if calls >= LEAST_RUNNING and (is_slow or self.version <= 0):
             self._pressed_at = now
 
--- a/tamarackthread/entry/direct/budgets.py
+++ b/tamarackthread/entry/direct/budgets.py
@@ -17,6 +17,13 @@
     The bound holds for the sum over all entries.  Each lives within an equal
     part of the reserve and within a share of its own calls, so the sum holds
     without a word between them.
+
+    The failure: all entries start at once and know nothing of each other, each
+    takes the whole reserve for its own, and while targets start as well they
+    send three times as many second tries as all of them may.  So an entry that
+    knows of none has nothing saved, and its part shrinks with each one that it
+    learns of: the first of many to be known has a whole part for a moment, the
+    next a half, the third a third, which adds up to about twice the reserve.
     """
 
     def __init__(
@@ -25,7 +32,7 @@
         entries: Entries,
         now: Now,
     ) -> None:
-        """Divide the reserve by ``entries`` when a service is first called."""
+        """Divide the reserve by ``entries``, as they become known."""
         self._site = site
         self._entries = entries
         self._now = now
@@ -44,16 +51,15 @@
         return self._of(service).level >= 1
 
     def _of(self, service: str) -> retries.RetryBudget:
+        entries = self._entries()
+        reserve = self._site.retry_reserve / max(1, entries)
         found = self._by_service.get(service)
         if found is None:
-            reserve = self._site.retry_reserve / max(1, self._entries())
-            found = retries.RetryBudget(
-                retries.RetrySettings(
-                    share=self._site.retry_share,
-                    reserve=reserve,
-                    least_rate=0,
-                ),
-                self._now(),
+            settings = retries.RetrySettings(
+                share=self._site.retry_share, reserve=reserve, least_rate=0
             )
+            level = reserve / 2 if entries else 0
+            found = retries.RetryBudget(settings, self._now(), level)
             self._by_service[service] = found
+        found.limit(reserve)
         return found
--- a/tamarackthread/platform/configuration.py
+++ b/tamarackthread/platform/configuration.py
@@ -121,6 +121,7 @@
         places=int(engine['placements']),
         spare=int(engine['spare']),
         copy_seconds=_copy_seconds(engine),
+        slots=int(engine.get('slots') or 0),
     )
 
 
--- a/tamarackthread/platform/ranks.py
+++ b/tamarackthread/platform/ranks.py
@@ -5,15 +5,16 @@
 import functools
 import json
 import types
-import typing
 
-import aiohttp
-
-from tamarackthread.control.site.maps import ranks
+from tamarackthread.control.site.maps import asking, ranks
 from tamarackthread.platform import wire
+from tamarackthread.shared import fields
 
 # Orders that may be on their way at once, to one or two groups.
 ENCODED_ORDERS = 4
+# A group rests so long for so many numbers that are read from another host.
+REST_SECONDS = 0.0005
+REST_NUMBERS = 400
 _OPERATIONS = types.MappingProxyType(
     {
         ranks.PREPARE: 'prepare',
@@ -24,9 +25,8 @@
     },
 )
 _WITH_VERSION = frozenset((ranks.PREPARE, ranks.ARM, ranks.DISARM))
-_LOST = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
-_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
-_Body = dict[str, typing.Any]
+_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+_Body = fields.Row
 
 
 class PlatformRanks(ranks.Ranks):
@@ -34,7 +34,7 @@
 
     def __init__(self) -> None:
         """Open no connection yet."""
-        self._session: aiohttp.ClientSession | None = None
+        self._asking = asking.Asking()
 
     async def report(self, rank: ranks.Rank) -> ranks.RankReport | None:
         """Ask a rank of itself."""
@@ -44,11 +44,7 @@
         except _UNREADABLE:
             return None
 
-    async def counts(
-        self,
-        rank: ranks.Rank,
-        sets: int,
-    ) -> ranks.Counts | None:
+    async def counts(self, rank: ranks.Rank, sets: int) -> ranks.Counts | None:
         """Ask for the choices of experts."""
         body = await self._get(rank, wire.COUNTS)
         try:
@@ -56,10 +52,7 @@
         except _UNREADABLE:
             return None
 
-    async def placement(
-        self,
-        rank: ranks.Rank,
-    ) -> tuple[int, tuple[tuple[int, ...], ...]] | None:
+    async def placement(self, rank: ranks.Rank) -> ranks.Placement | None:
         """Ask for the version in force and the rank's experts by set."""
         body = await self._get(rank, wire.LISTS)
         try:
@@ -67,28 +60,23 @@
         except _UNREADABLE:
             return None
 
+    def rest_seconds(self, numbers: int) -> float:
+        """Return how long a group rests while so many numbers are read."""
+        return numbers * REST_SECONDS / REST_NUMBERS
+
     async def order(
         self,
         rank: ranks.Rank,
         asked: ranks.Order,
     ) -> ranks.Outcome:
         """Send an order once."""
-        url = f'http://{rank.address}{wire.ORDER}'
-        headers = {
-            wire.EXPECTED_TARGET: rank.target,
-            'Content-Type': 'application/json',
-        }
-        body = _encoded(asked)
-        try:
-            async with self._opened().post(
-                url,
-                data=body,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=asked.patience),
-            ) as answer:
-                await answer.read()
-                status = answer.status
-        except _LOST:
+        status = await self._asking.post(
+            f'http://{rank.address}{wire.ORDER}',
+            {wire.EXPECTED_TARGET: rank.target},
+            _encoded(asked),
+            asked.patience,
+        )
+        if status is None:
             return ranks.Outcome.UNKNOWN
         if status in {200, 202}:
             return ranks.Outcome.DONE
@@ -98,65 +86,48 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._asking.close()
 
     async def _get(self, rank: ranks.Rank, path: str) -> _Body | None:
-        headers = {wire.EXPECTED_TARGET: rank.target}
-        url = f'http://{rank.address}{path}'
-        try:
-            async with self._opened().get(url, headers=headers) as answer:
-                body = await answer.read()
-                return json.loads(body) if answer.status == 200 else None
-        except _LOST:
-            return None
-
-    def _opened(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            # Connections that are kept would each hold one of the few that a
-            # target takes.
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=4),
-                timeout=aiohttp.ClientTimeout(total=ranks.PATIENCE_SECONDS),
-            )
-        return self._session
+        return await self._asking.get(
+            f'http://{rank.address}{path}', {wire.EXPECTED_TARGET: rank.target}
+        )
 
 
 def _report(body: _Body) -> ranks.RankReport:
-    group = body['group']
-    armed = body.get('armed') or None
+    group = fields.table(body, 'group')
+    armed = body.get('armed')
     return ranks.RankReport(
-        group=str(group['name']),
-        epoch=int(group['epoch']),
-        rank=int(group['rank']),
-        size=int(body.get('size') or group['size']),
+        group=fields.text(group, 'name'),
+        epoch=fields.whole(group, 'epoch'),
+        rank=fields.whole(group, 'rank'),
+        size=fields.whole(group if 'size' in group else body, 'size'),
         is_open=group['state'] == 'open',
-        step=int(body.get('step') or 0),
-        version=_version(body.get('map')) or 0,
-        prepared=_version(body.get('prepared')),
+        step=fields.whole(body, 'step', default=0),
+        version=_part(body, 'map', 'version') or 0,
+        prepared=_part(body, 'prepared', 'version'),
         armed=(
-            None
-            if armed is None
-            else ranks.Armed(int(armed['version']), int(armed['step']))
+            ranks.Armed(
+                fields.whole(armed, 'version'), fields.whole(armed, 'step')
+            )
+            if armed
+            else None
         ),
-        held=_step(body.get('held')),
-        pace=float(body.get('pace') or 1),
-        running=int(body.get('running') or 0),
-        waiting=int(body.get('waiting') or 0),
+        held=_part(body, 'held', 'step'),
+        pace=fields.number(body, 'pace', 0) or 1,
+        running=fields.whole(body, 'running', default=0),
+        waiting=fields.whole(body, 'waiting', default=0),
+        born=fields.whole(body, wire.BORN, default=0),
     )
 
 
-def _version(found: typing.Any) -> int | None:
-    """Read a version, alone or with what belongs to it."""
-    if isinstance(found, dict):
-        found = found['version']
-    return None if found is None else int(found)
-
-
-def _step(found: typing.Any) -> int | None:
-    if isinstance(found, dict):
-        found = found['step']
-    return None if found is None else int(found)
+def _part(body: _Body, name: str, part: str) -> int | None:
+    """Read a number that stands alone or in an object beside others."""
+    found = body.get(name)
+    if found is None:
+        return None
+    row = found if isinstance(found, dict) else {part: found}
+    return fields.whole(row, part)
 
 
 def _counts(body: _Body, sets: int) -> ranks.Counts:
@@ -167,12 +138,16 @@
         tuple(row[first : first + size])
         for first in range(0, size * sets, size)
     )
-    return ranks.Counts(int(body['epoch']), by_set)
+    return ranks.Counts(
+        fields.whole(body, 'epoch'),
+        by_set,
+        fields.whole(body, wire.BORN, default=0),
+    )
 
 
-def _placement(body: _Body) -> tuple[int, tuple[tuple[int, ...], ...]]:
-    held = body['map']
-    return int(held['version']), tuple(
+def _placement(body: _Body) -> ranks.Placement:
+    held = fields.table(body, 'map')
+    return fields.whole(held, 'version'), tuple(
         tuple(int(expert) for expert in row) for row in held['experts']
     )
 
--- a/tamarackthread/policy/retries.py
+++ b/tamarackthread/policy/retries.py
@@ -34,10 +34,15 @@
 class RetryBudget:
     """Count what is left for retries."""
 
-    def __init__(self, settings: RetrySettings, now: float) -> None:
-        """Start with half of the reserve."""
+    def __init__(
+        self,
+        settings: RetrySettings,
+        now: float,
+        level: float | None = None,
+    ) -> None:
+        """Start with ``level`` saved up, by default half of the reserve."""
         self._settings = settings
-        self._level = settings.reserve / 2
+        self._level: float = settings.reserve / 2 if level is None else level
         self._filled_at = now
 
     @property
@@ -45,6 +50,11 @@
         """Return how many retries are paid for, as of the last call."""
         return self._level
 
+    def limit(self, reserve: float) -> None:
+        """Let no more than a reserve be saved up from now on."""
+        self._settings = attrs.evolve(self._settings, reserve=reserve)
+        self._level = min(self._level, reserve)
+
     def earn(self, now: float) -> None:
         """Count a first attempt, which pays for a share of a retry."""
         self._fill(now, self._settings.share)
--- a/tamarackthread/shared/site/configuration.py
+++ b/tamarackthread/shared/site/configuration.py
@@ -64,7 +64,8 @@
 
     ``places`` is how many experts a rank holds in each of ``sets`` sets of
     layers, ``spare`` how many of them one map may bring new to it, and
-    ``copy_seconds`` how long a rank takes to copy one.
+    ``copy_seconds`` how long a rank takes to copy one.  ``slots`` is how many
+    calls a rank runs at once, 0 where nobody says so.
     """
 
     sets: int
@@ -72,17 +73,21 @@
     places: int
     spare: int
     copy_seconds: float = 0
+    slots: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class Service:
     """Be a set of targets that answer alike.
 
-    ``experts`` is there where its targets are ranks of groups.
+    ``experts`` is there where its targets are ranks of groups.  ``gap`` is the
+    longest pause in seconds that the callers of any of its streams take without
+    harm, 0 where none says so.
     """
 
     name: str
     experts: Experts | None = None
+    gap: float = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -111,6 +116,20 @@
     organisations: tuple[Organisation, ...] = ()
     limits: Limits = Limits()
 
+    def gap_of(self, service: str) -> float:
+        """Return the shortest pause that a stream at a service may have.
+
+        The ranks of a group advance together, so the most impatient callers
+        bound what any of them may do to the rest; 0 without any bound.
+        """
+        gaps = [
+            route.gap
+            for route in self.routes
+            if route.gap
+            and any(part.service == service for part in route.shares)
+        ]
+        return min(gaps, default=0)
+
 
 class Reader(abc.ABC):
     """Read a configuration in the form in which operators send it."""
--- a/tests/test_site_maps.py
+++ b/tests/test_site_maps.py
@@ -110,6 +110,9 @@
             self._counted[expert] += 1000 if expert == self._favoured else 100
         return ranks.Counts(self.epoch, (tuple(self._counted),))
 
+    def rest_seconds(self, numbers):
+        return 0
+
     def favour(self, expert):
         """Have another expert be chosen ten times as often as the rest."""
         self._favoured = expert
