Send orders until they are answered in one place

Cause: the bound on how many ranks are sent a map at once had come with a second loop that sends an order until its rank has answered, beside the one that all other orders use; an import was there twice. The one loop takes the places now.

Ruled out on this reading: the parts of HTTP that moved out of the adapter (each stands once), and the tests of the shared calls that are alike but for the fault.

--- a/tamarackthread/control/site/loads.py
+++ b/tamarackthread/control/site/loads.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections
-import collections.abc
 
 import attrs
 
--- a/tamarackthread/control/site/maps/switching.py
+++ b/tamarackthread/control/site/maps/switching.py
@@ -22,6 +22,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 
 import attrs
@@ -139,28 +140,16 @@
             return False
         places = asyncio.Semaphore(PREPARED_AT_ONCE)
         outcomes = await asyncio.gather(
-            *(self._in_turn(places, rank, order) for rank in group.members[1:])
+            *(
+                self._until_known(rank, order, places)
+                for rank in group.members[1:]
+            )
         )
         if all(found is ranks.Outcome.DONE for found in outcomes):
             return True
         _tell_unprepared(group, version, outcomes)
         return False
 
-    async def _in_turn(
-        self,
-        places: asyncio.Semaphore,
-        rank: ranks.Rank,
-        order: ranks.Order,
-    ) -> ranks.Outcome:
-        """Send an order, to others meanwhile while the rank is silent."""
-        for _ in range(ORDER_TRIES):
-            async with places:
-                found = await self._send(rank, order)
-            if found is not ranks.Outcome.UNKNOWN:
-                return found
-            await asyncio.sleep(PAUSE_SECONDS)
-        return ranks.Outcome.UNKNOWN
-
     async def hold(self, group: Group, step: int) -> bool:
         """Hold a group at a step; ``False`` if it had begun it."""
         order = self._order(ranks.HOLD, group, step=step)
@@ -305,17 +294,20 @@
         self,
         rank: ranks.Rank,
         order: ranks.Order,
+        places: contextlib.AbstractAsyncContextManager | None = None,
     ) -> ranks.Outcome:
         """Send an order until the rank has answered.
 
-        Each order says what shall be, so a second copy changes nothing.
+        Each order says what shall be, so a second copy changes nothing.  One
+        of ``places`` is taken while it is sent, and others have it in between.
         """
         hurried = order
         if order.operation != ranks.PREPARE:
             hurried = attrs.evolve(order, patience=HELD_PATIENCE_SECONDS)
         for tries in range(ORDER_TRIES):
             is_hurried = tries < HELD_TRIES
-            found = await self._send(rank, hurried if is_hurried else order)
+            async with places or contextlib.nullcontext():
+                found = await self._send(rank, hurried if is_hurried else order)
             if found is not ranks.Outcome.UNKNOWN:
                 return found
             await asyncio.sleep(PAUSE_SECONDS)
