Hold calls back while the ranks of a group have enough

Cause: on the shifted site a call more makes a step 2.2 ms longer and not 0.9, so that ranks that get every call make passes longer than callers take a pause for while demand has shifted; all streams are late, and those that wait at ranks go in the order in which they came, late or not.

Two other ways stand beside it (crowding.Places, crowding.Tried).

--- a/bench/engines/lockstep.py
+++ b/bench/engines/lockstep.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import collections.abc
 
 import attrs
 import numpy
@@ -62,6 +63,18 @@
     ),
 )
 
+# Ranks at which a call adds twice as much to a step as at the others, and a step
+# by itself takes less: how many calls they have decides how long a pass takes.
+DENSE = Engine(
+    stride=5,
+    step=0.00455,
+    per_call=0.00218,
+    tokens_per_second=61400.0,
+    shape=configuration.Experts(
+        sets=8, experts=252, places=5, spare=2, copy_seconds=0.0142
+    ),
+)
+
 
 @attrs.define(eq=False)
 class Stream:
@@ -74,11 +87,15 @@
     first_at: float = 0
     last_at: float = 0
     longest_gap: float = 0
+    on_pause: collections.abc.Callable[[float], None] | None = None
 
     def take_event(self, now: float) -> None:
         """Note that an event came, and the pause before it."""
         if self.first_at:
-            self.longest_gap = max(self.longest_gap, now - self.last_at)
+            pause = now - self.last_at
+            self.longest_gap = max(self.longest_gap, pause)
+            if self.on_pause is not None:
+                self.on_pause(pause)
         else:
             self.first_at = now
         self.last_at = now
--- a/bench/experiments/heavy.py
+++ b/bench/experiments/heavy.py
@@ -23,9 +23,16 @@
 from bench.engines import lockstep, timed_work
 from tamarackthread.control.site import loads
 from tamarackthread.control.site.maps import owner, planning
-from tamarackthread.entry.direct import sharing, starts, targets
+from tamarackthread.entry.direct import (
+    admitting,
+    calls,
+    failures,
+    sharing,
+    starts,
+    targets,
+)
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.policy import evening
+from tamarackthread.policy import crowding, evening
 from tamarackthread.shared.site import announcements, configuration
 
 SEEDS = (17, 18, 19)
@@ -71,29 +78,46 @@
     events=17,
     shift=3.8,
 )
+DENSE = Site(
+    engine=lockstep.DENSE,
+    entries=15,
+    capacity=150.0,
+    first=0.506,
+    gap=0.15,
+    events=19,
+    prompt=827,
+    shift=3.5,
+)
 
 
 @attrs.frozen
 class Pattern:
-    """Be a load: a part of the capacity, and one rank's pace."""
+    """Be a load: a part of the capacity, and one rank's pace.
+
+    The owner of the maps is gone from ``lost_at`` on for ``lost_seconds``.
+    """
 
     name: str
     load: float
     pace: float = 1
     site: Site = MIDDLE
+    lost_at: float = 0
+    lost_seconds: float = 0
 
 
 @attrs.frozen
 class Variant:
     """Be a way to place calls (``route``) and experts (``maps``).
 
-    With ``shares`` the entries tell each other of their calls.
+    With ``shares`` the entries tell each other of their calls, and ``bound``
+    is what keeps calls back at the entries, if anything does.
     """
 
     name: str
     route: str
     maps: str
     shares: bool = False
+    bound: type[crowding.CallBound] | None = None
 
 
 PATTERNS = (
@@ -101,18 +125,27 @@
     Pattern('overload', 1.2),
     Pattern('slow_rank', 0.6, pace=4.0),
     Pattern('large', 0.8, site=LARGE),
+    Pattern('dense', 0.75, site=DENSE),
+    Pattern('dense_lost_owner', 0.75, site=DENSE, lost_at=2, lost_seconds=4),
+    Pattern('dense_overload', 1.5, site=DENSE),
+    Pattern('dense_slow_rank', 0.5, pace=4.0, site=DENSE),
 )
 VARIANTS = (
     Variant('round_robin_static', 'round_robin', 'static'),
     Variant('least_own_static', 'least_own', 'static'),
     Variant('least_own_ours', 'least_own', 'ours'),
     Variant('ours_unshared', 'ours', 'ours'),
-    Variant('ours', 'ours', 'ours', shares=True),
+    Variant('ours_unbounded', 'ours', 'ours', shares=True),
+    Variant('ours_places', 'ours', 'ours', shares=True, bound=crowding.Places),
+    Variant('ours_tried', 'ours', 'ours', shares=True, bound=crowding.Tried),
+    Variant('ours', 'ours', 'ours', shares=True, bound=crowding.Proportional),
     Variant('oracle_unshared', 'ours', 'oracle'),
     Variant('oracle', 'ours', 'oracle', shares=True),
 )
 # From an entry to a control host and back.
 EXCHANGE_SECONDS = 0.003
+# Callers of streams wait so long for the whole answer.
+TIMEOUT_SECONDS = 8.0
 
 
 def run(quick: bool) -> dict:
@@ -192,6 +225,7 @@
             asyncio.create_task(self._group.run()),
             asyncio.create_task(self._shift()),
         ]
+        self._lines = [self._line(known) for known in self._entries]
         if self._variant.shares:
             working.extend(self._exchanging())
         if self._variant.maps == 'ours':
@@ -206,9 +240,13 @@
         summed = loads.Loads(1)
         names = [str(number) for number in range(self._site.entries)]
         tasks = []
-        for name, known in zip(names, self._entries, strict=True):
+        for name, known, line in zip(
+            names, self._entries, self._lines, strict=True
+        ):
             links = _Links(name, summed)
-            shared = sharing.Sharing(known, links, _hosts, names.copy)
+            shared = sharing.Sharing(
+                known, links, _hosts, names.copy, line.share
+            )
             tasks.append(asyncio.create_task(shared.run()))
         return tasks
 
@@ -226,6 +264,17 @@
             )
         return known
 
+    def _line(self, known: targets.Targets) -> admitting.Line:
+        bound = self._variant.bound or crowding.Unbounded
+        empty = self._engine.stride * self._engine.step
+        return admitting.Line(
+            SERVICE,
+            bound(self._site.gap, empty),
+            known,
+            lambda: self._site.entries,
+            self._random,
+        )
+
     async def _press(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
@@ -242,7 +291,14 @@
             arrived=asyncio.get_running_loop().time(),
         )
         self._streams.append(stream)
-        known = self._random.choice(self._entries)
+        number = self._random.randrange(len(self._entries))
+        known, line = self._entries[number], self._lines[number]
+        stream.on_pause = line.note_pause
+        try:
+            await line.admit(self._asked(stream))
+        except failures.NoRoomInTime:
+            self._refused += 1
+            return
         tried: list[str] = []
         for _ in range(2):
             target = self._choose(known, tried)
@@ -251,9 +307,33 @@
                 target.own += 1
                 await stream.done.wait()
                 target.own -= 1
+                line.answered(stream.last_at - stream.arrived)
+                line.left()
                 return
         self._refused += 1
 
+    def _asked(self, stream: lockstep.Stream) -> calls.Call:
+        route = configuration.Route(
+            name='r',
+            host='h',
+            prefix='/',
+            kind=configuration.Kind.STREAM,
+            shares=(configuration.Share(SERVICE, 1),),
+            timeout=TIMEOUT_SECONDS,
+            aim=self._site.first,
+        )
+        return calls.Call(
+            asked=calls.Asked(
+                call_id='', method='POST', host='h', path='/', headers=()
+            ),
+            body=b'',
+            route=route,
+            service=SERVICE,
+            organisation='',
+            arrived=stream.arrived,
+            deadline=stream.arrived + route.timeout,
+        )
+
     def _choose(
         self,
         known: targets.Targets,
@@ -302,7 +382,10 @@
             name=SERVICE, experts=self._engine.shape, gap=self._site.gap
         )
         loop = asyncio.get_running_loop()
+        lost_at = self._pattern.lost_at
         while True:
+            if 0 <= loop.time() - lost_at < self._pattern.lost_seconds:
+                await asyncio.sleep(self._pattern.lost_seconds)
             await maps.look([service], 1)
             until = loop.time() + owner.LOOK_SECONDS
             while loop.time() < until:
--- a/tamarackthread/entry/direct/failures.py
+++ b/tamarackthread/entry/direct/failures.py
@@ -71,6 +71,13 @@
     ran = messages.Ran.MAY_HAVE_RUN
 
 
+class NoRoomInTime(errors.CodedError):
+    """Targets have no room from which an answer could be whole in time."""
+
+    code = 'TT7212'
+    status = 503
+
+
 class BodyOverLimit(errors.CodedError):
     """Body of the request is over the configuration's limit."""
 
--- a/tamarackthread/entry/direct/learned.py
+++ b/tamarackthread/entry/direct/learned.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from tamarackthread.entry.direct import table, targets
+from tamarackthread.entry.direct import admitting, table, targets
 from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import (
     announcements,
@@ -25,8 +25,10 @@
         known: targets.Targets,
         reader: configuration.Reader,
         tables: table.Holder,
+        admission: admitting.Admission,
     ) -> None:
-        """Put what is learned into ``known`` and ``tables``."""
+        """Put what is learned into ``known``, ``tables`` and ``admission``."""
+        self._admission = admission
         self._known = known
         self._reader = reader
         self._tables = tables
@@ -55,6 +57,7 @@
             _log.error('entry: cannot read version %d, %s', held.version, exc)
             return
         self._tables.put(table.Table(read))
+        self._admission.learn(read)
         figures.VERSION.set(held.version)
         log_events.tell(
             _log,
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -7,6 +7,7 @@
 import random
 
 from tamarackthread.entry.direct import (
+    admitting,
     budgets,
     dialect,
     front,
@@ -52,16 +53,20 @@
         self._ledger = ledger.Ledger()
         self._page = figures.Page()
         tables = table.Holder()
+        admission = admitting.Admission(
+            self._targets, lambda: len(self._follower.entries), generator
+        )
         self._follower = following.Follower(
             self._site,
             self._links,
-            learned.Learned(self._targets, reader, tables),
+            learned.Learned(self._targets, reader, tables, admission),
         )
         self._sharing = sharing.Sharing(
             self._targets,
             self._links,
             lambda: self._follower.followed,
             lambda: self._follower.entries,
+            admission.share,
         )
         self._sender = sending.Sender(spoken)
         self._front = front.Front(
@@ -75,6 +80,7 @@
                     lambda: len(self._follower.entries),
                     loop.time,
                 ),
+                admission,
                 generator,
             ),
             generator,
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -9,6 +9,7 @@
 import attrs
 
 from tamarackthread.entry.direct import (
+    admitting,
     budgets,
     calls,
     events,
@@ -18,6 +19,7 @@
     starts,
     targets,
 )
+from tamarackthread.entry.direct import tempo as tempos
 from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import configuration, figures
 
@@ -59,10 +61,12 @@
         known: targets.Targets,
         sender: sending.Sender,
         budget: budgets.Budgets,
+        admission: admitting.Admission,
         generator: random.Random,
     ) -> None:
         """Choose among ``known`` and send with ``sender``."""
         self._known = known
+        self._admission = admission
         self._sender = sender
         self._budget = budget
         self._random = generator
@@ -98,19 +102,34 @@
     ) -> None:
         while True:
             target = await self._next_target(call, progress)
-            target.own += 1
-            progress.trying = target
-            try:
-                async with target.lifetime():
-                    await self._try(call, target, progress, out)
-            except errors.CodedError as exc:
-                self._learn(target, progress, exc)
-                _tell(call, target, progress, exc)
-            else:
-                target.answered()
+            if await self._is_answered(call, target, progress, out):
                 return
-            finally:
-                target.own -= 1
+
+    async def _is_answered(
+        self,
+        call: calls.Call,
+        target: starts.Start,
+        progress: _Progress,
+        out: sink.Sink,
+    ) -> bool:
+        """Try a target; tell whether the caller has its answer now."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        target.own += 1
+        progress.trying = target
+        try:
+            async with target.lifetime():
+                await self._try(call, target, progress, out)
+        except errors.CodedError as exc:
+            self._learn(target, progress, exc)
+            _tell(call, target, progress, exc)
+            return False
+        finally:
+            target.own -= 1
+            self._admission.left(call)
+        target.answered()
+        self._admission.answered(call, loop.time() - began)
+        return True
 
     async def _next_target(
         self,
@@ -120,6 +139,7 @@
         """Choose where to try next; raise the call's end if nowhere."""
         if progress.failure is not None and not self._may_try(call, progress):
             raise self._end(progress)
+        await self._admission.admit(call)
         tried = progress.skipped.union(progress.sent)
         left = call.deadline - asyncio.get_running_loop().time()
         await self._known.arrival(call.service, tried, calls.patience(left))
@@ -203,11 +223,23 @@
                 progress.is_unnumbered |= event.number < 0
                 ready.append(event.payload)
             if ready:
+                self._note_pause(call, out.tempo, len(ready))
                 await out.write(b''.join(ready))
         if splitter.rest:
             await out.write(splitter.rest)
         await out.finish()
 
+    def _note_pause(
+        self,
+        call: calls.Call,
+        tempo: tempos.Tempo,
+        pieces: int,
+    ) -> None:
+        if not tempo.last_at:
+            return
+        pause = asyncio.get_running_loop().time() - tempo.last_at
+        self._admission.note_pause(call, pause / pieces)
+
     def _learn(
         self,
         target: starts.Start,
--- a/tamarackthread/entry/direct/sharing.py
+++ b/tamarackthread/entry/direct/sharing.py
@@ -39,12 +39,18 @@
         links: peers.Peers,
         hosts: Names,
         entries: Names,
+        on_exchange: collections.abc.Callable[[], None],
     ) -> None:
-        """Exchange what ``known`` holds with one of ``hosts``."""
+        """Exchange what ``known`` holds with one of ``hosts``.
+
+        ``on_exchange`` is called after each exchange, also after one that no
+        host has answered.
+        """
         self._known = known
         self._links = links
         self._hosts = hosts
         self._entries = entries
+        self._on_exchange = on_exchange
         self._host = ''
         self._epoch = 0
         self._serial = 0
@@ -60,6 +66,7 @@
                 exchanged_at = loop.time()
             elif loop.time() - exchanged_at > STALE_SECONDS:
                 self._forget()
+            self._on_exchange()
 
     async def exchange(self) -> bool:
         """Exchange once; tell whether a host has answered."""
@@ -117,7 +124,7 @@
         self._epoch = 0
         self._serial = 0
         self._sums = {}
-        self._known.share({})
+        self._known.forget_others()
 
 
 def _pause(entries: int) -> float:
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -12,6 +12,7 @@
 import attrs
 
 from tamarackthread.entry.direct import starts
+from tamarackthread.policy import crowding
 from tamarackthread.shared import log_events
 from tamarackthread.shared.site import announcements, figures
 
@@ -64,6 +65,7 @@
         self._started_at = asyncio.get_running_loop().time()
         self._random = generator
         self._arrived = asyncio.Event()
+        self._knows_others = False
         self._untold: list[announcements.Announcement] = []
         self._by_name: dict[str, starts.Start] = {}
         self._paces: dict[str, dict[str, float]] = {}
@@ -112,11 +114,42 @@
             if target.own
         }
 
+    @property
+    def knows_others(self) -> bool:
+        """Tell whether the calls of other entries are known."""
+        return self._knows_others
+
     def share(self, others: collections.abc.Mapping[str, int]) -> None:
         """Take the calls that all other entries have, by target."""
+        self._knows_others = True
         for name, target in self._by_name.items():
             target.others = max(0, others.get(name, 0))
 
+    def forget_others(self) -> None:
+        """Go by this entry's own calls until others are told of again."""
+        self.share({})
+        self._knows_others = False
+
+    def crowd(self, service: str, entries: int) -> crowding.Crowd:
+        """Count the calls and the places at the targets of a service.
+
+        An entry that does not know the calls of the others takes it that all
+        ``entries`` have as many as itself.
+        """
+        now = asyncio.get_running_loop().time()
+        found = self.of_service(service)
+        ready = [target for target in found if target.is_ready(now)]
+        own = sum(target.own for target in found)
+        others = own * max(0, entries - 1)
+        if self._knows_others:
+            others = sum(target.others for target in found)
+        return crowding.Crowd(
+            calls=own + others,
+            ranks=len(ready),
+            places=sum(target.slots for target in ready),
+            pace=max((target.pace for target in ready), default=1),
+        )
+
     def get(self, name: str) -> starts.Start | None:
         """Return a start of a target."""
         return self._by_name.get(name)
--- a/tamarackthread/platform/configuration.py
+++ b/tamarackthread/platform/configuration.py
@@ -109,9 +109,18 @@
     return site.Service(
         name=_text(row['name']),
         experts=_experts(engine),
+        passes=_passes(engine),
     )
 
 
+def _passes(engine: _Row) -> site.Passes | None:
+    """Read how long a pass takes, which is so many steps one after another."""
+    if not engine.get('step_ms'):
+        return None
+    steps = int(engine.get('stride') or 1)
+    return site.Passes(empty=steps * float(engine['step_ms']) / MILLISECONDS)
+
+
 def _experts(engine: _Row) -> site.Experts | None:
     if not engine.get('experts') or not engine.get('sets'):
         return None
--- /dev/null
+++ b/tamarackthread/policy/crowding.py
@@ -0,0 +1,164 @@
+"""Bound the calls of ranks in lock-step by the pause that callers take.
+
+All ranks of a group make a pass together, and each stream gets one piece of its
+answer at the end of it.  So a pass that takes longer than callers take a pause
+for makes every stream of the group late at once, and a group that is given more
+calls then stays so slow until they have ended.
+"""
+
+from __future__ import annotations
+
+import abc
+import collections
+import math
+import statistics
+
+import attrs
+
+# What was seen in so many seconds tells how long a pass takes: some passes, so
+# that one in which the group was held, or read a long prompt, does not count.
+SEEN_SECONDS = 0.5
+# Of the callers' pause a usual pass may take so much.  The rest is for what no
+# pass before it tells of: a long prompt, copies of experts, the way to the caller.
+USED_SHARE = 0.85
+# A pass is not told apart from an empty one by less, in seconds.
+LEAST_SECONDS = 0.001
+# So many calls for each place keep ranks busy while entries learn of the places
+# that became free: half of a pass of a full group, in which one call in thirty
+# ends, and what two exchanges of the entries take.
+FULL_SHARE = 1.1
+# A bound found by trying is looked at so often: two passes of a pressed group.
+TRY_SECONDS = 0.25
+# It falls by so much at a pass that was too long, and grows by so many calls for
+# each rank at one that was not.
+FALL_SHARE = 0.85
+GROWTH = 0.1
+
+
+class Passes:
+    """Know how long the passes of a group take."""
+
+    def __init__(self) -> None:
+        """Begin without having seen any."""
+        self._seen: collections.deque[tuple[float, float]] = collections.deque()
+
+    def note(self, seconds: float, now: float) -> None:
+        """Take the time between two pieces of one stream."""
+        self._seen.append((now, seconds))
+        self._forget(now)
+
+    def usual(self, now: float) -> float:
+        """Return the usual pass in seconds, 0 where none was seen of late."""
+        self._forget(now)
+        if not self._seen:
+            return 0
+        return statistics.median(seconds for _, seconds in self._seen)
+
+    def _forget(self, now: float) -> None:
+        while self._seen and now - self._seen[0][0] > SEEN_SECONDS:
+            self._seen.popleft()
+
+
+@attrs.frozen(kw_only=True)
+class Crowd:
+    """Be the calls at the ranks of a group, which run so many at once.
+
+    ``places`` counts the calls that all ranks together run at once.  ``pace`` is
+    that of the slowest rank; 2 means that it takes twice its usual time.
+    """
+
+    calls: float
+    ranks: int
+    places: int
+    pace: float = 1
+
+
+class CallBound(abc.ABC):
+    """Say how many calls the ranks of a group may have in all."""
+
+    def __init__(self, gap: float, empty: float) -> None:
+        """Keep passes under ``gap``; one without calls takes ``empty``.
+
+        Both are in seconds.
+        """
+        self._limit = gap * USED_SHARE
+        self._empty = empty
+        self._passes = Passes()
+
+    def note(self, seconds: float, now: float) -> None:
+        """Take the time between two pieces of one stream."""
+        self._passes.note(seconds, now)
+
+    def usual(self, now: float) -> float:
+        """Return the usual pass in seconds, 0 where none was seen of late."""
+        return self._passes.usual(now)
+
+    @abc.abstractmethod
+    def most(self, crowd: Crowd, now: float) -> float:
+        """Return how many calls the ranks may have, infinity without a bound."""
+
+
+class Unbounded(CallBound):
+    """Let the ranks have all calls."""
+
+    def most(self, crowd: Crowd, now: float) -> float:
+        """Return infinity."""
+        return math.inf
+
+
+class Places(CallBound):
+    """Let the ranks have what they run at once, and little more."""
+
+    def most(self, crowd: Crowd, now: float) -> float:
+        """Return the places of all ranks and some to follow at once."""
+        return crowd.places * FULL_SHARE if crowd.places else math.inf
+
+
+class Proportional(Places):
+    """Work the bound out from what each call is seen to add to a pass.
+
+    How much that is changes by the factor of three with the evenness of the
+    experts in demand, and follows from one usual pass: what it takes more than
+    an empty one is shared by the calls that were there.
+    """
+
+    def most(self, crowd: Crowd, now: float) -> float:
+        """Return how many calls fit within the pause.
+
+        Where already one call a rank is too much, calls are not what makes
+        passes long, and holding them back would shorten nothing.
+        """
+        places = super().most(crowd, now)
+        usual = self._passes.usual(now)
+        empty = self._empty * crowd.pace
+        if not usual or self._limit <= empty:
+            return places
+        running = max(1, min(crowd.calls, crowd.places))
+        each = max(LEAST_SECONDS, usual - empty) / running
+        found = (self._limit - empty) / each
+        return places if found < crowd.ranks else min(found, places)
+
+
+class Tried(Places):
+    """Find the bound by trying: less after a long pass, else slowly more."""
+
+    def __init__(self, gap: float, empty: float) -> None:
+        """Begin without a bound."""
+        super().__init__(gap, empty)
+        self._most = math.inf
+        self._tried_at = -math.inf
+
+    def most(self, crowd: Crowd, now: float) -> float:
+        """Return the bound as it is found by now."""
+        usual = self._passes.usual(now)
+        if usual and now - self._tried_at >= TRY_SECONDS:
+            self._tried_at = now
+            self._try(usual, crowd)
+        return min(self._most, super().most(crowd, now))
+
+    def _try(self, usual: float, crowd: Crowd) -> None:
+        if usual > self._limit:
+            fallen = min(self._most, crowd.calls) * FALL_SHARE
+            self._most = max(crowd.ranks, fallen)
+        else:
+            self._most += crowd.ranks * GROWTH
--- a/tamarackthread/shared/site/configuration.py
+++ b/tamarackthread/shared/site/configuration.py
@@ -76,17 +76,29 @@
     slots: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class Passes:
+    """Say how long the targets of a service take to make a piece of a stream.
+
+    ``empty`` is how long a pass takes without any call's work, in seconds.
+    """
+
+    empty: float
+
+
 @attrs.frozen(kw_only=True)
 class Service:
     """Be a set of targets that answer alike.
 
-    ``experts`` is there where its targets are ranks of groups.  ``gap`` is the
-    longest pause in seconds that the callers of any of its streams take without
-    harm, 0 where none says so.
+    ``experts`` is there where its targets are ranks of groups, and ``passes``
+    where they say how long they take.  ``gap`` is the longest pause in seconds
+    that the callers of any of its streams take without harm, 0 where none says
+    so.
     """
 
     name: str
     experts: Experts | None = None
+    passes: Passes | None = None
     gap: float = 0
 
 
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from tamarackthread.entry.direct import (
+    admitting,
     budgets,
     front,
     ledger,
@@ -163,6 +164,7 @@
         await self.sender.start()
         site = settings.Site(seeds=(), link_port=1, retry_reserve=20)
         self.tables = table.Holder()
+        self.admission = admitting.Admission(self.known, lambda: 1, rng)
         self.front = front.Front(
             spoken.PlatformDialect(),
             self.tables,
@@ -170,6 +172,7 @@
                 self.known,
                 self.sender,
                 budgets.Budgets(site, lambda: 1, loop.time),
+                self.admission,
                 rng,
             ),
             rng,
--- a/tests/test_shared_calls.py
+++ b/tests/test_shared_calls.py
@@ -52,7 +52,7 @@
         )
     links = Host(name, hosts)
     shared = sharing.Sharing(
-        known, links, lambda: tuple(hosts), lambda: ('e1', 'e2')
+        known, links, lambda: tuple(hosts), lambda: ('e1', 'e2'), lambda: None
     )
     return known, links, shared
 
@@ -170,7 +170,7 @@
         1.15 of the load at which nobody waits with even maps, told of all
         calls more than a tenth more of them are in time.
         """
-        pattern = attrs.evolve(heavy.PATTERNS[-1], load=1.15)
+        pattern = attrs.evolve(_pattern('large'), load=1.15)
         shared, alone = (
             statistics.mean(
                 heavy._play(pattern, _variant(name), seed, 4.0)['on_time_share']
@@ -183,3 +183,7 @@
 
 def _variant(name):
     return next(one for one in heavy.VARIANTS if one.name == name)
+
+
+def _pattern(name):
+    return next(one for one in heavy.PATTERNS if one.name == name)
