Take a map for prepared whose answer was lost

A rank whose answer is lost is sent the map again and refuses it, since it has had that version. Its report tells that it has the map.

Ruled out: armed ranks (the refusals came only while packets were lost), full places.

Safe because versions are given out once, and a rank that has not prepared one can't be armed for it, without which the group is not let go into it.

--- a/tamarackthread/control/site/maps/groups.py
+++ b/tamarackthread/control/site/maps/groups.py
@@ -10,6 +10,9 @@
 
 # With one answer in ten lost, one rank of a hundred is silent as often.
 ASKED_TIMES = 3
+# All callers of a group wait while it is held, and it is asked for all anew where
+# one rank stays silent.
+HELD_ASKED_TIMES = 6
 _Row = tuple[ranks.Rank, ranks.RankReport]
 _Answer = typing.TypeVar('_Answer')
 
@@ -27,15 +30,16 @@
         [ranks.Rank], collections.abc.Awaitable[_Answer | None]
     ],
     members: collections.abc.Sequence[ranks.Rank],
+    times: int = ASKED_TIMES,
 ) -> list[_Answer | None]:
-    """Ask all ranks at once, and the silent ones again, some times.
+    """Ask all ranks at once, and the silent ones again, some ``times``.
 
     The failure: over a link that loses one packet in twenty one of sixty ranks
     is silent nearly each time.  Whatever needs the answers of all is then not
     done for seconds, although a rank that is asked again answers.
     """
     found: list[_Answer | None] = [None for _ in members]
-    for _ in range(ASKED_TIMES):
+    for _ in range(times):
         silent = [place for place, row in enumerate(found) if row is None]
         again = await asyncio.gather(*(ask(members[place]) for place in silent))
         for place, row in zip(silent, again, strict=True):
@@ -48,7 +52,7 @@
     group: switching.Group,
 ) -> switching.Group | None:
     """Return a group as it is now, ``None`` unless it is whole and the same."""
-    found = await reports(asked, group.members)
+    found = await answers(asked.report, group.members, HELD_ASKED_TIMES)
     known = [report for report in found if report is not None]
     if len(known) != len(found):
         return None
--- a/tamarackthread/control/site/maps/switching.py
+++ b/tamarackthread/control/site/maps/switching.py
@@ -43,6 +43,10 @@
 # The step of a switch lies two to four steps ahead, each of which takes 0.1 s
 # where a group is uneven.
 FREE_TRIES = 20
+# A report tells of a map once its experts are copied, some hundred milliseconds
+# after it was taken; it is asked for so often, with such pauses.
+TWIN_ASKS = 8
+TWIN_PAUSE_SECONDS = 0.08
 # Ranks that are sent a map at once.  The failure: the map of a large group is
 # 26 KB, which to 129 ranks at once takes the owner's link longer than an answer
 # is waited for; most are sent again, which takes it longer still, and a map is
@@ -308,11 +312,35 @@
             is_hurried = tries < HELD_TRIES
             async with places or contextlib.nullcontext():
                 found = await self._send(rank, hurried if is_hurried else order)
+            if tries and found is ranks.Outcome.REFUSED:
+                return await self._refused_twin(rank, order)
             if found is not ranks.Outcome.UNKNOWN:
                 return found
             await asyncio.sleep(PAUSE_SECONDS)
         return ranks.Outcome.UNKNOWN
 
+    async def _refused_twin(
+        self,
+        rank: ranks.Rank,
+        order: ranks.Order,
+    ) -> ranks.Outcome:
+        """Tell whether an order was carried out whose second copy is refused.
+
+        The failure: the answer to a map is lost, and the rank refuses the copy,
+        since it has had that version.  Over a link that loses packets that is one
+        rank of sixty at nearly each map, and none was switched to for seconds.
+        Versions are given out once, so a rank that has this one has this map; one
+        that says so wrongly can't be armed, without which nothing is switched.
+        """
+        if order.operation != ranks.PREPARE:
+            return ranks.Outcome.REFUSED
+        for _ in range(TWIN_ASKS):
+            report = await self._ranks.report(rank)
+            if report is not None and report.prepared == order.version:
+                return ranks.Outcome.DONE
+            await asyncio.sleep(TWIN_PAUSE_SECONDS)
+        return ranks.Outcome.REFUSED
+
     async def _send(
         self,
         rank: ranks.Rank,
--- a/tests/test_new_owner.py
+++ b/tests/test_new_owner.py
@@ -45,6 +45,25 @@
         return ranks.Outcome.DONE
 
 
+class LosingRanks(test_site_maps.FakeGroup):
+    """Lose the answer to one rank's first map, which it has taken."""
+
+    def __init__(self, generator, *, takes):
+        super().__init__(generator)
+        self.takes = takes
+        self.copies = 0
+
+    async def order(self, rank, asked):
+        if rank.address != 'a2' or asked.operation != ranks.PREPARE:
+            return await super().order(rank, asked)
+        self.copies += 1
+        if self.copies > 1:
+            return ranks.Outcome.REFUSED
+        if self.takes:
+            await super().order(rank, asked)
+        return ranks.Outcome.UNKNOWN
+
+
 class NewOwnerCase(policy_case.PausedCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
@@ -84,6 +103,28 @@
         """
         self.run_paused(self._lost())
 
+    def test_lost_answer_to_a_map(self):
+        """A group keeps an uneven map for seconds over a link that loses packets.
+
+        The answer of one rank to a map is lost, and it refuses the second copy,
+        since it has had that version.  Its report tells that it has the map.
+        """
+        self.run_paused(self._lost_map(takes=True))
+
+    def test_lost_map(self):
+        """A rank that refuses a map and has not got it is not taken for ready."""
+        self.run_paused(self._lost_map(takes=False))
+
+    async def _lost_map(self, *, takes):
+        group = LosingRanks(random.Random(1), takes=takes)
+        stepping = asyncio.create_task(group.run())
+        await asyncio.sleep(1)
+        placement = (tuple(map(group._experts, range(test_site_maps.RANKS))),)
+        switcher = switching.Switcher(group, 1)
+        held = test_site_maps.held_by(group)
+        self.assertEqual(takes, await switcher.prepare(held, 2, placement))
+        stepping.cancel()
+
     async def _found_soon(self):
         group = CountedGroup(random.Random(1))
         stepping = asyncio.create_task(group.run())
