Start a process without the checkers of its settings

Settings that are sound are now read by the language's own parser and checked by code that is generated from the schema (fastjsonschema, at build time); everything else goes the old way and is told with all findings and places.

Ruled out: leaving the check out; a check written by hand beside the schema.

Measured: modules of both are not loaded (test_running_needs_no_checker); of 400 mutated files none is taken that the checker has a finding in.

--- a/bench/fuzzing/parsers.py
+++ b/bench/fuzzing/parsers.py
@@ -15,7 +15,13 @@
 from tamarackthread.control.site import book
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.platform import door
-from tamarackthread.shared import documents, events, settings, wire
+from tamarackthread.shared import (
+    documents,
+    events,
+    settings,
+    settings_checks,
+    wire,
+)
 from tamarackthread.shared.site import announcements
 
 _COMMANDS_EACH = 20
@@ -100,7 +106,7 @@
             rng = random.Random(f'settings {seed} {number}')
             path.write_bytes(mutations.some(rng, _SETTINGS.encode()))
             with counted.run(number):
-                _need_places(settings.check(path))
+                _need_places(settings_checks.check(path))
                 settings.load(path)
     return counted
 
--- a/tamarackthread/cli/commands/check.py
+++ b/tamarackthread/cli/commands/check.py
@@ -9,7 +9,7 @@
 
 from tamarackthread.cli import exit_codes, render
 from tamarackthread.cli.commands import base
-from tamarackthread.shared import settings
+from tamarackthread.shared import settings_checks
 
 
 class CheckCommand(base.BaseCommand):
@@ -27,7 +27,7 @@
         """Print the findings of all files."""
         found = []
         for name in self.argument('file'):
-            found.extend(settings.check(name))
+            found.extend(settings_checks.check(name))
         if self.option('json'):
             self.say(render.as_json([attrs.asdict(one) for one in found]))
         else:
--- a/tamarackthread/cli/edited.py
+++ b/tamarackthread/cli/edited.py
@@ -20,8 +20,8 @@
     documents,
     findings,
     jsonc,
-    settings,
-    validation,
+    settings_checks,
+    schema_errors,
 )
 
 _HEADER = re.compile(
@@ -52,10 +52,10 @@
             ],
         ) from exc
     text = jsonc.parse(content)
-    broken: list[validation.Violation] = []
+    broken: list[schema_errors.Violation] = []
     if text.positions:
         broken.extend(documents.violations(kind, text.value))
-    found = settings.locate(str(path), text, broken)
+    found = settings_checks.locate(str(path), text, broken)
     if found:
         raise findings.InvalidError(found)
     return Edited(compact(text.value), _based_on(content, kind, name))
--- a/tamarackthread/shared/documents.py
+++ b/tamarackthread/shared/documents.py
@@ -21,6 +21,7 @@
     findings,
     jsonc,
     structure,
+    schema_errors,
     validation,
 )
 
@@ -89,7 +90,7 @@
 def violations(
     kind: str,
     value: typing.Any,
-) -> collections.abc.Iterator[validation.Violation]:
+) -> collections.abc.Iterator[schema_errors.Violation]:
     """Yield the broken rules of a body that is already parsed.
 
     The leader checks on its event loop.  A body of tens of thousands of
@@ -98,7 +99,7 @@
     """
     if _exceeds(value, MAX_VALUES):
         text = f'more than {MAX_VALUES} values'
-        yield validation.Violation(
+        yield schema_errors.Violation(
             (),
             findings.DocumentTooLarge.code,
             text,
@@ -201,18 +202,18 @@
 def _cross_check(
     kind: str,
     value: dict[str, typing.Any],
-) -> collections.abc.Iterator[validation.Violation]:
+) -> collections.abc.Iterator[schema_errors.Violation]:
     if kind in {TARGET, ENTRY}:
         address = value.get('address')
         if isinstance(address, str) and addresses.parse(address) is None:
-            yield validation.Violation(
+            yield schema_errors.Violation(
                 ('address',),
                 findings.AddressInvalid.code,
                 f'"{address}" is not an IP number and a port',
             )
     if kind == SERVICE and value.get('kind') == 'model':
         if not value.get('models') and not value.get('paths'):
-            yield validation.Violation(
+            yield schema_errors.Violation(
                 (),
                 findings.KeyMissing.code,
                 'a model service needs "models" or "paths"',
--- a/tamarackthread/shared/jsonc.py
+++ b/tamarackthread/shared/jsonc.py
@@ -14,10 +14,10 @@
 import attrs
 import lark
 
-from tamarackthread.shared import findings
+from tamarackthread.shared import findings, schema_errors
 
 MAX_NUMBER_CHARACTERS = 64
-Path = tuple[str | int, ...]
+Path = schema_errors.Path
 
 _GRAMMAR = r"""
 start: value
--- a/tamarackthread/shared/settings.py
+++ b/tamarackthread/shared/settings.py
@@ -6,18 +6,16 @@
 
 from __future__ import annotations
 
-import copy
+import importlib
+import json
+import math
 import pathlib
+import re
 import typing
 
 from tamarackthread.generated import settings as generated
-from tamarackthread.shared import (
-    findings,
-    jsonc,
-    settings_rules,
-    structure,
-    validation,
-)
+from tamarackthread.generated import settings_check
+from tamarackthread.shared import findings, settings_rules, structure
 
 _PATHS = (
     ('cache_folder',),
@@ -26,6 +24,8 @@
     ('security', 'tls', 'key_file'),
     ('security', 'tls', 'authority_file'),
 )
+# No JSON text goes over the end of a line, so a line that begins so is a comment.
+_COMMENT_LINE = re.compile(r'^\s*//.*$', re.MULTILINE)
 
 
 def load(
@@ -37,100 +37,65 @@
     Relative paths in it are taken from ``base`` where it is given, else from
     the file's own folder.
     """
-    text, found = _read(pathlib.Path(path))
-    if found:
-        raise findings.InvalidError(found)
-    _resolve(text.value, base or pathlib.Path(path).absolute().parent)
-    return structure.build(generated.Settings, text.value)
-
+    body = _sound(pathlib.Path(path))
+    if body is None:
+        body = _checked(pathlib.Path(path))
+    _resolve(body, base or pathlib.Path(path).absolute().parent)
+    return structure.build(generated.Settings, body)
 
-def check(path: str | pathlib.Path) -> list[findings.Finding]:
-    """Return all findings in a settings file, ordered by place."""
-    return _read(pathlib.Path(path))[1]
 
+def _sound(path: pathlib.Path) -> dict[str, typing.Any] | None:
+    """Read a file that surely has no finding, ``None`` if there may be one.
 
-def _read(path: pathlib.Path) -> tuple[jsonc.Text, list[findings.Finding]]:
+    What finds places and words for findings are a parser and a schema library,
+    which make a process 6 MB larger and its start a third longer.  A process that
+    runs wants to know only that there is none, for which the code that is made
+    from the schema is enough.
+    """
     try:
-        content = path.read_bytes().decode()
-    except (OSError, UnicodeDecodeError) as exc:
-        reason = getattr(exc, 'strerror', None) or 'not UTF-8'
-        unread = findings.Finding(
-            f'{path}:1:1',
-            findings.FileUnreadable.code,
-            reason,
+        text = _COMMENT_LINE.sub('', path.read_bytes().decode())
+        body = json.loads(
+            text,
+            object_pairs_hook=_without_twins,
+            parse_constant=_refuse_constant,
+            parse_float=_finite,
         )
-        return jsonc.Text(None, {}, ()), [unread]
-    text = jsonc.parse(content)
-    return text, locate(str(path), text, _violations(text))
+        settings_check.validate(body)
+    except (OSError, ValueError, RecursionError):
+        return None
+    return None if settings_rules.check(body) else body
+
 
+def _refuse_constant(name: str) -> typing.NoReturn:
+    """Refuse a word that Python takes for a number and JSON does not."""
+    raise ValueError(f'{name} is no JSON')
 
-def _violations(text: jsonc.Text) -> list[validation.Violation]:
-    if not text.positions:
-        return []
-    found = list(validation.check(generated.SCHEMA, text.value))
-    if isinstance(text.value, dict):
-        found.extend(settings_rules.check(_sound_part(text.value, found)))
+
+def _finite(digits: str) -> float:
+    """Refuse a number that is too large for any setting."""
+    found = float(digits)
+    if math.isinf(found):
+        raise ValueError(f'{digits} is too large')
     return found
 
 
-def _sound_part(
-    body: dict[str, typing.Any],
-    found: list[validation.Violation],
+def _without_twins(
+    pairs: list[tuple[str, typing.Any]],
 ) -> dict[str, typing.Any]:
-    """Leave out single values with findings.
-
-    The rules between settings need sound types, yet one bad value must not
-    keep an operator from seeing what is wrong elsewhere.
-    """
-    sound = copy.deepcopy(body)
-    for violation in found:
-        if violation.code == findings.KeyMissing.code:
-            continue
-        _leave_out(sound, violation.path)
-    return sound
+    """Refuse an object that has a key twice; the last one would count."""
+    body = dict(pairs)
+    if len(body) != len(pairs):
+        raise ValueError('key is there twice')
+    return body
 
 
-def _leave_out(sound: typing.Any, path: jsonc.Path) -> None:
-    holder = sound
-    for key in path[:-1]:
-        holder = _part(holder, key)
-    if isinstance(holder, dict):
-        holder.pop(path[-1], None)
-    elif isinstance(holder, list):
-        holder[int(path[-1])] = {}
-
-
-def _part(holder: typing.Any, key: str | int) -> typing.Any:
-    if isinstance(holder, dict):
-        return holder.get(str(key))
-    if isinstance(holder, list):
-        return holder[int(key)]
-    return None
-
-
-def locate(
-    name: str,
-    text: jsonc.Text,
-    violations: list[validation.Violation],
-) -> list[findings.Finding]:
-    """Give each problem its place in the file, in the order of the places."""
-    problems = list(text.problems)
-    for violation in violations:
-        position = text.position(violation.path)
-        problems.append(
-            jsonc.Problem(position, violation.code, violation.text),
-        )
-    problems.sort(
-        key=lambda problem: (problem.position.line, problem.position.column),
-    )
-    return [
-        findings.Finding(
-            f'{name}:{problem.position.line}:{problem.position.column}',
-            problem.code,
-            problem.text,
-        )
-        for problem in problems
-    ]
+def _checked(path: pathlib.Path) -> dict[str, typing.Any]:
+    """Read a file with comments anywhere, or raise all findings in it."""
+    checks = importlib.import_module('tamarackthread.shared.settings_checks')
+    text, found = checks.read(path)
+    if found:
+        raise findings.InvalidError(found)
+    return text.value
 
 
 def _resolve(body: dict[str, typing.Any], folder: pathlib.Path) -> None:
--- a/tamarackthread/shared/settings_rules.py
+++ b/tamarackthread/shared/settings_rules.py
@@ -9,15 +9,15 @@
 import collections.abc
 import typing
 
-from tamarackthread.shared import addresses, findings, jsonc, validation
+from tamarackthread.shared import addresses, findings, schema_errors
 
 _Body = dict[str, typing.Any]
-_Violations = collections.abc.Iterator[validation.Violation]
+_Violations = collections.abc.Iterator[schema_errors.Violation]
 
 
-def check(body: _Body) -> list[validation.Violation]:
+def check(body: _Body) -> list[schema_errors.Violation]:
     """Return what all rules find."""
-    found: list[validation.Violation] = []
+    found: list[schema_errors.Violation] = []
     for rule in (
         _sections,
         _hosts,
@@ -37,14 +37,14 @@
     if role is None:
         return
     if role != 'entry' and body.get(role) is None:
-        yield validation.Violation(
+        yield schema_errors.Violation(
             (),
             findings.SectionMissing.code,
             f'role "{role}" needs a section "{role}"',
         )
     is_alone = body.get('site') is None and not body.get('control_addresses')
     if role != 'control' and is_alone:
-        yield validation.Violation(
+        yield schema_errors.Violation(
             (),
             findings.KeyMissing.code,
             f'role "{role}" needs "control_addresses"',
@@ -62,7 +62,7 @@
         host = section.get(path[1])
         if not host or addresses.is_ip(host):
             continue
-        yield validation.Violation(
+        yield schema_errors.Violation(
             path,
             findings.AddressInvalid.code,
             f'"{host}" is not an IP number',
@@ -83,20 +83,20 @@
 
 
 def _distinct(
-    places: collections.abc.Iterable[tuple[jsonc.Path, str]],
+    places: collections.abc.Iterable[tuple[schema_errors.Path, str]],
 ) -> _Violations:
     seen: set[addresses.Address] = set()
     for path, text in places:
         address = addresses.parse(text)
         if address is None or not address.port:
-            yield validation.Violation(
+            yield schema_errors.Violation(
                 path,
                 findings.AddressInvalid.code,
                 f'"{text}" is not an IP number and a port',
             )
             continue
         if address in seen:
-            yield validation.Violation(
+            yield schema_errors.Violation(
                 path,
                 findings.AddressOverlap.code,
                 f'{address} stands in this list already',
@@ -111,7 +111,7 @@
     callers = _address(body.get('entry', {}))
     if listen is None or callers is None or not listen.overlaps(callers):
         return
-    yield validation.Violation(
+    yield schema_errors.Violation(
         ('entry', 'port'),
         findings.AddressOverlap.code,
         f'callers\' {callers} overlaps "listen", which has {listen}',
@@ -127,7 +127,7 @@
         address = addresses.parse(text)
         if address is None or not listen.overlaps(address):
             continue
-        yield validation.Violation(
+        yield schema_errors.Violation(
             path,
             findings.AddressOverlap.code,
             f'{address} is what "listen" has for this process',
@@ -136,7 +136,7 @@
 
 def _foreign_places(
     body: _Body,
-) -> collections.abc.Iterator[tuple[jsonc.Path, str]]:
+) -> collections.abc.Iterator[tuple[schema_errors.Path, str]]:
     if body.get('role') in {None, 'control'}:
         return
     for number, text in enumerate(body.get('control_addresses', ())):
@@ -160,10 +160,10 @@
 def _members(body: _Body) -> _Violations:
     seen: set[str] = set()
     for number, member in enumerate(_member_list(body)):
-        path: jsonc.Path = ('control', 'members', number)
+        path: schema_errors.Path = ('control', 'members', number)
         node = member.get('node', '')
         if node in seen:
-            yield validation.Violation(
+            yield schema_errors.Violation(
                 (*path, 'node'),
                 findings.ValueInvalid.code,
                 f'node "{node}" stands in this list already',
@@ -172,7 +172,9 @@
         yield from _own_member(body, member, path)
 
 
-def _own_member(body: _Body, member: _Body, path: jsonc.Path) -> _Violations:
+def _own_member(
+    body: _Body, member: _Body, path: schema_errors.Path
+) -> _Violations:
     """Compare this host's own line with where it really listens."""
     own = addresses.parse(member.get('address', ''))
     port = body.get('listen', {}).get('port', 0)
@@ -180,7 +182,7 @@
     if node is None or member.get('node') != node or own is None:
         return
     if port and port != own.port:
-        yield validation.Violation(
+        yield schema_errors.Violation(
             (*path, 'address'),
             findings.AddressInvalid.code,
             f'this node listens on port {port}, not {own.port}',
@@ -191,7 +193,7 @@
     link = body.get('link', {})
     timeout = link.get('timeout_seconds', 2.0)
     if timeout <= link.get('heartbeat_seconds', 0.5):
-        yield validation.Violation(
+        yield schema_errors.Violation(
             ('link', 'timeout_seconds'),
             findings.TimingInvalid.code,
             '"timeout_seconds" must be more than "heartbeat_seconds"',
@@ -207,7 +209,7 @@
     ):
         if timing.get(key, default) < election:
             continue
-        yield validation.Violation(
+        yield schema_errors.Violation(
             ('control', 'timing', key),
             findings.TimingInvalid.code,
             f'"{key}" must be less than "election_seconds" ({election:g})',
--- a/tamarackthread/shared/validation.py
+++ b/tamarackthread/shared/validation.py
@@ -13,10 +13,9 @@
 import types
 import typing
 
-import attrs
 import jsonschema
 
-from tamarackthread.shared import findings, jsonc
+from tamarackthread.shared import findings, schema_errors
 
 _UNITS = ('_seconds', '_bytes', '_share', '_ratio', '_per_second')
 _DURATION = re.compile(r'\s*([0-9]+(?:\.[0-9]+)?)\s*(ms|s|m|h)\s*')
@@ -35,19 +34,10 @@
 )
 
 
-@attrs.frozen
-class Violation:
-    """Be one broken rule, at a path inside the value."""
-
-    path: jsonc.Path
-    code: str
-    text: str
-
-
 def check(
     schema: dict[str, typing.Any],
     value: typing.Any,
-) -> collections.abc.Iterator[Violation]:
+) -> collections.abc.Iterator[schema_errors.Violation]:
     """Yield every broken rule, in the order of the schema's walk."""
     validator = jsonschema.Draft202012Validator(schema)
     for error in validator.iter_errors(value):
@@ -56,14 +46,14 @@
 
 def _violations(
     error: jsonschema.ValidationError,
-) -> collections.abc.Iterator[Violation]:
+) -> collections.abc.Iterator[schema_errors.Violation]:
     path = tuple(error.absolute_path)
     if error.validator == 'additionalProperties':
         yield from _unknown_keys(error, path)
         return
     if error.validator == 'required':
         missing = str(error.message).split("'")[1]
-        yield Violation(
+        yield schema_errors.Violation(
             path,
             findings.KeyMissing.code,
             f'"{missing}" is missing',
@@ -72,19 +62,23 @@
     if error.validator == 'type':
         yield _type_violation(error, path)
         return
-    yield Violation(path, findings.ValueInvalid.code, _value_text(error, path))
+    yield schema_errors.Violation(
+        path, findings.ValueInvalid.code, _value_text(error, path)
+    )
 
 
 def _unknown_keys(
     error: jsonschema.ValidationError,
-    path: jsonc.Path,
-) -> collections.abc.Iterator[Violation]:
+    path: schema_errors.Path,
+) -> collections.abc.Iterator[schema_errors.Violation]:
     known = error.schema['properties']
     for key in error.instance:
         if key in known:
             continue
         text = f'"{key}" is not known here{_hint(key, known)}'
-        yield Violation((*path, key), findings.KeyUnknown.code, text)
+        yield schema_errors.Violation(
+            (*path, key), findings.KeyUnknown.code, text
+        )
 
 
 def _hint(key: str, known: collections.abc.Iterable[str]) -> str:
@@ -111,32 +105,36 @@
 
 def _type_violation(
     error: jsonschema.ValidationError,
-    path: jsonc.Path,
-) -> Violation:
+    path: schema_errors.Path,
+) -> schema_errors.Violation:
     wanted = error.validator_value
     shown = _shown(error.instance)
     numeric = wanted in {'number', 'integer'}
     if numeric and isinstance(error.instance, str):
         return _number_violation(error.instance, path)
     text = f'{_last(path)}must be {_article(wanted)}, not {shown}'
-    return Violation(path, findings.TypeInvalid.code, text)
+    return schema_errors.Violation(path, findings.TypeInvalid.code, text)
 
 
-def _number_violation(value: str, path: jsonc.Path) -> Violation:
+def _number_violation(
+    value: str, path: schema_errors.Path
+) -> schema_errors.Violation:
     duration = _DURATION.fullmatch(value)
     is_seconds = bool(path) and str(path[-1]).endswith('seconds')
     if duration is None or not is_seconds:
         text = f'{_last(path)}must be a number, not {_shown(value)}'
-        return Violation(path, findings.TypeInvalid.code, text)
+        return schema_errors.Violation(path, findings.TypeInvalid.code, text)
     seconds = float(duration.group(1)) * _SECONDS[duration.group(2)]
     text = (
         f'{_last(path)}takes a plain number of seconds: '
         f'write {seconds:g}, not {_shown(value)}'
     )
-    return Violation(path, findings.UnitInvalid.code, text)
+    return schema_errors.Violation(path, findings.UnitInvalid.code, text)
 
 
-def _value_text(error: jsonschema.ValidationError, path: jsonc.Path) -> str:
+def _value_text(
+    error: jsonschema.ValidationError, path: schema_errors.Path
+) -> str:
     if error.validator == 'enum':
         choices = ', '.join(str(choice) for choice in error.validator_value)
         return f'{_last(path)}must be one of {choices}'
@@ -146,7 +144,7 @@
     return f'{_last(path)}does not fit: {_shown(error.instance)}'
 
 
-def _last(path: jsonc.Path) -> str:
+def _last(path: schema_errors.Path) -> str:
     if not path:
         return 'the whole text '
     if isinstance(path[-1], int):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,6 +3,8 @@
 import json
 import pathlib
 import random
+import subprocess
+import sys
 import tempfile
 import types
 import unittest
@@ -16,6 +18,7 @@
     reload,
     security,
     settings,
+    settings_checks,
 )
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -55,7 +58,7 @@
     def found(self):
         """List line, column and code of each finding."""
         rows = []
-        for found in settings.check(self.path):
+        for found in settings_checks.check(self.path):
             line, column = found.place.rsplit(':', 2)[1:]
             rows.append((int(line), int(column), found.code))
         return rows
@@ -75,7 +78,9 @@
                 (10, 33, 'TT2010'),
             ],
         )
-        texts = ' '.join(str(found) for found in settings.check(self.path))
+        texts = ' '.join(
+            str(found) for found in settings_checks.check(self.path)
+        )
         self.assertIn('did you mean "heartbeat_seconds"', texts)
         self.assertIn('write 2, not "2s"', texts)
         caught = self.assertRaises(findings.InvalidError)
@@ -154,7 +159,7 @@
         sound = jsonc.parse(BROKEN.replace('"level": "loud"', '')).value
         for _ in range(500):
             self.write(json.dumps(bend({**SOUND, **(sound or {})})))
-            settings.check(self.path)
+            settings_checks.check(self.path)
 
     def test_reload_takes_what_may_change_and_names_the_rest(self):
         self.write()
@@ -207,3 +212,66 @@
         with self.assertLogs('tamarackthread.settings'):
             reloader.reload()
         self.assertEqual(list(keys), [b'n' * 32, b'k' * 32])
+
+
+class QuickLoadCase(unittest.TestCase):
+    def setUp(self):
+        scratch = self.enterContext(tempfile.TemporaryDirectory())
+        self.path = pathlib.Path(scratch) / 'settings.json'
+
+    def test_running_needs_no_checker(self):
+        """A process that runs holds a parser and a schema library for nothing.
+
+        They are 6 MB of each process, and a third of its start, for which
+        callers wait when all processes start at once.
+        """
+        self.path.write_text(f'// sound\n{json.dumps(dict(SOUND))}')
+        found = _run_python(
+            'import sys; from tamarackthread.shared import settings;'
+            f'settings.load({str(self.path)!r});'
+            'print(sorted({"jsonschema", "lark"} & set(sys.modules)))'
+        )
+        self.assertEqual('[]', found)
+
+    def test_never_laxer(self):
+        """What is taken without the checker has no finding by the checker."""
+        rng = random.Random(7)
+        taken = 0
+        for _ in range(400):
+            self.path.write_text(_mutated(rng))
+            if settings._sound(self.path) is None:
+                continue
+            taken += 1
+            self.assertEqual([], settings_checks.check(self.path))
+        self.assertGreater(taken, 20)
+
+    def test_traps(self):
+        """Python reads these and JSON does not, or reads them otherwise."""
+        sound = json.dumps(dict(SOUND))
+        for text in (
+            sound.replace('{', '{"role": "entry",', 1),
+            f'{sound[:-1]}, "link": {{"timeout_seconds": NaN}}}}',
+            f'{sound[:-1]}, "link": {{"timeout_seconds": 1e999}}}}',
+        ):
+            self.path.write_text(text)
+            with self.assertRaises(findings.InvalidError):
+                settings.load(self.path)
+
+
+def _run_python(code):
+    played = subprocess.run(  # noqa: S603  our own module
+        (sys.executable, '-c', code), capture_output=True, check=True, text=True
+    )
+    return played.stdout.strip()
+
+
+def _mutated(rng):
+    """Change one character, or one value, of sound settings."""
+    text = json.dumps(
+        {**SOUND, 'link': {'heartbeat_seconds': 0.25, 'timeout_seconds': 1}}
+    )
+    if rng.random() < 0.2:
+        return text
+    place = rng.randrange(len(text))
+    fresh = rng.choice(['', ' ', '"', '0', '-', 'x', '1e9', 'null', ',', '}'])
+    return text[:place] + fresh + text[place + rng.randrange(3) :]
--- a/tools/generate_settings.py
+++ b/tools/generate_settings.py
@@ -14,12 +14,37 @@
 import typing
 
 import attrs
+import fastjsonschema
 import jinja2
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DESTINATION = ROOT / 'tamarackthread' / 'generated'
 NAMES = ('settings', 'documents')
 
+FOR_READERS = frozenset(('description', 'title', '$schema'))
+CHECK_HEAD = '''"""Tell whether settings are sound, without words for what is not.
+
+Made from ``schema/{name}.schema.json``; do not edit.
+"""
+
+'''
+CHECK_ERROR = '''
+
+class JsonSchemaValueException(ValueError):
+    """Value is not as the schema has it."""
+
+'''
+
+# The library need not be there where the code runs, and JSON has no decimals.
+REPLACED = types.MappingProxyType(
+    {
+        'from fastjsonschema import'
+        ' JsonSchemaValueException, JsonSchemaValuesException': CHECK_ERROR,
+        'from decimal import Decimal\n': '',
+        ', Decimal': '',
+    }
+)
+
 TYPES = types.MappingProxyType(
     {
         'string': 'str',
@@ -221,6 +246,31 @@
     )
 
 
+def render_check(name: str) -> str:
+    """Return the source text that tells whether a value is sound."""
+    path = ROOT / 'schema' / f'{name}.schema.json'
+    schema = _bare(json.loads(path.read_text(encoding='utf-8')))
+    made = fastjsonschema.compile_to_code(
+        schema, use_default=False, detailed_exceptions=False
+    )
+    for needless, put in REPLACED.items():
+        made = made.replace(needless, put)
+    return f'{CHECK_HEAD.format(name=name)}{made}'
+
+
+def _bare(schema: typing.Any) -> typing.Any:
+    """Leave out of a schema what only readers need."""
+    if isinstance(schema, list):
+        return [_bare(part) for part in schema]
+    if not isinstance(schema, dict):
+        return schema
+    return {
+        key: _bare(part)
+        for key, part in schema.items()
+        if key not in FOR_READERS or isinstance(part, dict)
+    }
+
+
 def main() -> int:
     """Write each generated module into the destination folder."""
     destination = DESTINATION
@@ -229,6 +279,8 @@
     for name in NAMES:
         target = destination / f'{name}.py'
         target.write_text(render(name), encoding='utf-8')
+    target = destination / 'settings_check.py'
+    target.write_text(render_check('settings'), encoding='utf-8')
     return 0
 
 
