Leave out targets that fail what others answer

Errors come fast, so it has the fewest calls and gets more than its part.

Entries tell in the exchange of their calls how these ended at each target in the last four seconds. One that fails often, and three times as often as the usual one, is left out for 3 s, longer when it fails again; at most a third of a service's, and none of two.

Ruled out: health checks (good all the while), least calls alone (the standing way).

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -269,9 +269,10 @@
   6: list<string> members, 7: list<string> entries, 8: list<SitePace> paces,
 }
 
-// An entry tells how many of its calls each target has, and gets the calls of
-// all entries at the targets at which these have changed since serial.
-struct SiteCalls { 1: string id, 2: i32 calls }
+// An entry tells how many of its calls each target has, and how many were answered
+// and failed there of late.  It gets the sums of all entries at the targets at
+// which these have changed since serial.
+struct SiteCalls { 1: string id, 2: i32 calls, 3: i32 answered, 4: i32 failed }
 struct SiteLoadRequest { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> own }
 struct SiteLoadReply { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> changed }
 
--- a/tamarackthread/control/site/loads.py
+++ b/tamarackthread/control/site/loads.py
@@ -1,9 +1,8 @@
-"""Sum the calls that all entries have at each target."""
+"""Sum the calls that all entries have and had at each target."""
 
 from __future__ import annotations
 
 import asyncio
-import collections
 
 import attrs
 
@@ -15,14 +14,34 @@
 SILENT_SECONDS = 1.5
 
 
+@attrs.frozen
+class Sum:
+    """Be calls at a target, and those that ended there of late."""
+
+    calls: int = 0
+    answered: int = 0
+    failed: int = 0
+
+    def changed(self, before: Sum, after: Sum) -> Sum:
+        """Return the sum with one part of it changed."""
+        return Sum(
+            self.calls + after.calls - before.calls,
+            self.answered + after.answered - before.answered,
+            self.failed + after.failed - before.failed,
+        )
+
+
 @attrs.define(eq=False)
 class _Share:
     """Be what one entry has told last."""
 
-    calls: dict[str, int]
+    rows: dict[str, Sum]
     heard_at: float
 
 
+_NONE = Sum()
+
+
 class Loads:
     """Hold the sums, and tell each entry what has changed.
 
@@ -35,7 +54,7 @@
         """Begin without calls; ``epoch`` names this start of the host."""
         self._epoch = epoch
         self._shares: dict[str, _Share] = {}
-        self._sums: collections.Counter[str] = collections.Counter()
+        self._sums: dict[str, Sum] = {}
         self._changed_at: dict[str, int] = {}
         self._serial = 0
 
@@ -50,32 +69,48 @@
         just told them.
         """
         now = asyncio.get_running_loop().time()
-        self._put(entry, {row.id: row.calls for row in asked.own}, now)
+        rows = {
+            row.id: Sum(row.calls, row.answered or 0, row.failed or 0)
+            for row in asked.own
+        }
+        self._put(entry, rows, now)
         self._forget_silent(now)
         known = asked.serial if asked.epoch == self._epoch else 0
         return messages.SiteLoadReply(
             epoch=self._epoch,
             serial=self._serial,
             changed=[
-                messages.SiteCalls(id=target, calls=self._sums[target])
+                _message(target, self._sums[target])
                 for target, serial in self._changed_at.items()
                 if serial > known
             ],
         )
 
-    def _put(self, entry: str, calls: dict[str, int], now: float) -> None:
+    def _put(self, entry: str, rows: dict[str, Sum], now: float) -> None:
         held = self._shares.get(entry)
-        before = {} if held is None else held.calls
-        self._shares[entry] = _Share(calls, now)
-        for target in before.keys() | calls.keys():
-            change = calls.get(target, 0) - before.get(target, 0)
-            if change:
-                self._serial += 1
-                self._sums[target] += change
-                self._changed_at[target] = self._serial
+        before = {} if held is None else held.rows
+        self._shares[entry] = _Share(rows, now)
+        for target in before.keys() | rows.keys():
+            was = before.get(target, _NONE)
+            told = rows.get(target, _NONE)
+            if was == told:
+                continue
+            self._serial += 1
+            summed = self._sums.get(target, _NONE)
+            self._sums[target] = summed.changed(was, told)
+            self._changed_at[target] = self._serial
 
     def _forget_silent(self, now: float) -> None:
         for entry, share in tuple(self._shares.items()):
             if now - share.heard_at > SILENT_SECONDS:
                 self._put(entry, {}, now)
                 self._shares.pop(entry)
+
+
+def _message(target: str, summed: Sum) -> messages.SiteCalls:
+    return messages.SiteCalls(
+        id=target,
+        calls=summed.calls,
+        answered=summed.answered,
+        failed=summed.failed,
+    )
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -30,6 +30,8 @@
 # that come back spread over more than that do not meet again.
 RETRY_AFTER_SECONDS = 0.25
 NO_TARGET_SECONDS = 0.5
+# An answer from this status on is a failure of the target's own.
+FAILED_STATUS = 500
 _log = logging.getLogger('tamarackthread.entry')
 
 
@@ -84,6 +86,7 @@
                 await self._try_until_answered(call, progress, out)
         except TimeoutError as exc:
             if progress.trying is not None:
+                self._note(progress.trying, is_good=False)
                 progress.sent.append(progress.trying.name)
                 progress.may_have_run = True
                 passed = failures.DeadlinePassed('no answer')
@@ -177,12 +180,14 @@
             is_stream = call.route.kind is configuration.Kind.STREAM
             if is_stream and answer.head.status == 200:
                 await self._relay(call, answer, progress, out)
+                self._note(target, is_good=True)
                 return
             body = await answer.whole()
             if self._is_worth_another(call, progress, answer.head.status):
                 raise sending.Lost(f'status {answer.head.status}')
             if out.has_started:
                 raise sending.Lost(f'status {answer.head.status}')
+            self._note(target, is_good=answer.head.status < FAILED_STATUS)
             await out.whole(answer.head, body)
 
     def _is_worth_another(
@@ -192,7 +197,7 @@
         status: int,
     ) -> bool:
         """Tell whether a failure of a target's own may be tried elsewhere."""
-        if status < 500 or not call.route.may_repeat:
+        if status < FAILED_STATUS or not call.route.may_repeat:
             return False
         if len(progress.sent) + 1 >= call.route.attempts:
             return False
@@ -261,8 +266,15 @@
         progress.sent.append(target.name)
         if isinstance(failure, sending.Refused):
             return
+        if isinstance(failure, sending.Lost):
+            self._note(target, is_good=False)
         progress.may_have_run = True
 
+    def _note(self, target: starts.Start, *, is_good: bool) -> None:
+        """Note how a call has ended at a target."""
+        now = asyncio.get_running_loop().time()
+        target.record.note(is_good=is_good, now=now)
+
     def _end(self, progress: _Progress) -> errors.CodedError:
         """Tell the caller's end: not run, or may have run."""
         if progress.may_have_run:
--- a/tamarackthread/entry/direct/sharing.py
+++ b/tamarackthread/entry/direct/sharing.py
@@ -6,7 +6,7 @@
 import collections.abc
 import logging
 
-from tamarackthread.entry.direct import targets
+from tamarackthread.entry.direct import records, targets
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, peers
 
@@ -54,7 +54,7 @@
         self._host = ''
         self._epoch = 0
         self._serial = 0
-        self._sums: dict[str, int] = {}
+        self._sums: dict[str, targets.Load] = {}
 
     async def run(self) -> None:
         """Exchange for ever."""
@@ -83,13 +83,18 @@
         return False
 
     async def _ask(self, host: str) -> None:
-        own = self._known.own_calls()
+        own = self._known.own_loads()
         asked = messages.SiteLoadRequest(
             epoch=self._epoch,
             serial=self._serial,
             own=[
-                messages.SiteCalls(id=target, calls=calls)
-                for target, calls in own.items()
+                messages.SiteCalls(
+                    id=target,
+                    calls=load.calls,
+                    answered=load.ends.answered,
+                    failed=load.ends.failed,
+                )
+                for target, load in own.items()
             ],
         )
         async with asyncio.timeout(ANSWER_SECONDS):
@@ -103,20 +108,21 @@
     def _take(
         self,
         reply: messages.SiteLoadReply,
-        own: dict[str, int],
+        own: dict[str, targets.Load],
     ) -> None:
         if reply.epoch != self._epoch:
             self._sums = {}
         self._epoch = reply.epoch
         self._serial = reply.serial
         for row in reply.changed:
-            self._sums[row.id] = row.calls
-            if not row.calls:
+            ends = records.Tally(row.answered or 0, row.failed or 0)
+            self._sums[row.id] = targets.Load(row.calls, ends)
+            if self._sums[row.id] == targets.IDLE:
                 self._sums.pop(row.id)
         self._known.share(
             {
-                target: calls - own.get(target, 0)
-                for target, calls in self._sums.items()
+                target: load.minus(own.get(target, targets.IDLE))
+                for target, load in self._sums.items()
             }
         )
 
--- a/tamarackthread/entry/direct/starts.py
+++ b/tamarackthread/entry/direct/starts.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from tamarackthread.entry.direct import records
 from tamarackthread.shared import errors
 from tamarackthread.shared.site import announcements
 
@@ -41,6 +42,7 @@
     paused_until: float = 0
     pause: float = 0
     pace: float = 1
+    record: records.Record = attrs.field(factory=records.Record)
     _lifetimes: set[asyncio.Timeout] = attrs.field(factory=set)
 
     @property
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from tamarackthread.entry.direct import starts
+from tamarackthread.entry.direct import records, starts
 from tamarackthread.policy import crowding
 from tamarackthread.shared import log_events
 from tamarackthread.shared.site import announcements, figures
@@ -46,6 +46,23 @@
 _log = logging.getLogger('tamarackthread.entry')
 
 
+@attrs.frozen
+class Load:
+    """Be the calls that entries have at a target, and how the last ones ended."""
+
+    calls: int = 0
+    ends: records.Tally = records.Tally()
+
+    def minus(self, other: Load) -> Load:
+        """Return what is left without a part."""
+        return Load(
+            max(0, self.calls - other.calls), self.ends.minus(other.ends)
+        )
+
+
+IDLE = Load()
+
+
 class Targets:
     """Hold all targets that were announced."""
 
@@ -106,24 +123,28 @@
             told = [held.get(target.name, 1) for held in self._paces.values()]
             target.pace = max(told)
 
-    def own_calls(self) -> dict[str, int]:
-        """Return this entry's calls in flight, by target."""
-        return {
-            name: target.own
+    def own_loads(self) -> dict[str, Load]:
+        """Return this entry's calls, by target, where it has or had any."""
+        now = asyncio.get_running_loop().time()
+        found = {
+            name: Load(target.own, target.record.own(now))
             for name, target in self._by_name.items()
-            if target.own
         }
+        return {name: load for name, load in found.items() if load != IDLE}
 
     @property
     def knows_others(self) -> bool:
         """Tell whether the calls of other entries are known."""
         return self._knows_others
 
-    def share(self, others: collections.abc.Mapping[str, int]) -> None:
-        """Take the calls that all other entries have, by target."""
+    def share(self, others: collections.abc.Mapping[str, Load]) -> None:
+        """Take the calls that all other entries have and had, by target."""
         self._knows_others = True
         for name, target in self._by_name.items():
-            target.others = max(0, others.get(name, 0))
+            load = others.get(name, IDLE)
+            target.others = load.calls
+            target.record.others = load.ends
+        self._judge()
 
     def forget_others(self) -> None:
         """Go by this entry's own calls until others are told of again."""
@@ -184,7 +205,8 @@
         ]
         ready = [target for target in usable if target.is_ready(now)]
         if ready:
-            return min(self._compared(_swift(ready)), key=self._rank)
+            sound = [one for one in ready if not one.record.is_out(now)]
+            return min(self._compared(_swift(sound or ready)), key=self._rank)
         return min(usable, key=_paused_until, default=None)
 
     async def run(self) -> None:
@@ -264,6 +286,17 @@
                 state=State.READY.name.lower(),
             )
 
+    def _judge(self) -> None:
+        """Leave out targets that fail what others of their service answer."""
+        now = asyncio.get_running_loop().time()
+        for service in self._by_service:
+            ready = [
+                one for one in self.of_service(service) if one.is_ready(now)
+            ]
+            by_record = {id(one.record): one for one in ready}
+            for record in records.judge([one.record for one in ready], now):
+                _tell_failing(by_record[id(record)])
+
     def _count(self) -> None:
         figures.TARGETS.clear()
         for service in self._by_service:
@@ -323,6 +356,20 @@
     return found if len(found) >= SWIFT_SHARE * len(ready) else ready
 
 
+def _tell_failing(target: starts.Start) -> None:
+    log_events.tell(
+        _log,
+        log_events.Event.TARGET,
+        'entry: target %s of %s fails what others answer',
+        target.name,
+        target.said.service,
+        target=target.name,
+        service=target.said.service,
+        state='failing',
+        sequence=target.said.sequence,
+    )
+
+
 def _paused_until(target: starts.Start) -> float:
     return target.paused_until
 
--- a/tests/test_admitting.py
+++ b/tests/test_admitting.py
@@ -248,10 +248,10 @@
     async def _shared_by_entries(self):
         bound = FixedBound(10)
         known, line = self._line(bound, entries=3)
-        known.share({'0': 10})
+        known.share({'0': targets.Load(10)})
         tasks = [asyncio.create_task(line.admit(call_of())) for _ in range(6)]
         await asyncio.sleep(0.01)
-        known.share({'0': 4})
+        known.share({'0': targets.Load(4)})
         line.share()
         await asyncio.sleep(0.01)
         admitted = sum(task.done() for task in tasks)
