Try a call that was refused unrun elsewhere, whatever its attempts

Cause: a route's attempts bound how many targets may run a call. A refusal that says 'not run' used one up, so that an order, which may run at one target only, was sent away by the first that refused it while others had room; its caller came back after its aim. Some targets shed calls that they have places for.

Two refusals tell that the service is full; each second try is paid for from the budget as before. Refusals count for what others think of a target.

--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -26,6 +26,10 @@
 # Tries at which no connection came about cost a target nothing; a caller
 # would still wait for each of them.
 CONNECT_TRIES = 4
+# A route's attempts bound how many targets may run a call, and one that refused it
+# has not.  A target that refuses while it has places is no reason to send a caller
+# away whose aim a second try would meet; two that refuse tell that all are full.
+MOST_REFUSED = 2
 # A full target has a place again within about a tenth of a second; callers
 # that come back spread over more than that do not meet again.
 RETRY_AFTER_SECONDS = 0.25
@@ -39,14 +43,16 @@
 class _Progress:
     """Be how far a call has come over all its tries.
 
-    ``sent`` names the targets that the call was sent to, ``skipped`` those
-    that could not be reached, ``may_have_run`` whether any might have run it.
+    ``sent`` names the targets that may have run the call, ``refused`` those that
+    said that they have not, ``skipped`` those that could not be reached, and
+    ``may_have_run`` tells whether any might have run it.
     ``position`` is the last event that the caller was sent, ``is_unnumbered``
     whether it was sent any that can't be told from its copy, and ``trying``
     the target that may have the call at this moment.
     """
 
     sent: list[str] = attrs.field(factory=list)
+    refused: list[str] = attrs.field(factory=list)
     skipped: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
     trying: starts.Start | None = None
@@ -143,7 +149,7 @@
         if progress.failure is not None and not self._may_try(call, progress):
             raise self._end(progress)
         await self._admission.admit(call)
-        tried = progress.skipped.union(progress.sent)
+        tried = progress.skipped.union(progress.sent, progress.refused)
         left = call.deadline - asyncio.get_running_loop().time()
         await self._known.arrival(call.service, tried, calls.patience(left))
         target = self._known.choose(call.service, tried)
@@ -160,10 +166,12 @@
             return False
         if len(progress.skipped) >= CONNECT_TRIES:
             return False
-        if not progress.sent:
+        if not progress.sent and not progress.refused:
             return True
         if len(progress.sent) >= call.route.attempts:
             return False
+        if len(progress.refused) >= MOST_REFUSED:
+            return False
         return self._budget.spend(call.service)
 
     async def _try(
@@ -263,11 +271,12 @@
             self._known.gone(target)
             progress.skipped.add(target.name)
             return
-        progress.sent.append(target.name)
+        if isinstance(failure, (sending.Refused, sending.Lost)):
+            self._note(target, is_good=False)
         if isinstance(failure, sending.Refused):
+            progress.refused.append(target.name)
             return
-        if isinstance(failure, sending.Lost):
-            self._note(target, is_good=False)
+        progress.sent.append(target.name)
         progress.may_have_run = True
 
     def _note(self, target: starts.Start, *, is_good: bool) -> None:
@@ -279,7 +288,7 @@
         """Tell the caller's end: not run, or may have run."""
         if progress.may_have_run:
             return failures.TargetFailed(str(progress.failure))
-        if progress.sent:
+        if progress.sent or progress.refused:
             return failures.TargetsFull(
                 retry_after=self._soon(RETRY_AFTER_SECONDS),
             )
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -443,6 +443,29 @@
         self.assertEqual(503, status)
         self.assertGreater(float(headers['Retry-After']), 0)
 
+    async def test_refused_by_one_target(self):
+        """One target refuses calls that it has places for, unrun.
+
+        An order may run at one target only.  It has not run there, so it goes
+        on to another at once; sent away, its caller would be late.
+        """
+        self.serve(ONCE, attempts=1)
+        full = await self.add(refusing)
+        sound = await self.add(whole('yes'), zone='far')
+        self.assertEqual((200, b'yes'), (await self.ask())[:2])
+        self.assertEqual((1, 1), (len(full.heads), len(sound.heads)))
+
+    async def test_refused_by_all(self):
+        """Two of three targets refuse an order: the third is not asked.
+
+        Two that refuse tell that the service is full, and each try more is
+        one that others lack.
+        """
+        self.serve(ONCE, attempts=1)
+        fakes = [await self.add(refusing) for _ in range(3)]
+        self.assertEqual(503, (await self.ask())[0])
+        self.assertEqual(2, sum(len(fake.heads) for fake in fakes))
+
     async def test_unreachable_target(self):
         """A call goes on to another target when one can't be connected to."""
         self.serve(ONCE, attempts=1)
