Take unseen passes for uneven, and split two grown modules

No entry had seen a pass when callers came back, so that nothing bounded what they sent: an uneven group with 3.8 calls a rank.

Until a pass was seen, a call is taken to add what the configuration says (steps, writing, reading of a usual prompt) at three times the mean on the busiest rank. An entry without a call may always have one, from which it learns.

--- a/tamarackthread/entry/direct/admitting.py
+++ b/tamarackthread/entry/direct/admitting.py
@@ -118,18 +118,27 @@
         Who has no call that waits leaves its part unused, so that each takes
         one place at least; together they are over the bound by no more than
         one for each entry, and only until the next exchange.
+
+        An entry without a call has seen no pass of late.  It may have one in any
+        case: else it could not learn that there is room.
         """
-        free = self._free()
-        self._part = 0
+        crowd = self._crowd()
+        free = self._free_of(crowd)
+        self._part = 0 if crowd.own else 1
         if 0 < free < math.inf:
             self._part = max(1, free / max(1, self._entries()))
         self._grant()
 
+    def _crowd(self) -> crowding.Crowd:
+        return self._known.crowd(self._service, self._entries())
+
     def _free(self) -> float:
         """Return how many calls more the ranks may have."""
+        return self._free_of(self._crowd())
+
+    def _free_of(self, crowd: crowding.Crowd) -> float:
         now = asyncio.get_running_loop().time()
-        held = self._known.crowd(self._service, self._entries())
-        return self._bound.most(held, now) - held.calls
+        return self._bound.most(crowd, now) - crowd.calls
 
     def _takes_place(self) -> bool:
         if math.isinf(self._free()):
@@ -176,7 +185,12 @@
             self._held[service.name] = found
             self._bind(
                 service.name,
-                crowding.Proportional(found[1], service.passes.empty),
+                crowding.Proportional(
+                    found[1],
+                    service.passes.empty,
+                    service.passes.each,
+                    service.passes.expert_share,
+                ),
             )
 
     def _bind(self, service: str, bound: crowding.CallBound) -> None:
--- a/tamarackthread/entry/direct/records.py
+++ b/tamarackthread/entry/direct/records.py
@@ -56,6 +56,23 @@
         )
 
 
+@attrs.frozen
+class Load:
+    """Be the calls that entries have at a target, and how the last ones ended."""
+
+    calls: int = 0
+    ends: Tally = Tally()
+
+    def minus(self, other: Load) -> Load:
+        """Return what is left without a part."""
+        return Load(
+            max(0, self.calls - other.calls), self.ends.minus(other.ends)
+        )
+
+
+IDLE = Load()
+
+
 class Record:
     """Keep how this entry's calls at one start of a target ended.
 
--- a/tamarackthread/entry/direct/sharing.py
+++ b/tamarackthread/entry/direct/sharing.py
@@ -54,7 +54,7 @@
         self._host = ''
         self._epoch = 0
         self._serial = 0
-        self._sums: dict[str, targets.Load] = {}
+        self._sums: dict[str, records.Load] = {}
 
     async def run(self) -> None:
         """Exchange for ever."""
@@ -108,7 +108,7 @@
     def _take(
         self,
         reply: messages.SiteLoadReply,
-        own: dict[str, targets.Load],
+        own: dict[str, records.Load],
     ) -> None:
         if reply.epoch != self._epoch:
             self._sums = {}
@@ -116,12 +116,12 @@
         self._serial = reply.serial
         for row in reply.changed:
             ends = records.Tally(row.answered or 0, row.failed or 0)
-            self._sums[row.id] = targets.Load(row.calls, ends)
-            if self._sums[row.id] == targets.IDLE:
+            self._sums[row.id] = records.Load(row.calls, ends)
+            if self._sums[row.id] == records.IDLE:
                 self._sums.pop(row.id)
         self._known.share(
             {
-                target: load.minus(own.get(target, targets.IDLE))
+                target: load.minus(own.get(target, records.IDLE))
                 for target, load in self._sums.items()
             }
         )
--- /dev/null
+++ b/tamarackthread/entry/direct/target_lines.py
@@ -0,0 +1,68 @@
+"""Log what an entry believes of targets."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import logging
+
+from tamarackthread.shared import log_events
+from tamarackthread.shared.site import announcements
+
+State = announcements.State
+_log = logging.getLogger('tamarackthread.entry')
+
+
+def tell_new(
+    untold: collections.abc.Iterable[announcements.Announcement],
+) -> None:
+    """Log the new targets of each service in one line.
+
+    Each entry learns of each target when it starts; a line for each pair is
+    thousands on a large site, in which other lines are lost.
+    """
+    by_service: dict[str, list[str]] = collections.defaultdict(list)
+    for said in untold:
+        by_service[said.service].append(said.target)
+    for service, names in by_service.items():
+        log_events.tell(
+            _log,
+            log_events.Event.TARGET,
+            'entry: %d targets of %s are new and ready',
+            len(names),
+            service,
+            targets=names,
+            service=service,
+            state=State.READY.name.lower(),
+        )
+
+
+def tell_failing(service: str, names: list[str]) -> None:
+    """Log which targets are left out for a while."""
+    log_events.tell(
+        _log,
+        log_events.Event.TARGET,
+        'entry: %d targets of %s fail what others answer',
+        len(names),
+        service,
+        targets=names,
+        service=service,
+        state='failing',
+    )
+
+
+def tell(said: announcements.Announcement) -> None:
+    """Log the state of a target."""
+    log_events.tell(
+        _log,
+        log_events.Event.TARGET,
+        'entry: target %s of %s at %s is %s',
+        said.target,
+        said.service,
+        said.address,
+        said.state.name.lower(),
+        target=said.target,
+        service=said.service,
+        state=said.state.name.lower(),
+        sequence=said.sequence,
+    )
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -6,14 +6,12 @@
 import collections
 import collections.abc
 import contextlib
-import logging
 import random
 
 import attrs
 
-from tamarackthread.entry.direct import records, starts
+from tamarackthread.entry.direct import records, starts, target_lines
 from tamarackthread.policy import crowding
-from tamarackthread.shared import log_events
 from tamarackthread.shared.site import announcements, figures
 
 State = announcements.State
@@ -43,24 +41,6 @@
 # Below this share of swift ranks, the others have not the places for all calls.
 SWIFT_SHARE = 0.5
 SWEEP_SECONDS = 0.5
-_log = logging.getLogger('tamarackthread.entry')
-
-
-@attrs.frozen
-class Load:
-    """Be the calls that entries have at a target, and how the last ones ended."""
-
-    calls: int = 0
-    ends: records.Tally = records.Tally()
-
-    def minus(self, other: Load) -> Load:
-        """Return what is left without a part."""
-        return Load(
-            max(0, self.calls - other.calls), self.ends.minus(other.ends)
-        )
-
-
-IDLE = Load()
 
 
 class Targets:
@@ -106,7 +86,7 @@
             return
         said = said.after(held.said)
         if said.state != held.said.state:
-            _tell(attrs.evolve(held.said, state=said.state))
+            target_lines.tell(attrs.evolve(held.said, state=said.state))
         held.heard_at = now
         if said.state == State.GONE:
             said = attrs.evolve(held.said, state=State.GONE)
@@ -123,25 +103,27 @@
             told = [held.get(target.name, 1) for held in self._paces.values()]
             target.pace = max(told)
 
-    def own_loads(self) -> dict[str, Load]:
+    def own_loads(self) -> dict[str, records.Load]:
         """Return this entry's calls, by target, where it has or had any."""
         now = asyncio.get_running_loop().time()
         found = {
-            name: Load(target.own, target.record.own(now))
+            name: records.Load(target.own, target.record.own(now))
             for name, target in self._by_name.items()
         }
-        return {name: load for name, load in found.items() if load != IDLE}
+        return {
+            name: load for name, load in found.items() if load != records.IDLE
+        }
 
     @property
     def knows_others(self) -> bool:
         """Tell whether the calls of other entries are known."""
         return self._knows_others
 
-    def share(self, others: collections.abc.Mapping[str, Load]) -> None:
+    def share(self, others: collections.abc.Mapping[str, records.Load]) -> None:
         """Take the calls that all other entries have and had, by target."""
         self._knows_others = True
         for name, target in self._by_name.items():
-            load = others.get(name, IDLE)
+            load = others.get(name, records.IDLE)
             target.others = load.calls
             target.record.others = load.ends
         self._judge()
@@ -169,6 +151,7 @@
             ranks=len(ready),
             places=sum(target.slots for target in ready),
             pace=max((target.pace for target in ready), default=1),
+            own=own,
         )
 
     def get(self, name: str) -> starts.Start | None:
@@ -178,7 +161,7 @@
     def gone(self, target: starts.Start) -> None:
         """Note that another start of a target answers at the address."""
         target.said = attrs.evolve(target.said, state=State.GONE)
-        _tell(target.said)
+        target_lines.tell(target.said)
 
     def of_service(self, service: str) -> list[starts.Start]:
         """List the targets of a service, usable or not."""
@@ -251,7 +234,8 @@
 
     def sweep(self) -> None:
         """Mark targets that nobody has spoken of for long."""
-        self._tell_new()
+        target_lines.tell_new(self._untold)
+        self._untold = []
         now = asyncio.get_running_loop().time()
         for name, target in tuple(self._by_name.items()):
             quiet = now - target.heard_at
@@ -261,31 +245,9 @@
             if target.said.state != State.READY or quiet < self._unheard:
                 continue
             target.said = attrs.evolve(target.said, state=State.SILENT)
-            _tell(target.said)
+            target_lines.tell(target.said)
         self._count()
 
-    def _tell_new(self) -> None:
-        """Log the new targets of each service in one line.
-
-        Each entry learns of each target when it starts; a line for each pair
-        is thousands on a large site, in which other lines are lost.
-        """
-        by_service: dict[str, list[str]] = collections.defaultdict(list)
-        for said in self._untold:
-            by_service[said.service].append(said.target)
-        self._untold = []
-        for service, names in by_service.items():
-            log_events.tell(
-                _log,
-                log_events.Event.TARGET,
-                'entry: %d targets of %s are new and ready',
-                len(names),
-                service,
-                targets=names,
-                service=service,
-                state=State.READY.name.lower(),
-            )
-
     def _judge(self) -> None:
         """Leave out targets that fail what others of their service answer."""
         now = asyncio.get_running_loop().time()
@@ -294,8 +256,11 @@
                 one for one in self.of_service(service) if one.is_ready(now)
             ]
             by_record = {id(one.record): one for one in ready}
-            for record in records.judge([one.record for one in ready], now):
-                _tell_failing(by_record[id(record)])
+            found = records.judge([one.record for one in ready], now)
+            if found:
+                target_lines.tell_failing(
+                    service, [by_record[id(record)].name for record in found]
+                )
 
     def _count(self) -> None:
         figures.TARGETS.clear()
@@ -313,7 +278,7 @@
         if said.state == State.READY:
             self._untold.append(said)
         else:
-            _tell(said)
+            target_lines.tell(said)
 
     def _begin_anew(
         self,
@@ -356,35 +321,5 @@
     return found if len(found) >= SWIFT_SHARE * len(ready) else ready
 
 
-def _tell_failing(target: starts.Start) -> None:
-    log_events.tell(
-        _log,
-        log_events.Event.TARGET,
-        'entry: target %s of %s fails what others answer',
-        target.name,
-        target.said.service,
-        target=target.name,
-        service=target.said.service,
-        state='failing',
-        sequence=target.said.sequence,
-    )
-
-
 def _paused_until(target: starts.Start) -> float:
     return target.paused_until
-
-
-def _tell(said: announcements.Announcement) -> None:
-    log_events.tell(
-        _log,
-        log_events.Event.TARGET,
-        'entry: target %s of %s at %s is %s',
-        said.target,
-        said.service,
-        said.address,
-        said.state.name.lower(),
-        target=said.target,
-        service=said.service,
-        state=said.state.name.lower(),
-        sequence=said.sequence,
-    )
--- a/tamarackthread/policy/crowding.py
+++ b/tamarackthread/policy/crowding.py
@@ -26,7 +26,10 @@
 # copies of experts, the hold of a switch, the way to the caller.  Of the streams of a
 # group that is uneven and asked for twice of what it can do, 0.43, 0.51, 0.54 and
 # 0.52 are in time with 0.85, 0.75, 0.7 and 0.6 of the pause, and 0.13 unbounded.
-USED_SHARE = 0.75
+USED_SHARE = 0.85
+# Until a pass was seen, the experts are taken to be as uneven as they are after a
+# shift of demand: the busiest rank has so many times the mean.
+UNSEEN_SKEW = 3.0
 # A pass is not told apart from an empty one by less, in seconds.
 LEAST_SECONDS = 0.001
 # So many calls for each place keep ranks busy while entries learn of the places
@@ -69,14 +72,16 @@
 class Crowd:
     """Be the calls at the ranks of a group, which run so many at once.
 
-    ``places`` counts the calls that all ranks together run at once.  ``pace`` is
-    that of the slowest rank; 2 means that it takes twice its usual time.
+    ``own`` of the ``calls`` are this entry's.  ``places`` counts the calls that
+    all ranks together run at once.  ``pace`` is that of the slowest rank; 2 means
+    that it takes twice its usual time.
     """
 
     calls: float
     ranks: int
     places: int
     pace: float = 1
+    own: int = 0
 
 
 class CallBound(abc.ABC):
@@ -130,9 +135,20 @@
     passes that these make longer are seen only when they have ended.
     """
 
-    def __init__(self, gap: float, empty: float) -> None:
-        """Begin without having seen a pass."""
+    def __init__(
+        self,
+        gap: float,
+        empty: float,
+        each: float = 0,
+        expert_share: float = 0,
+    ) -> None:
+        """Begin without having seen a pass.
+
+        A call at each rank is taken to add ``each`` to one where the experts are
+        even, of which the part ``expert_share`` grows with the busiest rank's load.
+        """
         super().__init__(gap, empty)
+        self._unseen = each * (1 + expert_share * (UNSEEN_SKEW - 1))
         self._each = Recent()
         self._crowds: collections.deque[tuple[float, Crowd]] = (
             collections.deque()
@@ -156,7 +172,7 @@
         """
         self._keep(crowd, now)
         places = super().most(crowd, now)
-        each = self._each.usual(now)
+        each = self._each.usual(now) or self._unseen / max(1, crowd.ranks)
         room = self._limit - self._empty * crowd.pace
         if not each or room <= 0:
             return places
