Time steps by reports that can be told apart

The step was timed by the newest report of all ranks and by the first rank's, which are made at other moments.

Steps are timed by the first rank's reports alone, at least the lag of a report apart, and none is taken for shorter than one without calls.

--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -218,6 +218,8 @@
             self._watched[group.name] = known
         known.shape = service.experts
         known.gap = service.gap
+        if service.passes is not None:
+            known.least_step = service.passes.empty
         return known
 
     def _fence(self, term: int) -> int:
--- a/tamarackthread/control/site/maps/watched.py
+++ b/tamarackthread/control/site/maps/watched.py
@@ -55,12 +55,14 @@
     ``placement`` is the map of ``version`` in ``epoch``.  ``highest`` is the
     highest version that this owner gave out, whether or not it came into
     force.  ``group`` is ``None`` while not all ranks report alike.  ``gap`` is
-    the pause in seconds that callers take without harm, 0 without a bound, and
+    the pause in seconds that callers take without harm, 0 without a bound,
+    ``least_step`` what a step takes without calls, 0 where nobody says so, and
     ``calls`` how many a rank had at the last look, running or waiting.
     """
 
     shape: configuration.Experts
     gap: float = 0
+    least_step: float = 0
     group: switching.Group | None = None
     epoch: int = -1
     version: int = -1
@@ -83,7 +85,7 @@
         """Take a look's reports."""
         self.group = group
         self.highest = max(self.highest, group.newest_version)
-        self._time_step(group.epoch, group.step, now)
+        self._time_step(group.epoch, group.reports[0].step, now)
         self.calls = sum(map(_calls_of, group.reports)) / len(group.reports)
         self._note_pressure(self.calls, now)
 
@@ -192,13 +194,22 @@
             self._pressed_at = now
 
     def _time_step(self, epoch: int, step: int, now: float) -> None:
+        """Time steps by two reports of the first rank.
+
+        The failure: reports are made anew each fifth of a second, and those of
+        other ranks at other moments.  Two that were asked for within a hundredth
+        may lie four steps apart; by that a step took 3 ms, a switch half a second
+        ahead was set 160 steps ahead, and for six seconds the ranks, armed for
+        it, refused every map.  Reports that lie apart by what they lag, and no
+        step below the least, keep a switch within a few steps of its moment.
+        """
         steps = step - self._step
         since = now - self._step_at
         if self._step_epoch == epoch:
-            is_short = steps < TIMED_STEPS and since < TIMED_SECONDS
-            if steps <= 0 or is_short:
+            is_soon = steps < TIMED_STEPS or since < REPORT_SECONDS
+            if steps <= 0 or (is_soon and since < TIMED_SECONDS):
                 return
-            self.step_seconds = since / steps
+            self.step_seconds = max(self.least_step, since / steps)
         self._step_epoch = epoch
         self._step = step
         self._step_at = now
--- a/tamarackthread/policy/crowding.py
+++ b/tamarackthread/policy/crowding.py
@@ -26,7 +26,7 @@
 # copies of experts, the hold of a switch, the way to the caller.  Of the streams of a
 # group that is uneven and asked for twice of what it can do, 0.43, 0.51, 0.54 and
 # 0.52 are in time with 0.85, 0.75, 0.7 and 0.6 of the pause, and 0.13 unbounded.
-USED_SHARE = 0.85
+USED_SHARE = 0.8
 # Until a pass was seen, the experts are taken to be as uneven as they are after a
 # shift of demand: the busiest rank has so many times the mean.
 UNSEEN_SKEW = 3.0
