--- a/tests/test_regression.py
+++ b/tests/test_regression.py
@@ -22,7 +22,14 @@
         {'name': 'trouble-1', 'G': 0.7, 'rules': {}, 'kind': 'trouble'},
         {'name': 'fresh-1', 'G': 0.1, 'rules': {}, 'kind': 'replay'},
     ]
-    return {'id': 'abc', 'figures': {'gate': 1.0}, 'days': days, **fields}
+    return {
+        'id': 'abc',
+        'ok': True,
+        'figures': {'gate': 1.0},
+        'days': days,
+        'days_left_out': 0,
+        **fields,
+    }
 
 
 class RegressionCase(unittest.TestCase):
@@ -65,6 +72,14 @@
         ):
             self.read({'id': 'abc'})
 
+    def test_cut_off(self):
+        """A hunt was stopped after no day, or lacks some: it is not clean."""
+        for cut in ({'days': []}, {'ok': False}, {'days_left_out': 2}):
+            with self.assertRaisesRegex(
+                results.ResultsUnreadableError, 'cut off'
+            ):
+                self.read(entry(**cut), kind='hunt')
+
     def test_resumes(self):
         """What was played on this code is left; on other code it is due."""
         held = results.Results(self.folder / 'held.json')
--- a/tools/regression/__main__.py
+++ b/tools/regression/__main__.py
@@ -95,9 +95,13 @@
         if not paths:
             self._findings.append(f'{place}: no entry, {said[-200:]!r}')
             return
-        found = results.of_entry(
-            play.kind, play.site.name, self._code, paths[-1]
-        )
+        try:
+            found = results.of_entry(
+                play.kind, play.site.name, self._code, paths[-1]
+            )
+        except results.ResultsUnreadableError as exc:
+            self._findings.append(f'{place}: {exc}')
+            return
         self._held.put(found)
         self._findings += results.findings(found, play.site.before)
         print(f'regression: {place} ends, mean {found.mean}', flush=True)
--- a/tools/regression/results.py
+++ b/tools/regression/results.py
@@ -102,6 +102,8 @@
     kind: str, site: str, code: str, held: dict[str, typing.Any]
 ) -> Result:
     days = held['days']
+    if not days or not held['ok'] or held['days_left_out']:
+        raise ValueError(f'play was cut off after {len(days)} days')
     broken = [
         f'{rule} on {row["name"]}' for row in days for rule in row['rules']
     ]
