--- a/bench/engines/lockstep_day.py
+++ b/bench/engines/lockstep_day.py
@@ -9,6 +9,7 @@
 import numpy
 
 from bench.engines import (
+    call_bounds,
     lockstep,
     lockstep_patterns,
     lockstep_stream,
@@ -25,7 +26,7 @@
     targets,
 )
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.policy import crowding, evening
+from tamarackthread.policy import evening
 from tamarackthread.shared.site import announcements, configuration
 
 SHIFT_SHARE = 0.65
@@ -132,7 +133,7 @@
         return known
 
     def _line(self, known: targets.Targets) -> admitting.Line:
-        bound = self._variant.bound or crowding.Unbounded
+        bound = self._variant.bound or call_bounds.Unbounded
         empty = self._engine.stride * self._engine.step
         return admitting.Line(
             SERVICE,
--- a/bench/engines/lockstep_patterns.py
+++ b/bench/engines/lockstep_patterns.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bench.engines import pace
+from bench.engines import call_bounds, pace
 from tamarackthread.policy import crowding
 
 
@@ -111,7 +111,7 @@
         bound=crowding.Places,
     ),
     Variant(
-        'tried_static', 'ours', 'static', shares=True, bound=crowding.Tried
+        'tried_static', 'ours', 'static', shares=True, bound=call_bounds.Tried
     ),
     Variant(
         'bounded_static',
@@ -122,7 +122,7 @@
     ),
     Variant('ours_unbounded', 'ours', 'ours', shares=True),
     Variant('ours_places', 'ours', 'ours', shares=True, bound=crowding.Places),
-    Variant('ours_tried', 'ours', 'ours', shares=True, bound=crowding.Tried),
+    Variant('ours_tried', 'ours', 'ours', shares=True, bound=call_bounds.Tried),
     Variant('ours', 'ours', 'ours', shares=True, bound=crowding.Proportional),
     Variant('oracle_unshared', 'ours', 'oracle'),
     Variant('oracle', 'ours', 'oracle', shares=True),
--- a/tamarackthread/policy/crowding.py
+++ b/tamarackthread/policy/crowding.py
@@ -36,12 +36,6 @@
 # that became free: half of a pass of a full group, in which one call in thirty
 # ends, and what two exchanges of the entries take.
 FULL_SHARE = 1.1
-# A bound found by trying is looked at so often: two passes of a pressed group.
-TRY_SECONDS = 0.25
-# It falls by so much at a pass that was too long, and grows by so many calls for
-# each rank at one that was not.
-FALL_SHARE = 0.85
-GROWTH = 0.1
 
 
 class Recent:
@@ -109,14 +103,6 @@
         """Return how many calls the ranks may have, infinity without a bound."""
 
 
-class Unbounded(CallBound):
-    """Let the ranks have all calls."""
-
-    def most(self, crowd: Crowd, now: float) -> float:
-        """Return infinity."""
-        return math.inf
-
-
 class Places(CallBound):
     """Let the ranks have what they run at once, and little more."""
 
@@ -192,28 +178,3 @@
                 break
             found = crowd
         return found
-
-
-class Tried(Places):
-    """Find the bound by trying: less after a long pass, else slowly more."""
-
-    def __init__(self, gap: float, empty: float) -> None:
-        """Begin without a bound."""
-        super().__init__(gap, empty)
-        self._most = math.inf
-        self._tried_at = -math.inf
-
-    def most(self, crowd: Crowd, now: float) -> float:
-        """Return the bound as it is found by now."""
-        usual = self._passes.usual(now)
-        if usual and now - self._tried_at >= TRY_SECONDS:
-            self._tried_at = now
-            self._try(usual, crowd)
-        return min(self._most, super().most(crowd, now))
-
-    def _try(self, usual: float, crowd: Crowd) -> None:
-        if usual > self._limit:
-            fallen = min(self._most, crowd.calls) * FALL_SHARE
-            self._most = max(crowd.ranks, fallen)
-        else:
-            self._most += crowd.ranks * GROWTH
