--- a/tamarackthread/entry/direct/admitting.py
+++ b/tamarackthread/entry/direct/admitting.py
@@ -185,12 +185,7 @@
             self._held[service.name] = found
             self._bind(
                 service.name,
-                crowding.Proportional(
-                    found[1],
-                    service.passes.empty,
-                    service.passes.each,
-                    service.passes.expert_share,
-                ),
+                crowding.Proportional(found[1], service.passes.empty),
             )
 
     def _bind(self, service: str, bound: crowding.CallBound) -> None:
--- a/tamarackthread/platform/configuration.py
+++ b/tamarackthread/platform/configuration.py
@@ -118,25 +118,7 @@
     if not engine.get('step_ms'):
         return None
     steps = int(engine.get('stride') or 1)
-    return site.Passes(
-        empty=steps * float(engine['step_ms']) / MILLISECONDS,
-        each=steps * _step_of_call(engine),
-        expert_share=float(engine.get('expert-share') or 0),
-    )
-
-
-def _step_of_call(engine: _Row) -> float:
-    """Work out what a usual call adds to each step, in seconds.
-
-    It writes in each, and its prompt is read over as many as its answer has.
-    """
-    writing = float(engine.get('per_seq_ms') or 0) / MILLISECONDS
-    usual = engine.get('usual') or {}
-    rate = float(engine.get('read_per_s') or 0)
-    tokens = float(usual.get('answer') or 0)
-    if not rate or not tokens:
-        return writing
-    return writing + float(usual.get('prompt') or 0) / tokens / rate
+    return site.Passes(empty=steps * float(engine['step_ms']) / MILLISECONDS)
 
 
 def _experts(engine: _Row) -> site.Experts | None:
--- a/tamarackthread/policy/crowding.py
+++ b/tamarackthread/policy/crowding.py
@@ -27,9 +27,6 @@
 # group that is uneven and asked for twice of what it can do, 0.43, 0.51, 0.54 and
 # 0.52 are in time with 0.85, 0.75, 0.7 and 0.6 of the pause, and 0.13 unbounded.
 USED_SHARE = 0.8
-# Until a pass was seen, the experts are taken to be as uneven as they are after a
-# shift of demand: the busiest rank has so many times the mean.
-UNSEEN_SKEW = 3.0
 # A pass is not told apart from an empty one by less, in seconds.
 LEAST_SECONDS = 0.001
 # So many calls for each place keep ranks busy while entries learn of the places
@@ -121,20 +118,9 @@
     passes that these make longer are seen only when they have ended.
     """
 
-    def __init__(
-        self,
-        gap: float,
-        empty: float,
-        each: float = 0,
-        expert_share: float = 0,
-    ) -> None:
-        """Begin without having seen a pass.
-
-        A call at each rank is taken to add ``each`` to one where the experts are
-        even, of which the part ``expert_share`` grows with the busiest rank's load.
-        """
+    def __init__(self, gap: float, empty: float) -> None:
+        """Begin without having seen a pass."""
         super().__init__(gap, empty)
-        self._unseen = each * (1 + expert_share * (UNSEEN_SKEW - 1))
         self._each = Recent()
         self._crowds: collections.deque[tuple[float, Crowd]] = (
             collections.deque()
@@ -158,7 +144,7 @@
         """
         self._keep(crowd, now)
         places = super().most(crowd, now)
-        each = self._each.usual(now) or self._unseen / max(1, crowd.ranks)
+        each = self._each.usual(now)
         room = self._limit - self._empty * crowd.pace
         if not each or room <= 0:
             return places
--- a/tamarackthread/shared/site/configuration.py
+++ b/tamarackthread/shared/site/configuration.py
@@ -80,15 +80,10 @@
 class Passes:
     """Say how long the targets of a service take to make a piece of a stream.
 
-    ``empty`` is how long a pass takes without any call's work, and ``each`` what
-    it takes more with a usual call at each rank where the experts are even, both
-    in seconds; 0 where nobody says so.  The part ``expert_share`` of the latter
-    grows with the load of the busiest rank.
+    ``empty`` is how long a pass takes without any call's work, in seconds.
     """
 
     empty: float
-    each: float = 0
-    expert_share: float = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_admitting.py
+++ b/tests/test_admitting.py
@@ -127,22 +127,6 @@
         most = _bound_after(crowd(30), GAP).most(crowd(30), now=2)
         self.assertEqual(50 * crowding.FULL_SHARE, most)
 
-    def test_nothing_seen_yet(self):
-        """All processes start at once, and so do their callers.
-
-        Until a pass was seen a call is taken to add what it does to an uneven
-        group: full ranks would make one pass that is too long for all.
-        """
-        each = 0.0116
-        bound = crowding.Proportional(GAP, EMPTY, each, 0.85)
-        limit = GAP * crowding.USED_SHARE
-        self.assertAlmostEqual(
-            (limit - EMPTY)
-            / (each * (0.15 + 0.85 * crowding.UNSEEN_SKEW))
-            * 10,
-            bound.most(crowd(40), now=1),
-        )
-
     def test_no_targets(self):
         """No rank is known to be ready: no bound, so that calls are tried."""
         bound = crowding.Proportional(GAP, EMPTY)
