Count the failures of a target along, not anew at each exchange

Cause: a record of how calls ended summed its ends anew for each target twice an exchange, twenty times a second, also where none had failed. A count that goes along gives the same figures.

Measured: make test 634 passed, 0 failed.

--- a/tamarackthread/entry/direct/records.py
+++ b/tamarackthread/entry/direct/records.py
@@ -83,19 +83,22 @@
         """Begin without a call."""
         self.others = Tally()
         self._ends: collections.deque[tuple[float, bool]] = collections.deque()
+        # Counted along: this is asked for at each target in each exchange.
+        self._failed = 0
         self._out_seconds: float = 0
         self._out_until: float = 0
 
     def note(self, *, is_good: bool, now: float) -> None:
         """Note how a call has ended."""
         self._ends.append((now, is_good))
+        self._failed += not is_good
 
     def own(self, now: float) -> Tally:
         """Return how this entry's calls have ended of late."""
         while self._ends and now - self._ends[0][0] > WINDOW_SECONDS:
-            self._ends.popleft()
-        answered = sum(is_good for _, is_good in self._ends)
-        return Tally(answered, len(self._ends) - answered)
+            _, was_good = self._ends.popleft()
+            self._failed -= not was_good
+        return Tally(len(self._ends) - self._failed, self._failed)
 
     def in_all(self, now: float) -> Tally:
         """Return how the calls of all entries have ended of late."""
@@ -120,6 +123,7 @@
             self._out_seconds = OUT_SECONDS
         self._out_until = now + self._out_seconds
         self._ends.clear()
+        self._failed = 0
 
     def _is_watched(self, now: float) -> bool:
         """Tell whether the target was let back a short while ago."""
