Evacuate an availability zone, and bound the calls of cold targets

Ranks there go on in their group and tell nothing of demand. Command line: zone evacuate, restore, list.

Cold targets: a share of the service's rate for each entry, by the most entries it has ever seen, half of the limit left for entries that nobody told of. Without a rate in the configuration nothing is limited.

Ruled out: acknowledging by what a host holds (one that is behind would acknowledge a state that is over); leases on shares (an entry that is cut off would send nothing to targets that it reaches).

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -261,12 +261,18 @@
 }
 // How much slower than usual a target works, in percent; 100 is its usual pace.
 struct SitePace { 1: string id, 2: i32 percent }
-struct SiteFeedRequest { 1: i64 version, 2: i64 epoch, 3: i64 serial, 4: i32 wait_ms }
-// document is packed and only there if newer; members are control hosts and
-// entries the followers, both as addresses of their links.
+// Whether the targets of a zone get no work; revision counts the zone's changes.
+struct SiteZone { 1: string name, 2: bool is_evacuated, 3: i64 revision }
+// What a log's snapshot holds once any zone was evacuated; document as in a command.
+struct SiteSnapshot { 1: binary document, 2: list<SiteZone> zones }
+// zone_changes is the sum of the revisions of all zones that the follower holds.
+struct SiteFeedRequest { 1: i64 version, 2: i64 epoch, 3: i64 serial, 4: i32 wait_ms, 5: i64 zone_changes }
+// document is packed and only there if newer, as are zones; members are control
+// hosts and entries the followers, both as addresses of their links.
 struct SiteFeedReply {
   1: i64 version, 2: optional binary document, 3: i64 epoch, 4: i64 serial, 5: list<SiteTarget> targets,
   6: list<string> members, 7: list<string> entries, 8: list<SitePace> paces,
+  9: optional list<SiteZone> zones,
 }
 
 // An entry tells how many of its calls each target has, and how many were answered
@@ -276,6 +282,11 @@
 struct SiteLoadRequest { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> own }
 struct SiteLoadReply { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> changed }
 
+// An operator asks for a zone to be evacuated or taken back; without a name, how
+// all zones are.
+struct SiteZoneRequest { 1: optional string name, 2: bool is_evacuated, 3: string author }
+struct SiteZoneReply { 1: list<SiteZone> zones }
+
 // One request or reply each frame; exactly one field is set.
 struct Request {
   1: optional VoteRequest vote, 2: optional AppendRequest append,
@@ -289,7 +300,7 @@
   17: optional LeaseRequest lease, 18: optional PortionsRequest portions,
   19: optional GroupOrder order, 20: optional DecisionRequest decision,
   21: optional LoadReport report, 22: optional SiteFeedRequest site,
-  23: optional SiteLoadRequest site_load,
+  23: optional SiteLoadRequest site_load, 24: optional SiteZoneRequest site_zone,
 }
 struct Reply {
   1: optional Failure failure, 2: optional Done done,
@@ -301,4 +312,5 @@
   15: optional LeaseReply lease, 16: optional PortionsReply portions,
   17: optional GroupOrderReply order, 18: optional DecisionReply decision,
   19: optional SiteFeedReply site, 20: optional SiteLoadReply site_load,
+  21: optional SiteZoneReply site_zone,
 }
--- a/tamarackthread/cli/access.py
+++ b/tamarackthread/cli/access.py
@@ -20,6 +20,7 @@
     process,
     settings,
 )
+from tamarackthread.shared.site import places
 
 SETTINGS_VARIABLE = 'TAMARACKTHREAD_SETTINGS'
 
@@ -92,6 +93,8 @@
 
 
 def _control_addresses(chosen: generated.Settings) -> tuple[str, ...]:
+    if chosen.site is not None:
+        return tuple(places.link_addresses(chosen.site))
     if chosen.control_addresses or chosen.control is None:
         return chosen.control_addresses
     members = chosen.control.members
--- a/tamarackthread/cli/application.py
+++ b/tamarackthread/cli/application.py
@@ -21,6 +21,7 @@
     roles,
     system,
     targets,
+    zones,
 )
 
 NAME = 'tamarackthread'
@@ -35,6 +36,9 @@
 _LAST = (
     targets.TargetListCommand,
     targets.TargetDrainCommand,
+    zones.ZoneListCommand,
+    zones.ZoneEvacuateCommand,
+    zones.ZoneRestoreCommand,
     system.StatusCommand,
     system.AuditCommand,
     members.MembersCommand,
@@ -52,7 +56,8 @@
   Change things  tamarackthread profile show NAME -s FILE > my.json
                  edit my.json, then profile apply NAME my.json -s FILE --wait
   Undo           tamarackthread profile history NAME, then profile rollback
-  Look           tamarackthread status, audit, target list, control members
+  Look           tamarackthread status, audit, target list, zone list,
+                 control members
   Ask why        tamarackthread explain REQUEST-ID LOG..., losses LOG...
   Learn more     tamarackthread COMMAND --help"""
 
--- a/tamarackthread/cli/client.py
+++ b/tamarackthread/cli/client.py
@@ -198,6 +198,14 @@
         reply = await self.ask(messages.Request(drain=request))
         return reply.done.value
 
+    async def zones(
+        self, asked: messages.SiteZoneRequest
+    ) -> list[messages.SiteZone]:
+        """Evacuate a zone or take it back if one is named; list all zones."""
+        asked.author = f'{self._author.actor} at {self._author.origin}'
+        reply = await self.ask(messages.Request(site_zone=asked))
+        return reply.site_zone.zones
+
     async def _named(
         self,
         kind: str,
@@ -306,4 +314,6 @@
 def _changes(request: messages.Request) -> bool:
     if request.member is not None:
         return request.member.action != LIST_MEMBERS
+    if request.site_zone is not None:
+        return bool(request.site_zone.name)
     return request.change is not None or request.drain is not None
--- a/tamarackthread/control/site/api.py
+++ b/tamarackthread/control/site/api.py
@@ -5,25 +5,14 @@
 import asyncio
 import logging
 
-from tamarackthread.control import consensus, failures
-from tamarackthread.control.site import machine
+from tamarackthread.control import consensus
+from tamarackthread.control.site import committing, machine
 from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import configuration, document
 
-# An operator turns to another host after a second without an answer.  Less
-# than that is spent on a leader that is being elected.
-PATIENCE_SECONDS = 0.85
-PAUSE_SECONDS = 0.04
 _log = logging.getLogger('tamarackthread.control')
 
 
-class ChangeUnsettled(errors.CodedError):
-    """Change may or may not be in force; sending it again is safe."""
-
-    code = 'TT7103'
-    status = 503
-
-
 class NewestUnknown(errors.CodedError):
     """This host can't be sure which configuration is the newest."""
 
@@ -58,7 +47,9 @@
         # from being refused while no leader is known.
         if version <= self._site.held.version:
             return version
-        await self._propose(document.pack(version, body))
+        asked = document.pack(version, body)
+        until = asyncio.get_running_loop().time() + committing.PATIENCE_SECONDS
+        await committing.commit(self._group, asked.encode(), until)
         log_events.tell(
             _log,
             log_events.Event.CONFIGURATION,
@@ -75,31 +66,9 @@
         know it, so a quorum is asked each time.
         """
         try:
-            await self._group.read_barrier(PATIENCE_SECONDS)
+            await self._group.read_barrier(committing.PATIENCE_SECONDS)
         except errors.CodedError as exc:
             raise NewestUnknown(str(exc)) from exc
         if not self._site.held.version:
             raise NewestUnknown('there is no configuration yet')
         return self._site.held
-
-    async def _propose(self, asked: document.Document) -> None:
-        """Propose until the change is committed or patience ends.
-
-        Proposing twice is safe: the version alone decides, and the second
-        copy changes nothing.
-        """
-        loop = asyncio.get_running_loop()
-        until = loop.time() + PATIENCE_SECONDS
-        failure: errors.CodedError = failures.NotLeader('no leader is known')
-        while loop.time() < until:
-            left = until - loop.time()
-            try:
-                await self._group.submit(asked.encode(), left)
-            except failures.CommandTooLarge:
-                raise
-            except errors.CodedError as exc:
-                failure = exc
-                await asyncio.sleep(PAUSE_SECONDS)
-                continue
-            return
-        raise ChangeUnsettled(f'{failure.code} {failure}')
--- a/tamarackthread/control/site/book.py
+++ b/tamarackthread/control/site/book.py
@@ -232,7 +232,12 @@
     held: announcements.Announcement,
     said: announcements.Announcement,
 ) -> bool:
-    """Tell whether more than the sequence and the warming up differ."""
+    """Tell whether more than the sequence and the warming up differ.
+
+    Who sends calls must know at once that a target has turned cold, or is warm.
+    """
+    if said.cold > held.cold or (held.cold and not said.cold):
+        return True
     return attrs.evolve(held, sequence=0, cold=0) != attrs.evolve(
         said, sequence=0, cold=0
     )
--- a/tamarackthread/control/site/feeding.py
+++ b/tamarackthread/control/site/feeding.py
@@ -8,7 +8,7 @@
 from tamarackthread.control.site import book, machine
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import link
-from tamarackthread.shared.site import announcements
+from tamarackthread.shared.site import announcements, zones
 
 MILLISECONDS = 1000
 PERCENT = 100
@@ -64,8 +64,13 @@
     def _has_news(self, asked: messages.SiteFeedRequest) -> bool:
         if self._site.held.version > (asked.version or 0):
             return True
+        if self._has_newer_zones(asked):
+            return True
         return self._serial_of(asked) < self._targets.serial
 
+    def _has_newer_zones(self, asked: messages.SiteFeedRequest) -> bool:
+        return self._site.zones.changes > (asked.zone_changes or 0)
+
     def _serial_of(self, asked: messages.SiteFeedRequest) -> int:
         """Return how far the follower is in this start's book."""
         return asked.serial or 0 if asked.epoch == self._epoch else 0
@@ -86,6 +91,11 @@
                 messages.SitePace(id=target, percent=round(pace * PERCENT))
                 for target, pace in self._targets.paces().items()
             ],
+            zones=(
+                zones.to_messages(self._site.zones)
+                if self._has_newer_zones(asked)
+                else None
+            ),
         )
 
     def _entries(self) -> list[str]:
--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -21,7 +21,9 @@
 from tamarackthread.control.site import (
     api,
     book,
+    evacuation,
     feeding,
+    handler,
     joining,
     loads,
     machine,
@@ -30,10 +32,7 @@
 )
 from tamarackthread.control.site.maps import duty, owner, ranks
 from tamarackthread.generated import settings as generated
-from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import (
-    errors,
-    link,
     listener,
     log_events,
     offload,
@@ -88,6 +87,7 @@
         address: str,
         site: api.SiteApi,
         targets: book.Book,
+        zones: evacuation.Evacuation,
     ) -> str:
         """Serve at HOST:PORT and return the address in use."""
 
@@ -96,48 +96,6 @@
         """Stop serving."""
 
 
-class SiteHandler(link.Handler):
-    """Answer other control hosts and the followers."""
-
-    def __init__(
-        self,
-        group: consensus.Consensus,
-        followers: feeding.Feeding,
-        calls: loads.Loads,
-    ) -> None:
-        """Direct requests to the group, to the feed or to the sums."""
-        self._group = group
-        self._followers = followers
-        self._calls = calls
-        self._checks: set[asyncio.Task[None]] = set()
-
-    async def on_request(
-        self,
-        link: link.Link,
-        request: messages.Request,
-    ) -> messages.Reply:
-        """Answer a request by what it asks."""
-        if request.site is not None:
-            reply = await self._followers.answer(link, request.site)
-            return messages.Reply(site=reply)
-        if request.site_load is not None:
-            told = self._calls.answer(link.peer.address, request.site_load)
-            return messages.Reply(site_load=told)
-        # Any process with the shared secret can dial; only control hosts may
-        # vote or write to the log.
-        if link.peer.role != messages.Role.CONTROL:
-            raise errors.RequestUnsupported(f'not for role {link.peer.role}')
-        return await self._group.handle(request)
-
-    def on_lost(self, link: link.Link) -> None:
-        """Look after the leader if it was the one at the other end."""
-        if link.peer.role != messages.Role.CONTROL:
-            return
-        check = asyncio.create_task(self._group.check_leader(link.peer.node))
-        self._checks.add(check)
-        check.add_done_callback(self._checks.discard)
-
-
 class SiteHost:
     """Hold the parts of a control host's process."""
 
@@ -166,6 +124,9 @@
         self._group = self._build_group()
         self._book = book.Book(self._site.announce_seconds)
         self._api = api.SiteApi(self._group, self._machine, reader)
+        self._evacuation = evacuation.Evacuation(
+            self._group, self._machine, self._site.zones
+        )
         self._joining = joining.Joining(
             self._group, self._links, self._node, self._address, self._others
         )
@@ -194,7 +155,7 @@
         )
         self._listener = listener.Listener(
             self._place.options,
-            SiteHandler(
+            handler.SiteHandler(
                 self._group,
                 feeding.Feeding(
                     self._machine,
@@ -203,6 +164,7 @@
                     self._place.options.identity.incarnation,
                 ),
                 loads.Loads(self._place.options.identity.incarnation),
+                self._evacuation,
             ),
         )
 
@@ -214,7 +176,7 @@
             self._book.restore(said)
             self._known.learn_target(said)
         http = await self._door.open(
-            self._site.http_address, self._api, self._book
+            self._site.http_address, self._api, self._book, self._evacuation
         )
         await self._page.start(self._site.metrics_address)
         loop = asyncio.get_running_loop()
--- a/tamarackthread/control/site/maps/changing.py
+++ b/tamarackthread/control/site/maps/changing.py
@@ -121,7 +121,7 @@
     group: switching.Group,
 ) -> None:
     """Time steps anew: since a shift they may take three times as long."""
-    report = await asked.report(group.members[0])
+    report = await asked.report(group.busy[0])
     if report is None or report.epoch != group.epoch:
         return
     known.hear(report, asyncio.get_running_loop().time())
--- a/tamarackthread/control/site/maps/learning.py
+++ b/tamarackthread/control/site/maps/learning.py
@@ -52,7 +52,7 @@
     group: switching.Group,
 ) -> None:
     """Read the counts of some ranks into what is known of the demand."""
-    sample = group.members[: _sample_size(asked, known, group)]
+    sample = group.busy[: _sample_size(asked, known, group)]
     found = await asyncio.gather(
         *(asked.counts(member, len(known.placement)) for member in sample)
     )
--- a/tamarackthread/control/site/maps/ranks.py
+++ b/tamarackthread/control/site/maps/ranks.py
@@ -81,10 +81,15 @@
 
 @attrs.frozen
 class Rank:
-    """Be where a rank is reached, and which start of it is meant."""
+    """Be where a rank is reached, and which start of it is meant.
+
+    A rank whose zone is evacuated goes on in its group, which needs its experts,
+    but ``takes_calls`` no longer.
+    """
 
     target: str
     address: str
+    takes_calls: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/tamarackthread/control/site/maps/switching.py
+++ b/tamarackthread/control/site/maps/switching.py
@@ -68,6 +68,25 @@
     members: tuple[ranks.Rank, ...]
     reports: tuple[ranks.RankReport, ...]
 
+    @property
+    def busy(self) -> tuple[ranks.Rank, ...]:
+        """Return the ranks that take calls; all if none does.
+
+        Only these tell of the demand and of how many calls a rank has.
+        """
+        found = tuple(rank for rank in self.members if rank.takes_calls)
+        return found or self.members
+
+    @property
+    def busy_reports(self) -> tuple[ranks.RankReport, ...]:
+        """Return the reports of the ranks in ``busy``."""
+        chosen = frozenset(self.busy)
+        return tuple(
+            report
+            for rank, report in zip(self.members, self.reports, strict=True)
+            if rank in chosen
+        )
+
     @property
     def step(self) -> int:
         """Return the newest step that was reported."""
--- a/tamarackthread/control/site/maps/watched.py
+++ b/tamarackthread/control/site/maps/watched.py
@@ -85,8 +85,9 @@
         """Take a look's reports."""
         self.group = group
         self.highest = max(self.highest, group.newest_version)
-        self._time_step(group.epoch, group.reports[0].step, now)
-        self.calls = sum(map(_calls_of, group.reports)) / len(group.reports)
+        reports = group.busy_reports
+        self._time_step(group.epoch, reports[0].step, now)
+        self.calls = sum(map(_calls_of, reports)) / len(reports)
         self._note_pressure(self.calls, now)
 
     def hear(self, report: ranks.RankReport, now: float) -> None:
--- a/tamarackthread/control/site/roster.py
+++ b/tamarackthread/control/site/roster.py
@@ -14,8 +14,10 @@
     configuration,
     document,
     following,
+    zones,
 )
 
+_ALL_CHANGES = 1 << 62
 _log = logging.getLogger('tamarackthread.control')
 
 
@@ -43,6 +45,14 @@
         """Return the version that this host has applied."""
         return self._site.held.version
 
+    @property
+    def zone_changes(self) -> int:
+        """Return the most that any host can have: the own log brings them."""
+        return _ALL_CHANGES
+
+    def learn_zones(self, rows: list[zones.Zone]) -> None:
+        """Leave it: this host's own log brings it."""
+
     def learn_target(self, said: announcements.Announcement) -> None:
         """Take an announcement unless a later one is held."""
         held = self._said.get(said.target)
@@ -99,7 +109,11 @@
             if held is None or _is_likelier(said, held):
                 by_address[said.address] = said
         return [
-            ranks.Rank(there.target, there.address)
+            ranks.Rank(
+                there.target,
+                there.address,
+                not self._site.zones.is_evacuated(there.zone),
+            )
             for there in by_address.values()
         ]
 
--- a/tamarackthread/entry/direct/learned.py
+++ b/tamarackthread/entry/direct/learned.py
@@ -5,6 +5,7 @@
 import logging
 
 from tamarackthread.entry.direct import admitting, table, targets
+from tamarackthread.policy import cold
 from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import (
     announcements,
@@ -12,6 +13,7 @@
     document,
     figures,
     following,
+    zones,
 )
 
 _log = logging.getLogger('tamarackthread.entry')
@@ -26,8 +28,10 @@
         reader: configuration.Reader,
         tables: table.Holder,
         admission: admitting.Admission,
+        shares: cold.Shares,
     ) -> None:
-        """Put what is learned into ``known``, ``tables`` and ``admission``."""
+        """Put what is learned into the parts that need it."""
+        self._shares = shares
         self._admission = admission
         self._known = known
         self._reader = reader
@@ -39,6 +43,15 @@
         current = self._tables.current
         return 0 if current is None else current.version
 
+    @property
+    def zone_changes(self) -> int:
+        """Return how many changes of zones are held."""
+        return self._known.zones.changes
+
+    def learn_zones(self, rows: list[zones.Zone]) -> None:
+        """Obey what operators asked for zones."""
+        self._known.learn_zones(rows)
+
     def learn_target(self, said: announcements.Announcement) -> None:
         """Take an announcement."""
         self._known.take(said)
@@ -58,6 +71,7 @@
             return
         self._tables.put(table.Table(read))
         self._admission.learn(read)
+        self._shares.learn({one.name: one.cold_rate for one in read.services})
         figures.VERSION.set(held.version)
         log_events.tell(
             _log,
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -20,6 +20,7 @@
     targets,
 )
 from tamarackthread.generated import settings as generated
+from tamarackthread.policy import cold
 from tamarackthread.shared import log_events, peers, process
 from tamarackthread.shared.site import configuration, figures, following, places
 
@@ -47,8 +48,14 @@
             most_backoff=places.MOST_BACKOFF_SECONDS,
             dial_seconds=places.DIAL_SECONDS,
         )
+        shares = cold.Shares(
+            self._place.options.identity.address,
+            lambda: self._follower.entries,
+            self._site.cold_allowance,
+            self._site.cold_slack,
+        )
         self._targets = targets.Targets(
-            settings.node.zone, self._site.announce_seconds, generator
+            settings.node.zone, self._site.announce_seconds, generator, shares
         )
         self._ledger = ledger.Ledger()
         self._page = figures.Page()
@@ -59,7 +66,7 @@
         self._follower = following.Follower(
             self._site,
             self._links,
-            learned.Learned(self._targets, reader, tables, admission),
+            learned.Learned(self._targets, reader, tables, admission, shares),
         )
         self._sharing = sharing.Sharing(
             self._targets,
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -125,6 +125,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         target.own += 1
+        target.sent.note(began)
         progress.trying = target
         try:
             async with target.lifetime():
--- a/tamarackthread/entry/direct/starts.py
+++ b/tamarackthread/entry/direct/starts.py
@@ -9,6 +9,7 @@
 import attrs
 
 from tamarackthread.entry.direct import records
+from tamarackthread.policy import cold
 from tamarackthread.shared import errors
 from tamarackthread.shared.site import announcements
 
@@ -43,6 +44,8 @@
     pause: float = 0
     pace: float = 1
     record: records.Record = attrs.field(factory=records.Record)
+    sent: cold.Sent = attrs.field(factory=cold.Sent)
+    cold_until: float = 0
     _lifetimes: set[asyncio.Timeout] = attrs.field(factory=set)
 
     @property
@@ -69,6 +72,10 @@
         is_up = self.said.state == announcements.State.READY
         return is_up and self.paused_until <= now
 
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the target takes only so many calls a second."""
+        return now < max(self.cold_until, self.heard_at + self.said.cold)
+
     def failed(self, now: float) -> None:
         """Keep calls away for a while after one could not be delivered."""
         doubled = min(MOST_PAUSE_SECONDS, 2 * self.pause)
--- a/tamarackthread/entry/direct/target_lines.py
+++ b/tamarackthread/entry/direct/target_lines.py
@@ -7,7 +7,7 @@
 import logging
 
 from tamarackthread.shared import log_events
-from tamarackthread.shared.site import announcements
+from tamarackthread.shared.site import announcements, figures, zones
 
 State = announcements.State
 _log = logging.getLogger('tamarackthread.entry')
@@ -51,6 +51,20 @@
     )
 
 
+def tell_zones(held: zones.Zones) -> None:
+    """Log which zones get no work, and count them."""
+    evacuated = [row.name for row in held.rows if row.is_evacuated]
+    figures.ZONES_EVACUATED.set(len(evacuated))
+    log_events.tell(
+        _log,
+        log_events.Event.ZONE,
+        'entry: evacuated zones are now: %s',
+        ', '.join(evacuated) or 'none',
+        zones=evacuated,
+        changes=held.changes,
+    )
+
+
 def tell(said: announcements.Announcement) -> None:
     """Log the state of a target."""
     log_events.tell(
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -10,9 +10,14 @@
 
 import attrs
 
-from tamarackthread.entry.direct import records, starts, target_lines
-from tamarackthread.policy import crowding
-from tamarackthread.shared.site import announcements, figures
+from tamarackthread.entry.direct import (
+    choosing,
+    records,
+    starts,
+    target_lines,
+)
+from tamarackthread.policy import cold, crowding
+from tamarackthread.shared.site import announcements, figures, zones
 
 State = announcements.State
 
@@ -25,22 +30,13 @@
 # with it, and together they fill the few that are known by then: of seven, each
 # may have one call at a target with six places.
 WARM_CALLS = 1
-# Targets that are drawn for a call, of which the least loaded gets it.  What
-# other entries have sent since the last exchange is not known: if all of them
-# went for the least loaded of all, that one would get all of it.  With 129 ranks
-# and 39 entries, at 1.15 of the load that they serve with ease, 0.94 and 0.93 of
-# the streams are in time with 3 and 4, 0.90 with 2 and 0.75 with all; by their
-# own calls alone 0.71.
-COMPARED = 4
 # A call waits for a calmer target for so long at most: half of a beat brings
 # some, and most aims are twice this.
 CALM_SECONDS = 0.2
-# A rank that takes so many times its usual time slows its whole group; the usual
-# spread of ranks is under 1.2.
-SLOW_PACE = 1.5
-# Below this share of swift ranks, the others have not the places for all calls.
-SWIFT_SHARE = 0.5
 SWEEP_SECONDS = 0.5
+# The targets of a zone that is taken back are taken for cold for so long, whatever
+# they last said: one may have turned cold after its last announcement.
+RESTORED_SECONDS = 10.0
 
 
 class Targets:
@@ -51,16 +47,19 @@
         zone: str,
         beat_seconds: float,
         generator: random.Random,
+        shares: cold.Shares | None = None,
     ) -> None:
         """Start without targets; ``zone`` is this entry's own.
 
+        ``shares`` bounds what is sent to cold targets; without it nothing does.
         Must be called from within a running loop.
         """
-        self._zone = zone
+        self._chooser = choosing.Chooser(zone, generator)
+        self._shares = shares
+        self._zones = zones.Zones()
         self._beat = beat_seconds
         self._unheard = beat_seconds * BEATS_UNHEARD
         self._started_at = asyncio.get_running_loop().time()
-        self._random = generator
         self._arrived = asyncio.Event()
         self._knows_others = False
         self._untold: list[announcements.Announcement] = []
@@ -92,6 +91,26 @@
             said = attrs.evolve(held.said, state=State.GONE)
         held.said = said
 
+    @property
+    def zones(self) -> zones.Zones:
+        """Return which zones are evacuated."""
+        return self._zones
+
+    def learn_zones(self, rows: list[zones.Zone]) -> None:
+        """Send nothing to evacuated zones, and work again to those restored."""
+        before = self._zones.changes
+        restored = set()
+        for row in rows:
+            was = self._zones.is_evacuated(row.name)
+            if self._zones.learn(row) and was and not row.is_evacuated:
+                restored.add(row.name)
+        warm_at = asyncio.get_running_loop().time() + RESTORED_SECONDS
+        for target in self._by_name.values():
+            if target.said.zone in restored:
+                target.cold_until = warm_at
+        if self._zones.changes > before:
+            target_lines.tell_zones(self._zones)
+
     def slow(self, source: str, paces: dict[str, float]) -> None:
         """Take the slow targets that one control host knows of.
 
@@ -141,7 +160,11 @@
         """
         now = asyncio.get_running_loop().time()
         found = self.of_service(service)
-        ready = [target for target in found if target.is_ready(now)]
+        ready = [
+            target
+            for target in found
+            if target.is_ready(now) and not self._is_evacuated(target)
+        ]
         own = sum(target.own for target in found)
         others = own * max(0, entries - 1)
         if self._knows_others:
@@ -174,23 +197,14 @@
         service: str,
         tried: collections.abc.Collection[str],
     ) -> starts.Start | None:
-        """Choose the least loaded target, in the own zone among equals.
-
-        Without one that is surely up, one that has fallen silent or refused
-        a connection may still answer, and a try costs the caller less than a
-        refusal.
-        """
+        """Choose a target for a call, ``None`` if none may get it."""
         now = asyncio.get_running_loop().time()
         usable = [
             target
             for target in self.of_service(service)
-            if target.name not in tried and not target.said.is_leaving
+            if target.name not in tried and self._may_take(target, now)
         ]
-        ready = [target for target in usable if target.is_ready(now)]
-        if ready:
-            sound = [one for one in ready if not one.record.is_out(now)]
-            return min(self._compared(_swift(sound or ready)), key=self._rank)
-        return min(usable, key=_paused_until, default=None)
+        return self._chooser.best(usable, now)
 
     async def run(self) -> None:
         """Sweep for ever."""
@@ -248,6 +262,17 @@
             target_lines.tell(target.said)
         self._count()
 
+    def _may_take(self, target: starts.Start, now: float) -> bool:
+        if target.said.is_leaving or self._is_evacuated(target):
+            return False
+        if self._shares is None or not target.is_cold(now):
+            return True
+        most = self._shares.calls(target.said.service, target.name)
+        return most is None or target.sent.lately(now) < most
+
+    def _is_evacuated(self, target: starts.Start) -> bool:
+        return self._zones.is_evacuated(target.said.zone)
+
     def _judge(self) -> None:
         """Leave out targets that fail what others of their service answer."""
         now = asyncio.get_running_loop().time()
@@ -299,27 +324,3 @@
     def _forget(self, name: str) -> None:
         gone = self._by_name.pop(name)
         self._by_service[gone.said.service].pop(name, None)
-
-    def _compared(self, usable: list[starts.Start]) -> list[starts.Start]:
-        """Draw the targets of which the least loaded gets the call."""
-        if len(usable) <= COMPARED:
-            return usable
-        return self._random.sample(usable, COMPARED)
-
-    def _rank(self, target: starts.Start) -> tuple[float, bool, float]:
-        is_far = target.said.zone != self._zone
-        return target.load, is_far, self._random.random()
-
-
-def _swift(ready: list[starts.Start]) -> list[starts.Start]:
-    """Leave slow ranks out, unless they are too many.
-
-    Ranks advance together, so one call at a slow rank slows the calls of all
-    ranks, while a rank without calls holds up nobody by its own work.
-    """
-    found = [target for target in ready if target.pace < SLOW_PACE]
-    return found if len(found) >= SWIFT_SHARE * len(ready) else ready
-
-
-def _paused_until(target: starts.Start) -> float:
-    return target.paused_until
--- a/tamarackthread/platform/configuration.py
+++ b/tamarackthread/platform/configuration.py
@@ -110,6 +110,7 @@
         name=_text(row['name']),
         experts=_experts(engine),
         passes=_passes(engine),
+        cold_rate=float(row.get('cold-per-s') or 0),
     )
 
 
--- a/tamarackthread/platform/door.py
+++ b/tamarackthread/platform/door.py
@@ -6,7 +6,13 @@
 
 from aiohttp import web
 
-from tamarackthread.control.site import answering, api, book, host
+from tamarackthread.control.site import (
+    answering,
+    api,
+    book,
+    evacuation,
+    host,
+)
 from tamarackthread.platform import wire
 from tamarackthread.shared import fields
 from tamarackthread.shared.site import announcements
@@ -32,11 +38,14 @@
         address: str,
         site: api.SiteApi,
         targets: book.Book,
+        zones: evacuation.Evacuation,
     ) -> str:
         """Serve at HOST:PORT and return the address in use."""
         app = web.Application(client_max_size=BODY_BYTES)
         app.router.add_post(wire.REPLACE, answering.coded(_replace, site))
         app.router.add_get(wire.READ, answering.coded(_read, site))
+        app.router.add_post(wire.EVACUATE, answering.coded(_evacuate, zones))
+        app.router.add_post(wire.RESTORE, answering.coded(_restore, zones))
         app.router.add_post(wire.ANNOUNCE, answering.coded(_announce, targets))
         app.router.add_post(wire.FAREWELL, answering.coded(_farewell, targets))
         self._runner = web.AppRunner(
@@ -68,6 +77,30 @@
     return web.Response(body=held.body, content_type='application/json')
 
 
+async def _evacuate(
+    zones: evacuation.Evacuation,
+    request: web.Request,
+) -> web.StreamResponse:
+    await zones.ask(
+        request.match_info['zone'], _operator(request), is_evacuated=True
+    )
+    return web.json_response({})
+
+
+async def _restore(
+    zones: evacuation.Evacuation,
+    request: web.Request,
+) -> web.StreamResponse:
+    await zones.ask(
+        request.match_info['zone'], _operator(request), is_evacuated=False
+    )
+    return web.json_response({})
+
+
+def _operator(request: web.Request) -> str:
+    return f'an operator at {request.remote}'
+
+
 async def _announce(
     targets: book.Book,
     request: web.Request,
--- a/tamarackthread/platform/wire.py
+++ b/tamarackthread/platform/wire.py
@@ -10,6 +10,8 @@
 FAREWELL = '/tamarackthread/replicas/{target}/deregister'
 REPLACE = '/tamarackthread/configuration/replace'
 READ = '/tamarackthread/configuration/read'
+EVACUATE = '/tamarackthread/evacuation/{zone}/start'
+RESTORE = '/tamarackthread/evacuation/{zone}/finish'
 
 # One client attempt: a caller that repeats itself sends another.
 CALL_ID = 'Attempt-Id'
--- a/tamarackthread/shared/log_events.py
+++ b/tamarackthread/shared/log_events.py
@@ -27,6 +27,7 @@
     DEPENDENCY = 'dependency'
     LEADER = 'leader'
     MEMBERS = 'members'
+    ZONE = 'zone'
     MAP = 'map'
     PLAN = 'plan'
     HELD = 'held'
--- a/tamarackthread/shared/site/configuration.py
+++ b/tamarackthread/shared/site/configuration.py
@@ -93,13 +93,15 @@
     ``experts`` is there where its targets are ranks of groups, and ``passes``
     where they say how long they take.  ``gap`` is the longest pause in seconds
     that the callers of any of its streams take without harm, 0 where none says
-    so.
+    so.  ``cold_rate`` is how many calls a second one of its targets takes from
+    all entries together while it is cold, 0 without a limit.
     """
 
     name: str
     experts: Experts | None = None
     passes: Passes | None = None
     gap: float = 0
+    cold_rate: float = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/tamarackthread/shared/site/figures.py
+++ b/tamarackthread/shared/site/figures.py
@@ -71,6 +71,11 @@
     ('service', 'state'),
     registry=_registry,
 )
+ZONES_EVACUATED = prometheus_client.Gauge(
+    'tamarackthread_zones_evacuated',
+    'Availability zones whose targets get no work from here.',
+    registry=_registry,
+)
 ANNOUNCEMENTS_REFUSED = prometheus_client.Counter(
     'tamarackthread_announcements_refused',
     'Words to this control host that no target writes.',
--- a/tamarackthread/shared/site/following.py
+++ b/tamarackthread/shared/site/following.py
@@ -12,7 +12,12 @@
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, log_events, peers
-from tamarackthread.shared.site import announcements, document, places
+from tamarackthread.shared.site import (
+    announcements,
+    document,
+    places,
+    zones,
+)
 
 WAIT_MS = 2000
 PERCENT = 100
@@ -43,6 +48,15 @@
     def version(self) -> int:
         """Return the version that is held, 0 before the first."""
 
+    @property
+    @abc.abstractmethod
+    def zone_changes(self) -> int:
+        """Return how many changes of zones are held."""
+
+    @abc.abstractmethod
+    def learn_zones(self, rows: list[zones.Zone]) -> None:
+        """Take the zones that a control host knows of, some of them newer."""
+
     @abc.abstractmethod
     def learn_target(self, said: announcements.Announcement) -> None:
         """Take an announcement, which may be older than one that is held."""
@@ -153,6 +167,7 @@
             epoch=source.epoch,
             serial=source.serial,
             wait_ms=WAIT_MS,
+            zone_changes=self._pupil.zone_changes,
         )
         async with asyncio.timeout(ANSWER_SECONDS):
             reply = await self._links.request(
@@ -176,6 +191,9 @@
             address,
             {slow.id: slow.percent / PERCENT for slow in reply.paces},
         )
+        # Before the first configuration, with which work begins.
+        if reply.zones is not None:
+            self._pupil.learn_zones(zones.of_messages(reply.zones))
         is_newer = reply.version > self._pupil.version
         # A host that was cut off may tell of an older configuration.
         if reply.document is not None and is_newer:
--- a/tests/test_target_starts.py
+++ b/tests/test_target_starts.py
@@ -341,7 +341,7 @@
         self.targets = book.Book(BEAT)
         self.door = door.PlatformDoor()
         self.address = await self.door.open(
-            '127.0.0.1:0', _NoApi(), self.targets
+            '127.0.0.1:0', _NoApi(), self.targets, _NoApi()
         )
         self.session = aiohttp.ClientSession()
 
