Own the maps of all groups side by side, in the time that copies take

Cause: the owner mended one group after another (31 switches for 48 shifts of three groups), and an expert that takes 76 ms to copy made a map of five to eight copies a rank come into force when its demand was nearly over.

A task for each group beside the one that looks at all; a group that is held, broken or silent delays no other. Where the copies of a map take long, it is planned under one bound on copies after another, and the one is taken by which callers lose least until demand is expected to change, which follows from the shifts seen. No such map is made from a reading of two demands.

--- a/tamarackthread/control/site/maps/deciding.py
+++ b/tamarackthread/control/site/maps/deciding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 
 from tamarackthread.control.site.maps import (
@@ -10,7 +11,7 @@
     switching,
     watched,
 )
-from tamarackthread.policy import evening
+from tamarackthread.policy import evening, staging
 from tamarackthread.shared import log_events, offload
 from tamarackthread.shared.site import figures
 
@@ -46,6 +47,10 @@
         """Return a better map, ``None`` where none pays."""
         if not known.demand.is_settled:
             return None
+        # Made from choices of two demands, a map whose copies take long keeps the
+        # group from the one that it needs until that is nearly over.
+        if known.has_long_copies and known.demand.is_mixed:
+            return None
         tokens = known.demand.tokens
         paces = [report.pace for report in group.reports]
         now = planning.skew(known.placement, tokens, paces)
@@ -54,6 +59,7 @@
             return None
         wanted, planned = await self._even(known, tokens, paces, now)
         copies = planning.copies(known.placement, wanted)
+        most = planning.most_copies(known.placement, wanted)
         log_events.tell(
             _log,
             log_events.Event.PLAN,
@@ -66,6 +72,7 @@
             skew=round(now, 2),
             planned=round(planned, 2),
             copies=copies,
+            most_copies=most,
             step_ms=round(known.step_seconds * MILLISECONDS),
         )
         saved = known.step_seconds * (1 - planned / now)
@@ -86,6 +93,8 @@
         Past the capacity steps are long with any map, and the last tenth of
         evenness is felt by every caller; else half of the copies are enough.
         """
+        if known.has_long_copies:
+            return await self._stage(known, tokens, paces)
         for least in (evening.COARSE_STEP, evening.FINE_STEP):
             bounds = evening.Bounds(
                 known.shape.places, known.shape.spare, least
@@ -98,3 +107,21 @@
             if is_short and not known.is_full:
                 break
         return wanted, planned
+
+    async def _stage(
+        self,
+        known: watched.Watched,
+        tokens: planning.Tokens,
+        paces: planning.Paces,
+    ) -> tuple[ranks.GroupMap, float]:
+        """Plan a map whose copies take less time than it saves."""
+        bounds = evening.Bounds(known.shape.places, known.shape.spare)
+        wanted = await self._work.run(
+            staging.plan,
+            known.placement,
+            tokens,
+            bounds,
+            paces,
+            known.cost(asyncio.get_running_loop().time()),
+        )
+        return wanted, planning.skew(wanted, tokens, paces)
--- a/tamarackthread/control/site/maps/demand.py
+++ b/tamarackthread/control/site/maps/demand.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import math
+import statistics
 
 from tamarackthread.control.site.maps import ranks
 
@@ -16,6 +18,13 @@
 # waited for where the first may be one of the rare ones.
 ALIKE = 0.86
 SHIFTED = 0.78
+# Before two shifts were seen, demand is taken to stay for so long; of those that
+# were seen the middle one of some counts.
+ASSUMED_SECONDS = 4.0
+REMEMBERED = 5
+# Demand that has stayed for longer than it mostly does may change at any time; it
+# is planned for so much of that time again.
+OVERDUE_SHARE = 0.5
 _Tokens = list[list[float]]
 
 
@@ -33,6 +42,23 @@
         self._tokens: _Tokens = []
         self._odd: _Tokens = []
         self._is_mixed = False
+        self._shifted_at: float | None = None
+        self._spans: collections.deque[float] = collections.deque(
+            maxlen=REMEMBERED
+        )
+
+    @property
+    def is_mixed(self) -> bool:
+        """Tell whether the choices are in part of before the last shift."""
+        return self._is_mixed
+
+    def lasts(self, now: float) -> float:
+        """Return for how many seconds demand is expected to stay as it is."""
+        usual = ASSUMED_SECONDS
+        if self._spans:
+            usual = statistics.median(self._spans)
+        age = 0 if self._shifted_at is None else now - self._shifted_at
+        return max(usual - age, usual * OVERDUE_SHARE)
 
     @property
     def tokens(self) -> _Tokens:
@@ -47,6 +73,7 @@
     def take(
         self,
         found: collections.abc.Mapping[str, ranks.Counts],
+        now: float,
     ) -> None:
         """Take readings by target.
 
@@ -59,9 +86,9 @@
                 _add(fresh, _difference(before.by_set, counts.by_set))
         self._seen = dict(found)
         if any(map(any, fresh)):
-            self._mix(fresh)
+            self._mix(fresh, now)
 
-    def _mix(self, fresh: _Tokens) -> None:
+    def _mix(self, fresh: _Tokens, now: float) -> None:
         # The first reading after a shift holds choices from before it as well.
         # It is good enough for a first map; kept beside later ones it would
         # make the second map uneven too, and a third one would follow.
@@ -76,11 +103,18 @@
             return
         if alike < SHIFTED or likeness(self._odd, fresh) >= ALIKE:
             self._is_mixed = bool(self._tokens)
+            if self._is_mixed:
+                self._note_shift(now)
             self._tokens = fresh
             self._odd = []
             return
         self._odd = fresh
 
+    def _note_shift(self, now: float) -> None:
+        if self._shifted_at is not None:
+            self._spans.append(now - self._shifted_at)
+        self._shifted_at = now
+
 
 def likeness(before: _Tokens, after: _Tokens) -> float:
     """Return the mean cosine over the sets; 0 without any before."""
--- a/tamarackthread/control/site/maps/duty.py
+++ b/tamarackthread/control/site/maps/duty.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import logging
 
 from tamarackthread.control import consensus
@@ -16,6 +17,8 @@
 # control hosts lose each other for some seconds; one that has been alone for
 # longer knows too little of who the targets are.
 ALONE_SECONDS = 10.0
+# Names the look among what is under way; no group has an empty name.
+_LOOK = ''
 _log = logging.getLogger('tamarackthread.control')
 
 
@@ -30,6 +33,10 @@
     ``goes_on`` the last leader owns the maps until another leads.  Else a split
     of the control hosts leaves every group with the map of a demand that is
     over within seconds, and all its callers wait.
+
+    Each group has a task of its own, beside the one that looks at all.  The
+    failure: a rank of one group is silent, and while its owner waits for the
+    answer all other groups keep the map of a demand that is over.
     """
 
     def __init__(
@@ -49,22 +56,29 @@
         self._goes_on = goes_on
         self._term = 0
         self._led_at = -ALONE_SECONDS
+        self._looked_at = -ALONE_SECONDS
+        self._under_way: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
-        """Look for ever, as owner."""
-        while True:
-            if not self._owns():
-                await asyncio.sleep(LEAD_LOOK_SECONDS)
-                continue
-            await self._look()
-            await self._read()
+        """Begin what is due for ever, as owner."""
+        try:
+            while True:
+                if not self._owns():
+                    await asyncio.sleep(LEAD_LOOK_SECONDS)
+                    continue
+                self._begin_due()
+                await asyncio.sleep(self._maps.read_seconds)
+        finally:
+            self._cancel()
 
     def _owns(self) -> bool:
         now = asyncio.get_running_loop().time()
         if self._group.has_lease():
             if self._term != self._group.term:
                 self._term = self._group.term
+                self._cancel()
                 self._maps.begin()
+                self._looked_at = -ALONE_SECONDS
             self._led_at = now
             return True
         # A later term was voted for: its leader has the higher fence.
@@ -72,21 +86,49 @@
         is_recent = now - self._led_at < ALONE_SECONDS
         return is_last and is_recent and not self._maps.is_outdated
 
+    def _begin_due(self) -> None:
+        """Begin a look if it is due, and work at each group that has none."""
+        for name, task in tuple(self._under_way.items()):
+            if task.done():
+                self._under_way.pop(name)
+                _tell_failure(name, task)
+        now = asyncio.get_running_loop().time()
+        is_due = now - self._looked_at >= self._maps.look_seconds
+        if is_due and _LOOK not in self._under_way:
+            self._looked_at = now
+            self._begin(_LOOK, self._look())
+        for name in self._maps.idle:
+            self._begin(name, self._maps.work(name, self._term))
+
+    def _begin(
+        self,
+        name: str,
+        work: collections.abc.Coroutine[None, None, None],
+    ) -> None:
+        self._under_way[name] = asyncio.get_running_loop().create_task(work)
+
+    def _cancel(self) -> None:
+        for task in self._under_way.values():
+            task.cancel()
+        self._under_way = {}
+
     async def _look(self) -> None:
         for said in self._targets.after(0):
             self._known.learn_target(said)
-        try:
-            await self._maps.look(self._known.services(), self._term)
-        except errors.CodedError as exc:
-            _log.error('control: look at maps failed, %s', exc)
-
-    async def _read(self) -> None:
-        """Read counts until the next look is due."""
-        loop = asyncio.get_running_loop()
-        until = loop.time() + self._maps.look_seconds
-        while loop.time() < until and self._owns():
-            await asyncio.sleep(self._maps.read_seconds)
-            try:
-                await self._maps.read(self._term)
-            except errors.CodedError as exc:
-                _log.error('control: reading of counts failed, %s', exc)
+        await self._maps.find(self._known.services())
+
+
+def _tell_failure(name: str, task: asyncio.Task[None]) -> None:
+    """Log what has ended a task; raise a fault of the program."""
+    if task.cancelled():
+        return
+    failure = task.exception()
+    if failure is None:
+        return
+    if not isinstance(failure, errors.CodedError):
+        raise failure
+    _log.error(
+        'control: %s failed, %s',
+        f'work at group {name}' if name else 'look at maps',
+        failure,
+    )
--- a/tamarackthread/control/site/maps/learning.py
+++ b/tamarackthread/control/site/maps/learning.py
@@ -61,7 +61,8 @@
             member.target: counts
             for member, counts in zip(sample, found, strict=True)
             if counts is not None
-        }
+        },
+        asyncio.get_running_loop().time(),
     )
 
 
--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -48,7 +48,11 @@
 
 
 class Owner:
-    """Look at each group in turn and switch its map where that pays."""
+    """Look at all groups and switch the map of each where that pays.
+
+    Nothing that is done for one group waits for another: each may have one piece
+    of ``work`` under way.
+    """
 
     def __init__(
         self,
@@ -70,6 +74,7 @@
         self._is_outdated = False
         self._has_released = False
         self._is_missing = False
+        self._busy: set[str] = set()
         self._began_at = -math.inf
 
     @property
@@ -104,18 +109,40 @@
         return self._is_outdated
 
     def begin(self) -> None:
-        """Forget what an earlier time as owner has left."""
+        """Forget what an earlier time as owner has left.
+
+        What it had under way must have ended.
+        """
         self._watched = {}
+        self._busy = set()
         self._taken_back = 0
         self._is_outdated = False
         self._began_at = asyncio.get_running_loop().time()
 
+    @property
+    def idle(self) -> list[str]:
+        """List the groups that have no work under way."""
+        return [name for name in self._watched if name not in self._busy]
+
     async def look(
         self,
         services: collections.abc.Iterable[configuration.Service],
         term: int,
     ) -> None:
-        """Ask all ranks of the services for reports, as owner of a term."""
+        """Look at the services' groups and let go those that are held."""
+        await self.find(services)
+        held = [name for name in self.idle if self._watched[name].held]
+        await asyncio.gather(*(self.work(name, term) for name in held))
+
+    async def read(self, term: int) -> None:
+        """Do what is due for each group, side by side."""
+        await asyncio.gather(*(self.work(name, term) for name in self.idle))
+
+    async def find(
+        self,
+        services: collections.abc.Iterable[configuration.Service],
+    ) -> None:
+        """Ask all ranks of the services for reports."""
         self._has_released = False
         self._is_missing = False
         for service in services:
@@ -125,16 +152,31 @@
             self._is_missing |= not found
             for group in found:
                 known = self._know(service, group)
+                known.held = None
                 if group.held is None:
                     _see(known, group)
-                else:
-                    await self._release(known, group, term)
+                elif group.name not in self._busy:
+                    known.held = group
 
-    async def read(self, term: int) -> None:
-        """Read the counts of pressed groups; switch maps where that pays."""
-        for known in tuple(self._watched.values()):
-            if known.group is not None and await self._presses(known):
+    async def work(self, name: str, term: int) -> None:
+        """Do what is due for one group, as owner of a term.
+
+        A group that is held is let go.  Else the counts of a pressed one are
+        read, and its map is switched where that pays.
+        """
+        known = self._watched.get(name)
+        if known is None or name in self._busy:
+            return
+        # Work of an earlier term ends only after the next one has begun.
+        busy = self._busy
+        busy.add(name)
+        try:
+            if known.held is not None:
+                await self._release(known, known.held, term)
+            elif known.group is not None and await self._presses(known):
                 await self._read_group(known, known.group, term)
+        finally:
+            busy.discard(name)
 
     async def _read_group(
         self,
@@ -200,6 +242,7 @@
         term: int,
     ) -> None:
         loop = asyncio.get_running_loop()
+        known.held = None
         step = group.held
         if step is None or known.has_let_go(step, loop.time()):
             return
--- a/tamarackthread/control/site/maps/watched.py
+++ b/tamarackthread/control/site/maps/watched.py
@@ -5,6 +5,7 @@
 import attrs
 
 from tamarackthread.control.site.maps import demand, ranks, switching
+from tamarackthread.policy import staging
 from tamarackthread.shared.site import configuration
 
 # A step that is shorter than this delays nobody, however uneven its ranks are:
@@ -40,6 +41,11 @@
 # time is bounded.
 REST_SECONDS = 5.0
 MOST_COPY_SLACK = 4 * COPY_SLACK
+# Where copies of one expert in each set take longer than this, a map is planned by
+# what they cost in time: it is a tenth of how long demand mostly stays as it is.
+LONG_COPIES_SECONDS = 0.25
+# From a plan to the step of its switch, without the copies.
+SWITCH_SECONDS = 0.3
 # A report tells of some hundred milliseconds ago.
 REPORT_SECONDS = 0.2
 LATE_REPORT_SECONDS = 1.0
@@ -54,7 +60,8 @@
 
     ``placement`` is the map of ``version`` in ``epoch``.  ``highest`` is the
     highest version that this owner gave out, whether or not it came into
-    force.  ``group`` is ``None`` while not all ranks report alike.  ``gap`` is
+    force.  ``group`` is ``None`` while not all ranks report alike, and ``held`` is
+    the group as it was found held and not yet let go, if so.  ``gap`` is
     the pause in seconds that callers take without harm, 0 without a bound,
     ``least_step`` what a step takes without calls, 0 where nobody says so, and
     ``calls`` how many a rank had at the last look, running or waiting.
@@ -64,6 +71,7 @@
     gap: float = 0
     least_step: float = 0
     group: switching.Group | None = None
+    held: switching.Group | None = None
     epoch: int = -1
     version: int = -1
     placement: ranks.GroupMap = ()
@@ -101,6 +109,20 @@
         places = self.shape.slots
         return bool(places) and self.calls >= FULL_SHARE * places
 
+    @property
+    def has_long_copies(self) -> bool:
+        """Tell whether a map's copies take a good part of its demand's time."""
+        seconds = self.shape.sets * self.shape.copy_seconds
+        return seconds > LONG_COPIES_SECONDS
+
+    def cost(self, now: float) -> staging.Cost:
+        """Say what a map that is planned now costs in time."""
+        return staging.Cost(
+            copy_seconds=self.shape.copy_seconds * self.copy_slack,
+            switch_seconds=SWITCH_SECONDS,
+            lasts_seconds=self.demand.lasts(now),
+        )
+
     def readable(self, rest_seconds: float) -> int | None:
         """Return how many ranks may be read at once, ``None`` for all.
 
--- a/tamarackthread/policy/evening.py
+++ b/tamarackthread/policy/evening.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import abc
 import collections.abc
 
 import attrs
@@ -56,7 +57,19 @@
     dropped: int | None
 
 
-class _Plan:
+class Copies(abc.ABC):
+    """Bound the copies of ranks over several sets."""
+
+    @abc.abstractmethod
+    def has_room(self, rank: int) -> bool:
+        """Tell whether a rank may copy one expert more."""
+
+    @abc.abstractmethod
+    def change(self, rank: int, change: int) -> None:
+        """Count copies that a rank has more, or less."""
+
+
+class Plan:
     """Be a set's map while it is changed."""
 
     def __init__(
@@ -64,9 +77,13 @@
         current: SetMap,
         tokens: collections.abc.Sequence[float],
         bounds: Bounds,
-        paces: collections.abc.Sequence[float],
+        paces: collections.abc.Sequence[float] = (),
+        copies: Copies | None = None,
     ) -> None:
+        """Begin with ``current``; what ranks copy is within ``copies`` too."""
+        self._copies = copies
         self._tokens = tokens
+        self._least = bounds.least_step * sum(tokens) / max(1, len(current))
         self._paces = paces or tuple(1 for _ in current)
         self._bounds = bounds
         self._before = [frozenset(held) for held in current]
@@ -87,7 +104,13 @@
         """Return the time that each rank takes, in tokens of a usual rank."""
         return self._loads
 
-    def improve(self, least: float) -> bool:
+    @property
+    def skew(self) -> float:
+        """Return the time of the busiest rank over that of even usual ranks."""
+        total = sum(self._tokens)
+        return max(self._loads) * len(self._loads) / total if total else 1
+
+    def improve(self) -> bool:
         """Take the best step; return whether one took off enough.
 
         A step is judged by the ranks that it changes.  With many ranks
@@ -101,7 +124,7 @@
         for step in self._steps(busiest):
             peak = max(self._changed_by(step).values())
             if step.expert is not None:
-                peak += least
+                peak += self._least
             if peak < best_peak:
                 best = step
                 best_peak = peak
@@ -130,8 +153,13 @@
                     yield _Step(taker, expert, dropped)
 
     def _takes_more(self, rank: int) -> bool:
-        fresh = self._held[rank] - self._before[rank]
-        return len(fresh) < self._bounds.spare
+        if self._copies is not None and not self._copies.has_room(rank):
+            return False
+        return self._fresh(rank) < self._bounds.spare
+
+    def _fresh(self, rank: int) -> int:
+        """Count the experts that are new to a rank."""
+        return len(self._held[rank] - self._before[rank])
 
     def _droppable(self, rank: int) -> list[int] | list[None]:
         """List what may make room: nothing, or experts held elsewhere too."""
@@ -175,6 +203,7 @@
         changed[rank] = held + moved * self._paces[rank]
 
     def _take(self, step: _Step) -> None:
+        fresh = self._fresh(step.taker)
         for rank, load in self._changed_by(step).items():
             self._loads[rank] = load
         if step.dropped is not None:
@@ -183,6 +212,9 @@
         if step.expert is not None:
             self._held[step.taker].add(step.expert)
             self._owners[step.expert].add(step.taker)
+        if self._copies is not None:
+            change = self._fresh(step.taker) - fresh
+            self._copies.change(step.taker, change)
 
 
 def skew(
@@ -195,11 +227,7 @@
     ``paces`` are how much longer than usual each rank takes; 1 without any
     tokens.
     """
-    total = sum(tokens)
-    if not total:
-        return 1
-    loads = _Plan(current, tokens, Bounds(0, 0), paces).loads
-    return max(loads) * len(loads) / total
+    return Plan(current, tokens, Bounds(0, 0), paces).skew
 
 
 def even(
@@ -214,13 +242,12 @@
     least, no rank holds more than ``places`` or gets more than ``spare`` new.  A rank
     that takes longer than usual, by ``paces``, is left less to do.
     """
-    plan = _Plan(current, tokens, bounds, paces)
-    least = bounds.least_step * sum(tokens) / max(1, len(current))
-    if not least:
+    plan = Plan(current, tokens, bounds, paces)
+    if not bounds.least_step * sum(tokens):
         return plan.result
     is_better = True
     while is_better:
-        is_better = plan.improve(least)
+        is_better = plan.improve()
     return plan.result
 
 
--- a/tests/test_large_maps.py
+++ b/tests/test_large_maps.py
@@ -107,7 +107,7 @@
             known.placement = (((0,), (1,), (2,), (3,)),)
             for count in (0, 1, 2):
                 row = tuple(count * choices for choices in (90, 10, 12, 8))
-                known.demand.take({'t0': ranks.Counts(1, (row,))})
+                known.demand.take({'t0': ranks.Counts(1, (row,))}, 0)
             known.step_seconds = 0.02
         found = await decider.plan(full, group)
         self.assertGreater(_copies(found), 1)
--- a/tests/test_new_owner.py
+++ b/tests/test_new_owner.py
@@ -222,4 +222,4 @@
 def _read(held, total, chosen):
     for expert, count in enumerate(chosen):
         total[expert] += count
-    held.take({'t': ranks.Counts(1, (tuple(total),))})
+    held.take({'t': ranks.Counts(1, (tuple(total),))}, 0)
--- a/tests/test_site_maps.py
+++ b/tests/test_site_maps.py
@@ -667,11 +667,11 @@
         """Have one rank choose its experts so many times more."""
         for expert, count in enumerate(more):
             self._sums[expert] += count
-        self.known.take({'t': ranks.Counts(2, (tuple(self._sums),))})
+        self.known.take({'t': ranks.Counts(2, (tuple(self._sums),))}, 0)
 
     def test_restart_is_no_demand(self):
         """Counts that began anew with an epoch are not taken for choices."""
-        self.known.take({'t': ranks.Counts(1, ((900, 900, 9),))})
+        self.known.take({'t': ranks.Counts(1, ((900, 900, 9),))}, 0)
         self.choose(5, 0, 0)
         self.assertEqual([], self.known.tokens)
         for _ in range(2):
@@ -717,6 +717,6 @@
         for _ in range(3):
             self.choose(10, 0, 0)
         before = [list(row) for row in self.known.tokens]
-        self.known.take({'u': ranks.Counts(2, ((0, 0, 900),))})
-        self.known.take({'t': ranks.Counts(2, ((900, 0, 0),))})
+        self.known.take({'u': ranks.Counts(2, ((0, 0, 900),))}, 0)
+        self.known.take({'t': ranks.Counts(2, ((900, 0, 0),))}, 0)
         self.assertEqual(before, self.known.tokens)
--- a/tests/test_target_starts.py
+++ b/tests/test_target_starts.py
@@ -164,10 +164,10 @@
         Their difference to those of the earlier start is nobody's demand.
         """
         known = demand.Demand()
-        known.take({'t1': ranks.Counts(1, ((0, 9),), BORN)})
-        known.take({'t1': ranks.Counts(1, ((50, 10),), LATER)})
+        known.take({'t1': ranks.Counts(1, ((0, 9),), BORN)}, 0)
+        known.take({'t1': ranks.Counts(1, ((50, 10),), LATER)}, 0)
         self.assertEqual([], known.tokens)
-        known.take({'t1': ranks.Counts(1, ((51, 10),), LATER)})
+        known.take({'t1': ranks.Counts(1, ((51, 10),), LATER)}, 0)
         self.assertEqual([[1, 0]], known.tokens)
 
 
