Bring a configuration to each process from one near host

Cause: each control host sent each new configuration whole to each process that follows it, six times for one process, most of them across zones, and control hosts sent it to each other beside the log.

A follower puts the hosts in order, those of its own zone first, and asks the first for configurations and the others for versions alone; where one tells of a version that the first has not brought in 0.3 s, the next is asked. Before its first configuration a process asks all. Control hosts ask for none.

Ruled out: differences of configurations (designed, not built): the copies were the larger part.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -263,24 +263,33 @@
 struct SitePace { 1: string id, 2: i32 percent }
 // Whether the targets of a zone get no work; revision counts the zone's changes.
 struct SiteZone { 1: string name, 2: bool is_evacuated, 3: i64 revision }
+// The targets that share their passes; one that is not open makes none.
+struct SiteGroup { 1: string name, 2: list<string> members, 3: bool is_open }
 // What a log's snapshot holds once any zone was evacuated; document as in a command.
 struct SiteSnapshot { 1: binary document, 2: list<SiteZone> zones }
 // zone_changes is the sum of the revisions of all zones that the follower holds.
-struct SiteFeedRequest { 1: i64 version, 2: i64 epoch, 3: i64 serial, 4: i32 wait_ms, 5: i64 zone_changes }
-// document is packed and only there if newer, as are zones; members are control
-// hosts and entries the followers, both as addresses of their links.
+struct SiteFeedRequest { 1: i64 version, 2: i64 epoch, 3: i64 serial, 4: i32 wait_ms, 5: i64 zone_changes, 6: i64 groups_serial,
+  7: bool without_document }
+// document is packed and only there if newer and not left out, as are zones if newer; members are control
+// hosts and entries the followers, both as addresses of their links.  groups are
+// those of the owner of a term, whole, if they have changed since groups_serial.
 struct SiteFeedReply {
   1: i64 version, 2: optional binary document, 3: i64 epoch, 4: i64 serial, 5: list<SiteTarget> targets,
   6: list<string> members, 7: list<string> entries, 8: list<SitePace> paces,
-  9: optional list<SiteZone> zones,
+  9: optional list<SiteZone> zones, 10: optional list<SiteGroup> groups, 11: i64 groups_serial,
+  12: i64 groups_term,
 }
 
 // An entry tells how many of its calls each target has, and how many were answered
 // and failed there of late.  It gets the sums of all entries at the targets at
 // which these have changed since serial.
 struct SiteCalls { 1: string id, 2: i32 calls, 3: i32 answered, 4: i32 failed }
-struct SiteLoadRequest { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> own }
-struct SiteLoadReply { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> changed }
+// starts are those of targets that were lost while they ran the call that mark is
+// a hash of; is_harmless if one has answered it since.  A reply joins what all
+// entries have told.
+struct SiteSuspect { 1: binary mark, 2: list<string> starts, 3: bool is_harmless }
+struct SiteLoadRequest { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> own, 4: list<SiteSuspect> suspects }
+struct SiteLoadReply { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> changed, 4: list<SiteSuspect> suspects }
 
 // An operator asks for a zone to be evacuated or taken back; without a name, how
 // all zones are.
--- a/tamarackthread/control/site/book.py
+++ b/tamarackthread/control/site/book.py
@@ -10,7 +10,7 @@
 
 from tamarackthread.control.site import strangers
 from tamarackthread.shared import errors, fields
-from tamarackthread.shared.site import announcements
+from tamarackthread.shared.site import announcements, groups
 
 # Beats a target may miss before it counts as silent.  One may be late by
 # seconds and one may be lost with the host that it went to; the next is due
@@ -78,12 +78,23 @@
         self._serial = 0
         self._on_change: list[collections.abc.Callable[[], None]] = []
         self._strangers = strangers.Strangers()
+        self._groups = groups.Groups()
 
     @property
     def serial(self) -> int:
         """Return a number that grows with each change that was told."""
         return self._serial
 
+    @property
+    def groups(self) -> groups.Groups:
+        """Return the groups of targets, as this host found them as owner."""
+        return self._groups
+
+    def note_groups(self, term: int, rows: list[groups.Group]) -> None:
+        """Note which targets make a group, as owner of a term."""
+        if self._groups.learn(term, rows):
+            self._change()
+
     def on_change(self, listener: collections.abc.Callable[[], None]) -> None:
         """Call ``listener`` after each change that followers must learn."""
         self._on_change.append(listener)
--- a/tamarackthread/control/site/feeding.py
+++ b/tamarackthread/control/site/feeding.py
@@ -8,7 +8,7 @@
 from tamarackthread.control.site import book, machine
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import link
-from tamarackthread.shared.site import announcements, zones
+from tamarackthread.shared.site import announcements, groups, zones
 
 MILLISECONDS = 1000
 PERCENT = 100
@@ -64,24 +64,32 @@
     def _has_news(self, asked: messages.SiteFeedRequest) -> bool:
         if self._site.held.version > (asked.version or 0):
             return True
-        if self._has_newer_zones(asked):
+        if self._has_newer_zones(asked) or self._has_other_groups(asked):
             return True
         return self._serial_of(asked) < self._targets.serial
 
     def _has_newer_zones(self, asked: messages.SiteFeedRequest) -> bool:
         return self._site.zones.changes > (asked.zone_changes or 0)
 
+    def _has_other_groups(self, asked: messages.SiteFeedRequest) -> bool:
+        """Tell whether the follower has other groups than this start's."""
+        known = asked.groups_serial or 0 if asked.epoch == self._epoch else 0
+        return known != self._targets.groups.serial
+
     def _serial_of(self, asked: messages.SiteFeedRequest) -> int:
         """Return how far the follower is in this start's book."""
         return asked.serial or 0 if asked.epoch == self._epoch else 0
 
     def _reply(self, asked: messages.SiteFeedRequest) -> messages.SiteFeedReply:
         held = self._site.held
+        known = self._targets.groups
         is_newer = held.version > (asked.version or 0)
         rows = self._targets.after(self._serial_of(asked))
         return messages.SiteFeedReply(
             version=held.version,
-            document=held.packed if is_newer else None,
+            document=(
+                held.packed if is_newer and not asked.without_document else None
+            ),
             epoch=self._epoch,
             serial=self._targets.serial,
             targets=[announcements.to_message(said) for said in rows],
@@ -91,6 +99,13 @@
                 messages.SitePace(id=target, percent=round(pace * PERCENT))
                 for target, pace in self._targets.paces().items()
             ],
+            groups=(
+                groups.to_messages(known)
+                if self._has_other_groups(asked)
+                else None
+            ),
+            groups_serial=known.serial,
+            groups_term=known.term,
             zones=(
                 zones.to_messages(self._site.zones)
                 if self._has_newer_zones(asked)
--- a/tamarackthread/control/site/roster.py
+++ b/tamarackthread/control/site/roster.py
@@ -45,6 +45,11 @@
         """Return the version that this host has applied."""
         return self._site.held.version
 
+    @property
+    def needs_documents(self) -> bool:
+        """Tell that the own log brings configurations."""
+        return False
+
     @property
     def zone_changes(self) -> int:
         """Return the most that any host can have: the own log brings them."""
--- a/tamarackthread/shared/peers.py
+++ b/tamarackthread/shared/peers.py
@@ -59,6 +59,11 @@
         self._dials: dict[str, asyncio.Task[link.Link]] = {}
         self._backoffs: dict[str, _Backoff] = {}
 
+    @property
+    def own(self) -> identity.Identity:
+        """Return who this process is."""
+        return self._options.identity
+
     @property
     def links(self) -> dict[str, link.Link]:
         """Give the open links by address."""
--- a/tamarackthread/shared/site/following.py
+++ b/tamarackthread/shared/site/following.py
@@ -15,6 +15,8 @@
 from tamarackthread.shared.site import (
     announcements,
     document,
+    fetching,
+    groups,
     places,
     zones,
 )
@@ -24,6 +26,7 @@
 ANSWER_SECONDS = 4.0
 RETRY_SECONDS = 0.15
 NAME_SECONDS = 0.5
+LOOK_SECONDS = 0.03
 # A host that no settings and no other host name any more is let go.
 FORGOTTEN_SECONDS = 10.0
 _log = logging.getLogger('tamarackthread.site')
@@ -38,6 +41,7 @@
     task: asyncio.Task[None] | None = None
     epoch: int = 0
     serial: int = 0
+    groups_serial: int = 0
 
 
 class Pupil(abc.ABC):
@@ -48,6 +52,11 @@
     def version(self) -> int:
         """Return the version that is held, 0 before the first."""
 
+    @property
+    def needs_documents(self) -> bool:
+        """Tell whether configurations are learned from control hosts."""
+        return True
+
     @property
     @abc.abstractmethod
     def zone_changes(self) -> int:
@@ -68,6 +77,13 @@
     ) -> None:
         """Take all slow targets that a control host knows of."""
 
+    def learn_groups(  # noqa: B027  only who places calls needs them
+        self,
+        term: int,
+        rows: list[groups.Group],
+    ) -> None:
+        """Take all groups that a control host knows of."""
+
     @abc.abstractmethod
     def learn_document(self, held: document.Document) -> None:
         """Take a configuration with a higher version than the one held."""
@@ -93,6 +109,7 @@
         self._links = links
         self._pupil = pupil
         self._own_address = own_address
+        self._fetching = fetching.Fetching(links)
         self._sources: dict[str, _Source] = {}
         self._entries: tuple[str, ...] = ()
 
@@ -138,6 +155,7 @@
             if now - source.named_at < FORGOTTEN_SECONDS:
                 continue
             self._sources.pop(address)
+            self._fetching.forget(address)
             if source.task is not None:
                 source.task.cancel()
             _log.info('site: nobody names control host %s any more', address)
@@ -156,18 +174,24 @@
                 _tell(address, is_up=True)
             source.is_up = True
             self._take(address, source, reply)
+            await self._await_document(address, reply.version)
 
     async def _ask(
         self,
         address: str,
         source: _Source,
     ) -> messages.SiteFeedReply:
+        supply = self._fetching.supply(address)
+        fetches = self._fetches(address)
+        held = self._pupil.version
         asked = messages.SiteFeedRequest(
-            version=self._pupil.version,
+            version=held if fetches else max(held, supply.told),
+            without_document=not fetches,
             epoch=source.epoch,
             serial=source.serial,
             wait_ms=WAIT_MS,
             zone_changes=self._pupil.zone_changes,
+            groups_serial=source.groups_serial,
         )
         async with asyncio.timeout(ANSWER_SECONDS):
             reply = await self._links.request(
@@ -177,6 +201,34 @@
             raise errors.FrameInvalid('control host answered something else')
         return reply.site
 
+    def _fetches(self, address: str) -> bool:
+        """Tell whether a host is asked for configurations and not for versions.
+
+        Before the first one, which callers wait for, each host is.
+        """
+        if not self._pupil.needs_documents:
+            return False
+        if not self._pupil.version or self._fetching.supply(address).is_asked:
+            return True
+        return self._fetching.is_first(address, list(self.followed))
+
+    async def _await_document(self, address: str, version: int) -> None:
+        """Wait until another host has brought what one has told of."""
+        supply = self._fetching.supply(address)
+        supply.told = max(supply.told, version)
+        supply.is_asked = False
+        if not self._pupil.needs_documents:
+            return
+        loop = asyncio.get_running_loop()
+        patience = self._fetching.patience(address, list(self.followed))
+        until = loop.time() + patience
+        while self._pupil.version < version:
+            if loop.time() >= until:
+                supply.is_asked = True
+                self._fetching.missed(list(self.followed))
+                return
+            await asyncio.sleep(LOOK_SECONDS)
+
     def _take(
         self,
         address: str,
@@ -185,12 +237,17 @@
     ) -> None:
         source.epoch = reply.epoch
         source.serial = reply.serial
+        source.groups_serial = reply.groups_serial or 0
         for row in reply.targets:
             self._pupil.learn_target(announcements.of_message(row))
         self._pupil.learn_paces(
             address,
             {slow.id: slow.percent / PERCENT for slow in reply.paces},
         )
+        if reply.groups is not None:
+            self._pupil.learn_groups(
+                reply.groups_term or 0, groups.of_messages(reply.groups)
+            )
         # Before the first configuration, with which work begins.
         if reply.zones is not None:
             self._pupil.learn_zones(zones.of_messages(reply.zones))
--- /dev/null
+++ b/tests/test_documents_fetched.py
@@ -0,0 +1,160 @@
+"""Prove that a configuration comes from one near host, and all the same comes."""
+
+import asyncio
+import types
+
+from tamarackthread.control.site import book, feeding, machine
+from tamarackthread.generated import settings
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors, identity
+from tamarackthread.shared.site import document, following
+from tests import policy_case
+
+ZONES = ('east', 'west', 'north')
+HOSTS = tuple(f'10.0.{number}.1:7' for number in range(6))
+# In force everywhere within so long of the acknowledgement.
+BOUND_SECONDS = 2.5
+
+
+def _members():
+    return list(HOSTS)
+
+
+class Net:
+    """Be the links of one entry to six control hosts in three zones."""
+
+    def __init__(self):
+        self.own = identity.Identity(
+            node='e1', role=messages.Role.ENTRY, zone='east', address='e1:7'
+        )
+        self.machines = {host: machine.SiteMachine() for host in HOSTS}
+        self.feeds = {
+            host: feeding.Feeding(held, book.Book(1), _members, 5)
+            for host, held in self.machines.items()
+        }
+        self.silent = set()
+        self.documents = []
+
+    def current(self, address):
+        place = HOSTS.index(address) % len(ZONES)
+        return types.SimpleNamespace(
+            peer=types.SimpleNamespace(
+                zone=ZONES[place],
+                role=messages.Role.ENTRY,
+                address=self.own.address,
+            )
+        )
+
+    async def request(self, address, asked, seconds):
+        await asyncio.sleep(0.002)
+        reply = await self.feeds[address].answer(
+            self.current(address), asked.site
+        )
+        if address in self.silent:
+            await asyncio.sleep(seconds)
+            raise errors.FrameInvalid('silent')
+        if reply.document is not None:
+            self.documents.append((reply.version, address))
+        return messages.Reply(site=reply)
+
+    def accept(self, version, *but):
+        """Have each host apply a version, one a little after another."""
+        loop = asyncio.get_running_loop()
+        for place, host in enumerate(HOSTS):
+            if host not in but:
+                loop.call_later(0.01 * place, self._apply, host, version)
+
+    def _apply(self, host, version):
+        held = document.pack(version, str(version).encode())
+        self.machines[host].apply(version, held.encode())
+
+
+class Pupil(following.Pupil):
+    """Hold the newest version."""
+
+    def __init__(self):
+        self.held = document.Document()
+
+    @property
+    def version(self):
+        return self.held.version
+
+    @property
+    def zone_changes(self):
+        return 0
+
+    def learn_zones(self, rows):
+        """Know no zones."""
+
+    def learn_target(self, said):
+        """Know no targets."""
+
+    def learn_document(self, held):
+        self.held = held
+
+
+class FetchedCase(policy_case.PausedCase):
+    def test_one_copy(self):
+        """Each of many versions comes once, from a host of the own zone."""
+        self.run_paused(self._one_copy())
+
+    def test_near_hosts_silent(self):
+        """The hosts of the own zone say nothing more; no link breaks.
+
+        The version must be in force in time all the same.
+        """
+        self.run_paused(self._silent())
+
+    def test_near_hosts_behind(self):
+        """The hosts of the own zone are cut off from the leader."""
+        self.run_paused(self._behind())
+
+    def test_quick_succession(self):
+        """Twelve versions a second: the last one is in force in time."""
+        self.run_paused(self._storm())
+
+    async def _one_copy(self):
+        net, pupil = await self._begin()
+        for version in range(2, 8):
+            net.accept(version)
+            await asyncio.sleep(1)
+            self.assertEqual(version, pupil.version)
+        self.assertEqual(list(range(2, 8)), [row[0] for row in net.documents])
+        zones = {net.current(host).peer.zone for _, host in net.documents}
+        self.assertEqual({'east'}, zones)
+
+    async def _silent(self):
+        net, pupil = await self._begin()
+        net.silent = {HOSTS[0], HOSTS[3]}
+        net.accept(2)
+        await asyncio.sleep(BOUND_SECONDS)
+        self.assertEqual(2, pupil.version)
+
+    async def _behind(self):
+        net, pupil = await self._begin()
+        for version in (2, 3, 4):
+            net.accept(version, HOSTS[0], HOSTS[3])
+            await asyncio.sleep(BOUND_SECONDS)
+            self.assertEqual(version, pupil.version)
+        # Once it is known that they are behind, the next host brings it.
+        self.assertLess(len(net.documents), 6)
+
+    async def _storm(self):
+        net, pupil = await self._begin()
+        for version in range(2, 60):
+            net.accept(version)
+            await asyncio.sleep(1 / 12)
+        await asyncio.sleep(BOUND_SECONDS)
+        self.assertEqual(59, pupil.version)
+
+    async def _begin(self):
+        net = Net()
+        pupil = Pupil()
+        site = settings.Site(seeds=HOSTS, link_port=7)
+        follower = following.Follower(site, net, pupil)
+        self.following = asyncio.create_task(follower.run())
+        net.accept(1)
+        await asyncio.sleep(3)
+        self.assertEqual(1, pupil.version)
+        net.documents.clear()
+        return net, pupil
