Refuse calls that crash targets, and leave closed groups out

Calls that crash targets. Cause: the same call takes down each target that begins to run it and comes again; each costs its group a stall and an epoch, and nothing knew it. A hash of path, organisation and body is kept of calls whose connection ended before anything of an answer; entries exchange what they know with their calls. From three lost starts of targets on a call is refused, not run, by every entry. Targets lost together and targets that drop whatever they get tell against no call; an answer clears it.

Closed groups. A group that is known to be closed is left out while another is open, and a call that one has failed goes on in another. Where nothing but refusals has come for 0.4 s, callers are told two seconds.

Half of the targets that are drawn for a call are of the entry's zone.

--- a/bench/experiments/logs.py
+++ b/bench/experiments/logs.py
@@ -19,7 +19,9 @@
 from aiohttp import web
 
 from tamarackthread.entry.direct import (
+    admitting,
     budgets,
+    crashing,
     front,
     ledger,
     running,
@@ -85,6 +87,8 @@
                 self._known,
                 self._sender,
                 budgets.Budgets(site, lambda: 1, loop.time),
+                admitting.Admission(self._known, lambda: 1),
+                crashing.Crashing(),
                 generator,
             ),
             generator,
--- a/tamarackthread/control/site/loads.py
+++ b/tamarackthread/control/site/loads.py
@@ -7,6 +7,7 @@
 import attrs
 
 from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import suspects
 
 # An entry that says nothing for so long counts for nothing.  It speaks many
 # times as often; one that was killed has closed its connections to targets,
@@ -37,6 +38,7 @@
 
     rows: dict[str, Sum]
     heard_at: float
+    suspects: tuple[messages.SiteSuspect, ...] = ()
 
 
 _NONE = Sum()
@@ -74,6 +76,7 @@
             for row in asked.own
         }
         self._put(entry, rows, now)
+        self._shares[entry].suspects = tuple(asked.suspects or ())
         self._forget_silent(now)
         known = asked.serial if asked.epoch == self._epoch else 0
         return messages.SiteLoadReply(
@@ -84,8 +87,19 @@
                 for target, serial in self._changed_at.items()
                 if serial > known
             ],
+            suspects=self._suspects(entry),
         )
 
+    def _suspects(self, entry: str) -> list[messages.SiteSuspect]:
+        """Join what all entries but one know of calls that crash targets."""
+        rows = (
+            suspects.of_message(row)
+            for other, share in self._shares.items()
+            if other != entry
+            for row in share.suspects
+        )
+        return [suspects.to_message(row) for row in suspects.merge(rows)]
+
     def _put(self, entry: str, rows: dict[str, Sum], now: float) -> None:
         held = self._shares.get(entry)
         before = {} if held is None else held.rows
--- a/tamarackthread/entry/direct/admitting.py
+++ b/tamarackthread/entry/direct/admitting.py
@@ -16,7 +16,7 @@
 import attrs
 
 from tamarackthread.entry.direct import calls, failures, targets
-from tamarackthread.policy import crowding
+from tamarackthread.policy import crowding, opening
 from tamarackthread.shared.site import configuration
 
 # A call comes within one pass, its prompt is read in the next, at the end of which
@@ -59,6 +59,7 @@
         self._bound = bound
         self._known = known
         self._entries = entries
+        self._opening = opening.Opening()
         self._waiting: list[_Waiting] = []
         self._part: float = 0
         self._answer_seconds: float = 0
@@ -108,6 +109,19 @@
             self._part += 1
         self._grant()
 
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether targets have only refused calls of late."""
+        return self._opening.is_closed(asyncio.get_running_loop().time())
+
+    def heard(self) -> None:
+        """Note that a target has sent a piece of an answer."""
+        self._opening.heard(asyncio.get_running_loop().time())
+
+    def refused(self, target: str) -> None:
+        """Note that a target has refused a call unrun."""
+        self._opening.refused(target, asyncio.get_running_loop().time())
+
     def note_pause(self, seconds: float) -> None:
         """Take the time between two pieces of an answer."""
         self._bound.note(seconds, asyncio.get_running_loop().time())
@@ -214,6 +228,23 @@
         if line is not None:
             line.left()
 
+    def heard(self, call: calls.Call) -> None:
+        """Note that a target has sent a piece of an answer."""
+        line = self._lines.get(call.service)
+        if line is not None:
+            line.heard()
+
+    def refused(self, call: calls.Call, target: str) -> None:
+        """Note that a target has refused a call unrun."""
+        line = self._lines.get(call.service)
+        if line is not None:
+            line.refused(target)
+
+    def is_closed(self, call: calls.Call) -> bool:
+        """Tell whether the targets of a call make no passes now."""
+        line = self._lines.get(call.service)
+        return line is not None and line.is_closed
+
     def note_pause(self, call: calls.Call, seconds: float) -> None:
         """Take the time between two pieces of a call's answer."""
         line = self._lines.get(call.service)
--- a/tamarackthread/entry/direct/choosing.py
+++ b/tamarackthread/entry/direct/choosing.py
@@ -11,6 +11,8 @@
 # other entries have sent since the last exchange is not known: if all of them
 # went for the least loaded of all, that one would get all of it.
 COMPARED = 4
+# So many of them are of the entry's own zone: answers that cross zones cost.
+NEAR_COMPARED = 2
 # A rank that takes so many times its usual time slows its whole group; the usual
 # spread of ranks is under 1.2.
 SLOW_PACE = 1.5
@@ -42,10 +44,17 @@
         return min(usable, key=_paused_until, default=None)
 
     def _compared(self, usable: _Starts) -> _Starts:
-        """Draw the targets of which the least loaded gets the call."""
+        """Draw the targets of which the least loaded gets the call.
+
+        Half of them are of the own zone: of targets that have as many calls there
+        is mostly a near one then.
+        """
         if len(usable) <= COMPARED:
             return usable
-        return self._random.sample(usable, COMPARED)
+        near = [one for one in usable if one.said.zone == self._zone]
+        count = min(NEAR_COMPARED, len(near))
+        drawn = self._random.sample(near, count)
+        return [*drawn, *self._random.sample(usable, COMPARED - count)]
 
     def _rank(self, target: starts.Start) -> tuple[float, bool, float]:
         is_far = target.said.zone != self._zone
--- a/tamarackthread/entry/direct/failures.py
+++ b/tamarackthread/entry/direct/failures.py
@@ -48,6 +48,13 @@
     status = 503
 
 
+class GroupClosed(errors.CodedError):
+    """Targets refuse every call unrun, since their group makes no passes."""
+
+    code = 'TT7214'
+    status = 503
+
+
 class DeadlineBeforeSend(errors.CodedError):
     """Deadline passed before the call was sent to any target."""
 
@@ -78,6 +85,13 @@
     status = 503
 
 
+class CallCrashes(errors.CodedError):
+    """Call has taken down several targets that ran it, and goes to no other."""
+
+    code = 'TT7213'
+    status = 503
+
+
 class BodyOverLimit(errors.CodedError):
     """Body of the request is over the configuration's limit."""
 
--- a/tamarackthread/entry/direct/learned.py
+++ b/tamarackthread/entry/direct/learned.py
@@ -13,6 +13,7 @@
     document,
     figures,
     following,
+    groups,
     zones,
 )
 
@@ -56,6 +57,10 @@
         """Take an announcement."""
         self._known.take(said)
 
+    def learn_groups(self, term: int, rows: list[groups.Group]) -> None:
+        """Take which targets make a group."""
+        self._known.learn_groups(term, rows)
+
     def learn_paces(self, source: str, paces: dict[str, float]) -> None:
         """Take the slow targets that a control host knows of."""
         self._known.slow(source, paces)
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -9,6 +9,7 @@
 from tamarackthread.entry.direct import (
     admitting,
     budgets,
+    crashing,
     dialect,
     front,
     learned,
@@ -68,12 +69,14 @@
             self._links,
             learned.Learned(self._targets, reader, tables, admission, shares),
         )
+        suspected = crashing.Crashing()
         self._sharing = sharing.Sharing(
             self._targets,
             self._links,
             lambda: self._follower.followed,
             lambda: self._follower.entries,
             admission.share,
+            suspected,
         )
         self._sender = sending.Sender(spoken)
         self._front = front.Front(
@@ -88,6 +91,7 @@
                     loop.time,
                 ),
                 admission,
+                suspected,
                 generator,
             ),
             generator,
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -3,24 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 
-import attrs
-
 from tamarackthread.entry.direct import (
     admitting,
     budgets,
     calls,
+    crashing,
     events,
     failures,
+    progressing,
     sending,
     sink,
     starts,
     targets,
 )
 from tamarackthread.entry.direct import tempo as tempos
-from tamarackthread.shared import errors, log_events
+from tamarackthread.shared import errors
 from tamarackthread.shared.site import configuration, figures
 
 # Tries at which no connection came about cost a target nothing; a caller
@@ -34,31 +33,11 @@
 # that come back spread over more than that do not meet again.
 RETRY_AFTER_SECONDS = 0.25
 NO_TARGET_SECONDS = 0.5
+# A group whose rank was lost opens again within two or three seconds.  A caller who
+# waits here for its first event leaves before that.
+CLOSED_SECONDS = 2.0
 # An answer from this status on is a failure of the target's own.
 FAILED_STATUS = 500
-_log = logging.getLogger('tamarackthread.entry')
-
-
-@attrs.define(eq=False)
-class _Progress:
-    """Be how far a call has come over all its tries.
-
-    ``sent`` names the targets that may have run the call, ``refused`` those that
-    said that they have not, ``skipped`` those that could not be reached, and
-    ``may_have_run`` tells whether any might have run it.
-    ``position`` is the last event that the caller was sent, ``is_unnumbered``
-    whether it was sent any that can't be told from its copy, and ``trying``
-    the target that may have the call at this moment.
-    """
-
-    sent: list[str] = attrs.field(factory=list)
-    refused: list[str] = attrs.field(factory=list)
-    skipped: set[str] = attrs.field(factory=set)
-    may_have_run: bool = False
-    trying: starts.Start | None = None
-    is_unnumbered: bool = False
-    position: int = -1
-    failure: errors.CodedError | None = None
 
 
 class Runner:
@@ -70,9 +49,11 @@
         sender: sending.Sender,
         budget: budgets.Budgets,
         admission: admitting.Admission,
+        crashing: crashing.Crashing,
         generator: random.Random,
     ) -> None:
         """Choose among ``known`` and send with ``sender``."""
+        self._crashing = crashing
         self._known = known
         self._admission = admission
         self._sender = sender
@@ -85,7 +66,8 @@
         A coded error raised here tells whether the call may have run; the
         answer may have begun by then.
         """
-        progress = _Progress()
+        self._crashing.check(call)
+        progress = progressing.Progress()
         self._budget.earn(call.service)
         try:
             async with asyncio.timeout_at(call.deadline):
@@ -96,9 +78,9 @@
                 progress.sent.append(progress.trying.name)
                 progress.may_have_run = True
                 passed = failures.DeadlinePassed('no answer')
-                _tell(call, progress.trying, progress, passed)
+                progressing.tell(call, progress.trying, progress, passed)
             if progress.may_have_run:
-                raise failures.DeadlinePassed(_names(progress)) from exc
+                raise failures.DeadlinePassed(progress.names) from exc
             raise failures.DeadlineBeforeSend(
                 retry_after=self._soon(RETRY_AFTER_SECONDS),
             ) from exc
@@ -106,7 +88,7 @@
     async def _try_until_answered(
         self,
         call: calls.Call,
-        progress: _Progress,
+        progress: progressing.Progress,
         out: sink.Sink,
     ) -> None:
         while True:
@@ -118,7 +100,7 @@
         self,
         call: calls.Call,
         target: starts.Start,
-        progress: _Progress,
+        progress: progressing.Progress,
         out: sink.Sink,
     ) -> bool:
         """Try a target; tell whether the caller has its answer now."""
@@ -131,35 +113,39 @@
             async with target.lifetime():
                 await self._try(call, target, progress, out)
         except errors.CodedError as exc:
-            self._learn(target, progress, exc)
-            _tell(call, target, progress, exc)
+            self._crashing.failed(call, target, exc)
+            self._learn(call, target, progress, exc)
+            progressing.tell(call, target, progress, exc)
             return False
         finally:
             target.own -= 1
             self._admission.left(call)
         target.answered()
+        self._crashing.answered(call)
         self._admission.answered(call, loop.time() - began)
         return True
 
     async def _next_target(
         self,
         call: calls.Call,
-        progress: _Progress,
+        progress: progressing.Progress,
     ) -> starts.Start:
         """Choose where to try next; raise the call's end if nowhere."""
         if progress.failure is not None and not self._may_try(call, progress):
-            raise self._end(progress)
+            raise self._end(call, progress)
         await self._admission.admit(call)
-        tried = progress.skipped.union(progress.sent, progress.refused)
+        tried = progress.tried
         left = call.deadline - asyncio.get_running_loop().time()
         await self._known.arrival(call.service, tried, calls.patience(left))
-        target = self._known.choose(call.service, tried)
+        target = self._known.choose(call.service, tried, progress.left)
         if target is None:
-            raise self._end(progress)
+            raise self._end(call, progress)
         return target
 
-    def _may_try(self, call: calls.Call, progress: _Progress) -> bool:
-        if progress.may_have_run and not call.route.may_repeat:
+    def _may_try(
+        self, call: calls.Call, progress: progressing.Progress
+    ) -> bool:
+        if progress.may_have_run and not self._may_repeat(call):
             return False
         # Without a number nobody knows where the next run has to go on, and
         # the caller would read the beginning twice.
@@ -175,11 +161,14 @@
             return False
         return self._budget.spend(call.service)
 
+    def _may_repeat(self, call: calls.Call) -> bool:
+        return call.route.may_repeat and self._crashing.may_repeat(call)
+
     async def _try(
         self,
         call: calls.Call,
         target: starts.Start,
-        progress: _Progress,
+        progress: progressing.Progress,
         out: sink.Sink,
     ) -> None:
         position = call.asked.position
@@ -202,7 +191,7 @@
     def _is_worth_another(
         self,
         call: calls.Call,
-        progress: _Progress,
+        progress: progressing.Progress,
         status: int,
     ) -> bool:
         """Tell whether a failure of a target's own may be tried elsewhere."""
@@ -216,7 +205,7 @@
         self,
         call: calls.Call,
         answer: sending.Answer,
-        progress: _Progress,
+        progress: progressing.Progress,
         out: sink.Sink,
     ) -> None:
         """Pass events on as they come, each at most once and in order."""
@@ -237,6 +226,7 @@
                 progress.is_unnumbered |= event.number < 0
                 ready.append(event.payload)
             if ready:
+                self._admission.heard(call)
                 self._note_pause(call, out.tempo, len(ready))
                 await out.write(b''.join(ready))
         if splitter.rest:
@@ -256,8 +246,9 @@
 
     def _learn(
         self,
+        call: calls.Call,
         target: starts.Start,
-        progress: _Progress,
+        progress: progressing.Progress,
         failure: errors.CodedError,
     ) -> None:
         progress.failure = failure
@@ -273,8 +264,11 @@
             progress.skipped.add(target.name)
             return
         if isinstance(failure, (sending.Refused, sending.Lost)):
+            # All ranks of a group refuse or lose what they have when one is lost.
+            progress.left.add(target.group)
             self._note(target, is_good=False)
         if isinstance(failure, sending.Refused):
+            self._admission.refused(call, target.name)
             progress.refused.append(target.name)
             return
         progress.sent.append(target.name)
@@ -285,10 +279,18 @@
         now = asyncio.get_running_loop().time()
         target.record.note(is_good=is_good, now=now)
 
-    def _end(self, progress: _Progress) -> errors.CodedError:
+    def _end(
+        self,
+        call: calls.Call,
+        progress: progressing.Progress,
+    ) -> errors.CodedError:
         """Tell the caller's end: not run, or may have run."""
         if progress.may_have_run:
             return failures.TargetFailed(str(progress.failure))
+        if progress.refused and self._admission.is_closed(call):
+            return failures.GroupClosed(
+                retry_after=self._soon(CLOSED_SECONDS),
+            )
         if progress.sent or progress.refused:
             return failures.TargetsFull(
                 retry_after=self._soon(RETRY_AFTER_SECONDS),
@@ -300,40 +302,3 @@
     def _soon(self, seconds: float) -> float:
         """Spread a time to come back, so that callers don't as one."""
         return seconds * self._random.uniform(0.7, 1.5)
-
-
-def _tell(
-    call: calls.Call,
-    target: starts.Start,
-    progress: _Progress,
-    failure: errors.CodedError,
-) -> None:
-    now = asyncio.get_running_loop().time()
-    figures.TRIES_FAILED.labels(call.service, failure.code).inc()
-    log_events.tell(
-        _log,
-        log_events.Event.TRY_FAILED,
-        'entry: try at %s failed, %s %s',
-        target.name,
-        failure.code,
-        failure,
-        target=target.name,
-        service=call.service,
-        code=failure.code,
-        after_ms=_milliseconds(now - call.arrived),
-        left_ms=_milliseconds(call.deadline - now),
-        own_calls=target.own,
-        other_calls=target.others,
-        state=target.said.state.name.lower(),
-        heard_ms_ago=_milliseconds(now - target.heard_at),
-        may_have_run=progress.may_have_run,
-        last_event=progress.position,
-    )
-
-
-def _milliseconds(seconds: float) -> int:
-    return round(seconds * 1000)
-
-
-def _names(progress: _Progress) -> str:
-    return ', '.join(progress.sent)
--- a/tamarackthread/entry/direct/sending.py
+++ b/tamarackthread/entry/direct/sending.py
@@ -65,6 +65,12 @@
     status = 502
 
 
+class Unanswered(Lost):
+    """Connection to the target ended before any of its answer had come."""
+
+    code = 'TT7225'
+
+
 @attrs.frozen
 class Head:
     """Be the head of a target's own answer to a call."""
@@ -213,7 +219,9 @@
         aiohttp.ClientConnectorError,
     ) as exc:
         raise NotSent(str(exc)) from exc
-    except (aiohttp.ClientError, OSError, ValueError) as exc:
+    except (aiohttp.ServerDisconnectedError, OSError) as exc:
+        raise Unanswered(str(exc) or type(exc).__name__) from exc
+    except (aiohttp.ClientError, ValueError) as exc:
         raise Lost(str(exc) or type(exc).__name__) from exc
 
 
--- a/tamarackthread/entry/direct/sharing.py
+++ b/tamarackthread/entry/direct/sharing.py
@@ -6,7 +6,7 @@
 import collections.abc
 import logging
 
-from tamarackthread.entry.direct import records, targets
+from tamarackthread.entry.direct import crashing, records, targets
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, peers
 
@@ -40,12 +40,14 @@
         hosts: Names,
         entries: Names,
         on_exchange: collections.abc.Callable[[], None],
+        suspected: crashing.Crashing | None = None,
     ) -> None:
         """Exchange what ``known`` holds with one of ``hosts``.
 
         ``on_exchange`` is called after each exchange, also after one that no
-        host has answered.
+        host has answered.  What is known of ``suspected`` calls goes both ways.
         """
+        self._suspected = suspected or crashing.Crashing()
         self._known = known
         self._links = links
         self._hosts = hosts
@@ -96,6 +98,7 @@
                 )
                 for target, load in own.items()
             ],
+            suspects=self._suspected.own(),
         )
         async with asyncio.timeout(ANSWER_SECONDS):
             reply = await self._links.request(
@@ -114,6 +117,7 @@
             self._sums = {}
         self._epoch = reply.epoch
         self._serial = reply.serial
+        self._suspected.share(reply.suspects or ())
         for row in reply.changed:
             ends = records.Tally(row.answered or 0, row.failed or 0)
             self._sums[row.id] = records.Load(row.calls, ends)
--- a/tamarackthread/entry/direct/starts.py
+++ b/tamarackthread/entry/direct/starts.py
@@ -34,6 +34,7 @@
 
     ``own`` counts this entry's calls there and ``others`` those that other
     entries told of.  A ``pace`` of 2 means that it takes twice its usual time.
+    ``group`` names the group whose passes it shares, empty if unknown.
     """
 
     said: announcements.Announcement
@@ -43,6 +44,7 @@
     paused_until: float = 0
     pause: float = 0
     pace: float = 1
+    group: str = ''
     record: records.Record = attrs.field(factory=records.Record)
     sent: cold.Sent = attrs.field(factory=cold.Sent)
     cold_until: float = 0
--- a/tamarackthread/entry/direct/target_lines.py
+++ b/tamarackthread/entry/direct/target_lines.py
@@ -7,7 +7,7 @@
 import logging
 
 from tamarackthread.shared import log_events
-from tamarackthread.shared.site import announcements, figures, zones
+from tamarackthread.shared.site import announcements, figures, groups, zones
 
 State = announcements.State
 _log = logging.getLogger('tamarackthread.entry')
@@ -65,6 +65,21 @@
     )
 
 
+def tell_groups(held: groups.Groups) -> None:
+    """Log which groups there are, and which of them make no passes."""
+    closed = [row.name for row in held.rows if not row.is_open]
+    log_events.tell(
+        _log,
+        log_events.Event.GROUPS,
+        'entry: knows %d groups, %d closed',
+        len(held.rows),
+        len(closed),
+        groups={row.name: len(row.members) for row in held.rows},
+        closed=closed,
+        term=held.term,
+    )
+
+
 def tell(said: announcements.Announcement) -> None:
     """Log the state of a target."""
     log_events.tell(
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -17,7 +17,7 @@
     target_lines,
 )
 from tamarackthread.policy import cold, crowding
-from tamarackthread.shared.site import announcements, figures, zones
+from tamarackthread.shared.site import announcements, figures, groups, zones
 
 State = announcements.State
 
@@ -57,6 +57,7 @@
         self._chooser = choosing.Chooser(zone, generator)
         self._shares = shares
         self._zones = zones.Zones()
+        self._groups = groups.Groups()
         self._beat = beat_seconds
         self._unheard = beat_seconds * BEATS_UNHEARD
         self._started_at = asyncio.get_running_loop().time()
@@ -111,6 +112,14 @@
         if self._zones.changes > before:
             target_lines.tell_zones(self._zones)
 
+    def learn_groups(self, term: int, rows: list[groups.Group]) -> None:
+        """Take which targets make a group, as an owner of a term tells."""
+        if not self._groups.learn(term, rows):
+            return
+        for target in self._by_name.values():
+            target.group = self._groups.of(target.name)
+        target_lines.tell_groups(self._groups)
+
     def slow(self, source: str, paces: dict[str, float]) -> None:
         """Take the slow targets that one control host knows of.
 
@@ -152,7 +161,11 @@
         self.share({})
         self._knows_others = False
 
-    def crowd(self, service: str, entries: int) -> crowding.Crowd:
+    def crowd(
+        self,
+        service: str,
+        entries: int,
+    ) -> crowding.Crowd:
         """Count the calls and the places at the targets of a service.
 
         An entry that does not know the calls of the others takes it that all
@@ -163,7 +176,7 @@
         ready = [
             target
             for target in found
-            if target.is_ready(now) and not self._is_evacuated(target)
+            if target.is_ready(now) and self._makes_passes(target)
         ]
         own = sum(target.own for target in found)
         others = own * max(0, entries - 1)
@@ -196,15 +209,25 @@
         self,
         service: str,
         tried: collections.abc.Collection[str],
+        left: collections.abc.Collection[str] = (),
     ) -> starts.Start | None:
-        """Choose a target for a call, ``None`` if none may get it."""
+        """Choose a target for a call, ``None`` if none may get it.
+
+        Targets whose group is closed, or one of those that the call has ``left``,
+        get it only if there is no other.
+        """
         now = asyncio.get_running_loop().time()
         usable = [
             target
             for target in self.of_service(service)
             if target.name not in tried and self._may_take(target, now)
         ]
-        return self._chooser.best(usable, now)
+        sound = [
+            target
+            for target in usable
+            if target.group not in left and self._groups.is_open(target.group)
+        ]
+        return self._chooser.best(sound or usable, now)
 
     async def run(self) -> None:
         """Sweep for ever."""
@@ -270,6 +293,11 @@
         most = self._shares.calls(target.said.service, target.name)
         return most is None or target.sent.lately(now) < most
 
+    def _makes_passes(self, target: starts.Start) -> bool:
+        """Tell whether a target has room for calls at all."""
+        is_open = self._groups.is_open(target.group)
+        return is_open and not self._is_evacuated(target)
+
     def _is_evacuated(self, target: starts.Start) -> bool:
         return self._zones.is_evacuated(target.said.zone)
 
@@ -295,7 +323,8 @@
                 figures.TARGETS.labels(service, state).inc()
 
     def _add(self, said: announcements.Announcement, now: float) -> None:
-        self._by_name[said.target] = starts.Start(said, now)
+        group = self._groups.of(said.target)
+        self._by_name[said.target] = starts.Start(said, now, group=group)
         if said.service:
             self._by_service[said.service][said.target] = None
             self._arrived.set()
--- a/tamarackthread/policy/crowding.py
+++ b/tamarackthread/policy/crowding.py
@@ -23,9 +23,7 @@
 KEPT_SECONDS = 1.0
 # Of the callers' pause a usual pass may take so much.  A stream is late by one pause
 # of twenty, so the rest is for what one pass in twenty takes more: a long prompt,
-# copies of experts, the hold of a switch, the way to the caller.  Of the streams of a
-# group that is uneven and asked for twice of what it can do, 0.43, 0.51, 0.54 and
-# 0.52 are in time with 0.85, 0.75, 0.7 and 0.6 of the pause, and 0.13 unbounded.
+# copies of experts, the hold of a switch, the way to the caller.
 USED_SHARE = 0.8
 # A pass is not told apart from an empty one by less, in seconds.
 LEAST_SECONDS = 0.001
--- a/tamarackthread/policy/evening.py
+++ b/tamarackthread/policy/evening.py
@@ -20,15 +20,12 @@
 # Experts of one set by rank.
 SetMap = tuple[tuple[int, ...], ...]
 
-# A step must take so much of the mean off the busiest rank.  Measured with 252
-# experts on 63 ranks (72 on 12): 0.02 ends at 1.08 (1.04) times the mean with
-# 29 (11) copies a set, 0.05 at 1.10 (1.07) with 26 (8), 0.1 at 1.16 for 12.
+# A step must take so much of the mean off the busiest rank; with less, copies are
+# made that no caller notices.
 FINE_STEP = 0.05
 # Where evener ranks than that serve nobody better: half of the copies.
 COARSE_STEP = 0.15
-# Ranks with least to do that are tried as takers in each step.  With 63 ranks,
-# 4 end at 1.17 times the mean, 8 at 1.13 and 16 at 1.10; all 63 take three
-# times as long and end at 1.10 too.
+# Ranks with least to do that are weighed as takers in each step.
 TAKERS = 16
 
 
--- a/tamarackthread/shared/log_events.py
+++ b/tamarackthread/shared/log_events.py
@@ -20,6 +20,7 @@
     CALL_FAILED = 'call_failed'
     CALL_BROKEN = 'call_broken'
     CALLER_LEFT = 'caller_left'
+    SUSPECT = 'suspect'
     CALLS_SUMMED = 'calls_summed'
     # Of what a process believes.
     CONFIGURATION = 'configuration'
@@ -28,6 +29,7 @@
     LEADER = 'leader'
     MEMBERS = 'members'
     ZONE = 'zone'
+    GROUPS = 'groups'
     MAP = 'map'
     PLAN = 'plan'
     HELD = 'held'
--- a/tamarackthread/shared/relay.py
+++ b/tamarackthread/shared/relay.py
@@ -20,8 +20,7 @@
 
 MILLISECONDS = 1000
 REDIRECTS = 3
-# Each child costs a relay some 0.06 % of a core at rest and twice that at
-# 20 times the rate of changes that the system is sized for.
+# A relay serves so many without being busier than what it relays for.
 RELAY_CHILDREN = 8
 # A relay answers when its own lease is renewed.  Held for exactly the wait
 # that it was asked for, an answer would come just before the renewal, with
--- a/tamarackthread/shared/site/figures.py
+++ b/tamarackthread/shared/site/figures.py
@@ -40,6 +40,12 @@
     ('service', 'code'),
     registry=_registry,
 )
+CALLS_SUSPECTED = prometheus_client.Counter(
+    'tamarackthread_calls_suspected',
+    'Calls whose target was lost before it answered, and calls refused for it.',
+    ('verdict',),
+    registry=_registry,
+)
 OPEN_CALLS = prometheus_client.Gauge(
     'tamarackthread_open_calls',
     'Calls in this entry now.',
--- a/tests/test_admitting.py
+++ b/tests/test_admitting.py
@@ -22,7 +22,7 @@
     records,
     targets,
 )
-from tamarackthread.policy import crowding
+from tamarackthread.policy import crowding, opening
 from tamarackthread.shared.site import announcements, configuration
 from tests import policy_case
 
@@ -372,3 +372,44 @@
 
 def _variant(name):
     return next(one for one in heavy.VARIANTS if one.name == name)
+
+
+class OpeningCase(policy_case.PausedCase):
+    """Answer the load in which a rank is lost, and with it its group's passes."""
+
+    def test_closed_group(self):
+        """All ranks refuse each call for seconds, and it is known at once.
+
+        A piece of any answer shows that the group makes passes again, and so
+        do refusals that are long over.
+        """
+        self.run_paused(self._closed())
+
+    def test_full_ranks(self):
+        """Some ranks refuse since they are full, while streams go on."""
+        self.run_paused(self._full())
+
+    async def _closed(self):
+        for opens in (True, False):
+            line = self._line()
+            line.refused('0')
+            self.assertFalse(line.is_closed)
+            line.refused('1')
+            self.assertTrue(line.is_closed)
+            if opens:
+                line.heard()
+            else:
+                await asyncio.sleep(2 * opening.APART_SECONDS)
+            self.assertFalse(line.is_closed)
+
+    async def _full(self):
+        line = self._line()
+        for target in range(20):
+            line.refused(str(target))
+            line.heard()
+            self.assertFalse(line.is_closed)
+            await asyncio.sleep(0.1)
+
+    def _line(self):
+        known = targets.Targets('z', 1.0, random.Random(1))
+        return admitting.Line(SERVICE, FixedBound(1), known, lambda: 1)
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -11,6 +11,7 @@
 from tamarackthread.entry.direct import (
     admitting,
     budgets,
+    crashing,
     front,
     ledger,
     running,
@@ -164,6 +165,7 @@
         await self.sender.start()
         site = settings.Site(seeds=(), link_port=1, retry_reserve=20)
         self.tables = table.Holder()
+        self.crashing = crashing.Crashing()
         self.admission = admitting.Admission(self.known, lambda: 1)
         self.front = front.Front(
             spoken.PlatformDialect(),
@@ -173,6 +175,7 @@
                 self.sender,
                 budgets.Budgets(site, lambda: 1, loop.time),
                 self.admission,
+                self.crashing,
                 rng,
             ),
             rng,
@@ -595,3 +598,32 @@
         self.assertEqual((200, 'close'), (status, headers['Connection']))
         self.front.refuse_new()
         self.assertEqual(503, (await self.ask())[0])
+
+
+class ClosedCase(DirectCase):
+    async def test_closed_group(self):
+        """A caller whose group makes no passes is told when it will again.
+
+        Both targets refuse at once, as they do for seconds after one rank of
+        their group was lost.  Told a quarter of a second, the caller would be
+        refused again and have no try left.
+        """
+        self.serve(STREAM, gap=0.12)
+        self.admission.learn(
+            configuration.Configuration(
+                version=1,
+                routes=self.tables.current.held.routes,
+                services=(
+                    configuration.Service(
+                        name='s', passes=configuration.Passes(empty=0.03)
+                    ),
+                ),
+            )
+        )
+        for _ in range(3):
+            await self.add(refusing)
+        self.admission.share()
+        status, body, headers = await self.ask()
+        self.assertEqual(503, status)
+        self.assertIn(b'TT7214', body)
+        self.assertGreater(float(headers['Retry-After']), 1)
