Look as soon as a new owner has to

A new owner's looks waited for the pace of readings, 0.2 s and not 0.1, since both are begun by one loop. Found by reading; test_new_owner holds either way.

--- a/tamarackthread/control/site/maps/duty.py
+++ b/tamarackthread/control/site/maps/duty.py
@@ -67,7 +67,9 @@
                     await asyncio.sleep(LEAD_LOOK_SECONDS)
                     continue
                 self._begin_due()
-                await asyncio.sleep(self._maps.read_seconds)
+                await asyncio.sleep(
+                    min(self._maps.read_seconds, self._maps.look_seconds)
+                )
         finally:
             self._cancel()
 
--- a/tools/regression/plan.py
+++ b/tools/regression/plan.py
@@ -14,7 +14,7 @@
 DAYS_OF_LARGE = 8
 DAYS_OF_SMALL = 40
 KINDS = ('score', 'hunt', 'sweep')
-DEFAULT_JOBS = 4
+DEFAULT_JOBS = 6
 
 
 @attrs.frozen(kw_only=True)
