Remember of crashing calls what other entries have seen

Entries that start again took their part of the evidence with them, and a call that had crashed three targets was let through four to seven times four seconds later, where three are borne.

Each entry now keeps what all know, by its age, so that it is forgotten at the same time everywhere; an answer voids the losses before it. The host that joins the rows lets them age: as told they would stay young for ever, going round (test_forgotten_by_all failed first).

The soak has two zones, an operator who evacuates one, targets that come back cold and a call that crashes its target; its three checks are proved by planted faults.

--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -13,6 +13,15 @@
 EVENTS = 5
 # A configuration is in force everywhere so long after it was accepted.
 APPLY_SECONDS = 2.0
+# Targets of an evacuated zone get nothing so long after it was acknowledged.
+EVACUATION_SECONDS = 5.0
+# A call that has crashed three targets reaches, so long after the third, at most
+# so many more.
+CRASHES = 3
+KNOWN_SECONDS = 4.0
+MORE_CRASHES = 3
+# Calls of one second that a cold target takes from all entries.
+COLD_RATE = 20
 
 
 class Kind(enum.Enum):
@@ -61,6 +70,9 @@
         self.attempts: dict[str, Attempt] = {}
         self.runs: collections.Counter[str] = collections.Counter()
         self._accepted: list[tuple[float, int]] = []
+        self._evacuated: dict[str, float] = {}
+        self._cold: dict[str, collections.deque[float]] = {}
+        self._crashed: dict[str, list[float]] = collections.defaultdict(list)
         self._found: list[Violation] = []
 
     def asked(self, attempt: Attempt) -> None:
@@ -71,6 +83,40 @@
         """Note that a target began to work on a call."""
         self.runs[identity] += 1
 
+    def evacuated(self, zone: str, now: float) -> None:
+        """Note that an operator was told that a zone is evacuated."""
+        self._evacuated[zone] = now
+
+    def restored(self, zone: str) -> None:
+        """Note that an operator is about to take a zone back."""
+        self._evacuated.pop(zone, None)
+
+    def reached(self, zone: str, identity: str, now: float) -> None:
+        """Judge a call that has reached a target of a zone."""
+        since = self._evacuated.get(zone)
+        if since is not None and now - since > EVACUATION_SECONDS:
+            self._add('reached_evacuated_zone', f'{identity} in {zone}')
+
+    def reached_cold(self, target: str, now: float) -> None:
+        """Judge a call that has reached a cold target."""
+        moments = self._cold.setdefault(target, collections.deque())
+        moments.append(now)
+        while now - moments[0] >= 1:
+            moments.popleft()
+        if len(moments) > COLD_RATE:
+            self._add('cold_target_overrun', f'{len(moments)} at {target}')
+
+    def crashed(self, call: str, now: float) -> None:
+        """Judge a call that has crashed the target that ran it."""
+        moments = self._crashed[call]
+        moments.append(now)
+        if len(moments) <= CRASHES:
+            return
+        known_at = moments[CRASHES - 1] + KNOWN_SECONDS
+        late = sum(moment > known_at for moment in moments)
+        if late > MORE_CRASHES:
+            self._add('crashing_call_let_through', f'{late} times, {call}')
+
     def accepted(self, version: int, now: float) -> None:
         """Note that an operator was told that a version is accepted."""
         self._accepted.append((now, version))
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -21,11 +21,15 @@
 CALL_SECONDS = 4.0
 CHANGE_SECONDS = 1.0
 RESEND_SECONDS = 0.1
+EVACUATED_SECONDS = 7.0
+CRASH_SECONDS = 0.5
 OPERATOR_SECONDS = 2.0
 MOST_PAUSE_SECONDS = 2.0
 MOST_DOWN_SECONDS = 1.5
 # A fault explains a cut call up to so long after its end.
 AFTER_SECONDS = 1.0
+# A call that is read is not cut off without an answer later than this.
+CROSSING_SECONDS = 0.2
 _SERVICE = 'app'
 _HOST = 'soak.example'
 _PATHS = types.MappingProxyType(
@@ -63,8 +67,9 @@
                 self._world.control_addresses,
                 self.seen,
                 self._rng,
+                world.ZONES[number % len(world.ZONES)],
             )
-            for _ in range(TARGETS)
+            for number in range(TARGETS)
         ]
         self._version = 0
         self._faults: collections.Counter[str] = collections.Counter()
@@ -98,6 +103,8 @@
             asyncio.create_task(self._call_on(session)) for _ in range(CALLERS)
         ]
         working.append(asyncio.create_task(self._change_on(session)))
+        working.append(asyncio.create_task(self._evacuate_on(session)))
+        working.append(asyncio.create_task(self._crash_on(session)))
         working.append(asyncio.create_task(self._break_entries()))
         working.append(asyncio.create_task(self._break_controls()))
         working.append(asyncio.create_task(self._break_targets()))
@@ -119,6 +126,7 @@
         session: aiohttp.ClientSession,
         kind: ledger.Kind,
         entry: world.Node,
+        body: str = '',
     ) -> None:
         attempt = ledger.Attempt(uuid.uuid4().hex, kind, entry.host)
         self.seen.asked(attempt)
@@ -131,7 +139,9 @@
         url = f'http://{self._world.callers_address(entry)}{_PATHS[kind]}'
         try:
             async with asyncio.timeout(CALL_SECONDS + 1):
-                async with session.get(url, headers=headers) as answer:
+                async with session.post(
+                    url, headers=headers, data=body
+                ) as answer:
                     attempt.body = await answer.text()
                     attempt.status = answer.status
         except _UNSENT:
@@ -146,7 +156,14 @@
         entry: world.Node,
         asked_at: float,
     ) -> None:
-        """Tell whether only a planned stop can have cut a call off."""
+        """Tell whether only a planned stop can have cut a call off.
+
+        A call that no target got may have crossed the close of its connection: the
+        entry has not read it, and callers send such a one again.
+        """
+        took = asyncio.get_running_loop().time() - asked_at
+        if took < CROSSING_SECONDS and not self.seen.runs[attempt.identity]:
+            return
         if entry.is_planned_stop and entry.broken_at + AFTER_SECONDS < asked_at:
             self.seen.cut_by_planned_stop(attempt)
 
@@ -156,23 +173,60 @@
             await self._change(session)
             await self._read(session)
 
+    async def _evacuate_on(self, session: aiohttp.ClientSession) -> None:
+        """Evacuate a zone and take it back, in turn."""
+        zone = world.ZONES[-1]
+        while not self._is_over:
+            await self._pause()
+            await self._order(session, wire.EVACUATE, zone)
+            self.seen.evacuated(zone, asyncio.get_running_loop().time())
+            await self._wait(EVACUATED_SECONDS)
+            self.seen.restored(zone)
+            await self._order(session, wire.RESTORE, zone)
+
+    async def _order(
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+        zone: str,
+    ) -> None:
+        """Send an order until it is acknowledged, to any control host."""
+        path = path.replace('{zone}', zone)
+        while await self._posted(session, path, None) != ledger.OK:
+            await asyncio.sleep(RESEND_SECONDS)
+
+    async def _crash_on(self, session: aiohttp.ClientSession) -> None:
+        """Send a call again and again that crashes the target that runs it."""
+        while not self._is_over:
+            await asyncio.sleep(CRASH_SECONDS)
+            entry = self._rng.choice(self._world.entries)
+            kind = ledger.Kind.REPEATABLE
+            await self._call(session, kind, entry, targets.CRASHING)
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait, but no longer than the run lasts."""
+        until = asyncio.get_running_loop().time() + seconds
+        while not self._is_over and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(RESEND_SECONDS)
+
     async def _change(self, session: aiohttp.ClientSession) -> None:
         """Send a version until it is accepted, to any control host."""
         self._version += self._rng.randint(1, 3)
         body = _configuration(self._version)
-        while await self._sent(session, body) != ledger.OK:
+        while await self._posted(session, wire.REPLACE, body) != ledger.OK:
             await asyncio.sleep(RESEND_SECONDS)
         now = asyncio.get_running_loop().time()
         self.seen.accepted(self._version, now)
 
-    async def _sent(
+    async def _posted(
         self,
         session: aiohttp.ClientSession,
-        body: dict[str, typing.Any],
+        path: str,
+        body: dict[str, typing.Any] | None,
     ) -> int:
-        """Send a version once and return the status, 0 without an answer."""
+        """Send an order once and return the status, 0 without an answer."""
         host = self._rng.choice(self._world.control_addresses)
-        url = f'http://{host}{wire.REPLACE}'
+        url = f'http://{host}{path}'
         try:
             async with (
                 asyncio.timeout(OPERATOR_SECONDS),
@@ -268,5 +322,5 @@
     return {
         'version': version,
         'routes': routes,
-        'services': [{'name': _SERVICE}],
+        'services': [{'name': _SERVICE, 'cold-per-s': ledger.COLD_RATE}],
     }
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -17,6 +17,9 @@
 ANSWER_SECONDS = 1.0
 WORK_SECONDS = 0.03
 SLOTS = 8
+# After a crash a target is cold for so long.
+COLD_SECONDS = 2.0
+CRASHING = 'crash'
 _FAILURES = (aiohttp.ClientError, OSError, TimeoutError)
 
 
@@ -29,8 +32,11 @@
         controls: collections.abc.Sequence[str],
         seen: ledger.Ledger,
         rng: random.Random,
+        zone: str,
     ) -> None:
         """Be known to nobody until ``start``."""
+        self._zone = zone
+        self._cold_until: float = 0
         self._service = service
         self._controls = controls
         self._seen = seen
@@ -57,6 +63,11 @@
         self._starts += 1
         self._name = f'{self._service}-{id(self)}-{self._starts}'
 
+    def crash(self) -> None:
+        """Come back as a new start, cold."""
+        self.renew()
+        self._cold_until = _now() + COLD_SECONDS
+
     async def beat(self, session: aiohttp.ClientSession) -> None:
         """Announce this target for ever, to the next host after a failure."""
         while True:
@@ -70,7 +81,8 @@
         body = {
             'service': self._service,
             'address': self._address,
-            'zone': 'zone-0',
+            'zone': self._zone,
+            'cold-remaining-ms': int(1000 * max(0, self._cold_until - _now())),
             'slots': SLOTS,
             'state': 'ready',
             'sequence': self._sequence,
@@ -94,7 +106,15 @@
         if request.headers.get(wire.EXPECTED_TARGET) != self._name:
             return web.Response(status=wire.MISDIRECTED)
         self._seen.ran(identity)
-        await request.read()
+        now = _now()
+        self._seen.reached(self._zone, identity, now)
+        if now < self._cold_until:
+            self._seen.reached_cold(self._name, now)
+        body = await request.read()
+        if body.decode() == CRASHING:
+            self._seen.crashed(request.path, now)
+            self.crash()
+            request.transport.abort()
         headers = {wire.CALL_ID: identity, wire.SIGNATURE: 's'}
         if request.path.startswith('/stream/'):
             return await self._stream(request, identity, headers)
@@ -122,3 +142,7 @@
                 await response.write(event.encode())
             await response.write_eof()
         return response
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -18,6 +18,7 @@
 
 CONTROLS = ('127.0.0.11', '127.0.0.12', '127.0.0.13')
 ENTRIES = ('127.0.0.21', '127.0.0.22')
+ZONES = ('zone-0', 'zone-1')
 READY_TRIES = 300
 READY_PAUSE_SECONDS = 0.1
 STOP_SECONDS = 20.0
@@ -141,6 +142,7 @@
             'metrics_address': f'{node.host}:0',
             'http_address': f'{node.host}:{self._http}',
             'announce_seconds': 0.6,
+            'zones': list(ZONES),
         }
         body = {
             'role': node.role,
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -285,9 +285,9 @@
 // which these have changed since serial.
 struct SiteCalls { 1: string id, 2: i32 calls, 3: i32 answered, 4: i32 failed }
 // starts are those of targets that were lost while they ran the call that mark is
-// a hash of; is_harmless if one has answered it since.  A reply joins what all
-// entries have told.
-struct SiteSuspect { 1: binary mark, 2: list<string> starts, 3: bool is_harmless }
+// a hash of; so long ago one was lost for the last time, and one has answered it, if
+// ever.  A reply joins what all other entries have told.
+struct SiteSuspect { 1: binary mark, 2: list<string> starts, 3: i32 lost_ms, 4: optional i32 answered_ms }
 struct SiteLoadRequest { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> own, 4: list<SiteSuspect> suspects }
 struct SiteLoadReply { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> changed, 4: list<SiteSuspect> suspects }
 
--- a/tamarackthread/control/site/loads.py
+++ b/tamarackthread/control/site/loads.py
@@ -92,8 +92,9 @@
 
     def _suspects(self, entry: str) -> list[messages.SiteSuspect]:
         """Join what all entries but one know of calls that crash targets."""
+        now = asyncio.get_running_loop().time()
         rows = (
-            suspects.of_message(row)
+            suspects.of_message(row).older(now - share.heard_at)
             for other, share in self._shares.items()
             if other != entry
             for row in share.suspects
--- a/tamarackthread/entry/direct/crashing.py
+++ b/tamarackthread/entry/direct/crashing.py
@@ -80,7 +80,8 @@
         rows: collections.abc.Iterable[messages.SiteSuspect],
     ) -> None:
         """Take what all other entries know."""
-        self._known.share([suspects.of_message(row) for row in rows])
+        now = asyncio.get_running_loop().time()
+        self._known.share([suspects.of_message(row) for row in rows], now)
 
     def _verdict(self, call: calls.Call) -> suspects.Verdict:
         if not self._known:
--- a/tamarackthread/policy/suspects.py
+++ b/tamarackthread/policy/suspects.py
@@ -10,6 +10,7 @@
 import collections
 import collections.abc
 import enum
+import math
 
 import attrs
 
@@ -28,6 +29,7 @@
 REMEMBERED_SECONDS = 60.0
 # Calls that are remembered at once; of more the oldest is forgotten.
 MOST_CALLS = 128
+MILLISECONDS = 1000
 
 
 class Verdict(enum.Enum):
@@ -42,30 +44,62 @@
 class Evidence:
     """Be what is known of one call.
 
-    ``starts`` are the starts of targets that were lost while they ran it; it is
-    ``harmless`` if a target has answered it since.
+    ``starts`` are the starts of targets that were lost while they ran it.  The last
+    one was ``lost`` so many seconds ago, and a target has ``answered`` the call so
+    many seconds ago, never if infinite.  A call that was answered since is harmless.
     """
 
     mark: bytes
     starts: frozenset[str] = frozenset()
-    is_harmless: bool = False
+    lost: float = math.inf
+    answered: float = math.inf
+
+    @property
+    def is_harmless(self) -> bool:
+        """Tell whether a target has answered the call since the last loss."""
+        return self.answered <= self.lost
+
+    def older(self, seconds: float) -> Evidence:
+        """Return the same as it is some seconds later."""
+        return attrs.evolve(
+            self, lost=self.lost + seconds, answered=self.answered + seconds
+        )
+
+    def joined(self, other: Evidence) -> Evidence:
+        """Return what both know; an answer voids the losses before it."""
+        answered = min(self.answered, other.answered)
+        counted = [row for row in (self, other) if row.lost < answered]
+        starts = frozenset[str]().union(*(row.starts for row in counted))
+        return Evidence(
+            mark=self.mark,
+            starts=starts,
+            lost=min(self.lost, other.lost),
+            answered=answered,
+        )
 
 
 @attrs.frozen
 class _Loss:
+    mark: bytes
     start: str
     moment: float
 
 
 @attrs.define(eq=False)
 class _Row:
-    seen_at: float
-    losses: list[_Loss] = attrs.field(factory=list)
-    is_harmless: bool = False
+    """Be one call; moments are on the loop's clock, minus infinity for never."""
+
+    starts: set[str] = attrs.field(factory=set)
+    lost_at: float = -math.inf
+    answered_at: float = -math.inf
 
 
 class Suspects:
-    """Hold what one entry has seen, and what the others told of."""
+    """Hold what one entry has seen, and what the others told of.
+
+    Each entry remembers what all of them know, so that it outlives the entries
+    that have seen it.  It is forgotten by its age, at the same time by all.
+    """
 
     def __init__(self) -> None:
         """Begin without suspects."""
@@ -73,48 +107,53 @@
             collections.OrderedDict()
         )
         self._losses: collections.deque[_Loss] = collections.deque()
-        self._others: dict[bytes, Evidence] = {}
+        self._pending: list[_Loss] = []
 
     def __bool__(self) -> bool:
         """Tell whether any call is known; else none has to be looked up."""
-        return bool(self._rows or self._others)
+        return bool(self._rows or self._pending)
 
     def lost(self, mark: bytes, start: str, now: float) -> None:
         """Note that a start of a target was lost before it had answered."""
-        loss = _Loss(start, now)
+        loss = _Loss(mark, start, now)
         self._losses.append(loss)
-        self._forget(now)
-        row = self._rows.setdefault(mark, _Row(now))
-        row.seen_at = now
-        row.is_harmless = False
-        row.losses.append(loss)
-        self._rows.move_to_end(mark)
-        if len(self._rows) > MOST_CALLS:
-            self._rows.popitem(last=False)
+        self._pending.append(loss)
 
     def answered(self, mark: bytes, now: float) -> None:
         """Note that a target has answered a call that had been lost."""
-        if mark not in self._rows and mark not in self._others:
+        is_pending = any(loss.mark == mark for loss in self._pending)
+        if mark not in self._rows and not is_pending:
             return
-        self._rows[mark] = _Row(now, is_harmless=True)
-
-    def share(self, others: collections.abc.Iterable[Evidence]) -> None:
+        row = self._row(mark)
+        row.starts.clear()
+        row.answered_at = now
+        self._pending = [loss for loss in self._pending if loss.mark != mark]
+
+    def share(
+        self,
+        others: collections.abc.Iterable[Evidence],
+        now: float,
+    ) -> None:
         """Take what all other entries know."""
-        self._others = {row.mark: row for row in others}
+        for other in others:
+            if min(other.lost, other.answered) >= REMEMBERED_SECONDS:
+                continue
+            joined = self._evidence(other.mark, now).joined(other)
+            row = self._row(other.mark)
+            row.starts = set(joined.starts)
+            row.lost_at = now - joined.lost
+            row.answered_at = now - joined.answered
 
     def own(self, now: float) -> list[Evidence]:
         """List what this entry knows."""
-        self._forget(now)
+        self._settle(now)
         return [self._evidence(mark, now) for mark in self._rows]
 
     def losses(self, mark: bytes, now: float) -> int:
         """Count the starts that were lost by a call, 0 if it is harmless."""
-        self._forget(now)
-        own = self._evidence(mark, now)
-        others = self._others.get(mark, Evidence(mark=mark))
-        if own.is_harmless or others.is_harmless:
-            return 0
-        return len(own.starts | others.starts)
+        self._settle(now)
+        found = self._evidence(mark, now)
+        return 0 if found.is_harmless else len(found.starts)
 
     def verdict(self, mark: bytes, now: float) -> Verdict:
         """Say what is done with a call."""
@@ -123,19 +162,40 @@
             return Verdict.REFUSED
         return Verdict.WATCHED if losses >= WATCHED_LOSSES else Verdict.FREE
 
+    def _row(self, mark: bytes) -> _Row:
+        row = self._rows.setdefault(mark, _Row())
+        self._rows.move_to_end(mark)
+        if len(self._rows) > MOST_CALLS:
+            self._rows.popitem(last=False)
+        return row
+
     def _evidence(self, mark: bytes, now: float) -> Evidence:
         row = self._rows.get(mark)
         if row is None:
             return Evidence(mark=mark)
-        starts = {loss.start for loss in row.losses if self._counts(loss, now)}
         return Evidence(
-            mark=mark, starts=frozenset(starts), is_harmless=row.is_harmless
+            mark=mark,
+            starts=frozenset(row.starts),
+            lost=now - row.lost_at,
+            answered=now - row.answered_at,
         )
 
-    def _counts(self, loss: _Loss, now: float) -> bool:
-        """Tell whether a loss is evidence, once it is known what came with it."""
-        if now - loss.moment < TOGETHER_SECONDS:
-            return False
+    def _settle(self, now: float) -> None:
+        """Count losses of which it is known by now what came with them."""
+        pending = self._pending
+        self._pending = []
+        for loss in pending:
+            if now - loss.moment < TOGETHER_SECONDS:
+                self._pending.append(loss)
+                continue
+            if self._is_alone(loss):
+                row = self._row(loss.mark)
+                row.starts.add(loss.start)
+                row.lost_at = max(row.lost_at, loss.moment)
+        self._forget(now)
+
+    def _is_alone(self, loss: _Loss) -> bool:
+        """Tell whether a target was not lost together with several others."""
         together = {
             other.start
             for other in self._losses
@@ -147,35 +207,42 @@
         oldest = now - REMEMBERED_SECONDS
         while self._losses and self._losses[0].moment < oldest:
             self._losses.popleft()
-        while self._rows:
-            mark, row = next(iter(self._rows.items()))
-            if row.seen_at >= oldest:
-                return
-            self._rows.pop(mark)
+        for mark, row in tuple(self._rows.items()):
+            if max(row.lost_at, row.answered_at) < oldest:
+                self._rows.pop(mark)
 
 
 def merge(rows: collections.abc.Iterable[Evidence]) -> list[Evidence]:
     """Join what several entries know of the same calls."""
     found: dict[bytes, Evidence] = {}
     for row in rows:
-        held = found.get(row.mark, Evidence(mark=row.mark))
-        found[row.mark] = Evidence(
-            mark=row.mark,
-            starts=held.starts | row.starts,
-            is_harmless=held.is_harmless or row.is_harmless,
-        )
+        held = found.get(row.mark)
+        found[row.mark] = row if held is None else held.joined(row)
     return list(found.values())
 
 
 def to_message(row: Evidence) -> messages.SiteSuspect:
     """Put what is known of a call into a message between nodes."""
-    return messages.SiteSuspect(row.mark, sorted(row.starts), row.is_harmless)
+    return messages.SiteSuspect(
+        mark=row.mark,
+        starts=sorted(row.starts),
+        lost_ms=_milliseconds(row.lost) or 0,
+        answered_ms=_milliseconds(row.answered),
+    )
 
 
 def of_message(row: messages.SiteSuspect) -> Evidence:
     """Read what ``to_message`` wrote."""
+    answered = math.inf
+    if row.answered_ms is not None:
+        answered = row.answered_ms / MILLISECONDS
     return Evidence(
         mark=row.mark,
         starts=frozenset(row.starts),
-        is_harmless=bool(row.is_harmless),
+        lost=(row.lost_ms or 0) / MILLISECONDS if row.starts else math.inf,
+        answered=answered,
     )
+
+
+def _milliseconds(seconds: float) -> int | None:
+    return None if math.isinf(seconds) else round(seconds * MILLISECONDS)
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -133,6 +134,14 @@
         """The host that joins what entries know is lost: the next one does."""
         self.run_paused(self._lost_host())
 
+    def test_restarted_entries(self):
+        """The entries that have seen the crashes start again; others remember."""
+        self.run_paused(self._restarted())
+
+    def test_forgotten_by_all(self):
+        """Entries that tell each other of a call don't keep it for ever."""
+        self.run_paused(self._forgotten())
+
     def test_answered_elsewhere(self):
         """One entry has an answer to a call: it is refused by none."""
         self.run_paused(self._answered())
@@ -156,6 +165,26 @@
         with self.assertRaises(refusals.CallCrashes):
             entries[-1].crashing.check(test_admitting.call_of())
 
+    async def _restarted(self):
+        hosts = {'h0': loads.Loads(1)}
+        entries = await self._crashed(hosts)
+        for number in range(3):
+            entries[number] = Entry(f'e{number}', hosts)
+        await _exchange(entries)
+        for entry in entries:
+            with self.assertRaises(refusals.CallCrashes):
+                entry.crashing.check(test_admitting.call_of())
+
+    async def _forgotten(self):
+        entries = await self._crashed({'h0': loads.Loads(1)})
+        call = test_admitting.call_of()
+        for _ in range(int(2 * suspects.REMEMBERED_SECONDS)):
+            await asyncio.sleep(1)
+            await _exchange(entries)
+        for entry in entries:
+            entry.crashing.check(call)
+            self.assertEqual([], entry.crashing.own())
+
     async def _answered(self):
         entries = await self._crashed({'h0': loads.Loads(1)})
         call = test_admitting.call_of()
@@ -201,7 +230,9 @@
         status, _, _ = await self.ask(body=b'bad')
         self.assertEqual(502, status)
         fake.close()
-        rows = self.crashing.own()
+        # What was lost with it is known at once, so that the loss counts.
+        with mock.patch.object(suspects, 'TOGETHER_SECONDS', 0):
+            rows = self.crashing.own()
         self.assertEqual(1, len(rows))
         rows[0].starts = ['t7', 't8', 't9']
         self.crashing.share(rows)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -62,6 +62,40 @@
         held.read_back(4, asked_at=23)
         self.assertEqual(['configuration_reverted'], self.promises(held))
 
+    def test_evacuated_zone(self):
+        """A call reaches a zone long after it was evacuated."""
+        held = seen()
+        held.evacuated('z', now=10)
+        held.reached('z', 'c1', now=14)
+        held.reached('y', 'c1', now=16)
+        self.assertEqual([], self.promises(held))
+        held.reached('z', 'c1', now=16)
+        self.assertEqual(['reached_evacuated_zone'], self.promises(held))
+        held.restored('z')
+        held.reached('z', 'c1', now=17)
+        self.assertEqual(1, len(self.promises(held)))
+
+    def test_cold_target(self):
+        """A cold target gets one call more in a second than it takes."""
+        held = seen()
+        for _ in range(2):
+            for number in range(ledger.COLD_RATE):
+                held.reached_cold('t', now=number / ledger.COLD_RATE)
+            self.assertEqual([], self.promises(held))
+            held = seen()
+        for _ in range(ledger.COLD_RATE + 1):
+            held.reached_cold('t', now=5)
+        self.assertEqual(['cold_target_overrun'], self.promises(held))
+
+    def test_crashing_call(self):
+        """A call crashes target after target long after the third."""
+        held = seen()
+        for moment in (1, 2, 3, 4, 5, 8, 9, 10):
+            held.crashed('/x', now=moment)
+        self.assertEqual([], self.promises(held))
+        held.crashed('/x', now=11)
+        self.assertEqual(['crashing_call_let_through'], self.promises(held))
+
     def test_cut_by_planned_stop(self):
         held = seen()
         held.cut_by_planned_stop(held.attempts['c1'])
