--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from bench.engines import several
+from bench.experiments import groups
 from tamarackthread.control.site.maps import (
     deciding,
     demand,
@@ -39,54 +41,14 @@
 )
 
 
-class Groups(ranks.Ranks):
-    """Be several groups whose ranks one owner asks and orders."""
-
-    def __init__(self):
-        self.groups = [
+def groups_of_ranks():
+    """Build several groups whose ranks one owner asks and orders."""
+    return several.Several(
+        [
             test_site_maps.FakeGroup(random.Random(number))
             for number in range(GROUPS)
         ]
-
-    def members(self, service):
-        return [
-            ranks.Rank(f'{number}-{rank.target}', f'{number}-{rank.address}')
-            for number, group in enumerate(self.groups)
-            for rank in group.members(service)
-        ]
-
-    async def report(self, rank):
-        group, number, there = self.at(rank)
-        found = await group.report(there)
-        return found and attrs.evolve(found, group=f'g{number}')
-
-    async def counts(self, rank, sets):
-        group, _, there = self.at(rank)
-        return await group.counts(there, sets)
-
-    async def placement(self, rank):
-        group, _, there = self.at(rank)
-        return await group.placement(there)
-
-    async def order(self, rank, asked):
-        group, _, there = self.at(rank)
-        return await group.order(there, asked)
-
-    def rest_seconds(self, numbers):
-        return 0
-
-    def note_pace(self, target, pace):
-        """Take how fast a target is, which no test here looks at."""
-
-    async def close(self):
-        for group in self.groups:
-            await group.close()
-
-    def at(self, rank):
-        number, _, address = rank.address.partition('-')
-        group = self.groups[int(number)]
-        there = ranks.Rank(f't{address[1:]}', address)
-        return group, int(number), there
+    )
 
 
 class Told(test_site_maps.NoNews):
@@ -118,7 +80,7 @@
         self.run_paused(self._held())
 
     async def _silent(self):
-        asked = Groups()
+        asked = groups_of_ranks()
         tasks = self._begin(asked)
         await asyncio.sleep(3)
         broken, *others = asked.groups
@@ -132,7 +94,7 @@
         await self._end(asked, tasks)
 
     async def _held(self):
-        asked = Groups()
+        asked = groups_of_ranks()
         steps = [asyncio.create_task(one.run()) for one in asked.groups]
         await asyncio.sleep(1)
         before = [one.step for one in asked.groups]
@@ -317,3 +279,18 @@
             for number in range(RANKS)
         ),
     )
+
+
+class ShiftsCase(unittest.TestCase):
+    def test_slow_copies(self):
+        """Demand shifts for three groups before the evenest maps are copied.
+
+        Mended one after another, groups are even for a small part of the time;
+        side by side and by few copies first, for the larger part.
+        """
+        pattern = groups.PATTERNS[0]
+        standing, _, ours = (
+            groups.play(pattern, variant, SEED, groups.QUICK_SHIFTS)
+            for variant in groups.VARIANTS
+        )
+        self.assertGreater(ours['even_share'], 2 * standing['even_share'])
