Have an organisation's priority decide who goes

Cause: the priority of a call's organisation, which goes before the route's, was found with the route and dropped; calls that waited for room were put in order by the route alone. Test: two calls of one route wait, the later one's organisation is urgent (fails on the code of before).

--- a/tamarackthread/entry/direct/admitting.py
+++ b/tamarackthread/entry/direct/admitting.py
@@ -263,4 +263,4 @@
     Where not all can be in time, going by age alone makes all of them late.
     """
     aim_at = call.arrived + call.route.aim
-    return first_at > aim_at, call.route.priority, aim_at
+    return first_at > aim_at, call.priority, aim_at
--- a/tamarackthread/entry/direct/calls.py
+++ b/tamarackthread/entry/direct/calls.py
@@ -38,7 +38,8 @@
     """Be an accepted request: where it may go and until when.
 
     ``deadline`` is on the loop's clock and the earlier of the caller's and
-    the route's.  ``organisation`` is empty where the route is open.
+    the route's.  ``organisation`` is empty where the route is open.  A lower
+    ``priority`` goes first: the organisation's, where it has one, else the route's.
     """
 
     asked: Asked
@@ -48,6 +49,7 @@
     organisation: str
     arrived: float
     deadline: float
+    priority: int = 0
 
 
 def patience(left: float | None) -> float:
--- a/tamarackthread/entry/direct/front.py
+++ b/tamarackthread/entry/direct/front.py
@@ -226,6 +226,7 @@
             organisation=found.organisation,
             arrived=arrived,
             deadline=arrived + left,
+            priority=found.priority,
         )
 
     async def _tell(
--- a/tests/test_admitting.py
+++ b/tests/test_admitting.py
@@ -62,6 +62,7 @@
         organisation='',
         arrived=now,
         deadline=now + timeout,
+        priority=priority,
     )
 
 
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -7,6 +7,7 @@
 import unittest
 
 import aiohttp
+import attrs
 
 from tamarackthread.entry.direct import (
     admitting,
@@ -627,3 +628,53 @@
         self.assertEqual(503, status)
         self.assertIn(b'TT7214', body)
         self.assertGreater(float(headers['Retry-After']), 1)
+
+
+class PriorityCase(DirectCase):
+    async def test_organisation_goes_first(self):
+        """Two callers wait for room, and only one of them finds it.
+
+        Their calls are of one route and came one after the other.  The later
+        one's organisation is more urgent than the route, so its call goes.
+        """
+        self.serve(STREAM, gap=0.12, priority=2)
+        self.hold_organisations()
+        for _ in range(2):
+            await self.add(streaming(1, 2, is_whole=True))
+        full = self.known.get('t1')
+        full.own = 100
+        waiting = [
+            asyncio.create_task(self.ask(key=key, left='1500'))
+            for key in ('usual', 'urgent')
+        ]
+        while len(self.admission._lines['s']) < 2:
+            await asyncio.sleep(0)
+        full.own = 0
+        self.admission._lines['s'].left()
+        done, late = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        self.assertEqual({waiting[1]}, done)
+        self.assertEqual(200, waiting[1].result()[0])
+        for task in late:
+            task.cancel()
+
+    def hold_organisations(self):
+        held = self.tables.current.held
+        organisations = tuple(
+            configuration.Organisation(
+                name=key, keys=frozenset((key,)), priority=priority
+            )
+            for key, priority in (('usual', None), ('urgent', 0))
+        )
+        fresh = attrs.evolve(
+            held,
+            organisations=organisations,
+            services=(
+                configuration.Service(
+                    name='s', passes=configuration.Passes(empty=0.03)
+                ),
+            ),
+        )
+        self.tables.put(table.Table(fresh))
+        self.admission.learn(fresh)
