Give fences, releases and standing of targets modules of their own

Which targets may get work (zones, groups, cold shares) is in standing.py, fences and the end of what an earlier owner left in releasing.py. No change of behaviour.

--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections.abc
-import logging
 import math
 
 from tamarackthread.control.site.maps import (
@@ -14,10 +13,11 @@
     learning,
     membership,
     ranks,
+    releasing,
     switching,
     watched,
 )
-from tamarackthread.shared import log_events, offload
+from tamarackthread.shared import offload
 from tamarackthread.shared.site import configuration, figures
 from tamarackthread.shared.site import groups as site_groups
 
@@ -42,11 +42,6 @@
 # A group that is closed opens again within a second or two, and callers go to others
 # until it is seen to be open.
 CLOSED_LOOK_SECONDS = 0.3
-# A term has this many fences, one more for each switch that is taken back, and as
-# many versions of maps: at one switch a second, those of eleven days.
-FENCES_OF_TERM = 1_000_000
-_log = logging.getLogger('tamarackthread.control')
-
 Members = collections.abc.Callable[[str], list[ranks.Rank]]
 NotePace = collections.abc.Callable[[str, float], None]
 
@@ -74,8 +69,7 @@
         self._ranks = asked
         self._members = members
         self._watched: dict[str, watched.Watched] = {}
-        self._taken_back = 0
-        self._is_outdated = False
+        self._fences = releasing.Fences()
         self._has_released = False
         self._is_missing = False
         self._busy: set[str] = set()
@@ -115,7 +109,7 @@
     @property
     def is_outdated(self) -> bool:
         """Tell whether a rank has seen the orders of a later owner."""
-        return self._is_outdated
+        return self._fences.is_outdated
 
     def begin(self) -> None:
         """Forget what an earlier time as owner has left.
@@ -124,8 +118,7 @@
         """
         self._watched = {}
         self._busy = set()
-        self._taken_back = 0
-        self._is_outdated = False
+        self._fences = releasing.Fences()
         self._began_at = asyncio.get_running_loop().time()
 
     @property
@@ -273,7 +266,9 @@
         step = group.held
         if step is None or known.has_let_go(step, loop.time()):
             return
-        if await self._bring_to_end(group, step, term):
+        if await releasing.bring_to_end(
+            self._ranks, self._fences, term, group, step
+        ):
             known.let_go(step, loop.time())
         self._has_released = True
 
@@ -292,54 +287,6 @@
             known.least_step = service.passes.empty
         return known
 
-    def _fence(self, term: int) -> int:
-        """Give the fence in use: higher with each term and each taking back."""
-        return term * FENCES_OF_TERM + self._taken_back
-
-    async def _bring_to_end(
-        self,
-        group: switching.Group,
-        step: int,
-        term: int,
-    ) -> bool:
-        """Bring to its end what an earlier owner, or a late order, left.
-
-        Returns whether the group was let go.
-        """
-        log_events.tell(
-            _log,
-            log_events.Event.HELD,
-            'control: group %s is held at %d',
-            group.name,
-            step,
-            level=logging.WARNING,
-            group=group.name,
-            step=step,
-        )
-        switcher = switching.Switcher(self._ranks, self._fence(term))
-        is_fenced = await switcher.fence(group, step)
-        self._is_outdated |= switcher.is_outdated
-        if not is_fenced:
-            return False
-        await asyncio.sleep(switching.LAG_SECONDS)
-        fenced = await groups.again(self._ranks, group)
-        if fenced is None:
-            return False
-        if fenced.armed is None:
-            return await switcher.go(fenced, step, fenced.members)
-        if await switcher.finish(fenced, fenced.armed, fenced.members):
-            return True
-        self._taken_back += 1
-        higher = switching.Switcher(self._ranks, self._fence(term))
-        is_back = await higher.take_back(fenced, fenced.armed)
-        _log.warning(
-            'control: the switch of group %s at step %d was %s',
-            group.name,
-            step,
-            'taken back' if is_back else 'left to the next look',
-        )
-        return is_back
-
     async def _switch(
         self,
         known: watched.Watched,
@@ -347,17 +294,17 @@
         wanted: ranks.GroupMap,
         term: int,
     ) -> None:
-        switcher = switching.Switcher(self._ranks, self._fence(term))
+        switcher = switching.Switcher(self._ranks, self._fences.of(term))
         change = changing.Change(self._ranks, switcher, known, group)
-        version = known.next_version(term * FENCES_OF_TERM)
+        version = known.next_version(term * releasing.FENCES_OF_TERM)
         is_sound = await change.run(version, wanted)
-        self._is_outdated |= switcher.is_outdated
+        self._fences.learn(switcher)
         if not is_sound:
             # A copy of an arm that got no answer may still be carried out, and
             # would switch one rank alone once the group was let go.  What
             # brings this switch to its end has a higher fence, which every
             # rank is given first, so that they refuse such a copy.
-            self._taken_back += 1
+            self._fences.raise_one()
 
 
 def _see(known: watched.Watched, group: switching.Group) -> None:
--- a/tamarackthread/entry/direct/learned.py
+++ b/tamarackthread/entry/direct/learned.py
@@ -47,7 +47,7 @@
     @property
     def zone_changes(self) -> int:
         """Return how many changes of zones are held."""
-        return self._known.zones.changes
+        return self._known.zone_changes
 
     def learn_zones(self, rows: list[zones.Zone]) -> None:
         """Obey what operators asked for zones."""
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -13,6 +13,7 @@
 from tamarackthread.entry.direct import (
     choosing,
     records,
+    standing,
     starts,
     target_lines,
 )
@@ -34,9 +35,6 @@
 # some, and most aims are twice this.
 CALM_SECONDS = 0.2
 SWEEP_SECONDS = 0.5
-# The targets of a zone that is taken back are taken for cold for so long, whatever
-# they last said: one may have turned cold after its last announcement.
-RESTORED_SECONDS = 10.0
 
 
 class Targets:
@@ -55,9 +53,7 @@
         Must be called from within a running loop.
         """
         self._chooser = choosing.Chooser(zone, generator)
-        self._shares = shares
-        self._zones = zones.Zones()
-        self._groups = groups.Groups()
+        self._standing = standing.Standing(shares)
         self._beat = beat_seconds
         self._unheard = beat_seconds * BEATS_UNHEARD
         self._started_at = asyncio.get_running_loop().time()
@@ -93,32 +89,17 @@
         held.said = said
 
     @property
-    def zones(self) -> zones.Zones:
-        """Return which zones are evacuated."""
-        return self._zones
+    def zone_changes(self) -> int:
+        """Return how many changes of zones are held."""
+        return self._standing.zone_changes
 
     def learn_zones(self, rows: list[zones.Zone]) -> None:
         """Send nothing to evacuated zones, and work again to those restored."""
-        before = self._zones.changes
-        restored = set()
-        for row in rows:
-            was = self._zones.is_evacuated(row.name)
-            if self._zones.learn(row) and was and not row.is_evacuated:
-                restored.add(row.name)
-        warm_at = asyncio.get_running_loop().time() + RESTORED_SECONDS
-        for target in self._by_name.values():
-            if target.said.zone in restored:
-                target.cold_until = warm_at
-        if self._zones.changes > before:
-            target_lines.tell_zones(self._zones)
+        self._standing.learn_zones(rows, self._by_name.values())
 
     def learn_groups(self, term: int, rows: list[groups.Group]) -> None:
         """Take which targets make a group, as an owner of a term tells."""
-        if not self._groups.learn(term, rows):
-            return
-        for target in self._by_name.values():
-            target.group = self._groups.of(target.name)
-        target_lines.tell_groups(self._groups)
+        self._standing.learn_groups(term, rows, self._by_name.values())
 
     def slow(self, source: str, paces: dict[str, float]) -> None:
         """Take the slow targets that one control host knows of.
@@ -176,7 +157,7 @@
         ready = [
             target
             for target in found
-            if target.is_ready(now) and self._makes_passes(target)
+            if target.is_ready(now) and self._standing.has_room(target)
         ]
         own = sum(target.own for target in found)
         others = own * max(0, entries - 1)
@@ -220,12 +201,12 @@
         usable = [
             target
             for target in self.of_service(service)
-            if target.name not in tried and self._may_take(target, now)
+            if target.name not in tried and self._standing.may_take(target, now)
         ]
         sound = [
             target
             for target in usable
-            if target.group not in left and self._groups.is_open(target.group)
+            if target.group not in left and self._standing.is_open(target)
         ]
         return self._chooser.best(sound or usable, now)
 
@@ -285,22 +266,6 @@
             target_lines.tell(target.said)
         self._count()
 
-    def _may_take(self, target: starts.Start, now: float) -> bool:
-        if target.said.is_leaving or self._is_evacuated(target):
-            return False
-        if self._shares is None or not target.is_cold(now):
-            return True
-        most = self._shares.calls(target.said.service, target.name)
-        return most is None or target.sent.lately(now) < most
-
-    def _makes_passes(self, target: starts.Start) -> bool:
-        """Tell whether a target has room for calls at all."""
-        is_open = self._groups.is_open(target.group)
-        return is_open and not self._is_evacuated(target)
-
-    def _is_evacuated(self, target: starts.Start) -> bool:
-        return self._zones.is_evacuated(target.said.zone)
-
     def _judge(self) -> None:
         """Leave out targets that fail what others of their service answer."""
         now = asyncio.get_running_loop().time()
@@ -323,7 +288,7 @@
                 figures.TARGETS.labels(service, state).inc()
 
     def _add(self, said: announcements.Announcement, now: float) -> None:
-        group = self._groups.of(said.target)
+        group = self._standing.group_of(said.target)
         self._by_name[said.target] = starts.Start(said, now, group=group)
         if said.service:
             self._by_service[said.service][said.target] = None
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -339,7 +339,8 @@
         known = self.known()
         known.learn_zones([zones.Zone('east', True, 3)])
         known.learn_zones([zones.Zone('east', False, 2)])
-        self.assertTrue(known.zones.is_evacuated('east'))
+        self.assertEqual(3, known.zone_changes)
+        self.assertEqual('west', known.choose(SERVICE, ()).said.zone)
 
     def known(self):
         known = targets.Targets('east', 1.0, random.Random(5))
