Tell what is known of crashing calls only when it has changed

Both sides now name the state that they know and send the rows only when another one is there; a host that has started again is told all anew. Ages that differ a little are no news. test_told_once failed before.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -286,10 +286,15 @@
 struct SiteCalls { 1: string id, 2: i32 calls, 3: i32 answered, 4: i32 failed }
 // starts are those of targets that were lost while they ran the call that mark is
 // a hash of; so long ago one was lost for the last time, and one has answered it, if
-// ever.  A reply joins what all other entries have told.
+// ever.  Both sides tell them whole, and only if they have changed; a reply joins
+// what all other entries have told.
 struct SiteSuspect { 1: binary mark, 2: list<string> starts, 3: i32 lost_ms, 4: optional i32 answered_ms }
-struct SiteLoadRequest { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> own, 4: list<SiteSuspect> suspects }
-struct SiteLoadReply { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> changed, 4: list<SiteSuspect> suspects }
+struct SiteLoadRequest { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> own,
+  4: optional list<SiteSuspect> suspects, 5: i64 suspects_serial,
+}
+struct SiteLoadReply { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> changed,
+  4: optional list<SiteSuspect> suspects, 5: i64 suspects_serial,
+}
 
 // An operator asks for a zone to be evacuated or taken back; without a name, how
 // all zones are.
--- a/tamarackthread/control/site/loads.py
+++ b/tamarackthread/control/site/loads.py
@@ -39,6 +39,7 @@
     rows: dict[str, Sum]
     heard_at: float
     suspects: tuple[messages.SiteSuspect, ...] = ()
+    suspects_at: float = 0
 
 
 _NONE = Sum()
@@ -59,6 +60,7 @@
         self._sums: dict[str, Sum] = {}
         self._changed_at: dict[str, int] = {}
         self._serial = 0
+        self._suspects_serial = 0
 
     def answer(
         self,
@@ -76,9 +78,15 @@
             for row in asked.own
         }
         self._put(entry, rows, now)
-        self._shares[entry].suspects = tuple(asked.suspects or ())
+        if asked.suspects is not None:
+            self._shares[entry].suspects = tuple(asked.suspects)
+            self._shares[entry].suspects_at = now
+            self._suspects_serial += 1
         self._forget_silent(now)
-        known = asked.serial if asked.epoch == self._epoch else 0
+        is_known = asked.epoch == self._epoch
+        known = asked.serial if is_known else 0
+        heard = asked.suspects_serial if is_known else 0
+        has_news = (heard or 0) != self._suspects_serial
         return messages.SiteLoadReply(
             epoch=self._epoch,
             serial=self._serial,
@@ -87,14 +95,15 @@
                 for target, serial in self._changed_at.items()
                 if serial > known
             ],
-            suspects=self._suspects(entry),
+            suspects=self._suspects(entry) if has_news else None,
+            suspects_serial=self._suspects_serial,
         )
 
     def _suspects(self, entry: str) -> list[messages.SiteSuspect]:
         """Join what all entries but one know of calls that crash targets."""
         now = asyncio.get_running_loop().time()
         rows = (
-            suspects.of_message(row).older(now - share.heard_at)
+            suspects.of_message(row).older(now - share.suspects_at)
             for other, share in self._shares.items()
             if other != entry
             for row in share.suspects
@@ -104,7 +113,11 @@
     def _put(self, entry: str, rows: dict[str, Sum], now: float) -> None:
         held = self._shares.get(entry)
         before = {} if held is None else held.rows
-        self._shares[entry] = _Share(rows, now)
+        if held is None:
+            self._shares[entry] = _Share(rows, now)
+        else:
+            held.rows = rows
+            held.heard_at = now
         for target in before.keys() | rows.keys():
             was = before.get(target, _NONE)
             told = rows.get(target, _NONE)
--- a/tamarackthread/entry/direct/crashing.py
+++ b/tamarackthread/entry/direct/crashing.py
@@ -70,6 +70,11 @@
             now = asyncio.get_running_loop().time()
             self._known.answered(mark_of(call), now)
 
+    @property
+    def serial(self) -> int:
+        """Return a number that grows with each change of ``own``."""
+        return self._known.serial
+
     def own(self) -> list[messages.SiteSuspect]:
         """List what other entries have to know."""
         now = asyncio.get_running_loop().time()
--- a/tamarackthread/entry/direct/sharing.py
+++ b/tamarackthread/entry/direct/sharing.py
@@ -21,6 +21,7 @@
 ANSWER_SECONDS = 0.3
 # What others had is no guide after so long without an exchange.
 STALE_SECONDS = 1.0
+NEVER_TOLD = -1
 _log = logging.getLogger('tamarackthread.entry')
 
 Names = collections.abc.Callable[[], collections.abc.Sequence[str]]
@@ -57,6 +58,8 @@
         self._epoch = 0
         self._serial = 0
         self._sums: dict[str, records.Load] = {}
+        self._told_serial = NEVER_TOLD
+        self._heard_serial = 0
 
     async def run(self) -> None:
         """Exchange for ever."""
@@ -86,6 +89,8 @@
 
     async def _ask(self, host: str) -> None:
         own = self._known.own_loads()
+        suspects = self._suspected.own()
+        serial = self._suspected.serial
         asked = messages.SiteLoadRequest(
             epoch=self._epoch,
             serial=self._serial,
@@ -98,7 +103,8 @@
                 )
                 for target, load in own.items()
             ],
-            suspects=self._suspected.own(),
+            suspects=None if serial == self._told_serial else suspects,
+            suspects_serial=self._heard_serial,
         )
         async with asyncio.timeout(ANSWER_SECONDS):
             reply = await self._links.request(
@@ -106,6 +112,7 @@
             )
         if reply.site_load is None:
             raise errors.FrameInvalid('control host answered something else')
+        self._told_serial = serial
         self._take(reply.site_load, own)
 
     def _take(
@@ -115,8 +122,11 @@
     ) -> None:
         if reply.epoch != self._epoch:
             self._sums = {}
+            # The host has started again and knows nothing of what it was told.
+            self._told_serial = NEVER_TOLD
         self._epoch = reply.epoch
         self._serial = reply.serial
+        self._heard_serial = reply.suspects_serial or 0
         self._suspected.share(reply.suspects or ())
         for row in reply.changed:
             ends = records.Tally(row.answered or 0, row.failed or 0)
@@ -134,6 +144,8 @@
         self._epoch = 0
         self._serial = 0
         self._sums = {}
+        self._told_serial = NEVER_TOLD
+        self._heard_serial = 0
         self._known.forget_others()
 
 
--- a/tamarackthread/policy/suspects.py
+++ b/tamarackthread/policy/suspects.py
@@ -59,6 +59,11 @@
         """Tell whether a target has answered the call since the last loss."""
         return self.answered <= self.lost
 
+    def says_the_same(self, other: Evidence) -> bool:
+        """Tell whether another one differs by nothing but its age."""
+        is_alike = self.is_harmless == other.is_harmless
+        return is_alike and self.starts == other.starts
+
     def older(self, seconds: float) -> Evidence:
         """Return the same as it is some seconds later."""
         return attrs.evolve(
@@ -108,6 +113,12 @@
         )
         self._losses: collections.deque[_Loss] = collections.deque()
         self._pending: list[_Loss] = []
+        self._serial = 0
+
+    @property
+    def serial(self) -> int:
+        """Return a number that grows with each change that others must learn."""
+        return self._serial
 
     def __bool__(self) -> bool:
         """Tell whether any call is known; else none has to be looked up."""
@@ -127,6 +138,7 @@
         row = self._row(mark)
         row.starts.clear()
         row.answered_at = now
+        self._serial += 1
         self._pending = [loss for loss in self._pending if loss.mark != mark]
 
     def share(
@@ -138,7 +150,12 @@
         for other in others:
             if min(other.lost, other.answered) >= REMEMBERED_SECONDS:
                 continue
-            joined = self._evidence(other.mark, now).joined(other)
+            held = self._evidence(other.mark, now)
+            joined = held.joined(other)
+            # Ages differ a little from entry to entry and are no news.
+            if joined.says_the_same(held):
+                continue
+            self._serial += 1
             row = self._row(other.mark)
             row.starts = set(joined.starts)
             row.lost_at = now - joined.lost
@@ -190,6 +207,7 @@
                 continue
             if self._is_alone(loss):
                 row = self._row(loss.mark)
+                self._serial += loss.start not in row.starts
                 row.starts.add(loss.start)
                 row.lost_at = max(row.lost_at, loss.moment)
         self._forget(now)
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -125,6 +125,19 @@
         )
 
 
+class Counting(loads.Loads):
+    """Count the rows of suspects that go either way."""
+
+    def __init__(self, epoch):
+        super().__init__(epoch)
+        self.rows = 0
+
+    def answer(self, entry, asked):
+        reply = super().answer(entry, asked)
+        self.rows += len(asked.suspects or ()) + len(reply.suspects or ())
+        return reply
+
+
 class SharedCase(policy_case.PausedCase):
     def test_any_entry(self):
         """A call crashes a target at each of three entries; the rest refuse it."""
@@ -142,6 +155,14 @@
         """Entries that tell each other of a call don't keep it for ever."""
         self.run_paused(self._forgotten())
 
+    def test_told_once(self):
+        """What is known of a call is not sent with each of twenty exchanges a second."""
+        self.run_paused(self._told_once())
+
+    def test_host_starts_again(self):
+        """The host that joins the rows starts again and is told all anew."""
+        self.run_paused(self._host_again())
+
     def test_answered_elsewhere(self):
         """One entry has an answer to a call: it is refused by none."""
         self.run_paused(self._answered())
@@ -185,6 +206,25 @@
             entry.crashing.check(call)
             self.assertEqual([], entry.crashing.own())
 
+    async def _told_once(self):
+        hosts = {'h0': Counting(1)}
+        entries = await self._crashed(hosts)
+        await _exchange(entries)
+        hosts['h0'].rows = 0
+        for _ in range(20):
+            await _exchange(entries)
+        self.assertEqual(0, hosts['h0'].rows)
+
+    async def _host_again(self):
+        hosts = {'h0': loads.Loads(1)}
+        entries = await self._crashed(hosts)
+        hosts['h0'] = loads.Loads(2)
+        entries.append(Entry('new', hosts))
+        await _exchange(entries)
+        await _exchange(entries)
+        with self.assertRaises(refusals.CallCrashes):
+            entries[-1].crashing.check(test_admitting.call_of())
+
     async def _answered(self):
         entries = await self._crashed({'h0': loads.Loads(1)})
         call = test_admitting.call_of()
