--- a/bench/checks/calls.py
+++ b/bench/checks/calls.py
@@ -35,7 +35,7 @@
 
 @attrs.frozen
 class Try:
-    """Be one request that a caller sent, and what came of it.
+    """One request that a caller sent, and what came of it.
 
     ``call`` names the call over all its tries and ``body`` what a target is
     given; tries of a keyed order share their body, those of other calls have
@@ -56,7 +56,7 @@
 
 @attrs.frozen
 class Start:
-    """Be one start of a call at a target."""
+    """One start of a call at a target."""
 
     body: str
     at: float
@@ -64,7 +64,7 @@
 
 @attrs.frozen
 class Window:
-    """Be a time in which a process was stopped on purpose or by a fault."""
+    """A time in which a process was stopped on purpose or by a fault."""
 
     begins: float
     ends: float
@@ -73,7 +73,7 @@
 
 @attrs.frozen
 class History:
-    """Be all that was recorded in one run."""
+    """All that was recorded in one run."""
 
     tries: collections.abc.Sequence[Try]
     starts: collections.abc.Sequence[Start]
@@ -93,7 +93,7 @@
 
 @attrs.frozen
 class Violation:
-    """Be one broken promise and the call that it was made to."""
+    """One broken promise and the call that it was made to."""
 
     promise: Promise
     call: str
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -26,7 +26,7 @@
 
 @attrs.define(eq=False)
 class Process:
-    """Be one started process and the addresses it printed."""
+    """One started process and the addresses it printed."""
 
     name: str
     arguments: tuple[str, ...]
--- a/bench/config/journal.py
+++ b/bench/config/journal.py
@@ -14,7 +14,7 @@
 
 @attrs.frozen
 class Moment:
-    """Be what a node held from a time on."""
+    """What a node held from a time on."""
 
     at: float
     revision: int
@@ -23,7 +23,7 @@
 
 @attrs.frozen
 class Accepted:
-    """Be an accepted change with its times on the machine's clock."""
+    """An accepted change with its times on the machine's clock."""
 
     revision: int
     asked_at: float
@@ -33,7 +33,7 @@
 
 @attrs.frozen
 class Span:
-    """Be the time of one fault."""
+    """The time of one fault."""
 
     began_at: float
     ended_at: float
--- a/bench/config/network.py
+++ b/bench/config/network.py
@@ -24,7 +24,7 @@
 
 @attrs.define(eq=False)
 class _Pipe:
-    """Be one relayed connection."""
+    """One relayed connection."""
 
     dialler: str
     listener: str
--- a/bench/config/operators.py
+++ b/bench/config/operators.py
@@ -26,7 +26,7 @@
 
 @attrs.define
 class Tally:
-    """Be what became of the changes."""
+    """What became of the changes."""
 
     changes: int = 0
     conflicts: int = 0
--- a/bench/config/subscribers.py
+++ b/bench/config/subscribers.py
@@ -51,7 +51,7 @@
 
 
 class Node:
-    """Be one subscriber."""
+    """One subscriber."""
 
     def __init__(
         self,
--- a/bench/engines/batch.py
+++ b/bench/engines/batch.py
@@ -24,7 +24,7 @@
 
 @attrs.define(eq=False)
 class Running:
-    """Be one call in the engine."""
+    """One call in the engine."""
 
     call_id: str
     prompt: str
--- a/bench/engines/group.py
+++ b/bench/engines/group.py
@@ -30,7 +30,7 @@
 
 
 class RankEngine(engine.Engine):
-    """Be one rank's engine process."""
+    """One rank's engine process."""
 
     def __init__(
         self,
--- a/bench/engines/lockstep_day.py
+++ b/bench/engines/lockstep_day.py
@@ -42,7 +42,7 @@
 
 
 class _Links:
-    """Be one entry's link to the host that sums all calls."""
+    """One entry's link to the host that sums all calls."""
 
     def __init__(self, entry: str, summed: loads.Loads) -> None:
         self._entry = entry
@@ -61,7 +61,7 @@
 
 
 class Day:
-    """Be one run: a group, its entries, its owner and its callers."""
+    """One run: a group, its entries, its owner and its callers."""
 
     def __init__(
         self,
--- a/bench/engines/lockstep_patterns.py
+++ b/bench/engines/lockstep_patterns.py
@@ -10,7 +10,7 @@
 
 @attrs.frozen(kw_only=True)
 class Site:
-    """Be a group, its entries, and what its callers send and take.
+    """A group, its entries, and what its callers send and take.
 
     ``first`` is the time to the first event and ``gap`` the pause between two
     that callers take, ``shift`` how long demand stays, all in seconds.
@@ -58,7 +58,7 @@
 
 @attrs.frozen
 class Pattern:
-    """Be a load: a part of the capacity, and one rank's pace.
+    """A load: a part of the capacity, and one rank's pace.
 
     The owner of the maps is gone from ``lost_at`` on for ``lost_seconds``.
     """
@@ -73,7 +73,7 @@
 
 @attrs.frozen
 class Variant:
-    """Be a way to place calls (``route``) and experts (``maps``).
+    """A way to place calls (``route``) and experts (``maps``).
 
     With ``shares`` the entries tell each other of their calls, and ``bound``
     is what keeps calls back at the entries, if anything does.
--- a/bench/engines/lockstep_stream.py
+++ b/bench/engines/lockstep_stream.py
@@ -1,4 +1,4 @@
-"""Be one call's stream at a rank of an emulated group."""
+"""One call's stream at a rank of an emulated group."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 @attrs.define(eq=False)
 class Stream:
-    """Be one call's stream at a rank."""
+    """One call's stream at a rank."""
 
     prompt: int
     events: int
--- a/bench/engines/notices.py
+++ b/bench/engines/notices.py
@@ -32,7 +32,7 @@
 
 @attrs.frozen
 class Notice:
-    """Be one urgent notice: when it is hinted, taken, handed over, ended."""
+    """One urgent notice: when it is hinted, taken, handed over, ended."""
 
     hinted: float
     taken: float
--- a/bench/engines/ranked.py
+++ b/bench/engines/ranked.py
@@ -72,7 +72,7 @@
 
 @attrs.frozen
 class _Window:
-    """Be the tokens of a window that began at ``started`` loop seconds."""
+    """The tokens of a window that began at ``started`` loop seconds."""
 
     number: int
     started: float
--- a/bench/engines/several.py
+++ b/bench/engines/several.py
@@ -1,4 +1,4 @@
-"""Be several emulated groups of one service, which one owner asks and orders."""
+"""Several emulated groups of one service, which one owner asks and orders."""
 
 from __future__ import annotations
 
--- a/bench/engines/step_history.py
+++ b/bench/engines/step_history.py
@@ -7,7 +7,7 @@
 
 @attrs.frozen
 class Step:
-    """Be one step as it was run; ``maps`` has a digest for each rank.
+    """One step as it was run; ``maps`` has a digest for each rank.
 
     ``held`` is how long a rank that could run it held for a decision.
     """
@@ -21,7 +21,7 @@
 
 @attrs.frozen
 class Executed:
-    """Be one order as an engine executed it."""
+    """One order as an engine executed it."""
 
     time: float
     rank: int
--- a/bench/engines/switch_checker.py
+++ b/bench/engines/switch_checker.py
@@ -13,7 +13,7 @@
 
 @attrs.frozen
 class Decided:
-    """Be one decided switch: when its step ran and how long ranks held."""
+    """One decided switch: when its step ran and how long ranks held."""
 
     seconds: float
     held_ms: float
--- a/bench/engines/switch_world.py
+++ b/bench/engines/switch_world.py
@@ -77,7 +77,7 @@
 
 
 class Host:
-    """Be one rank's host: the engine, and the agent beside it."""
+    """One rank's host: the engine, and the agent beside it."""
 
     def __init__(self, rank: int, world: 'World') -> None:
         """Start neither."""
--- a/bench/experiments/groups.py
+++ b/bench/experiments/groups.py
@@ -45,7 +45,7 @@
 
 @attrs.frozen
 class Pattern:
-    """Be some groups, and how often demand shifts for them, in seconds."""
+    """Some groups, and how often demand shifts for them, in seconds."""
 
     name: str
     groups: int
@@ -55,7 +55,7 @@
 
 @attrs.frozen
 class Variant:
-    """Be a way to own the maps of several groups."""
+    """A way to own the maps of several groups."""
 
     name: str
     is_side_by_side: bool
@@ -111,7 +111,7 @@
 
 
 class _Play:
-    """Be one run: groups that are kept busy, and their owner."""
+    """One run: groups that are kept busy, and their owner."""
 
     def __init__(self, pattern: Pattern, variant: Variant, seed: int) -> None:
         self._pattern = pattern
--- a/bench/experiments/logs.py
+++ b/bench/experiments/logs.py
@@ -61,14 +61,14 @@
 
 @attrs.frozen
 class _Cost:
-    """Be one round: processor time a call, and bytes a call."""
+    """One round: processor time a call, and bytes a call."""
 
     microseconds: float
     written: float
 
 
 class _Stand:
-    """Be an entry, its target and its callers."""
+    """An entry, its target and its callers."""
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
--- a/bench/experiments/skew.py
+++ b/bench/experiments/skew.py
@@ -27,7 +27,7 @@
 
 @attrs.define(eq=False)
 class Variant:
-    """Be one way of planning with its map and what was measured."""
+    """One way of planning with its map and what was measured."""
 
     planner: placement.Planner
     map: expert_map.ExpertMap
--- a/bench/faults/callers.py
+++ b/bench/faults/callers.py
@@ -35,7 +35,7 @@
 
 @attrs.frozen
 class Planned:
-    """Be one call to make, ``at`` seconds after the start of the load."""
+    """One call to make, ``at`` seconds after the start of the load."""
 
     name: str
     kind: calls.Kind
--- a/bench/faults/relays.py
+++ b/bench/faults/relays.py
@@ -23,7 +23,7 @@
 
 @attrs.define(eq=False)
 class Pair:
-    """Be one relayed connection; held bytes are delivered when it is freed."""
+    """One relayed connection; held bytes are delivered when it is freed."""
 
     dialler: str
     listener: str
--- a/bench/faults/stand.py
+++ b/bench/faults/stand.py
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class Site:
-    """Be one target, its fake and its agent."""
+    """One target, its fake and its agent."""
 
     name: str
     fake: str
--- a/bench/history/breaks.py
+++ b/bench/history/breaks.py
@@ -37,7 +37,7 @@
 
 @attrs.frozen
 class Break:
-    """Be one safeguard taken out, and what callers would suffer from it.
+    """One safeguard taken out, and what callers would suffer from it.
 
     ``seed`` is one that is known to show it, until a schedule changes.
     """
--- a/bench/history/callers.py
+++ b/bench/history/callers.py
@@ -30,7 +30,7 @@
 
 
 class Caller:
-    """Be one operator that works until cancelled."""
+    """One operator that works until cancelled."""
 
     def __init__(self, number: int, group: hosts.Hosts, seed: int) -> None:
         """Draw decisions from an own source, so that callers differ."""
--- a/bench/history/disks.py
+++ b/bench/history/disks.py
@@ -14,7 +14,7 @@
 
 
 class Platter:
-    """Be what outlasts a crash, with what is not synced yet."""
+    """What outlasts a crash, with what is not synced yet."""
 
     def __init__(self, rng: random.Random) -> None:
         """Begin empty and quick."""
@@ -61,7 +61,7 @@
 
 
 class Mount(disk.Disk):
-    """Be a disk for one life of a process; after a crash it's of no use."""
+    """A disk for one life of a process; after a crash it's of no use."""
 
     def __init__(self, platter: Platter, generation: int) -> None:
         """Work on a platter until it crashes."""
--- a/bench/history/events.py
+++ b/bench/history/events.py
@@ -15,7 +15,7 @@
 
 @attrs.frozen
 class Operation:
-    """Be one caller's change, with all its resends, or one read.
+    """One caller's change, with all its resends, or one read.
 
     Times are of the paused clock.  ``version`` is what the change made or
     what a conflict or a read showed; an operation whose outcome stayed
@@ -35,7 +35,7 @@
 
 @attrs.frozen
 class Applied:
-    """Be one command as one host's machine applied it."""
+    """One command as one host's machine applied it."""
 
     node: str
     index: int
@@ -46,7 +46,7 @@
 
 @attrs.frozen
 class Kept:
-    """Be what one host holds at the end, after all faults are healed."""
+    """What one host holds at the end, after all faults are healed."""
 
     node: str
     state: int
@@ -56,7 +56,7 @@
 
 @attrs.define
 class History:
-    """Be all that is known about one run."""
+    """All that is known about one run."""
 
     seed: int
     operations: list[Operation] = attrs.field(factory=list)
--- a/bench/history/hosts.py
+++ b/bench/history/hosts.py
@@ -24,7 +24,7 @@
 
 @attrs.define(eq=False)
 class Host:
-    """Be one control host: its disk, and its process while it runs."""
+    """One control host: its disk, and its process while it runs."""
 
     node: str
     platter: disks.Platter
@@ -33,7 +33,7 @@
 
 
 class Hosts:
-    """Be all hosts of one run."""
+    """All hosts of one run."""
 
     def __init__(
         self, history: events.History, rng: random.Random, voters: int
--- a/bench/history/network.py
+++ b/bench/history/network.py
@@ -20,7 +20,7 @@
 
 @attrs.define
 class Weather:
-    """Be how bad the network is now; delays in seconds."""
+    """How bad the network is now; delays in seconds."""
 
     least_delay: float = 0.0005
     most_delay: float = 0.003
@@ -109,7 +109,7 @@
 
 
 class Carrier(transport.Transport):
-    """Be one node's transport over the fake network."""
+    """One node's transport over the fake network."""
 
     def __init__(self, network: Network, node: str) -> None:
         """Send as this node."""
--- a/bench/history/runner.py
+++ b/bench/history/runner.py
@@ -20,7 +20,7 @@
 
 @attrs.frozen
 class Verdict:
-    """Be one run's history and what is wrong with it."""
+    """One run's history and what is wrong with it."""
 
     history: events.History
     violations: list[str]
--- a/bench/history/scenarios.py
+++ b/bench/history/scenarios.py
@@ -12,7 +12,7 @@
 
 
 class Scenarios(hands.Hands):
-    """Be faults of several steps, each aimed at one safeguard."""
+    """Faults of several steps, each aimed at one safeguard."""
 
     @property
     def scenarios(self) -> list[Fault]:
--- a/bench/load.py
+++ b/bench/load.py
@@ -28,7 +28,7 @@
 
 @attrs.define
 class Answer:
-    """Be what came back; times in seconds on the loop's clock."""
+    """What came back; times in seconds on the loop's clock."""
 
     outcome: Outcome
     status: int = 0
@@ -48,7 +48,7 @@
 
 @attrs.frozen
 class Chat:
-    """Be one model call."""
+    """One model call."""
 
     prompt: str
     tokens: int = 16
--- a/bench/slopes/budgets.py
+++ b/bench/slopes/budgets.py
@@ -20,7 +20,7 @@
 
 @attrs.frozen
 class Budget:
-    """Be a bound and what is used of it, in one unit."""
+    """A bound and what is used of it, in one unit."""
 
     name: str
     bound: float
--- a/bench/slopes/fit.py
+++ b/bench/slopes/fit.py
@@ -19,7 +19,7 @@
 
 @attrs.frozen
 class Slope:
-    """Be one fitted line; ``error`` is the slope's standard error.
+    """One fitted line; ``error`` is the slope's standard error.
 
     ``value`` is in ``unit`` for each one more of what the name says, and
     ``base`` in the same unit is the line's height at size 0.
--- a/bench/slopes/losses.py
+++ b/bench/slopes/losses.py
@@ -16,7 +16,7 @@
 
 @attrs.frozen
 class Loss:
-    """Be a part of the system that goes at once."""
+    """A part of the system that goes at once."""
 
     name: str
     targets: float
--- a/bench/slopes/process.py
+++ b/bench/slopes/process.py
@@ -49,7 +49,7 @@
 
 @attrs.define
 class Spent:
-    """Be what a piece of work cost: processor seconds and file writes."""
+    """What a piece of work cost: processor seconds and file writes."""
 
     cpu: dict[str, float] = attrs.field(factory=dict)
     writes: dict[str, int] = attrs.field(factory=dict)
--- a/bench/slopes/sheet.py
+++ b/bench/slopes/sheet.py
@@ -63,7 +63,7 @@
 
 @attrs.frozen
 class Factor:
-    """Be one number of a product with what it counts."""
+    """One number of a product with what it counts."""
 
     amount: float
     counts: str
@@ -75,7 +75,7 @@
 
 @attrs.frozen
 class Line:
-    """Be one cost of a role: a product of factors, and what carries it.
+    """One cost of a role: a product of factors, and what carries it.
 
     ``is_control`` tells whether the budget for control counts it,
     or whether it is the work on calls themselves.
--- a/bench/slopes/stand.py
+++ b/bench/slopes/stand.py
@@ -37,7 +37,7 @@
 
 
 class QuietTarget(link.Handler):
-    """Be a stand-in for an agent: keep links and report when told."""
+    """A stand-in for an agent: keep links and report when told."""
 
     def __init__(self, name: str) -> None:
         """Hold no link yet."""
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -34,7 +34,7 @@
 
 @attrs.frozen
 class Violation:
-    """Be one broken promise."""
+    """One broken promise."""
 
     promise: str
     about: str
@@ -42,7 +42,7 @@
 
 @attrs.define
 class Attempt:
-    """Be one try of a caller; ``status`` is 0 without a whole answer."""
+    """One try of a caller; ``status`` is 0 without a whole answer."""
 
     identity: str
     kind: Kind
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -53,7 +53,7 @@
 
 
 class Soak:
-    """Be one run: a site, its targets, callers, an operator and faults."""
+    """One run: a site, its targets, callers, an operator and faults."""
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
         """Draw everything from a seed; start nothing yet."""
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -1,4 +1,4 @@
-"""Be a target that announces itself and answers calls."""
+"""A target that announces itself and answers calls."""
 
 from __future__ import annotations
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -32,7 +32,7 @@
 
 @attrs.define(eq=False)
 class Node:
-    """Be one process of the product on an address of its own."""
+    """One process of the product on an address of its own."""
 
     role: str
     host: str
--- a/bench/surge/engine.py
+++ b/bench/surge/engine.py
@@ -27,7 +27,7 @@
 
 @attrs.define(slots=True, eq=False)
 class Job:
-    """Be one call at an engine; the callbacks get the outcome."""
+    """One call at an engine; the callbacks get the outcome."""
 
     priority: int
     prompt_tokens: int
--- a/bench/surge/players.py
+++ b/bench/surge/players.py
@@ -28,7 +28,7 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class Result:
-    """Be what the caller of one call saw, times in seconds after it asked."""
+    """What the caller of one call saw, times in seconds after it asked."""
 
     call: workload.Offered
     outcome: Outcome
@@ -39,7 +39,7 @@
 
 @attrs.define(slots=True, eq=False)
 class Transfer:
-    """Be one call on its way between an entry and an engine."""
+    """One call on its way between an entry and an engine."""
 
     job: engine.Job
     replica: engine.Engine
--- a/bench/surge/workload.py
+++ b/bench/surge/workload.py
@@ -51,7 +51,7 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class Offered:
-    """Be one call that a caller sends at ``at``, times in seconds."""
+    """One call that a caller sends at ``at``, times in seconds."""
 
     at: float
     entry: int
--- a/tamarackthread/agent/balancer.py
+++ b/tamarackthread/agent/balancer.py
@@ -23,7 +23,7 @@
 
 @attrs.frozen(eq=False)
 class TokenWindow:
-    """Be the tokens ``[layer, expert]`` of a window; seconds of the loop."""
+    """The tokens ``[layer, expert]`` of a window; seconds of the loop."""
 
     tokens: numpy.ndarray
     started: float
--- a/tamarackthread/agent/claims.py
+++ b/tamarackthread/agent/claims.py
@@ -34,7 +34,7 @@
 
 @attrs.frozen
 class Answer:
-    """Be the small whole answer of a claimed call."""
+    """The small whole answer of a claimed call."""
 
     status: int
     headers: tuple[messages.Header, ...]
@@ -50,7 +50,7 @@
 
 @attrs.define(eq=False)
 class _Known:
-    """Be what is remembered of one key; times on this process's clock."""
+    """What is remembered of one key; times on this process's clock."""
 
     fence: int
     state: _State
--- a/tamarackthread/agent/engine.py
+++ b/tamarackthread/agent/engine.py
@@ -16,7 +16,7 @@
 
 @attrs.frozen
 class EngineStatus:
-    """Be what the engine says of itself.
+    """What the engine says of itself.
 
     ``step`` is the last step begun, ``incarnation`` grows at each start and
     ``step_ms`` is the recent mean time of a step.
--- a/tamarackthread/agent/gate.py
+++ b/tamarackthread/agent/gate.py
@@ -1,4 +1,4 @@
-"""Be the last gate in front of the target.
+"""The last gate in front of the target.
 
 Only this process hands calls to the target, so only it can say that a call
 was not run: it says so before it sends the first byte, and never after.
--- a/tamarackthread/agent/grouping.py
+++ b/tamarackthread/agent/grouping.py
@@ -48,7 +48,7 @@
 
 @attrs.frozen
 class _InForce:
-    """Be a balancer and the settings that it was made with."""
+    """A balancer and the settings that it was made with."""
 
     planning: balancer.Balancer
     settings: balancer.BalancerSettings
--- a/tamarackthread/agent/http_engine.py
+++ b/tamarackthread/agent/http_engine.py
@@ -39,7 +39,7 @@
 
 @attrs.frozen
 class RankState:
-    """Be what an engine tells of itself and of its group's size."""
+    """What an engine tells of itself and of its group's size."""
 
     rank: int
     status: engine.EngineStatus
@@ -47,7 +47,7 @@
 
 
 class HttpEngine(engine.Engine):
-    """Be the engine of one rank; a caller may cancel any method."""
+    """The engine of one rank; a caller may cancel any method."""
 
     def __init__(self, client: engine_client.EngineClient, rank: int) -> None:
         """Ask through ``client``, which its owner starts and stops."""
--- a/tamarackthread/agent/lifecycle.py
+++ b/tamarackthread/agent/lifecycle.py
@@ -14,7 +14,7 @@
 
 
 class Lifecycle:
-    """Be the rank's state; a restart of the engine leads to UNPLACED."""
+    """The rank's state; a restart of the engine leads to UNPLACED."""
 
     state = UNPLACED
 
--- a/tamarackthread/agent/order_state.py
+++ b/tamarackthread/agent/order_state.py
@@ -45,7 +45,7 @@
 
 @attrs.frozen
 class OrderState:
-    """Be what the sender and operators see of an order.
+    """What the sender and operators see of an order.
 
     ``done`` is the part executed, from 0 to 1; ``code`` and ``text`` tell
     why it failed or was refused.
--- a/tamarackthread/agent/orders.py
+++ b/tamarackthread/agent/orders.py
@@ -42,7 +42,7 @@
 
 @attrs.define(eq=False)
 class _Job:
-    """Be a long order: its task and its state as last reported."""
+    """A long order: its task and its state as last reported."""
 
     order: messages.GroupOrder
     state: order_state.OrderState
--- a/tamarackthread/agent/recording.py
+++ b/tamarackthread/agent/recording.py
@@ -10,7 +10,7 @@
 
 
 class Receiver(typing.Protocol):
-    """Be whoever is given an answer."""
+    """Whoever is given an answer."""
 
     def send_head(self, head: messages.CallHead) -> None:
         """Take the head of the answer."""
--- a/tamarackthread/agent/rollout.py
+++ b/tamarackthread/agent/rollout.py
@@ -14,14 +14,14 @@
 
 @attrs.frozen
 class GroupHealth:
-    """Be what a group shows over a while; ``failed`` is a share of calls."""
+    """What a group shows over a while; ``failed`` is a share of calls."""
 
     step_ms: float
     failed: float
 
 
 class RolloutGroup(abc.ABC):
-    """Be one group that gets the version."""
+    """One group that gets the version."""
 
     @property
     @abc.abstractmethod
@@ -56,7 +56,7 @@
 
 @attrs.frozen
 class RolloutProgress:
-    """Be what operators see of a roll-out."""
+    """What operators see of a roll-out."""
 
     version: str
     done: tuple[str, ...]
--- a/tamarackthread/agent/switch_record.py
+++ b/tamarackthread/agent/switch_record.py
@@ -29,7 +29,7 @@
 
 @attrs.frozen
 class SwitchRecord:
-    """Be one switch: maps are named by their digests.
+    """One switch: maps are named by their digests.
 
     ``target`` serves from step ``from_step`` on if the switch is committed.
     """
--- a/tamarackthread/agent/target.py
+++ b/tamarackthread/agent/target.py
@@ -41,7 +41,7 @@
 
 @attrs.frozen
 class TargetReport:
-    """Be the target's own figures; times in milliseconds."""
+    """The target's own figures; times in milliseconds."""
 
     running: int
     queued: int
--- a/tamarackthread/cli/access.py
+++ b/tamarackthread/cli/access.py
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class Options:
-    """Be how the operator said where control is.
+    """How the operator said where control is.
 
     Either a settings file, or addresses with a key file; addresses given
     beside a settings file take the place of those in it.
--- a/tamarackthread/cli/application.py
+++ b/tamarackthread/cli/application.py
@@ -63,7 +63,7 @@
 
 
 class Application(cleo.application.Application):
-    """Be the command line, with a first help for newcomers."""
+    """The command line, with a first help for newcomers."""
 
     @property
     def help(self) -> str:
--- a/tamarackthread/cli/changes.py
+++ b/tamarackthread/cli/changes.py
@@ -26,7 +26,7 @@
 
 @attrs.frozen
 class Result:
-    """Be the outcome of a change.
+    """The outcome of a change.
 
     ``difference`` leads from what is in force to what was asked for; it is
     empty unless the outcome is a conflict.
@@ -41,7 +41,7 @@
 
 @attrs.frozen
 class Wish:
-    """Be what an operator wants a document to become.
+    """What an operator wants a document to become.
 
     ``based_on`` is the version that the wish was made from, ``None`` if that
     is unknown.  An empty body deletes.  A ``change_id`` is given only to
--- a/tamarackthread/cli/client.py
+++ b/tamarackthread/cli/client.py
@@ -41,7 +41,7 @@
 
 @attrs.frozen
 class Change:
-    """Be a change to one document; an empty body deletes it."""
+    """A change to one document; an empty body deletes it."""
 
     change_id: str
     kind: str
@@ -261,7 +261,7 @@
 
 
 class _Asking:
-    """Be one request on its way to whoever can answer it."""
+    """One request on its way to whoever can answer it."""
 
     def __init__(self, operator: Operator, request: messages.Request) -> None:
         self._operator = operator
--- a/tamarackthread/cli/commands/base.py
+++ b/tamarackthread/cli/commands/base.py
@@ -117,7 +117,7 @@
 
 
 class OperatorCommand(BaseCommand, abc.ABC):
-    """Be a command that asks the control hosts."""
+    """A command that asks the control hosts."""
 
     def configure(self) -> None:
         """Add the options of all operator commands; called by the library."""
--- a/tamarackthread/cli/commands/documents.py
+++ b/tamarackthread/cli/commands/documents.py
@@ -44,7 +44,7 @@
 
 
 class DocumentCommand(base.OperatorCommand, abc.ABC):
-    """Be a command for one kind of documents."""
+    """A command for one kind of documents."""
 
     verb = ''
     summary = ''
@@ -156,7 +156,7 @@
 
 
 class ChangeCommand(DocumentCommand, abc.ABC):
-    """Be a command that makes one change."""
+    """A command that makes one change."""
 
     async def act(self, operator: client.Operator) -> exit_codes.ExitCode:
         """Make the change, say what became of it, and wait if asked."""
--- a/tamarackthread/cli/commands/members.py
+++ b/tamarackthread/cli/commands/members.py
@@ -26,7 +26,7 @@
 
 
 class MemberCommand(base.OperatorCommand, abc.ABC):
-    """Be a command that asks replicated groups, each for its members."""
+    """A command that asks replicated groups, each for its members."""
 
     async def act(self, operator: client.Operator) -> exit_codes.ExitCode:
         """Ask each group; one that refuses does not keep the others back."""
--- a/tamarackthread/cli/edited.py
+++ b/tamarackthread/cli/edited.py
@@ -32,7 +32,7 @@
 
 @attrs.frozen
 class Edited:
-    """Be the contents of a file; ``based_on`` is ``None`` without a header."""
+    """The contents of a file; ``based_on`` is ``None`` without a header."""
 
     body: str
     based_on: int | None
--- a/tamarackthread/cli/log_lines.py
+++ b/tamarackthread/cli/log_lines.py
@@ -18,7 +18,7 @@
 
 @attrs.frozen
 class Line:
-    """Be one line of a process's log.
+    """One line of a process's log.
 
     ``seconds`` are since the epoch, not a number where ``time`` tells none.
     """
@@ -53,7 +53,7 @@
 
 @attrs.frozen
 class Place:
-    """Be where a line stands: ``number`` counts from 1."""
+    """Where a line stands: ``number`` counts from 1."""
 
     file: str
     number: int
@@ -65,7 +65,7 @@
 
 @attrs.frozen
 class Reading:
-    """Be all lines that could be read, by time, and the places of the rest."""
+    """All lines that could be read, by time, and the places of the rest."""
 
     lines: tuple[Line, ...]
     unreadable: tuple[Place, ...]
--- a/tamarackthread/cli/losses.py
+++ b/tamarackthread/cli/losses.py
@@ -93,7 +93,7 @@
 
 @attrs.frozen(kw_only=True)
 class Loss:
-    """Be one lost call: from when until when it waited for its cause."""
+    """One lost call: from when until when it waited for its cause."""
 
     kind: Kind
     cause: Cause
@@ -113,7 +113,7 @@
 
 @attrs.frozen
 class Row:
-    """Be how many calls were lost to something, and for how many seconds."""
+    """How many calls were lost to something, and for how many seconds."""
 
     name: str
     calls: int
@@ -122,7 +122,7 @@
 
 @attrs.frozen
 class Report:
-    """Be the losses of a day; times count from its first line."""
+    """The losses of a day; times count from its first line."""
 
     losses: tuple[Loss, ...]
     unreadable: tuple[log_lines.Place, ...]
@@ -149,7 +149,7 @@
 
 @attrs.frozen
 class _Span:
-    """Be a stretch in which something went on; everywhere without a node."""
+    """A stretch in which something went on; everywhere without a node."""
 
     cause: Cause
     began: float
--- a/tamarackthread/cli/story.py
+++ b/tamarackthread/cli/story.py
@@ -28,7 +28,7 @@
 
 @attrs.frozen
 class Story:
-    """Be one request's lines in order, and what was believed before them.
+    """One request's lines in order, and what was believed before them.
 
     ``unreadable`` counts lines of the files that are no JSON of ours.
     """
--- a/tamarackthread/control/claim_record.py
+++ b/tamarackthread/control/claim_record.py
@@ -24,7 +24,7 @@
 
 
 class Watcher:
-    """Be told of claims that change; this one does nothing with it."""
+    """Told of claims that change; this one does nothing with it."""
 
     def changed(self, key: bytes) -> None:
         """Notice that the claim of a key has changed."""
@@ -32,7 +32,7 @@
 
 @attrs.define
 class Record:
-    """Be the claim of one key.
+    """The claim of one key.
 
     ``move`` counts the hand-overs that were recorded; times are on the
     machine's clock.  A status of zero means that no answer is kept.
--- a/tamarackthread/control/consensus.py
+++ b/tamarackthread/control/consensus.py
@@ -33,7 +33,7 @@
 
 
 class Consensus:
-    """Be this host's member of one group, a log replicated by a quorum."""
+    """This host's member of one group, a log replicated by a quorum."""
 
     def __init__(  # noqa: WPS211  one settled interface, all by keyword
         self,
--- a/tamarackthread/control/group.py
+++ b/tamarackthread/control/group.py
@@ -8,7 +8,7 @@
 
 
 class Group(typing.Protocol):
-    """Be one replicated log on this control host."""
+    """One replicated log on this control host."""
 
     @property
     def term(self) -> int:
--- a/tamarackthread/control/leases.py
+++ b/tamarackthread/control/leases.py
@@ -77,7 +77,7 @@
 
 @attrs.define
 class _Term:
-    """Be the end of a lease on the leader's clock, for one fencing number."""
+    """The end of a lease on the leader's clock, for one fencing number."""
 
     fence: int
     ends_at: float
--- a/tamarackthread/control/log.py
+++ b/tamarackthread/control/log.py
@@ -14,7 +14,7 @@
 
 
 class Log:
-    """Be the entries after a snapshot, with what of them has been synced.
+    """The entries after a snapshot, with what of them has been synced.
 
     Changes take effect in memory at once and return a ticket; ``synced``
     waits until that change lasts.  What is waiting when a sync ends goes into
--- a/tamarackthread/control/membership.py
+++ b/tamarackthread/control/membership.py
@@ -10,7 +10,7 @@
 
 @attrs.frozen
 class Member:
-    """Be one member of a group as the log has it.
+    """One member of a group as the log has it.
 
     ``disk_id`` is the disk that its votes and acknowledgements count for.  A
     learner receives the log and counts for nothing; it is made a voter once
@@ -26,7 +26,7 @@
 
 @attrs.frozen
 class Membership:
-    """Be the members of a group from one index of the log on."""
+    """The members of a group from one index of the log on."""
 
     members: tuple[Member, ...] = ()
 
--- a/tamarackthread/control/operations.py
+++ b/tamarackthread/control/operations.py
@@ -26,7 +26,7 @@
 
 @attrs.frozen
 class Parts:
-    """Be what the leader's operations work on."""
+    """What the leader's operations work on."""
 
     machine: configuration.Configuration
     leading: leadership.Leadership
--- a/tamarackthread/control/parts.py
+++ b/tamarackthread/control/parts.py
@@ -14,7 +14,7 @@
 
 @attrs.frozen(eq=False)
 class Parts:
-    """Be what a member is built on.
+    """What a member is built on.
 
     ``bootstrap`` maps the nodes of the group's first formation to addresses.
     """
--- a/tamarackthread/control/proposing.py
+++ b/tamarackthread/control/proposing.py
@@ -29,7 +29,7 @@
 
 @attrs.frozen
 class ProposeResult:
-    """Be a committed command's place in the log and the machine's result."""
+    """A committed command's place in the log and the machine's result."""
 
     index: int
     result: bytes
--- a/tamarackthread/control/records.py
+++ b/tamarackthread/control/records.py
@@ -26,7 +26,7 @@
 
 @attrs.frozen
 class Scan:
-    """Be what a file held: whole payloads and the size that they cover."""
+    """What a file held: whole payloads and the size that they cover."""
 
     payloads: tuple[bytes, ...]
     good_bytes: int
--- a/tamarackthread/control/reign.py
+++ b/tamarackthread/control/reign.py
@@ -12,7 +12,7 @@
 
 @attrs.define(eq=False)
 class Progress:
-    """Be how far one other member has got, as the leader has heard.
+    """How far one other member has got, as the leader has heard.
 
     ``acked_at`` is when the newest answered message was sent, by the leader's
     own clock; ``disk_id`` is the disk that all this is true of.
@@ -38,7 +38,7 @@
 
 
 class Reign:
-    """Be a leader's term, from its election until it steps down."""
+    """A leader's term, from its election until it steps down."""
 
     def __init__(
         self,
--- a/tamarackthread/control/replica.py
+++ b/tamarackthread/control/replica.py
@@ -24,7 +24,7 @@
 
 
 class Replica:
-    """Be one member's view of its group.
+    """One member's view of its group.
 
     Everything here changes on the event loop between two awaits.  Whoever
     awaits must look again at the term before acting on what it saw before.
--- a/tamarackthread/control/role.py
+++ b/tamarackthread/control/role.py
@@ -21,7 +21,7 @@
 
 
 class Role:
-    """Be follower, candidate or leader; a wrong move raises.
+    """Follower, candidate or leader; a wrong move raises.
 
     A learner is a follower that doesn't stand.
     """
--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -79,7 +79,7 @@
 
 
 class Door(abc.ABC):
-    """Be the HTTP through which operators and targets reach this host."""
+    """The HTTP through which operators and targets reach this host."""
 
     @abc.abstractmethod
     async def open(
--- a/tamarackthread/control/site/loads.py
+++ b/tamarackthread/control/site/loads.py
@@ -17,7 +17,7 @@
 
 @attrs.frozen
 class Sum:
-    """Be calls at a target, and those that ended there of late."""
+    """Calls at a target, and those that ended there of late."""
 
     calls: int = 0
     answered: int = 0
@@ -34,7 +34,7 @@
 
 @attrs.define(eq=False)
 class _Share:
-    """Be what one entry has told last."""
+    """What one entry has told last."""
 
     rows: dict[str, Sum]
     heard_at: float
--- a/tamarackthread/control/site/maps/changing.py
+++ b/tamarackthread/control/site/maps/changing.py
@@ -30,7 +30,7 @@
 
 
 class Change:
-    """Be one change of a group's map."""
+    """One change of a group's map."""
 
     def __init__(
         self,
--- a/tamarackthread/control/site/maps/membership.py
+++ b/tamarackthread/control/site/maps/membership.py
@@ -15,7 +15,7 @@
 
 @attrs.frozen
 class _Place:
-    """Be the group that a target has reported last, and whether it is open."""
+    """The group that a target has reported last, and whether it is open."""
 
     group: str
     is_open: bool
--- a/tamarackthread/control/site/maps/ranks.py
+++ b/tamarackthread/control/site/maps/ranks.py
@@ -34,7 +34,7 @@
 
 @attrs.frozen
 class Armed:
-    """Be a switch that a rank makes as a step begins."""
+    """A switch that a rank makes as a step begins."""
 
     version: int
     step: int
@@ -42,7 +42,7 @@
 
 @attrs.frozen(kw_only=True)
 class RankReport:
-    """Be what a rank tells of itself, as of some hundred milliseconds ago.
+    """What a rank tells of itself, as of some hundred milliseconds ago.
 
     ``prepared`` is the version whose experts it has whole, ``held`` the step
     that its group does not begin, both ``None`` if there is none.  A ``pace``
@@ -68,7 +68,7 @@
 
 @attrs.frozen
 class Counts:
-    """Be how often a rank's calls chose each expert, by set, since a start."""
+    """How often a rank's calls chose each expert, by set, since a start."""
 
     epoch: int
     by_set: tuple[tuple[int, ...], ...]
@@ -81,7 +81,7 @@
 
 @attrs.frozen
 class Rank:
-    """Be where a rank is reached, and which start of it is meant.
+    """Where a rank is reached, and which start of it is meant.
 
     A rank whose zone is evacuated goes on in its group, which needs its experts,
     but ``takes_calls`` no longer.
@@ -94,7 +94,7 @@
 
 @attrs.frozen(kw_only=True)
 class Order:
-    """Be one order; ``fence`` grows with each owner.
+    """One order; ``fence`` grows with each owner.
 
     ``operation`` is one of the constants below.  An answer is waited for up to
     ``patience`` seconds.
--- a/tamarackthread/control/site/maps/switching.py
+++ b/tamarackthread/control/site/maps/switching.py
@@ -60,7 +60,7 @@
 
 @attrs.frozen(kw_only=True)
 class Group:
-    """Be the ranks of one epoch of a group, in the order of their numbers."""
+    """The ranks of one epoch of a group, in the order of their numbers."""
 
     name: str
     epoch: int
--- a/tamarackthread/control/site/maps/watched.py
+++ b/tamarackthread/control/site/maps/watched.py
@@ -55,7 +55,7 @@
 
 @attrs.define(eq=False)
 class Watched:
-    """Be a group as its reports, its counts and this owner's orders tell.
+    """A group as its reports, its counts and this owner's orders tell.
 
     ``placement`` is the map of ``version`` in ``epoch``.  ``highest`` is the
     highest version that this owner gave out, whether or not it came into
--- a/tamarackthread/control/snapshots.py
+++ b/tamarackthread/control/snapshots.py
@@ -26,7 +26,7 @@
 
 @attrs.frozen
 class Snapshot:
-    """Be a snapshot with the machine's state at its last entry."""
+    """A snapshot with the machine's state at its last entry."""
 
     meta: Meta
     members: membership.Membership
--- a/tamarackthread/entry/answers.py
+++ b/tamarackthread/entry/answers.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class Head:
-    """Be the status and headers of an answer."""
+    """The status and headers of an answer."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
--- a/tamarackthread/entry/attempt.py
+++ b/tamarackthread/entry/attempt.py
@@ -34,7 +34,7 @@
 
 @attrs.define(eq=False)
 class Progress:
-    """Be how far an answer has come to its caller, over all attempts."""
+    """How far an answer has come to its caller, over all attempts."""
 
     events: int = 0
     is_events: bool = False
@@ -42,7 +42,7 @@
 
 
 class Attempt:
-    """Be one try of a call at one target."""
+    """One try of a call at one target."""
 
     def __init__(
         self,
--- a/tamarackthread/entry/calls.py
+++ b/tamarackthread/entry/calls.py
@@ -36,7 +36,7 @@
 
 @attrs.frozen
 class Call:
-    """Be one caller's request, read whole and understood.
+    """One caller's request, read whole and understood.
 
     ``deadline`` is in the loop's seconds.
     """
@@ -66,7 +66,7 @@
 
 @attrs.define(eq=False)
 class _Life:
-    """Be what is known of a call over all its attempts."""
+    """What is known of a call over all its attempts."""
 
     call: Call
     sink: answers.Sink
--- a/tamarackthread/entry/claimed.py
+++ b/tamarackthread/entry/claimed.py
@@ -14,7 +14,7 @@
 
 
 class ClaimedCall(abc.ABC):
-    """Be the claim of one call that must not repeat, over all its attempts."""
+    """The claim of one call that must not repeat, over all its attempts."""
 
     @property
     @abc.abstractmethod
--- a/tamarackthread/entry/claims.py
+++ b/tamarackthread/entry/claims.py
@@ -19,7 +19,7 @@
 
 @attrs.frozen
 class Ask:
-    """Be one try of a keyed call; ``deadline`` is on the loop's clock.
+    """One try of a keyed call; ``deadline`` is on the loop's clock.
 
     ``identity`` names this try: it may ask for the claim as often as
     answers get lost and is granted it once.
@@ -43,7 +43,7 @@
 
 @attrs.frozen
 class Finish:
-    """Be how a claimed call ended; a status of 0 keeps no answer."""
+    """How a claimed call ended; a status of 0 keeps no answer."""
 
     state: messages.ClaimState
     status: int = 0
--- a/tamarackthread/entry/direct/admitting.py
+++ b/tamarackthread/entry/direct/admitting.py
@@ -33,7 +33,7 @@
 
 @attrs.define(eq=False)
 class _Waiting:
-    """Be a call that waits; ``granted`` ends its wait."""
+    """A call that waits; ``granted`` ends its wait."""
 
     call: calls.Call
     granted: asyncio.Future[None]
--- a/tamarackthread/entry/direct/calls.py
+++ b/tamarackthread/entry/direct/calls.py
@@ -17,7 +17,7 @@
 
 @attrs.frozen(kw_only=True)
 class Asked:
-    """Be a request as it was read, before anything is decided.
+    """A request as it was read, before anything is decided.
 
     ``left`` is how long the caller will wait, in seconds, ``None`` if it did
     not say.  ``position`` is the last event of a stream that the caller has.
@@ -35,7 +35,7 @@
 
 @attrs.frozen(kw_only=True)
 class Call:
-    """Be an accepted request: where it may go and until when.
+    """An accepted request: where it may go and until when.
 
     ``deadline`` is on the loop's clock and the earlier of the caller's and
     the route's.  ``organisation`` is empty where the route is open.  A lower
--- a/tamarackthread/entry/direct/events.py
+++ b/tamarackthread/entry/direct/events.py
@@ -10,7 +10,7 @@
 
 @attrs.frozen
 class Event:
-    """Be one whole event with its border; ``number`` is -1 without an id."""
+    """One whole event with its border; ``number`` is -1 without an id."""
 
     number: int
     payload: bytes
--- a/tamarackthread/entry/direct/progressing.py
+++ b/tamarackthread/entry/direct/progressing.py
@@ -16,7 +16,7 @@
 
 @attrs.define(eq=False)
 class Progress:
-    """Be how far a call has come over all its tries.
+    """How far a call has come over all its tries.
 
     ``sent`` names the targets that may have run the call, ``refused`` those that
     said that they have not, ``skipped`` those that could not be reached, and
--- a/tamarackthread/entry/direct/records.py
+++ b/tamarackthread/entry/direct/records.py
@@ -34,7 +34,7 @@
 
 @attrs.frozen
 class Tally:
-    """Be how many calls were answered and how many failed of late."""
+    """How many calls were answered and how many failed of late."""
 
     answered: int = 0
     failed: int = 0
@@ -58,7 +58,7 @@
 
 @attrs.frozen
 class Load:
-    """Be the calls that entries have at a target, and how the last ones ended."""
+    """The calls that entries have at a target, and how the last ones ended."""
 
     calls: int = 0
     ends: Tally = Tally()
--- a/tamarackthread/entry/direct/sending.py
+++ b/tamarackthread/entry/direct/sending.py
@@ -73,14 +73,14 @@
 
 @attrs.frozen
 class Head:
-    """Be the head of a target's own answer to a call."""
+    """The head of a target's own answer to a call."""
 
     status: int
     headers: list[tuple[str, str]]
 
 
 class Answer:
-    """Be a target's answer whose head has come."""
+    """A target's answer whose head has come."""
 
     def __init__(self, head: Head, response: aiohttp.ClientResponse) -> None:
         """Read the body with ``pieces`` or ``whole``."""
--- a/tamarackthread/entry/direct/starts.py
+++ b/tamarackthread/entry/direct/starts.py
@@ -1,4 +1,4 @@
-"""Be one start of a target as an entry sees it."""
+"""One start of a target as an entry sees it."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 @attrs.define(eq=False)
 class Start:
-    """Be one start of a target.
+    """One start of a target.
 
     ``own`` counts this entry's calls there and ``others`` those that other
     entries told of.  A ``pace`` of 2 means that it takes twice its usual time.
--- a/tamarackthread/entry/direct/table.py
+++ b/tamarackthread/entry/direct/table.py
@@ -17,7 +17,7 @@
 
 @attrs.frozen
 class Found:
-    """Be where a call goes, and for whom."""
+    """Where a call goes, and for whom."""
 
     route: configuration.Route
     organisation: str
--- a/tamarackthread/entry/direct/tempo.py
+++ b/tamarackthread/entry/direct/tempo.py
@@ -7,7 +7,7 @@
 
 @attrs.define
 class Tempo:
-    """Be when an answer's pieces left, in seconds of the loop's clock.
+    """When an answer's pieces left, in seconds of the loop's clock.
 
     ``first_at`` is 0 until the first piece.  ``pause`` is the longest time
     between two pieces, which ended at ``paused_until``.  ``target`` has sent
--- a/tamarackthread/entry/directory.py
+++ b/tamarackthread/entry/directory.py
@@ -19,7 +19,7 @@
 
 @attrs.frozen
 class Caller:
-    """Be the organisation that a credential belongs to."""
+    """The organisation that a credential belongs to."""
 
     organisation: str
     details: generated.Organisation
--- a/tamarackthread/entry/keyed.py
+++ b/tamarackthread/entry/keyed.py
@@ -54,7 +54,7 @@
 
 @attrs.frozen
 class Request:
-    """Be what a claim needs to know of a call."""
+    """What a claim needs to know of a call."""
 
     facts: calls.CallFacts
     rules: generated.Claims
@@ -66,7 +66,7 @@
 
 
 class KeyedCall(claimed.ClaimedCall):
-    """Be the claim of one call over all its attempts."""
+    """The claim of one call over all its attempts."""
 
     def __init__(
         self,
--- a/tamarackthread/entry/pools.py
+++ b/tamarackthread/entry/pools.py
@@ -29,7 +29,7 @@
 
 @attrs.define(eq=False)
 class Contact:
-    """Be one target that this entry keeps a link to."""
+    """One target that this entry keeps a link to."""
 
     name: str
     details: generated.Target
@@ -64,7 +64,7 @@
 
 @attrs.frozen
 class Surroundings:
-    """Be what every pool of an entry shares."""
+    """What every pool of an entry shares."""
 
     zone: str
     directory: directory.Directory
--- a/tamarackthread/entry/unkeyed.py
+++ b/tamarackthread/entry/unkeyed.py
@@ -18,7 +18,7 @@
 
 
 class UnkeyedCall(claimed.ClaimedCall):
-    """Be such a call over its attempts."""
+    """Such a call over its attempts."""
 
     def __init__(self, prober: takeover.Prober, deadline: float) -> None:
         """Ask agents through ``prober`` until the deadline, loop time."""
--- a/tamarackthread/policy/calls.py
+++ b/tamarackthread/policy/calls.py
@@ -21,7 +21,7 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class CallFacts:
-    """Be what is known about one call before it is routed.
+    """What is known about one call before it is routed.
 
     ``deadline`` is in the loop's seconds.  ``answer_tokens`` is the expected
     length of the answer, 0 when nobody knows; ``prefixes`` are the chained
--- a/tamarackthread/policy/crowding.py
+++ b/tamarackthread/policy/crowding.py
@@ -59,7 +59,7 @@
 
 @attrs.frozen(kw_only=True)
 class Crowd:
-    """Be the calls at the ranks of a group, which run so many at once.
+    """The calls at the ranks of a group, which run so many at once.
 
     ``own`` of the ``calls`` are this entry's.  ``places`` counts the calls that
     all ranks together run at once.  ``pace`` is that of the slowest rank; 2 means
--- a/tamarackthread/policy/evening.py
+++ b/tamarackthread/policy/evening.py
@@ -67,7 +67,7 @@
 
 
 class Plan:
-    """Be a set's map while it is changed."""
+    """A set's map while it is changed."""
 
     def __init__(
         self,
--- a/tamarackthread/policy/expert_map.py
+++ b/tamarackthread/policy/expert_map.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class GroupShape:
-    """Be the size of a group; ``slots`` counts for one rank and layer."""
+    """The size of a group; ``slots`` counts for one rank and layer."""
 
     layers: int
     experts: int
@@ -45,7 +45,7 @@
 
 @attrs.frozen(eq=False)
 class ExpertMap:
-    """Be one placement: ``slots[layer, rank, slot]`` is an expert or EMPTY."""
+    """One placement: ``slots[layer, rank, slot]`` is an expert or EMPTY."""
 
     shape: GroupShape
     slots: numpy.ndarray
--- a/tamarackthread/policy/fairness.py
+++ b/tamarackthread/policy/fairness.py
@@ -38,7 +38,7 @@
 
 @attrs.define(slots=True, eq=False)
 class Entry(typing.Generic[_Item]):
-    """Be one queued item; ``cost`` is in units of one plain call."""
+    """One queued item; ``cost`` is in units of one plain call."""
 
     item: _Item
     flow: str
--- a/tamarackthread/policy/forecast.py
+++ b/tamarackthread/policy/forecast.py
@@ -34,7 +34,7 @@
 
 @attrs.frozen(eq=False)
 class Outlook:
-    """Be a forecast: expected share of tokens and how long to trust it."""
+    """A forecast: expected share of tokens and how long to trust it."""
 
     shares: numpy.ndarray
     trust_seconds: float
--- a/tamarackthread/policy/load.py
+++ b/tamarackthread/policy/load.py
@@ -40,7 +40,7 @@
 
 @attrs.define(slots=True, eq=False)
 class Flight:
-    """Be one own call on its way to, in or from the target."""
+    """One own call on its way to, in or from the target."""
 
     sent_at: float
     tokens: int
--- a/tamarackthread/policy/local_search.py
+++ b/tamarackthread/policy/local_search.py
@@ -26,7 +26,7 @@
 
 @attrs.frozen(eq=False)
 class Change:
-    """Be the best change found for each layer; -1 rank means no second part.
+    """The best change found for each layer; -1 rank means no second part.
 
     ``gain`` is the fall of the sum of squared loads, ``cost`` the weights
     moved.  The second part is the other half of a swap.
--- a/tamarackthread/policy/migration.py
+++ b/tamarackthread/policy/migration.py
@@ -48,7 +48,7 @@
 
 @attrs.frozen(slots=True)
 class Comparison:
-    """Be the target's seconds a step, and the time needed ``elsewhere``."""
+    """The target's seconds a step, and the time needed ``elsewhere``."""
 
     step: float
     elsewhere: float
--- a/tamarackthread/policy/moves.py
+++ b/tamarackthread/policy/moves.py
@@ -24,7 +24,7 @@
 
 @attrs.frozen
 class Move:
-    """Be one weight to load; ``urgent`` when no replica of it is left.
+    """One weight to load; ``urgent`` when no replica of it is left.
 
     Two moves of the same weight are equal whatever their urgency.
     """
@@ -37,7 +37,7 @@
 
 @attrs.frozen
 class Piece:
-    """Be one part of a move, the smallest thing that is paused or resumed."""
+    """One part of a move, the smallest thing that is paused or resumed."""
 
     move: Move
     number: int
@@ -45,7 +45,7 @@
 
 @attrs.frozen
 class Progress:
-    """Be what an operator sees of a queue; counts are in pieces."""
+    """What an operator sees of a queue; counts are in pieces."""
 
     loaded: int
     total: int
--- a/tamarackthread/policy/outcomes.py
+++ b/tamarackthread/policy/outcomes.py
@@ -41,7 +41,7 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class Ending:
-    """Be how a call ended at its entry.
+    """How a call ended at its entry.
 
     ``said`` is what the agent's ``CallEnd`` says, or ``None`` without one.
     ``is_whole`` tells whether all events that it counts have arrived.
--- a/tamarackthread/policy/placement.py
+++ b/tamarackthread/policy/placement.py
@@ -29,7 +29,7 @@
 
 @attrs.frozen
 class BalanceWeights:
-    """Be a profile's trade-off between evenness and moves.
+    """A profile's trade-off between evenness and moves.
 
     ``move_seconds`` is what moving one weight is worth in seconds of a
     layer's full skew; ``least_gain`` is the skew that a layer must win
@@ -47,7 +47,7 @@
 
 @attrs.frozen(eq=False)
 class Plan:
-    """Be a proposed map with what it costs and promises.
+    """A proposed map with what it costs and promises.
 
     ``skew_before`` and ``skew_after`` are the forecast's means over layers.
     """
--- a/tamarackthread/policy/preemption.py
+++ b/tamarackthread/policy/preemption.py
@@ -12,7 +12,7 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class RunningCall:
-    """Be a running call as far as pre-emption needs to know it."""
+    """A running call as far as pre-emption needs to know it."""
 
     key: int
     target: str
--- a/tamarackthread/policy/room.py
+++ b/tamarackthread/policy/room.py
@@ -21,7 +21,7 @@
 
 @attrs.define(slots=True, eq=False)
 class Placement:
-    """Be a call's place at a target until it is released."""
+    """A call's place at a target until it is released."""
 
     target: routing.TargetView
     flight: target_load.Flight
--- a/tamarackthread/policy/routing.py
+++ b/tamarackthread/policy/routing.py
@@ -19,7 +19,7 @@
 
 @attrs.define(slots=True, eq=False)
 class TargetView:
-    """Be one entry's view of one target.
+    """One entry's view of one target.
 
     ``share`` is what the ejection leaves of the target's usual traffic, from
     0 to 1.
--- a/tamarackthread/policy/staging.py
+++ b/tamarackthread/policy/staging.py
@@ -63,7 +63,7 @@
 
 
 class Stages:
-    """Be the plans of all sets, evened under one bound on copies after another."""
+    """The plans of all sets, evened under one bound on copies after another."""
 
     def __init__(
         self,
--- a/tamarackthread/policy/subsets.py
+++ b/tamarackthread/policy/subsets.py
@@ -16,7 +16,7 @@
 
 @attrs.frozen(slots=True)
 class Place:
-    """Be an entry or a target with its availability zone."""
+    """An entry or a target with its availability zone."""
 
     name: str
     zone: str
--- a/tamarackthread/policy/suspects.py
+++ b/tamarackthread/policy/suspects.py
@@ -42,7 +42,7 @@
 
 @attrs.frozen(kw_only=True)
 class Evidence:
-    """Be what is known of one call.
+    """What is known of one call.
 
     ``starts`` are the starts of targets that were lost while they ran it.  The last
     one was ``lost`` so many seconds ago, and a target has ``answered`` the call so
@@ -92,7 +92,7 @@
 
 @attrs.define(eq=False)
 class _Row:
-    """Be one call; moments are on the loop's clock, minus infinity for never."""
+    """One call; moments are on the loop's clock, minus infinity for never."""
 
     starts: set[str] = attrs.field(factory=set)
     lost_at: float = -math.inf
--- a/tamarackthread/policy/tickets.py
+++ b/tamarackthread/policy/tickets.py
@@ -11,7 +11,7 @@
 
 
 class Ticket:
-    """Be the permission to run one call at one target."""
+    """The permission to run one call at one target."""
 
     def __init__(
         self,
--- a/tamarackthread/policy/waiting.py
+++ b/tamarackthread/policy/waiting.py
@@ -11,7 +11,7 @@
 
 @attrs.define(slots=True, eq=False)
 class WaitingCall:
-    """Be a call in the queue.
+    """A call in the queue.
 
     ``granted`` gets the ticket or the refusal.  After ``latest_start``
     starting it would be too late.  Times are the loop's seconds.
@@ -29,7 +29,7 @@
 
 
 class WaitingLine:
-    """Be one fair queue for urgent calls and one for all others behind it.
+    """One fair queue for urgent calls and one for all others behind it.
 
     Urgent calls are few and are served strictly first.  The other calls of an
     organisation share its place, the normal ones before the background ones,
--- a/tamarackthread/shared/addresses.py
+++ b/tamarackthread/shared/addresses.py
@@ -11,7 +11,7 @@
 
 @attrs.frozen
 class Address:
-    """Be an IP number and a port; port 0 is picked by the kernel."""
+    """An IP number and a port; port 0 is picked by the kernel."""
 
     host: str
     port: int
--- a/tamarackthread/shared/announcer.py
+++ b/tamarackthread/shared/announcer.py
@@ -23,7 +23,7 @@
 
 
 class Announced(abc.ABC):
-    """Be what is announced: the target of an agent, or an entry."""
+    """What is announced: the target of an agent, or an entry."""
 
     @property
     @abc.abstractmethod
@@ -45,7 +45,7 @@
 
 
 class AnnouncedTarget(Announced):
-    """Be the target that an agent guards."""
+    """The target that an agent guards."""
 
     def __init__(
         self,
@@ -95,7 +95,7 @@
 
 
 class AnnouncedEntry(Announced):
-    """Be an entry."""
+    """An entry."""
 
     def __init__(self, own: identity.Identity) -> None:
         """Take what is announced from the identity."""
--- a/tamarackthread/shared/catalogue.py
+++ b/tamarackthread/shared/catalogue.py
@@ -24,7 +24,7 @@
 
 @attrs.frozen
 class Page:
-    """Be documents in the order of revisions, and the revision they lead to.
+    """Documents in the order of revisions, and the revision they lead to.
 
     ``floor`` is the revision up to which deletions are forgotten.  With
     ``snapshot`` set, what no page names does not exist.
--- a/tamarackthread/shared/claim_keys.py
+++ b/tamarackthread/shared/claim_keys.py
@@ -15,7 +15,7 @@
 
 @attrs.frozen
 class Shard:
-    """Be one group of control hosts that keeps claims.
+    """One group of control hosts that keeps claims.
 
     ``members`` are addresses; any of them knows or learns the leader.
     """
--- a/tamarackthread/shared/errors.py
+++ b/tamarackthread/shared/errors.py
@@ -15,7 +15,7 @@
 
 
 class CodedError(Exception):
-    """Be the base of every error that has a stable code.
+    """The base of every error that has a stable code.
 
     ``ran`` says what is known about the call's execution and ``status`` is
     the HTTP status that a caller gets; ``retry_after`` is in seconds.
--- a/tamarackthread/shared/findings.py
+++ b/tamarackthread/shared/findings.py
@@ -17,7 +17,7 @@
 
 @attrs.frozen
 class Finding:
-    """Be one thing that is wrong.
+    """One thing that is wrong.
 
     ``place`` is ``file:line:column`` in a settings file and a path such as
     ``$.routing.policy`` in a document.
--- a/tamarackthread/shared/greeting.py
+++ b/tamarackthread/shared/greeting.py
@@ -25,7 +25,7 @@
 
 @attrs.frozen
 class Peer:
-    """Be the other side of a link, as it proved itself."""
+    """The other side of a link, as it proved itself."""
 
     node: str
     role: messages.Role
--- a/tamarackthread/shared/jsonc.py
+++ b/tamarackthread/shared/jsonc.py
@@ -41,7 +41,7 @@
 
 @attrs.frozen
 class Position:
-    """Be a place in a text; both numbers start at 1."""
+    """A place in a text; both numbers start at 1."""
 
     line: int
     column: int
@@ -49,7 +49,7 @@
 
 @attrs.frozen
 class Problem:
-    """Be something wrong at a place, before the file's name is known."""
+    """Something wrong at a place, before the file's name is known."""
 
     position: Position
     code: str
@@ -58,7 +58,7 @@
 
 @attrs.frozen
 class Text:
-    """Be a parsed text: its plain value and the place of each part."""
+    """A parsed text: its plain value and the place of each part."""
 
     value: typing.Any
     positions: dict[Path, Position]
--- a/tamarackthread/shared/link.py
+++ b/tamarackthread/shared/link.py
@@ -32,7 +32,7 @@
 
 
 class Handler(abc.ABC):
-    """Be what a role does with the requests and streams of its peers."""
+    """What a role does with the requests and streams of its peers."""
 
     @abc.abstractmethod
     async def on_request(
@@ -62,7 +62,7 @@
 
 
 class Link:
-    """Be one connection to a peer process."""
+    """One connection to a peer process."""
 
     def __init__(
         self,
--- a/tamarackthread/shared/parents.py
+++ b/tamarackthread/shared/parents.py
@@ -9,7 +9,7 @@
 
 
 class Parents(abc.ABC):
-    """Be the rule by which the next parent is chosen."""
+    """The rule by which the next parent is chosen."""
 
     @abc.abstractmethod
     def choose(self) -> str | None:
--- a/tamarackthread/shared/process.py
+++ b/tamarackthread/shared/process.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class Place:
-    """Be the bound socket of a process and the options of its links."""
+    """The bound socket of a process and the options of its links."""
 
     bound: socket.socket
     options: identity.LinkOptions
--- a/tamarackthread/shared/relay.py
+++ b/tamarackthread/shared/relay.py
@@ -31,7 +31,7 @@
 
 @attrs.frozen
 class Grant:
-    """Be a lease to pass on, in seconds; nothing remains without one.
+    """A lease to pass on, in seconds; nothing remains without one.
 
     A leader stood behind it at most ``age`` ago.  It holds only for nodes at
     or above ``revision``.
@@ -43,7 +43,7 @@
 
 
 class Source(abc.ABC):
-    """Be where a server of the feed takes documents and leases from."""
+    """Where a server of the feed takes documents and leases from."""
 
     @property
     @abc.abstractmethod
--- a/tamarackthread/shared/reload.py
+++ b/tamarackthread/shared/reload.py
@@ -23,7 +23,7 @@
 
 @attrs.frozen
 class Merged:
-    """Be the settings in force after a reload.
+    """The settings in force after a reload.
 
     ``changed`` and ``waiting`` hold the names of settings, such as
     ``logs.level``; those in ``waiting`` need a restart.
--- a/tamarackthread/shared/schema_errors.py
+++ b/tamarackthread/shared/schema_errors.py
@@ -10,7 +10,7 @@
 
 @attrs.frozen
 class Violation:
-    """Be one broken rule, at a path inside the value."""
+    """One broken rule, at a path inside the value."""
 
     path: Path
     code: str
--- a/tamarackthread/shared/security.py
+++ b/tamarackthread/shared/security.py
@@ -22,7 +22,7 @@
 
 @attrs.frozen
 class Contexts:
-    """Be the two sides of encrypted links."""
+    """The two sides of encrypted links."""
 
     dial: ssl.SSLContext
     listen: ssl.SSLContext
--- a/tamarackthread/shared/signal.py
+++ b/tamarackthread/shared/signal.py
@@ -6,7 +6,7 @@
 
 
 class Signal:
-    """Be a condition without state: waiters look again after each wake."""
+    """A condition without state: waiters look again after each wake."""
 
     def __init__(self) -> None:
         """Start with nobody waiting."""
--- a/tamarackthread/shared/site/announcements.py
+++ b/tamarackthread/shared/site/announcements.py
@@ -14,7 +14,7 @@
 
 @attrs.frozen(kw_only=True)
 class Announcement:
-    """Be one announcement of one start of a target.
+    """One announcement of one start of a target.
 
     ``born`` is when the target's process started, in milliseconds since 1970,
     and 0 where nobody says so.  A target may start again under its name: it
--- a/tamarackthread/shared/site/configuration.py
+++ b/tamarackthread/shared/site/configuration.py
@@ -18,7 +18,7 @@
 
 @attrs.frozen
 class Share:
-    """Be one service's part of a route's calls."""
+    """One service's part of a route's calls."""
 
     service: str
     weight: float
@@ -88,7 +88,7 @@
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """Be a set of targets that answer alike.
+    """A set of targets that answer alike.
 
     ``experts`` is there where its targets are ranks of groups, and ``passes``
     where they say how long they take.  ``gap`` is the longest pause in seconds
@@ -106,7 +106,7 @@
 
 @attrs.frozen(kw_only=True)
 class Organisation:
-    """Be one organisation, its secret keys and its rank; 0 goes first."""
+    """One organisation, its secret keys and its rank; 0 goes first."""
 
     name: str
     keys: frozenset[str]
@@ -122,7 +122,7 @@
 
 @attrs.frozen(kw_only=True)
 class Configuration:
-    """Be everything that is in force under one version."""
+    """Everything that is in force under one version."""
 
     version: int
     routes: tuple[Route, ...]
--- a/tamarackthread/shared/site/document.py
+++ b/tamarackthread/shared/site/document.py
@@ -23,7 +23,7 @@
 
 @attrs.frozen
 class Document:
-    """Be one accepted configuration; version 0 stands for none.
+    """One accepted configuration; version 0 stands for none.
 
     The body is kept packed: it is stored, sent to every node and read back
     far more often than anybody looks into it.
--- a/tamarackthread/shared/site/fetching.py
+++ b/tamarackthread/shared/site/fetching.py
@@ -26,7 +26,7 @@
 
 @attrs.define(eq=False)
 class Supply:
-    """Be what one control host has told of versions.
+    """What one control host has told of versions.
 
     ``told`` is the highest of which it has told, and ``is_asked`` whether it is to
     send the configuration with its next answer.
--- a/tamarackthread/shared/site/following.py
+++ b/tamarackthread/shared/site/following.py
@@ -34,7 +34,7 @@
 
 @attrs.define(eq=False)
 class _Source:
-    """Be one control host and how far this process is in its book."""
+    """One control host and how far this process is in its book."""
 
     named_at: float
     is_up: bool = False
@@ -45,7 +45,7 @@
 
 
 class Pupil(abc.ABC):
-    """Be who learns what control hosts tell."""
+    """Who learns what control hosts tell."""
 
     @property
     @abc.abstractmethod
--- a/tamarackthread/shared/site/groups.py
+++ b/tamarackthread/shared/site/groups.py
@@ -11,7 +11,7 @@
 
 @attrs.frozen
 class Group:
-    """Be the targets of one group; one that is not open makes no passes."""
+    """The targets of one group; one that is not open makes no passes."""
 
     name: str
     members: frozenset[str]
--- a/tamarackthread/shared/site/zones.py
+++ b/tamarackthread/shared/site/zones.py
@@ -11,7 +11,7 @@
 
 @attrs.frozen
 class Zone:
-    """Be what was last asked of one zone; ``revision`` counts its changes."""
+    """What was last asked of one zone; ``revision`` counts its changes."""
 
     name: str
     is_evacuated: bool = False
--- a/tamarackthread/shared/stream.py
+++ b/tamarackthread/shared/stream.py
@@ -16,7 +16,7 @@
 
 
 class FrameSink(typing.Protocol):
-    """Be what a stream needs of its link."""
+    """What a stream needs of its link."""
 
     def write(
         self,
@@ -41,7 +41,7 @@
 
 
 class Stream:
-    """Be one call on a link, as seen by one of its two ends.
+    """One call on a link, as seen by one of its two ends.
 
     Every frame carries the call's tag and a sequence number.  A frame of
     another call or one that came twice would otherwise put someone else's
--- a/tamarackthread/shared/subtree.py
+++ b/tamarackthread/shared/subtree.py
@@ -20,7 +20,7 @@
 
 @attrs.define
 class _Child:
-    """Be what one direct child reported, with the time it was last heard."""
+    """What one direct child reported, with the time it was last heard."""
 
     zone: str
     address: str
@@ -37,7 +37,7 @@
 
 @attrs.frozen
 class Report:
-    """Be what goes up: the common revision and the nodes that changed."""
+    """What goes up: the common revision and the nodes that changed."""
 
     confirmed: int
     nodes: list[messages.NodeState]
--- a/tamarackthread/shared/wire.py
+++ b/tamarackthread/shared/wire.py
@@ -56,7 +56,7 @@
 
 @attrs.frozen(slots=True)
 class Frame:
-    """Be one received frame.
+    """One received frame.
 
     ``sequence`` numbers the frames of a stream in one direction and ``tag``
     repeats the first bytes of the call's identity.
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -17,7 +17,7 @@
 
 @attrs.frozen
 class Check:
-    """Be one command to run from the root of the repository."""
+    """One command to run from the root of the repository."""
 
     name: str
     command: tuple[str, ...]
@@ -25,7 +25,7 @@
 
 @attrs.frozen
 class Found:
-    """Be what a check found: ``text`` is empty when it passed."""
+    """What a check found: ``text`` is empty when it passed."""
 
     text: str
     note: str
--- a/tools/generate_reference.py
+++ b/tools/generate_reference.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class Page:
-    """Be one page and the schema whose fields it lists."""
+    """One page and the schema whose fields it lists."""
 
     path: pathlib.Path
     schema_name: str
--- a/tools/generate_settings.py
+++ b/tools/generate_settings.py
@@ -85,7 +85,7 @@
 
 @attrs.frozen
 class Field:
-    """Be one attribute of a generated class, as source text."""
+    """One attribute of a generated class, as source text."""
 
     name: str
     annotation: str
@@ -95,7 +95,7 @@
 
 @attrs.frozen
 class Class:
-    """Be one generated class, as source text."""
+    """One generated class, as source text."""
 
     name: str
     description: str
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -21,7 +21,7 @@
 
 @attrs.frozen
 class Known:
-    """Be one known failure: the test's dotted id, its cause, its issue."""
+    """One known failure: the test's dotted id, its cause, its issue."""
 
     test: str
     cause: str
--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -19,7 +19,7 @@
 
 @attrs.frozen
 class Outcome:
-    """Be what came of one test; ``text`` is a traceback or a reason."""
+    """What came of one test; ``text`` is a traceback or a reason."""
 
     test: str
     status: str
--- a/tools/regression/plan.py
+++ b/tools/regression/plan.py
@@ -19,7 +19,7 @@
 
 @attrs.frozen(kw_only=True)
 class Site:
-    """Be a deployment: its file, its place in the order, and what it had."""
+    """A deployment: its file, its place in the order, and what it had."""
 
     name: str
     path: pathlib.Path
@@ -29,7 +29,7 @@
 
 @attrs.frozen(kw_only=True)
 class Play:
-    """Be one call of the users' bench."""
+    """One call of the users' bench."""
 
     site: Site
     kind: str
--- a/tools/regression/results.py
+++ b/tools/regression/results.py
@@ -25,7 +25,7 @@
 
 @attrs.frozen(kw_only=True)
 class Result:
-    """Be what one play gave.
+    """What one play gave.
 
     ``kind`` is ``score``, ``hunt`` or ``sweep``, ``code`` the product's hash and
     ``entry`` the journal's entry.  ``worth`` is by day, ``mean`` that of a score's
