Leave a group alone until its next reading, also after a switch

Since groups have tasks of their own, readings were begun by a clock that went on during a switch; the first one after it held choices from before, and another switch followed.

A group's task now ends with the pause that was there before. The test fails on the code of before.

--- a/tamarackthread/control/site/maps/duty.py
+++ b/tamarackthread/control/site/maps/duty.py
@@ -100,7 +100,8 @@
             self._looked_at = now
             self._begin(_LOOK, self._look())
         for name in self._maps.idle:
-            self._begin(name, self._maps.work(name, self._term))
+            if name not in self._under_way:
+                self._begin(name, self._work(name, self._term))
 
     def _begin(
         self,
@@ -109,6 +110,15 @@
     ) -> None:
         self._under_way[name] = asyncio.get_running_loop().create_task(work)
 
+    async def _work(self, name: str, term: int) -> None:
+        """Work at a group, and leave it alone until its next reading.
+
+        Read right after a switch, counts hold choices from before it, for which
+        another switch would follow.
+        """
+        await self._maps.work(name, term)
+        await asyncio.sleep(self._maps.read_seconds)
+
     def _cancel(self) -> None:
         for task in self._under_way.values():
             task.cancel()
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -1,6 +1,7 @@
 """Prove that groups of one service do not wait for each other."""
 
 import asyncio
+import itertools
 import logging
 import random
 import unittest
@@ -294,3 +295,56 @@
             for variant in groups.VARIANTS
         )
         self.assertGreater(ours['even_share'], 2 * standing['even_share'])
+
+
+class PaceCase(policy_case.PausedCase):
+    def test_pause_between_readings(self):
+        """A group is read anew no sooner than a reading's pace after its switch.
+
+        Begun by a clock that goes on while a group is switched, the next reading
+        came right after it and brought switches that nobody needed.
+        """
+        self.run_paused(self._paused())
+
+    async def _paused(self):
+        maps = Slow()
+        working = duty.Duty(
+            test_site_maps.Leading(),
+            Told(),
+            test_site_maps.OneService(),
+            maps,
+            goes_on=True,
+        )
+        owning = asyncio.create_task(working.run())
+        await asyncio.sleep(5)
+        owning.cancel()
+        self.assertGreater(len(maps.worked), 3)
+        pauses = [
+            later[0] - earlier[1]
+            for earlier, later in itertools.pairwise(maps.worked)
+        ]
+        self.assertGreaterEqual(min(pauses), maps.read_seconds)
+
+
+class Slow:
+    """An owner whose work takes longer than the pace of its readings."""
+
+    read_seconds = 0.2
+    look_seconds = 1.0
+    is_outdated = False
+    groups = ()
+    idle = ('g',)
+
+    def __init__(self):
+        self.worked = []
+
+    def begin(self):
+        """Forget nothing."""
+
+    async def find(self, services):
+        """Find nothing new."""
+
+    async def work(self, name, term):
+        began = asyncio.get_running_loop().time()
+        await asyncio.sleep(0.55)
+        self.worked.append((began, asyncio.get_running_loop().time()))
