Log what a target asked for when a try fails there

Cause: the lines of a refused try did not say whether the answer had asked for rest, nor for how long the entry keeps calls away, so that 'nobody reads it' and 'it is read and lost again' look alike. Each answer's head is now decoded into one typed value (leaving, seconds of rest), kept with the start of the target and logged with a failed try; no decision reads it yet. Ruled out: nothing yet.

--- a/tamarackthread/entry/direct/dialect.py
+++ b/tamarackthread/entry/direct/dialect.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from tamarackthread.entry.direct import calls
+from tamarackthread.policy import backpressure
 
 
 class Said(enum.Enum):
@@ -60,6 +61,14 @@
     ) -> Said:
         """Tell what a target's head says of the call."""
 
+    @abc.abstractmethod
+    def asked(
+        self,
+        status: int,
+        headers: multidict.CIMultiDictProxy[str],
+    ) -> backpressure.Backpressure:
+        """Read what a target's head asks of this entry."""
+
     @abc.abstractmethod
     def answer(
         self,
--- a/tamarackthread/entry/direct/progressing.py
+++ b/tamarackthread/entry/direct/progressing.py
@@ -73,6 +73,9 @@
         other_calls=target.others,
         state=target.said.state.name.lower(),
         heard_ms_ago=_milliseconds(now - target.heard_at),
+        asked_rest_ms=_milliseconds(target.asked.rest),
+        is_leaving=target.asked.is_leaving,
+        paused_ms=_milliseconds(max(0, target.paused_until - now)),
         may_have_run=progress.may_have_run,
         last_event=progress.position,
     )
--- a/tamarackthread/entry/direct/sending.py
+++ b/tamarackthread/entry/direct/sending.py
@@ -178,6 +178,7 @@
             allow_redirects=False,
         )
         response = await _head_of(requesting)
+        target.asked = self._dialect.asked(response.status, response.headers)
         try:
             yield self._judged(call, response)
         finally:
--- a/tamarackthread/entry/direct/starts.py
+++ b/tamarackthread/entry/direct/starts.py
@@ -9,7 +9,7 @@
 import attrs
 
 from tamarackthread.entry.direct import records
-from tamarackthread.policy import cold
+from tamarackthread.policy import backpressure, cold
 from tamarackthread.shared import errors
 from tamarackthread.shared.site import announcements
 
@@ -35,6 +35,7 @@
     ``own`` counts this entry's calls there and ``others`` those that other
     entries told of.  A ``pace`` of 2 means that it takes twice its usual time.
     ``group`` names the group whose passes it shares, empty if unknown.
+    ``asked`` is what its last answer to this entry asked for.
     """
 
     said: announcements.Announcement
@@ -48,6 +49,7 @@
     record: records.Record = attrs.field(factory=records.Record)
     sent: cold.Sent = attrs.field(factory=cold.Sent)
     cold_until: float = 0
+    asked: backpressure.Backpressure = backpressure.NONE
     _lifetimes: set[asyncio.Timeout] = attrs.field(factory=set)
 
     @property
--- a/tamarackthread/platform/calls.py
+++ b/tamarackthread/platform/calls.py
@@ -7,8 +7,10 @@
 
 from tamarackthread.entry.direct import calls, dialect, failures
 from tamarackthread.platform import wire
+from tamarackthread.policy import backpressure
 
 MILLISECONDS = 1000
+_YES = '1'
 # What callers may not set towards targets.
 _OWN_HEADERS = frozenset(
     name.lower()
@@ -87,7 +89,32 @@
         headers: multidict.CIMultiDictProxy[str],
     ) -> dialect.Said:
         """Tell what a target's head says of the call."""
-        return _said(call, status, headers)
+        echoed = headers.get(wire.CALL_ID)
+        # A second answer to an earlier call may lie on the connection and be read
+        # as the answer to this one.  Only the echoed identity tells them apart.
+        if echoed is not None and echoed != call.asked.call_id:
+            return dialect.Said.STRAY
+        if status == wire.MISDIRECTED:
+            return dialect.Said.ELSEWHERE
+        if wire.REFUSAL in headers:
+            return dialect.Said.NOT_RUN
+        if wire.SIGNATURE not in headers or echoed is None:
+            return dialect.Said.STRAY
+        if 'Content-Encoding' in headers:
+            return dialect.Said.STRAY
+        return dialect.Said.ANSWER
+
+    def asked(
+        self,
+        status: int,
+        headers: multidict.CIMultiDictProxy[str],
+    ) -> backpressure.Backpressure:
+        """Read what a target's head asks of this entry."""
+        rest = headers.get(wire.REST, '') if status == wire.REFUSED else ''
+        return backpressure.Backpressure(
+            is_leaving=headers.get(wire.LEAVING) == _YES,
+            rest=backpressure.seconds(rest),
+        )
 
     def answer(
         self,
@@ -105,27 +132,6 @@
         return [(wire.CALL_ID, call_id)] if call_id else []
 
 
-def _said(
-    call: calls.Call,
-    status: int,
-    headers: multidict.CIMultiDictProxy[str],
-) -> dialect.Said:
-    echoed = headers.get(wire.CALL_ID)
-    # A second answer to an earlier call may lie on the connection and be read
-    # as the answer to this one.  Only the echoed identity tells them apart.
-    if echoed is not None and echoed != call.asked.call_id:
-        return dialect.Said.STRAY
-    if status == wire.MISDIRECTED:
-        return dialect.Said.ELSEWHERE
-    if wire.REFUSAL in headers:
-        return dialect.Said.NOT_RUN
-    if wire.SIGNATURE not in headers or echoed is None:
-        return dialect.Said.STRAY
-    if 'Content-Encoding' in headers:
-        return dialect.Said.STRAY
-    return dialect.Said.ANSWER
-
-
 def _number(text: str) -> float | None:
     try:
         return float(text)
--- a/tamarackthread/platform/door.py
+++ b/tamarackthread/platform/door.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import types
 
 from aiohttp import web
@@ -44,8 +45,12 @@
         app = web.Application(client_max_size=BODY_BYTES)
         app.router.add_post(wire.REPLACE, answering.coded(_replace, site))
         app.router.add_get(wire.READ, answering.coded(_read, site))
-        app.router.add_post(wire.EVACUATE, answering.coded(_evacuate, zones))
-        app.router.add_post(wire.RESTORE, answering.coded(_restore, zones))
+        for path, is_evacuated in (
+            (wire.EVACUATE, True),
+            (wire.RESTORE, False),
+        ):
+            handler = functools.partial(_set_zone, is_evacuated)
+            app.router.add_post(path, answering.coded(handler, zones))
         app.router.add_post(wire.ANNOUNCE, answering.coded(_announce, targets))
         app.router.add_post(wire.FAREWELL, answering.coded(_farewell, targets))
         self._runner = web.AppRunner(
@@ -77,30 +82,19 @@
     return web.Response(body=held.body, content_type='application/json')
 
 
-async def _evacuate(
+async def _set_zone(
+    is_evacuated: bool,
     zones: evacuation.Evacuation,
     request: web.Request,
 ) -> web.StreamResponse:
     await zones.ask(
-        request.match_info['zone'], _operator(request), is_evacuated=True
+        request.match_info['zone'],
+        f'an operator at {request.remote}',
+        is_evacuated=is_evacuated,
     )
     return web.json_response({})
 
 
-async def _restore(
-    zones: evacuation.Evacuation,
-    request: web.Request,
-) -> web.StreamResponse:
-    await zones.ask(
-        request.match_info['zone'], _operator(request), is_evacuated=False
-    )
-    return web.json_response({})
-
-
-def _operator(request: web.Request) -> str:
-    return f'an operator at {request.remote}'
-
-
 async def _announce(
     targets: book.Book,
     request: web.Request,
--- a/tamarackthread/platform/wire.py
+++ b/tamarackthread/platform/wire.py
@@ -32,6 +32,11 @@
 LOAD = 'Replica-Load'
 TARGET = 'Replica-Id'
 AT_SERVER = 'At-Server'
+# Beside any answer of a target that leaves.
+LEAVING = 'Server-Leaving'
+# Beside a target's refusal: seconds in which it wants no call of this entry.
+REST = 'Retry-After'
+REFUSED = 503
 
 # Another target, or other weights, than the call expected.
 MISDIRECTED = 421
