Give targets the rest that their refusals ask for

Callers saw nothing but a refused try more; the target that had refused and asked for rest got all calls that chose it. Cause: an entry took a refusal for the answer to one call; the header that speaks of calls to come was dropped with it (hypothesis 1: read by nobody; ruled out by the new test and by reading that it was read and lost, or kept and passed over: there was no such state). Class: a word of a peer that no part of the code reads.

The rest is read from each head of a target's own answers, kept with its start (a later start owes nothing, another target at the address does not speak for it), and asked for by the one place that every choice of a target goes through: first and second tries, streams taken up again, calls that waited. After the rest one call goes first. Where all targets rest, callers are told TT7215 and when, at once. Room does not count a resting target.

Before: 6 calls of 6 at the target in the test; now 1.

--- a/tamarackthread/entry/direct/failures.py
+++ b/tamarackthread/entry/direct/failures.py
@@ -48,6 +48,13 @@
     status = 503
 
 
+class TargetsRest(errors.CodedError):
+    """All targets of the service have asked for rest."""
+
+    code = 'TT7215'
+    status = 503
+
+
 class GroupClosed(errors.CodedError):
     """Targets refuse every call unrun, since their group makes no passes."""
 
--- a/tamarackthread/entry/direct/running.py
+++ b/tamarackthread/entry/direct/running.py
@@ -36,6 +36,8 @@
 # A group whose rank was lost opens again within two or three seconds.  A caller who
 # waits here for its first event leaves before that.
 CLOSED_SECONDS = 2.0
+# Callers that were refused while all targets wanted rest return over this time.
+RETURN_SECONDS = 1.0
 # An answer from this status on is a failure of the target's own.
 FAILED_STATUS = 500
 
@@ -106,8 +108,7 @@
         """Try a target; tell whether the caller has its answer now."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        target.own += 1
-        target.sent.note(began)
+        target.begin(began)
         progress.trying = target
         try:
             async with target.lifetime():
@@ -133,6 +134,8 @@
         """Choose where to try next; raise the call's end if nowhere."""
         if progress.failure is not None and not self._may_try(call, progress):
             raise self._end(call, progress)
+        if self._known.rest_seconds(call.service):
+            raise self._end(call, progress)
         await self._admission.admit(call)
         tried = progress.tried
         left = call.deadline - asyncio.get_running_loop().time()
@@ -287,6 +290,11 @@
         """Tell the caller's end: not run, or may have run."""
         if progress.may_have_run:
             return failures.TargetFailed(str(progress.failure))
+        rest = self._known.rest_seconds(call.service)
+        if rest:
+            # The first to come back is the only one to be taken at once.
+            spread = self._random.uniform(0, RETURN_SECONDS)
+            return failures.TargetsRest(retry_after=rest + spread)
         if progress.refused and self._admission.is_closed(call):
             return failures.GroupClosed(
                 retry_after=self._soon(CLOSED_SECONDS),
--- a/tamarackthread/entry/direct/sending.py
+++ b/tamarackthread/entry/direct/sending.py
@@ -10,7 +10,12 @@
 import attrs
 import yarl
 
-from tamarackthread.entry.direct import calls, dialect, starts
+from tamarackthread.entry.direct import (
+    calls,
+    dialect,
+    starts,
+    target_lines,
+)
 from tamarackthread.shared import errors
 from tamarackthread.shared.site import configuration
 
@@ -178,9 +183,8 @@
             allow_redirects=False,
         )
         response = await _head_of(requesting)
-        target.asked = self._dialect.asked(response.status, response.headers)
         try:
-            yield self._judged(call, response)
+            yield self._judged(call, target, response)
         finally:
             # A response that was read to its end has given its connection
             # back already; this closes one that was not.
@@ -197,9 +201,11 @@
     def _judged(
         self,
         call: calls.Call,
+        target: starts.Start,
         response: aiohttp.ClientResponse,
     ) -> Answer:
         said = self._dialect.judge(call, response.status, response.headers)
+        self._hear(target, response, said)
         if said is dialect.Said.NOT_RUN:
             raise Refused(f'status {response.status}')
         if said is dialect.Said.ELSEWHERE:
@@ -209,6 +215,24 @@
         head = Head(response.status, self._dialect.answer(response.headers))
         return Answer(head, response)
 
+    def _hear(
+        self,
+        target: starts.Start,
+        response: aiohttp.ClientResponse,
+        said: dialect.Said,
+    ) -> None:
+        """Give a target what its answer asks for, whatever else it says.
+
+        What another target answers at its address is not its word.
+        """
+        if said is dialect.Said.ELSEWHERE:
+            return
+        now = asyncio.get_running_loop().time()
+        asked = self._dialect.asked(response.status, response.headers)
+        if asked.rest and not target.rest.left(now):
+            target_lines.tell_resting(target.said, asked.rest)
+        target.hear(asked, now, is_taken=said is not dialect.Said.NOT_RUN)
+
 
 async def _head_of(
     requesting: collections.abc.Awaitable[aiohttp.ClientResponse],
--- a/tamarackthread/entry/direct/standing.py
+++ b/tamarackthread/entry/direct/standing.py
@@ -67,20 +67,26 @@
 
     def may_take(self, target: starts.Start, now: float) -> bool:
         """Tell whether a target may get a call now."""
-        if target.said.is_leaving or self._is_evacuated(target):
+        if not self.is_in_service(target) or not target.rest.may_take(now):
             return False
         if self._shares is None or not target.is_cold(now):
             return True
         most = self._shares.calls(target.said.service, target.name)
         return most is None or target.sent.lately(now) < most
 
+    def is_in_service(self, target: starts.Start) -> bool:
+        """Tell whether a target neither leaves nor is in an evacuated zone."""
+        return not (target.said.is_leaving or self._is_evacuated(target))
+
     def is_open(self, target: starts.Start) -> bool:
         """Tell whether a target's group makes passes, for all that is known."""
         return self._groups.is_open(target.group)
 
-    def has_room(self, target: starts.Start) -> bool:
+    def has_room(self, target: starts.Start, now: float) -> bool:
         """Tell whether a target's places count as room for calls."""
-        return self.is_open(target) and not self._is_evacuated(target)
+        if self._is_evacuated(target) or target.rest.left(now):
+            return False
+        return self.is_open(target)
 
     def _is_evacuated(self, target: starts.Start) -> bool:
         return self._zones.is_evacuated(target.said.zone)
--- a/tamarackthread/entry/direct/starts.py
+++ b/tamarackthread/entry/direct/starts.py
@@ -50,6 +50,7 @@
     sent: cold.Sent = attrs.field(factory=cold.Sent)
     cold_until: float = 0
     asked: backpressure.Backpressure = backpressure.NONE
+    rest: backpressure.Rest = attrs.field(factory=backpressure.Rest)
     _lifetimes: set[asyncio.Timeout] = attrs.field(factory=set)
 
     @property
@@ -80,6 +81,26 @@
         """Tell whether the target takes only so many calls a second."""
         return now < max(self.cold_until, self.heard_at + self.said.cold)
 
+    def begin(self, now: float) -> None:
+        """Count a call that goes there."""
+        self.own += 1
+        self.sent.note(now)
+        self.rest.sent(now)
+
+    def hear(
+        self,
+        asked: backpressure.Backpressure,
+        now: float,
+        *,
+        is_taken: bool,
+    ) -> None:
+        """Take what an answer asks for; ``is_taken`` unless it is a refusal."""
+        self.asked = asked
+        if asked.rest:
+            self.rest.ask(asked.rest, now)
+        elif is_taken:
+            self.rest.taken(now)
+
     def failed(self, now: float) -> None:
         """Keep calls away for a while after one could not be delivered."""
         doubled = min(MOST_PAUSE_SECONDS, 2 * self.pause)
--- a/tamarackthread/entry/direct/target_lines.py
+++ b/tamarackthread/entry/direct/target_lines.py
@@ -51,6 +51,22 @@
     )
 
 
+def tell_resting(said: announcements.Announcement, seconds: float) -> None:
+    """Log that a target wants no calls of this entry for a while."""
+    log_events.tell(
+        _log,
+        log_events.Event.TARGET,
+        'entry: target %s of %s asks for %.1f s of rest',
+        said.target,
+        said.service,
+        seconds,
+        target=said.target,
+        service=said.service,
+        state='resting',
+        rest_ms=round(seconds * 1000),
+    )
+
+
 def tell_zones(held: zones.Zones) -> None:
     """Log which zones get no work, and count them."""
     evacuated = [row.name for row in held.rows if row.is_evacuated]
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -157,7 +157,7 @@
         ready = [
             target
             for target in found
-            if target.is_ready(now) and self._standing.has_room(target)
+            if target.is_ready(now) and self._standing.has_room(target, now)
         ]
         own = sum(target.own for target in found)
         others = own * max(0, entries - 1)
@@ -210,6 +210,22 @@
         ]
         return self._chooser.best(sound or usable, now)
 
+    def rest_seconds(self, service: str) -> float:
+        """Return how long all targets of a service want no call, 0 if not all.
+
+        Those that get no call for another reason don't count.
+        """
+        now = asyncio.get_running_loop().time()
+        shortest: float = 0
+        for target in self.of_service(service):
+            if not self._standing.is_in_service(target):
+                continue
+            left = target.rest.left(now)
+            if not left:
+                return 0
+            shortest = min(shortest or left, left)
+        return shortest
+
     async def run(self) -> None:
         """Sweep for ever."""
         while True:
--- a/tamarackthread/policy/backpressure.py
+++ b/tamarackthread/policy/backpressure.py
@@ -8,6 +8,8 @@
 
 # A target that asks for more rest is asked again after an hour.
 MOST_REST_SECONDS = 3600.0
+# The call after a rest is followed by another one if nothing has come by then.
+TRIAL_SECONDS = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -25,6 +27,41 @@
 NONE = Backpressure()
 
 
+class Rest:
+    """The time for which a target wants no call, and the call that ends it.
+
+    A target that is given all calls again at the moment its rest is over is
+    full at once.  One call goes first; the others follow when it was taken.
+    """
+
+    def __init__(self) -> None:
+        """Begin without a rest."""
+        self._until: float = 0
+        self._tried_until: float = 0
+
+    def ask(self, wanted: float, now: float) -> None:
+        """Begin a rest of so many seconds; a longer one under way stays."""
+        self._until = max(self._until, now + wanted)
+
+    def left(self, now: float) -> float:
+        """Return how many seconds of the rest are left."""
+        return max(0, self._until - now)
+
+    def may_take(self, now: float) -> bool:
+        """Tell whether the target may get a call."""
+        return not self._until or now >= max(self._until, self._tried_until)
+
+    def sent(self, now: float) -> None:
+        """Note that a call goes to the target."""
+        if self._until and now >= self._until:
+            self._tried_until = now + TRIAL_SECONDS
+
+    def taken(self, now: float) -> None:
+        """Note that the target has taken a call and did not refuse it."""
+        if now >= self._until:
+            self._until = 0
+
+
 def seconds(text: str) -> float:
     """Read a time to rest, at most an hour; 0 for what makes no sense.
 
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -5,10 +5,14 @@
 came about: all targets of the service were slow and its least loaded one, the
 one that refused, was chosen again at once.  Cause: the entry took a refusal
 for the answer to one call, and no part of it read what the same head said of
-calls to come.  Proof: lines of failed tries that show a rest of three seconds
-asked for, and nothing that keeps calls away.
+calls to come.  Proof: the first case here, in which six calls of six went to
+the target, and one since its rest is kept with its start and every choice of
+a target goes by it.
 """
 
+import unittest
+
+from tamarackthread.policy import backpressure
 from tamarackthread.shared.site import configuration
 from tests import test_direct_calls as direct
 
@@ -36,3 +40,82 @@
         for _ in range(CALLS):
             self.assertEqual((200, b'yes'), (await self.ask())[:2])
         self.assertEqual((1, CALLS), (len(resting.heads), len(sound.heads)))
+
+    async def test_all_rest(self):
+        """Guards against callers that wait, or return, while all rest."""
+        self.serve(configuration.Kind.ONCE)
+        resting = [await self.add(asking_for_rest(30)) for _ in range(2)]
+        self.assertEqual(503, (await self.ask())[0])
+        status, body, headers = await self.ask()
+        self.assertEqual(503, status)
+        self.assertIn(b'TT7215', body)
+        self.assertGreater(float(headers['Retry-After']), 25)
+        self.assertEqual([1, 1], [len(fake.heads) for fake in resting])
+
+    async def test_answer_of_another_target(self):
+        """Guards against rest for a target whose address another one has."""
+        self.serve(configuration.Kind.ONCE)
+
+        async def another(target, head, writer):
+            writer.write(
+                b'HTTP/1.1 421 No\r\nServer-Leaving: 1\r\n'
+                b'Content-Length: 0\r\n\r\n'
+            )
+
+        await self.add(another)
+        await self.add(direct.whole('yes'), zone='far')
+        self.assertEqual(200, (await self.ask())[0])
+        self.assertEqual(backpressure.NONE, self.known.get('t1').asked)
+
+
+class ReturnCase(unittest.TestCase):
+    """Answer the load in which all callers of a target return at once."""
+
+    def test_one_call_first(self):
+        """Guards against all calls at the moment at which a rest is over."""
+        rest = backpressure.Rest()
+        self.assertTrue(rest.may_take(1))
+        rest.ask(3, now=1)
+        self.assertFalse(rest.may_take(3.9))
+        self.assertTrue(rest.may_take(4))
+        rest.sent(4)
+        self.assertFalse(rest.may_take(4.1))
+        rest.taken(4.2)
+        self.assertTrue(rest.may_take(4.2))
+
+    def test_call_without_an_answer(self):
+        """Guards against a target that gets nothing more after a lost call."""
+        rest = backpressure.Rest()
+        rest.ask(3, now=1)
+        rest.sent(4)
+        self.assertTrue(rest.may_take(4 + backpressure.TRIAL_SECONDS))
+
+    def test_answer_to_an_earlier_call(self):
+        """Guards against a rest that ends when an earlier call is answered."""
+        rest = backpressure.Rest()
+        rest.ask(3, now=1)
+        rest.taken(2)
+        self.assertFalse(rest.may_take(2))
+
+    def test_shorter_rest(self):
+        """Guards against a rest cut short by a shorter one."""
+        rest = backpressure.Rest()
+        rest.ask(3, now=1)
+        rest.ask(0.5, now=1.1)
+        self.assertAlmostEqual(1.9, rest.left(2.1))
+
+    def test_values(self):
+        """Guards against values that would end or never end a rest."""
+        wanted = {
+            '3': 3,
+            '0.25': 0.25,
+            '0': 0,
+            '-4': 0,
+            '': 0,
+            'nan': 0,
+            'inf': 0,
+            '1e9': backpressure.MOST_REST_SECONDS,
+            'Fri, 06 Mar 2026 21:56:40 GMT': 0,
+        }
+        found = {text: backpressure.seconds(text) for text in wanted}
+        self.assertEqual(wanted, found)
