Show in a test that an answer's word of leaving goes unheard

Symptom: a target that leaves says so in each answer and gets each of the next calls too, until its announcement has come round through control, or for ever where an entry is cut off from control. Found by looking for the cause of the unheard rest elsewhere.

--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -68,6 +68,30 @@
         self.assertEqual(backpressure.NONE, self.known.get('t1').asked)
 
 
+def leaving(text):
+    """Answer with a whole body and say that no more calls are wanted."""
+
+    async def script(target, head, writer):
+        start = direct.head_of(target, head)
+        writer.write(
+            f'{start}Server-Leaving: 1\r\nContent-Length: {len(text)}\r\n'
+            f'\r\n{text}'.encode()
+        )
+
+    return script
+
+
+class LeavingCase(direct.DirectCase):
+    async def test_leaving_target_gets_no_call(self):
+        """Guards against calls to a target whose answers say it leaves."""
+        self.serve(configuration.Kind.IDEMPOTENT)
+        near = await self.add(leaving('last'))
+        await self.add(direct.whole('yes'), zone='far')
+        answers = [(await self.ask())[1] for _ in range(CALLS)]
+        self.assertEqual([b'last', *[b'yes'] * (CALLS - 1)], answers)
+        self.assertEqual(1, len(near.heads))
+
+
 class ReturnCase(unittest.TestCase):
     """Answer the load in which all callers of a target return at once."""
 
