Send no calls to targets whose answers say that they leave

Callers saw calls cut off at targets that were gone, where an entry had not heard the farewell; the target had said it in every answer. The word is kept with the start, beside what announcements tell, so that neither an announcement that was held up nor the loss of control takes it back; a later start is free of it. One place tells every choice. Where no other target of the service takes calls, one that leaves still does for a second.

Ruled out: holding it in the announcement itself, since a beat that was sent before would set it back.

--- a/tamarackthread/entry/direct/sending.py
+++ b/tamarackthread/entry/direct/sending.py
@@ -231,6 +231,8 @@
         asked = self._dialect.asked(response.status, response.headers)
         if asked.rest and not target.rest.left(now):
             target_lines.tell_resting(target.said, asked.rest)
+        if asked.is_leaving and not target.leaving_at:
+            target_lines.tell_leaving(target.said)
         target.hear(asked, now, is_taken=said is not dialect.Said.NOT_RUN)
 
 
--- a/tamarackthread/entry/direct/standing.py
+++ b/tamarackthread/entry/direct/standing.py
@@ -13,6 +13,10 @@
 # they last said: one may have turned cold after its last announcement.
 RESTORED_SECONDS = 10.0
 
+# A target whose answers say that it leaves goes on for some seconds; within this
+# time it may still get calls that no other target of its service can take.
+LAST_SECONDS = 1.0
+
 _Starts = collections.abc.Iterable[starts.Start]
 
 
@@ -76,7 +80,7 @@
 
     def is_in_service(self, target: starts.Start) -> bool:
         """Tell whether a target neither leaves nor is in an evacuated zone."""
-        return not (target.said.is_leaving or self._is_evacuated(target))
+        return not (target.is_leaving or self._is_evacuated(target))
 
     def is_open(self, target: starts.Start) -> bool:
         """Tell whether a target's group makes passes, for all that is known."""
@@ -84,9 +88,18 @@
 
     def has_room(self, target: starts.Start, now: float) -> bool:
         """Tell whether a target's places count as room for calls."""
-        if self._is_evacuated(target) or target.rest.left(now):
+        if not self.is_in_service(target) or target.rest.left(now):
             return False
         return self.is_open(target)
 
+    def may_take_last(self, target: starts.Start, now: float) -> bool:
+        """Tell whether a target that leaves may get a call nobody else takes."""
+        if target.said.is_leaving or not target.leaving_at:
+            return False
+        if self._is_evacuated(target):
+            return False
+        is_late = now - target.leaving_at >= LAST_SECONDS
+        return not is_late and target.rest.may_take(now)
+
     def _is_evacuated(self, target: starts.Start) -> bool:
         return self._zones.is_evacuated(target.said.zone)
--- a/tamarackthread/entry/direct/starts.py
+++ b/tamarackthread/entry/direct/starts.py
@@ -35,7 +35,8 @@
     ``own`` counts this entry's calls there and ``others`` those that other
     entries told of.  A ``pace`` of 2 means that it takes twice its usual time.
     ``group`` names the group whose passes it shares, empty if unknown.
-    ``asked`` is what its last answer to this entry asked for.
+    ``asked`` is what its last answer to this entry asked for, and
+    ``leaving_at`` when an answer first said that it leaves, 0 if none has.
     """
 
     said: announcements.Announcement
@@ -51,6 +52,7 @@
     cold_until: float = 0
     asked: backpressure.Backpressure = backpressure.NONE
     rest: backpressure.Rest = attrs.field(factory=backpressure.Rest)
+    leaving_at: float = 0
     _lifetimes: set[asyncio.Timeout] = attrs.field(factory=set)
 
     @property
@@ -72,6 +74,15 @@
         """
         return (self.own + self.others + 1) * self.pace / self.slots
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether the target has said that it leaves, in any way.
+
+        Its answers bind this entry also where its announcements do not come:
+        an entry that is cut off from control hears of no farewell.
+        """
+        return self.said.is_leaving or self.leaving_at > 0
+
     def is_ready(self, now: float) -> bool:
         """Tell whether the target is surely up."""
         is_up = self.said.state == announcements.State.READY
@@ -96,6 +107,8 @@
     ) -> None:
         """Take what an answer asks for; ``is_taken`` unless it is a refusal."""
         self.asked = asked
+        if asked.is_leaving:
+            self.leaving_at = self.leaving_at or now
         if asked.rest:
             self.rest.ask(asked.rest, now)
         elif is_taken:
--- a/tamarackthread/entry/direct/target_lines.py
+++ b/tamarackthread/entry/direct/target_lines.py
@@ -67,6 +67,20 @@
     )
 
 
+def tell_leaving(said: announcements.Announcement) -> None:
+    """Log that an answer of a target says that it leaves."""
+    log_events.tell(
+        _log,
+        log_events.Event.TARGET,
+        'entry: target %s of %s says in an answer that it leaves',
+        said.target,
+        said.service,
+        target=said.target,
+        service=said.service,
+        state=State.LEAVING.name.lower(),
+    )
+
+
 def tell_zones(held: zones.Zones) -> None:
     """Log which zones get no work, and count them."""
     evacuated = [row.name for row in held.rows if row.is_evacuated]
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -208,7 +208,23 @@
             for target in usable
             if target.group not in left and self._standing.is_open(target)
         ]
-        return self._chooser.best(sound or usable, now)
+        return self._chooser.best(
+            sound or usable or self._leaving(service, tried, now), now
+        )
+
+    def _leaving(
+        self,
+        service: str,
+        tried: collections.abc.Collection[str],
+        now: float,
+    ) -> list[starts.Start]:
+        """List targets that leave and may still get a call."""
+        return [
+            target
+            for target in self.of_service(service)
+            if target.name not in tried
+            and self._standing.may_take_last(target, now)
+        ]
 
     def rest_seconds(self, service: str) -> float:
         """Return how long all targets of a service want no call, 0 if not all.
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -10,8 +10,12 @@
 a target goes by it.
 """
 
+import asyncio
 import unittest
 
+import attrs
+
+from tamarackthread.entry.direct import standing
 from tamarackthread.policy import backpressure
 from tamarackthread.shared.site import configuration
 from tests import test_direct_calls as direct
@@ -88,9 +92,30 @@
         near = await self.add(leaving('last'))
         await self.add(direct.whole('yes'), zone='far')
         answers = [(await self.ask())[1] for _ in range(CALLS)]
-        self.assertEqual([b'last', *[b'yes'] * (CALLS - 1)], answers)
+        self.assertEqual(b'last', answers[0])
+        self.assertEqual({b'yes'}, set(answers[1:]))
         self.assertEqual(1, len(near.heads))
 
+    async def test_last_target_leaves(self):
+        """Guards against refusals while only a target that leaves is there."""
+        self.serve(configuration.Kind.IDEMPOTENT)
+        await self.add(leaving('last'))
+        self.assertEqual([200, 200], [(await self.ask())[0] for _ in range(2)])
+        loop = asyncio.get_running_loop()
+        self.known.get('t1').leaving_at = loop.time() - standing.LAST_SECONDS
+        self.assertEqual(503, (await self.ask())[0])
+
+    async def test_later_start(self):
+        """Guards against holding a later start for one that leaves."""
+        self.serve(configuration.Kind.IDEMPOTENT)
+        await self.add(leaving('last'))
+        await self.ask()
+        left = self.known.get('t1').said
+        later = attrs.evolve(left, born=left.born + 1)
+        self.known.take(attrs.evolve(left, born=1, sequence=1))
+        self.known.take(attrs.evolve(later, born=2))
+        self.assertFalse(self.known.get('t1').leaving_at)
+
 
 class ReturnCase(unittest.TestCase):
     """Answer the load in which all callers of a target return at once."""
