Keep to the limit that targets in need name, over all entries

Cause: nothing read the header by which a target in need names the calls a second that it takes from all entries together. Each entry now works out its part from the limit, the number of entries there ever were and its share of the service's calls among those in touch; parts add up to the limit also while entries are cut off from each other. Cold targets use the same fleet and count. Ruled out: parts granted by the host that sums (nothing without control), equal parts (half is left where demand is uneven); docs/design/BACKPRESSURE.md has both. The page also lists who reads each name of the wire, held by a test.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -292,8 +292,9 @@
 struct SiteLoadRequest { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> own,
   4: optional list<SiteSuspect> suspects, 5: i64 suspects_serial,
 }
+// entries counts those whose calls are in the sums.
 struct SiteLoadReply { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> changed,
-  4: optional list<SiteSuspect> suspects, 5: i64 suspects_serial,
+  4: optional list<SiteSuspect> suspects, 5: i64 suspects_serial, 6: i32 entries,
 }
 
 // An operator asks for a zone to be evacuated or taken back; without a name, how
--- a/tamarackthread/control/site/loads.py
+++ b/tamarackthread/control/site/loads.py
@@ -97,6 +97,7 @@
             ],
             suspects=self._suspects(entry) if has_news else None,
             suspects_serial=self._suspects_serial,
+            entries=len(self._shares),
         )
 
     def _suspects(self, entry: str) -> list[messages.SiteSuspect]:
--- a/tamarackthread/entry/direct/records.py
+++ b/tamarackthread/entry/direct/records.py
@@ -39,10 +39,15 @@
     answered: int = 0
     failed: int = 0
 
+    @property
+    def calls(self) -> int:
+        """Return how many calls have ended."""
+        return self.answered + self.failed
+
     @property
     def share(self) -> float:
         """Return the part of the calls that failed."""
-        return self.failed / max(1, self.failed + self.answered)
+        return self.failed / max(1, self.calls)
 
     def plus(self, other: Tally) -> Tally:
         """Return the sum of two."""
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -21,7 +21,7 @@
     targets,
 )
 from tamarackthread.generated import settings as generated
-from tamarackthread.policy import cold
+from tamarackthread.policy import cold, fleets
 from tamarackthread.shared import log_events, peers, process
 from tamarackthread.shared.site import configuration, figures, following, places
 
@@ -49,14 +49,19 @@
             most_backoff=places.MOST_BACKOFF_SECONDS,
             dial_seconds=places.DIAL_SECONDS,
         )
-        shares = cold.Shares(
+        fleet = fleets.Fleet(
             self._place.options.identity.address,
             lambda: self._follower.entries,
-            self._site.cold_allowance,
-            self._site.cold_slack,
+        )
+        shares = cold.Shares(
+            fleet, self._site.cold_allowance, self._site.cold_slack
         )
         self._targets = targets.Targets(
-            settings.node.zone, self._site.announce_seconds, generator, shares
+            settings.node.zone,
+            self._site.announce_seconds,
+            generator,
+            shares,
+            fleet,
         )
         self._ledger = ledger.Ledger()
         self._page = figures.Page()
--- a/tamarackthread/entry/direct/sending.py
+++ b/tamarackthread/entry/direct/sending.py
@@ -229,11 +229,10 @@
             return
         now = asyncio.get_running_loop().time()
         asked = self._dialect.asked(response.status, response.headers)
-        if asked.rest and not target.rest.left(now):
-            target_lines.tell_resting(target.said, asked.rest)
-        if asked.is_leaving and not target.leaving_at:
-            target_lines.tell_leaving(target.said)
+        before = target.asking(now)
         target.hear(asked, now, is_taken=said is not dialect.Said.NOT_RUN)
+        if target.asking(now) != before:
+            target_lines.tell_asking(target, now)
 
 
 async def _head_of(
--- a/tamarackthread/entry/direct/sharing.py
+++ b/tamarackthread/entry/direct/sharing.py
@@ -137,7 +137,8 @@
             {
                 target: load.minus(own.get(target, records.IDLE))
                 for target, load in self._sums.items()
-            }
+            },
+            reply.entries or 1,
         )
 
     def _forget(self) -> None:
--- a/tamarackthread/entry/direct/standing.py
+++ b/tamarackthread/entry/direct/standing.py
@@ -6,7 +6,7 @@
 import collections.abc
 
 from tamarackthread.entry.direct import starts, target_lines
-from tamarackthread.policy import cold
+from tamarackthread.policy import cold, fleets, rate_limit
 from tamarackthread.shared.site import groups, zones
 
 # The targets of a zone that is taken back are taken for cold for so long, whatever
@@ -23,12 +23,20 @@
 class Standing:
     """Hold evacuated zones, groups, and what cold targets take."""
 
-    def __init__(self, shares: cold.Shares | None = None) -> None:
+    def __init__(
+        self,
+        shares: cold.Shares | None = None,
+        fleet: fleets.Fleet | None = None,
+    ) -> None:
         """Begin with every target in service.
 
         ``shares`` bounds what is sent to cold targets; without it nothing does.
+        The entries of ``fleet`` share what targets in need take; without it this
+        entry is the only one.
         """
         self._shares = shares
+        self._fleet = fleet
+        self._demands: dict[str, rate_limit.Demand] = {}
         self._zones = zones.Zones()
         self._groups = groups.Groups()
 
@@ -73,10 +81,17 @@
         """Tell whether a target may get a call now."""
         if not self.is_in_service(target) or not target.rest.may_take(now):
             return False
+        if not self._is_within_limit(target, now):
+            return False
         if self._shares is None or not target.is_cold(now):
             return True
         most = self._shares.calls(target.said.service, target.name)
-        return most is None or target.sent.lately(now) < most
+        lately = target.sent.lately(now, cold.SPAN_SECONDS)
+        return most is None or lately < most
+
+    def demand(self, service: str, found: rate_limit.Demand | None) -> None:
+        """Take how much of a service's calls this entry has."""
+        self._demands[service] = found or rate_limit.ALONE
 
     def is_in_service(self, target: starts.Start) -> bool:
         """Tell whether a target neither leaves nor is in an evacuated zone."""
@@ -90,7 +105,7 @@
         """Tell whether a target's places count as room for calls."""
         if not self.is_in_service(target) or target.rest.left(now):
             return False
-        return self.is_open(target)
+        return self.is_open(target) and self._is_within_limit(target, now)
 
     def may_take_last(self, target: starts.Start, now: float) -> bool:
         """Tell whether a target that leaves may get a call nobody else takes."""
@@ -99,7 +114,22 @@
         if self._is_evacuated(target):
             return False
         is_late = now - target.leaving_at >= LAST_SECONDS
-        return not is_late and target.rest.may_take(now)
+        if is_late or not target.rest.may_take(now):
+            return False
+        return self._is_within_limit(target, now)
+
+    def _is_within_limit(self, target: starts.Start, now: float) -> bool:
+        if target.limit.rate is None:
+            return True
+        demand = self._demands.get(target.said.service, rate_limit.ALONE)
+        part = rate_limit.Part(demand, 1, 0)
+        if self._fleet is not None:
+            part = rate_limit.Part(
+                demand,
+                self._fleet.count(),
+                self._fleet.place(target.name),
+            )
+        return target.limit.may_take(target.sent, part, now)
 
     def _is_evacuated(self, target: starts.Start) -> bool:
         return self._zones.is_evacuated(target.said.zone)
--- a/tamarackthread/entry/direct/starts.py
+++ b/tamarackthread/entry/direct/starts.py
@@ -9,7 +9,7 @@
 import attrs
 
 from tamarackthread.entry.direct import records
-from tamarackthread.policy import backpressure, cold
+from tamarackthread.policy import backpressure, rate_limit, sent_calls
 from tamarackthread.shared import errors
 from tamarackthread.shared.site import announcements
 
@@ -48,7 +48,8 @@
     pace: float = 1
     group: str = ''
     record: records.Record = attrs.field(factory=records.Record)
-    sent: cold.Sent = attrs.field(factory=cold.Sent)
+    sent: sent_calls.SentCalls = attrs.field(factory=sent_calls.SentCalls)
+    limit: rate_limit.RateLimit = attrs.field(factory=rate_limit.RateLimit)
     cold_until: float = 0
     asked: backpressure.Backpressure = backpressure.NONE
     rest: backpressure.Rest = attrs.field(factory=backpressure.Rest)
@@ -107,6 +108,7 @@
     ) -> None:
         """Take what an answer asks for; ``is_taken`` unless it is a refusal."""
         self.asked = asked
+        self.limit.hear(asked.rate, now)
         if asked.is_leaving:
             self.leaving_at = self.leaving_at or now
         if asked.rest:
@@ -114,6 +116,15 @@
         elif is_taken:
             self.rest.taken(now)
 
+    def asking(self, now: float) -> list[str]:
+        """Name what the target's answers ask for now, for people."""
+        found = {
+            'rest': self.rest.left(now) > 0,
+            'limit': self.limit.rate is not None,
+            'no calls': self.leaving_at > 0,
+        }
+        return [name for name, is_asked in found.items() if is_asked]
+
     def failed(self, now: float) -> None:
         """Keep calls away for a while after one could not be delivered."""
         doubled = min(MOST_PAUSE_SECONDS, 2 * self.pause)
--- a/tamarackthread/entry/direct/target_lines.py
+++ b/tamarackthread/entry/direct/target_lines.py
@@ -6,6 +6,7 @@
 import collections.abc
 import logging
 
+from tamarackthread.entry.direct import starts
 from tamarackthread.shared import log_events
 from tamarackthread.shared.site import announcements, figures, groups, zones
 
@@ -51,33 +52,21 @@
     )
 
 
-def tell_resting(said: announcements.Announcement, seconds: float) -> None:
-    """Log that a target wants no calls of this entry for a while."""
+def tell_asking(target: starts.Start, now: float) -> None:
+    """Log what a target's answers ask for, as it begins or ends."""
+    asking = target.asking(now)
     log_events.tell(
         _log,
         log_events.Event.TARGET,
-        'entry: target %s of %s asks for %.1f s of rest',
-        said.target,
-        said.service,
-        seconds,
-        target=said.target,
-        service=said.service,
-        state='resting',
-        rest_ms=round(seconds * 1000),
-    )
-
-
-def tell_leaving(said: announcements.Announcement) -> None:
-    """Log that an answer of a target says that it leaves."""
-    log_events.tell(
-        _log,
-        log_events.Event.TARGET,
-        'entry: target %s of %s says in an answer that it leaves',
-        said.target,
-        said.service,
-        target=said.target,
-        service=said.service,
-        state=State.LEAVING.name.lower(),
+        'entry: target %s of %s asks for: %s',
+        target.name,
+        target.said.service,
+        ', '.join(asking) or 'nothing more',
+        target=target.name,
+        service=target.said.service,
+        state='asking',
+        rest_ms=round(target.rest.left(now) * 1000),
+        rate=target.limit.rate,
     )
 
 
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -5,19 +5,20 @@
 import asyncio
 import collections
 import collections.abc
-import contextlib
 import random
 
 import attrs
 
 from tamarackthread.entry.direct import (
+    arrivals,
     choosing,
+    demands,
     records,
     standing,
     starts,
     target_lines,
 )
-from tamarackthread.policy import cold, crowding
+from tamarackthread.policy import cold, crowding, fleets
 from tamarackthread.shared.site import announcements, figures, groups, zones
 
 State = announcements.State
@@ -25,15 +26,6 @@
 # A target without any word for so many beats counts as silent even if no
 # control host says so: the host that heard it last may be gone itself.
 BEATS_UNHEARD = 7
-# After so many beats every target has announced itself, one beat being lost.
-BEATS_TO_WARM = 2.2
-# Calls that an entry which has just started has at one target.  Others start
-# with it, and together they fill the few that are known by then: of seven, each
-# may have one call at a target with six places.
-WARM_CALLS = 1
-# A call waits for a calmer target for so long at most: half of a beat brings
-# some, and most aims are twice this.
-CALM_SECONDS = 0.2
 SWEEP_SECONDS = 0.5
 
 
@@ -46,18 +38,18 @@
         beat_seconds: float,
         generator: random.Random,
         shares: cold.Shares | None = None,
+        fleet: fleets.Fleet | None = None,
     ) -> None:
         """Start without targets; ``zone`` is this entry's own.
 
         ``shares`` bounds what is sent to cold targets; without it nothing does.
+        The entries of ``fleet`` share what targets in need take.
         Must be called from within a running loop.
         """
         self._chooser = choosing.Chooser(zone, generator)
-        self._standing = standing.Standing(shares)
-        self._beat = beat_seconds
+        self._standing = standing.Standing(shares, fleet)
         self._unheard = beat_seconds * BEATS_UNHEARD
-        self._started_at = asyncio.get_running_loop().time()
-        self._arrived = asyncio.Event()
+        self._arrivals = arrivals.Arrivals(beat_seconds)
         self._knows_others = False
         self._untold: list[announcements.Announcement] = []
         self._by_name: dict[str, starts.Start] = {}
@@ -128,14 +120,25 @@
         """Tell whether the calls of other entries are known."""
         return self._knows_others
 
-    def share(self, others: collections.abc.Mapping[str, records.Load]) -> None:
-        """Take the calls that all other entries have and had, by target."""
+    def share(
+        self,
+        others: collections.abc.Mapping[str, records.Load],
+        entries: int = 1,
+    ) -> None:
+        """Take the calls that all other entries have and had, by target.
+
+        ``entries`` counts those whose calls are in it, this one included.
+        """
         self._knows_others = True
+        now = asyncio.get_running_loop().time()
         for name, target in self._by_name.items():
             load = others.get(name, records.IDLE)
             target.others = load.calls
             target.record.others = load.ends
         self._judge()
+        for service in self._by_service:
+            known = self.of_service(service)
+            self._standing.demand(service, demands.of(known, entries, now))
 
     def forget_others(self) -> None:
         """Go by this entry's own calls until others are told of again."""
@@ -254,33 +257,8 @@
         tried: collections.abc.Collection[str],
         seconds: float,
     ) -> None:
-        """Wait for a target that was not tried, while more may be announced.
-
-        A process that has just started knows the targets one by one, as each
-        announces itself within a beat.  Calls that all go to the first ones
-        are refused by them, though there is room at the others, and each
-        refusal uses up a try that the budget allows.
-        """
-        loop = asyncio.get_running_loop()
-        warm_at = self._started_at + self._beat * BEATS_TO_WARM
-        began = loop.time()
-        until = min(began + seconds, warm_at)
-        while loop.time() < until and not self._has_calm(service, tried):
-            if self.choose(service, tried) is not None:
-                until = min(until, began + CALM_SECONDS)
-            arrived = self._arrived
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout_at(until):
-                    await arrived.wait()
-
-    def _has_calm(
-        self,
-        service: str,
-        tried: collections.abc.Collection[str],
-    ) -> bool:
-        """Tell whether a target is known that others hardly can have filled."""
-        found = self.choose(service, tried)
-        return found is not None and found.own < WARM_CALLS
+        """Wait for a target that was not tried, while more may be announced."""
+        await self._arrivals.wait(lambda: self.choose(service, tried), seconds)
 
     def sweep(self) -> None:
         """Mark targets that nobody has spoken of for long."""
@@ -314,18 +292,21 @@
 
     def _count(self) -> None:
         figures.TARGETS.clear()
+        figures.TARGETS_ASKING.clear()
+        now = asyncio.get_running_loop().time()
         for service in self._by_service:
             for target in self.of_service(service):
                 state = target.said.state.name.lower()
                 figures.TARGETS.labels(service, state).inc()
+                for asked in target.asking(now):
+                    figures.TARGETS_ASKING.labels(service, asked).inc()
 
     def _add(self, said: announcements.Announcement, now: float) -> None:
         group = self._standing.group_of(said.target)
         self._by_name[said.target] = starts.Start(said, now, group=group)
         if said.service:
             self._by_service[said.service][said.target] = None
-            self._arrived.set()
-            self._arrived = asyncio.Event()
+            self._arrivals.note()
         if said.state == State.READY:
             self._untold.append(said)
         else:
--- a/tamarackthread/platform/calls.py
+++ b/tamarackthread/platform/calls.py
@@ -114,6 +114,7 @@
         return backpressure.Backpressure(
             is_leaving=headers.get(wire.LEAVING) == _YES,
             rest=backpressure.seconds(rest),
+            rate=backpressure.rate(headers.get(wire.LIMIT, '')),
         )
 
     def answer(
--- a/tamarackthread/platform/wire.py
+++ b/tamarackthread/platform/wire.py
@@ -37,6 +37,8 @@
 # Beside a target's refusal: seconds in which it wants no call of this entry.
 REST = 'Retry-After'
 REFUSED = 503
+# Beside any answer of a target in need: calls a second from all entries together.
+LIMIT = 'Server-Limit'
 
 # Another target, or other weights, than the call expected.
 MISDIRECTED = 421
--- a/tamarackthread/policy/backpressure.py
+++ b/tamarackthread/policy/backpressure.py
@@ -17,11 +17,13 @@
     """What one answer of a target asks for.
 
     ``is_leaving``: no new calls from now on.  ``rest``: no calls for so many
-    seconds, 0 for none.
+    seconds, 0 for none.  ``rate``: so many calls a second at most from all
+    entries together, ``None`` without a limit.
     """
 
     is_leaving: bool = False
     rest: float = 0
+    rate: float | None = None
 
 
 NONE = Backpressure()
@@ -67,10 +69,18 @@
 
     A date counts as none: the time of day differs from host to host.
     """
+    return min(MOST_REST_SECONDS, max(0, _number(text) or 0))
+
+
+def rate(text: str) -> float | None:
+    """Read calls a second; ``None`` for what makes no sense."""
+    found = _number(text)
+    return None if found is None or found < 0 else found
+
+
+def _number(text: str) -> float | None:
     try:
         found = float(text)
     except ValueError:
-        return 0
-    if not math.isfinite(found):
-        return 0
-    return min(MOST_REST_SECONDS, max(0, found))
+        return None
+    return found if math.isfinite(found) else None
--- a/tamarackthread/policy/cold.py
+++ b/tamarackthread/policy/cold.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-import collections
 import collections.abc
-import hashlib
+
+from tamarackthread.policy import fleets
 
 # Calls are counted over the second that a target counts, and what they may be
 # held up on their way there: the time in which a connection is made.
@@ -17,11 +17,6 @@
 # One part of a target's limit is shared by the entries that are known, the other
 # is left for those that nobody has told of.
 PARTS = 2
-# An entry that was told of no other takes it that there are so many.
-ASSUMED_ENTRIES = 32
-_HASH_BYTES = 8
-
-Entries = collections.abc.Callable[[], collections.abc.Sequence[str]]
 
 
 class Shares:
@@ -33,22 +28,19 @@
 
     def __init__(
         self,
-        own: str,
-        entries: Entries,
+        fleet: fleets.Fleet,
         allowance: float = 1,
         slack: float = 0,
     ) -> None:
-        """Share with ``entries``, of which this one is ``own``.
+        """Share with all entries of the ``fleet``.
 
         A target takes ``allowance`` times its service's rate and ``slack`` calls
         more in a second.
         """
-        self._own = own
-        self._entries = entries
+        self._fleet = fleet
         self._allowance = allowance
         self._slack = slack
         self._rates: dict[str, float] = {}
-        self._known: dict[str, None] = {}
 
     def learn(self, rates: collections.abc.Mapping[str, float]) -> None:
         """Take the calls a second at a cold target by service, 0 for any."""
@@ -64,40 +56,10 @@
         limit = self.limit(service)
         if not limit:
             return None
-        self._known.update(dict.fromkeys(self._entries()))
-        each = int(limit / PARTS / (len(self._known) or ASSUMED_ENTRIES))
+        each = int(limit / PARTS / self._fleet.count())
         return each or int(self._is_drawn(target, int(limit / PARTS)))
 
     def _is_drawn(self, target: str, places: int) -> bool:
         """Tell whether this entry is one of the few that a target is left to."""
-        if self._own not in self._known:
-            return False
-        drawn = sorted(self._known, key=lambda entry: _mark(entry, target))
-        return self._own in drawn[:places]
-
-
-class Sent:
-    """Count the calls that were sent to one target of late."""
-
-    def __init__(self) -> None:
-        """Begin without any."""
-        self._moments: collections.deque[float] = collections.deque()
-
-    def note(self, now: float) -> None:
-        """Count a call."""
-        self._moments.append(now)
-        self._forget(now)
-
-    def lately(self, now: float) -> int:
-        """Return the calls of the last span."""
-        self._forget(now)
-        return len(self._moments)
-
-    def _forget(self, now: float) -> None:
-        while self._moments and now - self._moments[0] >= SPAN_SECONDS:
-            self._moments.popleft()
-
-
-def _mark(entry: str, target: str) -> bytes:
-    text = f'{entry} {target}'.encode()
-    return hashlib.blake2b(text, digest_size=_HASH_BYTES).digest()
+        place = self._fleet.place(target)
+        return place is not None and place < places
--- a/tamarackthread/shared/site/figures.py
+++ b/tamarackthread/shared/site/figures.py
@@ -77,6 +77,12 @@
     ('service', 'state'),
     registry=_registry,
 )
+TARGETS_ASKING = prometheus_client.Gauge(
+    'tamarackthread_targets_asking',
+    'Targets whose answers ask this entry for rest, a limit or no more calls.',
+    ('service', 'asked'),
+    registry=_registry,
+)
 ZONES_EVACUATED = prometheus_client.Gauge(
     'tamarackthread_zones_evacuated',
     'Availability zones whose targets get no work from here.',
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -72,13 +72,13 @@
         self.assertEqual(backpressure.NONE, self.known.get('t1').asked)
 
 
-def leaving(text):
-    """Answer with a whole body and say that no more calls are wanted."""
+def naming(header, text):
+    """Answer with a whole body and one header more."""
 
     async def script(target, head, writer):
         start = direct.head_of(target, head)
         writer.write(
-            f'{start}Server-Leaving: 1\r\nContent-Length: {len(text)}\r\n'
+            f'{start}{header}\r\nContent-Length: {len(text)}\r\n'
             f'\r\n{text}'.encode()
         )
 
@@ -89,7 +89,7 @@
     async def test_leaving_target_gets_no_call(self):
         """Guards against calls to a target whose answers say it leaves."""
         self.serve(configuration.Kind.IDEMPOTENT)
-        near = await self.add(leaving('last'))
+        near = await self.add(naming('Server-Leaving: 1', 'last'))
         await self.add(direct.whole('yes'), zone='far')
         answers = [(await self.ask())[1] for _ in range(CALLS)]
         self.assertEqual(b'last', answers[0])
@@ -99,7 +99,7 @@
     async def test_last_target_leaves(self):
         """Guards against refusals while only a target that leaves is there."""
         self.serve(configuration.Kind.IDEMPOTENT)
-        await self.add(leaving('last'))
+        await self.add(naming('Server-Leaving: 1', 'last'))
         self.assertEqual([200, 200], [(await self.ask())[0] for _ in range(2)])
         loop = asyncio.get_running_loop()
         self.known.get('t1').leaving_at = loop.time() - standing.LAST_SECONDS
@@ -108,7 +108,7 @@
     async def test_later_start(self):
         """Guards against holding a later start for one that leaves."""
         self.serve(configuration.Kind.IDEMPOTENT)
-        await self.add(leaving('last'))
+        await self.add(naming('Server-Leaving: 1', 'last'))
         await self.ask()
         left = self.known.get('t1').said
         later = attrs.evolve(left, born=left.born + 1)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -28,6 +28,17 @@
                     path.read_text(), r'tamarackthread(\.| import )platform'
                 )
 
+    def test_each_header_has_a_reader(self):
+        """Guards against a header of the wire that no page says who reads."""
+        page = (PACKAGE.parent / 'docs/design/BACKPRESSURE.md').read_text()
+        for name, value in wire.__dict__.items():
+            if not name.isupper() or not isinstance(value, str):
+                continue
+            if not re.fullmatch(r'[A-Z][a-z]+(-[A-Z][a-z]+)*', value):
+                continue
+            with self.subTest(name=name):
+                self.assertIn(f'`{value}`', page)
+
     def test_wire_names_stay_inside(self):
         """No module of the product names what the platform's wire carries."""
         names = [
