Keep a control host's work for one target apart from how many there are

With it, what else grows: for more than 60 followers news of targets waits for more, configurations and zones do not; an owner asks at most 300 ranks a second, 1,500 when eager. Nothing changes at today's sizes.

Ruled out as the main cause: replies to followers (24, 39, 91 us each). Open: sums of calls, told row by row to each entry, grow with entries and calls. Tests: tests/test_many_targets.py, which fails on the code before; a first form of the wait for more news never ended on a paused clock and is not kept.

--- a/tamarackthread/control/site/feeding.py
+++ b/tamarackthread/control/site/feeding.py
@@ -14,6 +14,11 @@
 PERCENT = 100
 # A follower counts among the entries for so long after its last question.
 FOLLOWER_SECONDS = 5.0
+# Thousands of targets are told of again and again.  For more than a few followers
+# news of them waits for more, so that so many replies a second go to the others.
+FEW_FOLLOWERS = 60
+REPLIES_A_SECOND = 400
+MOST_HELD_SECONDS = 0.5
 
 Members = collections.abc.Callable[[], list[str]]
 
@@ -55,17 +60,41 @@
                     await news.wait()
             except TimeoutError:
                 break
+        if self._serial_of(asked) and not self._is_urgent(asked):
+            await self._hold(asked)
         return self._reply(asked)
 
+    async def _hold(self, asked: messages.SiteFeedRequest) -> None:
+        """Let news of targets wait for more, unless other news comes."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self._held_seconds()
+        while loop.time() < until and not self._is_urgent(asked):
+            news = self._news
+            try:
+                async with asyncio.timeout_at(until):
+                    await news.wait()
+            except TimeoutError:
+                return
+
+    def _held_seconds(self) -> float:
+        """Return how long news of targets waits for more."""
+        more = max(0, len(self._followers) - FEW_FOLLOWERS)
+        return min(MOST_HELD_SECONDS, more / REPLIES_A_SECOND)
+
+    def _is_urgent(self, asked: messages.SiteFeedRequest) -> bool:
+        """Tell whether there is more news than that of targets."""
+        if self._site.held.version > (asked.version or 0):
+            return True
+        return self._has_newer_zones(asked) or self._has_other_groups(asked)
+
     def _wake(self) -> None:
         self._news.set()
         self._news = asyncio.Event()
 
     def _has_news(self, asked: messages.SiteFeedRequest) -> bool:
-        if self._site.held.version > (asked.version or 0):
-            return True
-        if self._has_newer_zones(asked) or self._has_other_groups(asked):
-            return True
+        return self._is_urgent(asked) or self._has_news_of_targets(asked)
+
+    def _has_news_of_targets(self, asked: messages.SiteFeedRequest) -> bool:
         return self._serial_of(asked) < self._targets.serial
 
     def _has_newer_zones(self, asked: messages.SiteFeedRequest) -> bool:
--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -123,6 +123,8 @@
         self._machine = machine.SiteMachine()
         self._group = self._build_group()
         self._book = book.Book(self._site.announce_seconds)
+        # How much of the book the roster has learned.
+        self._learned = 0
         self._api = api.SiteApi(self._group, self._machine, reader)
         self._evacuation = evacuation.Evacuation(
             self._group, self._machine, self._site.zones
@@ -238,8 +240,9 @@
         return [member.address for member in self._group.members()]
 
     def _all_targets(self) -> list[announcements.Announcement]:
-        for said in self._book.after(0):
+        for said in self._book.after(self._learned):
             self._known.learn_target(said)
+        self._learned = self._book.serial
         return self._known.said()
 
     def _others(self) -> list[str]:
--- a/tamarackthread/control/site/maps/owner.py
+++ b/tamarackthread/control/site/maps/owner.py
@@ -42,6 +42,10 @@
 # A group that is closed opens again within a second or two, and callers go to others
 # until it is seen to be open.
 CLOSED_LOOK_SECONDS = 0.3
+# Reports that an owner asks for in a second: each takes a third of a millisecond
+# of its host, which has the log to keep beside it.
+MOST_REPORTS_CALM = 300
+MOST_REPORTS_EAGER = 1500
 Members = collections.abc.Callable[[str], list[ranks.Rank]]
 NotePace = collections.abc.Callable[[str, float], None]
 
@@ -72,6 +76,7 @@
         self._fences = releasing.Fences()
         self._has_released = False
         self._is_missing = False
+        self._asked = 0
         self._busy: set[str] = set()
         self._membership = membership.Membership()
         self._began_at = -math.inf
@@ -88,13 +93,18 @@
         After a group was found held its ranks are asked again at once: what
         it waited for is over, and its demand has not been read meanwhile.
         """
+        usual, most_reports = self._usual_look()
+        return max(usual, self._asked / most_reports)
+
+    def _usual_look(self) -> tuple[float, int]:
+        """Return the time between looks, and the most reports a second."""
         owned = asyncio.get_running_loop().time() - self._began_at
         is_eager = self._is_missing and owned < MOST_EAGER_SECONDS
         if self._has_released or is_eager or owned < SETTLE_SECONDS:
-            return EAGER_SECONDS
+            return EAGER_SECONDS, MOST_REPORTS_EAGER
         if self._membership.has_closed:
-            return CLOSED_LOOK_SECONDS
-        return LOOK_SECONDS
+            return CLOSED_LOOK_SECONDS, MOST_REPORTS_EAGER
+        return LOOK_SECONDS, MOST_REPORTS_CALM
 
     @property
     def read_seconds(self) -> float:
@@ -152,6 +162,7 @@
         """Ask all ranks of the services for reports."""
         self._has_released = False
         self._is_missing = False
+        self._asked = 0
         for service in services:
             if service.experts is None:
                 continue
@@ -245,6 +256,7 @@
 
     async def _find(self, service: str) -> list[switching.Group]:
         members = self._members(service)
+        self._asked += len(members)
         found = await groups.reports(self._ranks, members)
         self._membership.learn(service, members, found)
         for member, report in zip(members, found, strict=True):
--- a/tamarackthread/control/site/roster.py
+++ b/tamarackthread/control/site/roster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 
 import attrs
@@ -37,6 +38,9 @@
         self._site = site
         self._reader = reader
         self._said: dict[str, announcements.Announcement] = {}
+        self._by_address: dict[str, dict[str, None]] = collections.defaultdict(
+            dict
+        )
         self._read: configuration.Configuration | None = None
         self._services: tuple[configuration.Service, ...] = ()
 
@@ -65,29 +69,37 @@
             return
         taken = said.after(held)
         if taken.state == announcements.State.READY:
-            if self._is_overtaken(taken):
+            others = self._others_at(taken)
+            if any(_is_overtaken(taken, other) for other in others):
                 return
-            self._drop_former(taken)
-        self._said[said.target] = taken
-
-    def _is_overtaken(self, said: announcements.Announcement) -> bool:
-        """Tell whether a target that started later has the address now.
-
-        An announcement that was held up by a cut may come after its target has
-        crashed and another one serves where it was.
+            # The last that was heard of at an address is there.
+            for other in others:
+                self._forget(other)
+        if held is not None:
+            self._forget(held)
+        self._said[taken.target] = taken
+        self._by_address[taken.address][taken.target] = None
+
+    def _others_at(
+        self, said: announcements.Announcement
+    ) -> list[announcements.Announcement]:
+        """List the other targets that were heard of at an address.
+
+        Kept by address: each of thousands of targets is told of each few
+        seconds, and a look at all of them for each would fill a core.
         """
-        return any(
-            other.address == said.address
-            and 0 < said.born < other.born
-            and other.state == announcements.State.READY
-            for other in self._said.values()
-        )
+        return [
+            self._said[name]
+            for name in self._by_address.get(said.address, ())
+            if name != said.target
+        ]
 
-    def _drop_former(self, said: announcements.Announcement) -> None:
-        """Forget others at an address; the last that was heard of is there."""
-        for target, other in tuple(self._said.items()):
-            if other.address == said.address and target != said.target:
-                self._said.pop(target)
+    def _forget(self, said: announcements.Announcement) -> None:
+        self._said.pop(said.target, None)
+        at_address = self._by_address[said.address]
+        at_address.pop(said.target, None)
+        if not at_address:
+            self._by_address.pop(said.address)
 
     def learn_document(self, held: document.Document) -> None:
         """Leave it: this host's own log brings it."""
@@ -140,6 +152,19 @@
         return self._services
 
 
+def _is_overtaken(
+    said: announcements.Announcement,
+    other: announcements.Announcement,
+) -> bool:
+    """Tell whether another target started later at the same address.
+
+    An announcement that was held up by a cut may come after its target has
+    crashed and another one serves where it was.
+    """
+    is_later = 0 < said.born < other.born
+    return is_later and other.state == announcements.State.READY
+
+
 def _is_likelier(
     said: announcements.Announcement,
     held: announcements.Announcement,
--- /dev/null
+++ b/tests/test_many_targets.py
@@ -0,0 +1,174 @@
+"""Prove that what a control host does for a target does not grow with all."""
+
+import asyncio
+import types
+
+import attrs
+
+from tamarackthread.control.site import book, feeding, machine, roster
+from tamarackthread.control.site.maps import owner, ranks
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared.site import announcements, configuration, groups
+from tests import policy_case, test_large_maps
+
+TARGETS = 3000
+FOLLOWERS = 200
+SERVICE = 's'
+
+
+def said(number, sequence=1, **fields):
+    return announcements.Announcement(
+        target=f't{number}',
+        service=SERVICE,
+        address=f'10.0.{number // 250}.{number % 250}:80',
+        zone='z',
+        slots=5,
+        sequence=sequence,
+        born=1000 + number,
+        **fields,
+    )
+
+
+class Unread(dict):
+    """A table of targets that nobody may look through."""
+
+    def values(self):
+        raise AssertionError('all targets were looked at')
+
+    items = values
+    __iter__ = values
+
+
+class RosterCase(policy_case.PausedCase):
+    def test_one_announcement(self):
+        """Guards against a look at all targets for each announcement."""
+        known = roster.Roster(machine.SiteMachine(), None)
+        for number in range(TARGETS):
+            known.learn_target(said(number))
+        held = known._said
+        known._said = Unread(held)
+        known.learn_target(said(7, sequence=2))
+        moved = attrs.evolve(said(TARGETS), address=said(8).address)
+        known.learn_target(moved)
+        rest = dict.keys(known._said)
+        self.assertNotIn('t8', rest)
+        self.assertIn(moved.target, rest)
+
+    def test_address_that_changes(self):
+        """Guards against a target that is lost with its former address."""
+        known = roster.Roster(machine.SiteMachine(), None)
+        known.learn_target(said(1))
+        known.learn_target(attrs.evolve(said(1, 2), address=said(2).address))
+        known.learn_target(said(3))
+        known.learn_target(attrs.evolve(said(4), address=said(1).address))
+        names = sorted(row.target for row in known.said())
+        self.assertEqual(['t1', 't3', 't4'], names)
+
+
+class FeedingCase(policy_case.PausedCase):
+    def test_many_followers(self):
+        """Guards against a reply to each follower for each announcement."""
+        self.assertLess(self.run_paused(self._replies(FOLLOWERS)), 30)
+
+    def test_configuration_waits_for_nothing(self):
+        """Guards against a configuration held back with news of targets."""
+        self.run_paused(self._urgent())
+
+    async def _replies(self, followers):
+        targets = book.Book(1.2)
+        fed = self._feeding(targets, followers)
+        replies = []
+
+        async def follow():
+            serial = 0
+            while True:
+                reply = await fed.answer(_peer(0), _asked(serial))
+                serial = reply.serial
+                replies.append(len(reply.targets))
+
+        following = asyncio.create_task(follow())
+        for number in range(1000):
+            targets.take(said(number))
+            await asyncio.sleep(0.01)
+        following.cancel()
+        self.assertGreater(sum(replies), 900)
+        return len(replies)
+
+    async def _urgent(self):
+        loop = asyncio.get_running_loop()
+        targets = book.Book(1.2)
+        fed = self._feeding(targets, FOLLOWERS)
+        asking = asyncio.create_task(fed.answer(_peer(0), _asked(0)))
+        await asyncio.sleep(0.1)
+        began = loop.time()
+        targets.note_groups(1, [_group()])
+        await asking
+        self.assertEqual(began, loop.time())
+
+    def _feeding(self, targets, followers):
+        fed = feeding.Feeding(machine.SiteMachine(), targets, list, 1)
+        now = asyncio.get_running_loop().time() + 1000
+        fed._followers = {f'e{number}': now for number in range(followers)}
+        return fed
+
+
+class Silent(ranks.Ranks):
+    """Be ranks that answer nothing, and count how often they are asked."""
+
+    def __init__(self):
+        self.asked = 0
+
+    async def report(self, rank):
+        self.asked += 1
+
+    async def counts(self, rank, sets):
+        """Answer nothing."""
+
+    async def placement(self, rank):
+        """Answer nothing."""
+
+    async def order(self, rank, asked):
+        return ranks.Outcome.UNKNOWN
+
+    def rest_seconds(self, numbers):
+        return 0
+
+    async def close(self):
+        """Hold nothing."""
+
+
+class LookCase(policy_case.PausedCase):
+    def test_many_ranks(self):
+        """Guards against an owner that asks thousands of ranks all the time."""
+        self.run_paused(self._looks())
+
+    async def _looks(self):
+        rows = [ranks.Rank(f't{number}', 'a') for number in range(TARGETS)]
+        asked = Silent()
+        found = owner.Owner(
+            asked, lambda service: rows, print, test_large_maps.AtOnce()
+        )
+        found.begin()
+        shape = types.SimpleNamespace()
+        service = configuration.Service(name=SERVICE, experts=shape)
+        await found.find([service])
+        self.assertGreaterEqual(
+            found.look_seconds, TARGETS / owner.MOST_REPORTS_EAGER
+        )
+
+
+def _asked(serial):
+    return messages.SiteFeedRequest(
+        epoch=1, serial=serial, version=0, zone_changes=0, wait_ms=5000
+    )
+
+
+def _peer(number):
+    identity = types.SimpleNamespace(
+        role=messages.Role.ENTRY, address=f'e{number}'
+    )
+    return types.SimpleNamespace(peer=identity)
+
+
+def _group():
+    return groups.Group('g', frozenset(('t1',)))
