--- /dev/null
+++ b/tests/direct_case.py
@@ -0,0 +1,252 @@
+"""Stand an entry before fake targets, each with a script of its own."""
+
+import asyncio
+import random
+import socket
+import struct
+import unittest
+
+import aiohttp
+
+from tamarackthread.entry.direct import (
+    admitting,
+    budgets,
+    crashing,
+    front,
+    ledger,
+    running,
+    sending,
+    table,
+    targets,
+)
+from tamarackthread.generated import settings
+from tamarackthread.platform import calls as spoken
+from tamarackthread.shared.site import announcements, configuration
+
+HOST = 'h.example'
+ONCE = configuration.Kind.ONCE
+STREAM = configuration.Kind.STREAM
+IDEMPOTENT = configuration.Kind.IDEMPOTENT
+RESET = struct.pack('ii', 1, 0)
+ANSWER = (
+    'HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s.{name}\r\n'
+)
+
+
+async def measuring(target, head, writer):
+    """Take a body and answer with its length."""
+    text = str(len(await target.body(head)))
+    start = head_of(target, head)
+    writer.write(f'{start}Content-Length: {len(text)}\r\n\r\n{text}'.encode())
+
+
+class FakeTarget:
+    """Answer each call by a script: a coroutine that writes bytes."""
+
+    def __init__(self, name, script):
+        self.name = name
+        self.heads = []
+        self.closed = asyncio.Event()
+        self._script = script
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        return f'{host}:{port}'
+
+    def close(self):
+        self._server.close()
+
+    async def body(self, head):
+        return await self._reader.readexactly(
+            int(header(head, 'Content-Length') or 0)
+        )
+
+    async def _serve(self, reader, writer):
+        self._reader = reader
+        try:
+            while True:
+                head = (await reader.readuntil(b'\r\n\r\n')).decode()
+                self.heads.append(head)
+                await self._script(self, head, writer)
+        except (asyncio.IncompleteReadError, OSError):
+            self.closed.set()
+            writer.close()
+
+
+def header(head, name):
+    """Find a header's value in a request's head."""
+    for line in head.split('\r\n'):
+        if line.lower().startswith(f'{name.lower()}: '):
+            return line.split(': ', 1)[1]
+    return ''
+
+
+def head_of(target, head):
+    return ANSWER.format(id=header(head, 'Attempt-Id'), name=target.name)
+
+
+def whole(text, status='200 OK'):
+    """Answer with a whole body."""
+
+    async def script(target, head, writer):
+        start = head_of(target, head).replace('200 OK', status)
+        writer.write(
+            f'{start}Content-Length: {len(text)}\r\n\r\n{text}'.encode()
+        )
+
+    return script
+
+
+async def refusing(target, head, writer):
+    writer.write(
+        b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+
+
+async def silent(target, head, writer):
+    """Take a call and never answer."""
+
+
+async def dropping(target, head, writer):
+    writer.close()
+
+
+async def resetting_unframed(target, head, writer):
+    start = head_of(target, head)
+    writer.write(f'{start}Connection: close\r\n\r\nhalf'.encode())
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    raw = writer.get_extra_info('socket')
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
+
+
+async def ending_unframed(target, head, writer):
+    start = head_of(target, head)
+    writer.write(f'{start}Connection: close\r\n\r\nall of it'.encode())
+    writer.close()
+
+
+async def answering_another(target, head, writer):
+    text = ANSWER.format(id='another', name=target.name)
+    writer.write(f'{text}Content-Length: 5\r\n\r\nwrong'.encode())
+
+
+def streaming(first, last, is_whole):
+    """Send numbered events; break off in the middle of one unless whole."""
+
+    async def script(target, head, writer):
+        position = int(header(head, 'Last-Event-Id') or 0)
+        start = head_of(target, head)
+        writer.write(f'{start}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        for number in range(max(first, position + 1), last + 1):
+            writer.write(chunk(f'id: {number}\ndata: e{number}\n\n'))
+        if is_whole:
+            writer.write(b'0\r\n\r\n')
+            return
+        writer.write(chunk(f'id: {last + 1}\ndata: ha'))
+        writer.close()
+
+    return script
+
+
+def chunk(text):
+    return f'{len(text):x}\r\n{text}\r\n'.encode()
+
+
+class DirectCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        loop = asyncio.get_running_loop()
+        rng = random.Random(3)
+        self.known = targets.Targets('z', 1.0, rng)
+        self.sender = sending.Sender(spoken.PlatformDialect())
+        await self.sender.start()
+        site = settings.Site(seeds=(), link_port=1, retry_reserve=20)
+        self.tables = table.Holder()
+        self.crashing = crashing.Crashing()
+        self.admission = admitting.Admission(self.known, lambda: 1)
+        self.front = front.Front(
+            spoken.PlatformDialect(),
+            self.tables,
+            running.Runner(
+                self.known,
+                self.sender,
+                budgets.Budgets(site, lambda: 1, loop.time),
+                self.admission,
+                self.crashing,
+                rng,
+            ),
+            rng,
+            ledger.Ledger(),
+        )
+        self.address = await self.front.start('127.0.0.1:0')
+        self.session = aiohttp.ClientSession()
+        self.fakes = []
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.front.stop()
+        await self.sender.close()
+        for fake in self.fakes:
+            fake.close()
+
+    def serve(self, kind, **fields):
+        route = configuration.Route(
+            name='r',
+            host=HOST,
+            prefix='/a/',
+            kind=kind,
+            shares=(configuration.Share('s', 1),),
+            **{'timeout': 5, 'aim': 0.4, 'attempts': 2, **fields},
+        )
+        owner = configuration.Organisation(
+            name='org', keys=frozenset(('secret',))
+        )
+        self.tables.put(
+            table.Table(
+                configuration.Configuration(
+                    version=1,
+                    routes=(route,),
+                    services=(configuration.Service(name='s'),),
+                    organisations=(owner,),
+                )
+            )
+        )
+
+    async def add(self, script, zone='z'):
+        fake = FakeTarget(f't{len(self.fakes) + 1}', script)
+        self.fakes.append(fake)
+        self.known.take(
+            announcements.Announcement(
+                target=fake.name,
+                service='s',
+                address=await fake.start(),
+                zone=zone,
+            )
+        )
+        return fake
+
+    async def ask(
+        self,
+        path='/a/b',
+        method='POST',
+        key='secret',
+        left='4000',
+        body=None,
+        **headers,
+    ):
+        asked = {
+            'Host': HOST,
+            'Attempt-Id': 'c1',
+            'Deadline-Ms': left,
+            'Authorization': f'Bearer {key}',
+            **headers,
+        }
+        async with self.session.request(
+            method,
+            f'http://{self.address}{path}',
+            headers=asked,
+            data=body,
+        ) as response:
+            return response.status, await response.read(), response.headers
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -18,7 +18,7 @@
 from tamarackthread.entry.direct import standing
 from tamarackthread.policy import backpressure
 from tamarackthread.shared.site import configuration
-from tests import test_direct_calls as direct
+from tests import direct_case as direct
 
 CALLS = 6
 
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -12,7 +12,7 @@
 from tamarackthread.entry.direct import failures as refusals
 from tamarackthread.policy import suspects
 from tamarackthread.shared.site import announcements, configuration
-from tests import policy_case, test_admitting, test_direct_calls
+from tests import policy_case, test_admitting, direct_case
 from tests import test_shared_calls as shared_calls
 
 BAD = b'b'
@@ -258,7 +258,7 @@
         self.assertNotEqual(crashing.mark_of(call), crashing.mark_of(other))
 
 
-class CallerCase(test_direct_calls.DirectCase):
+class CallerCase(direct_case.DirectCase):
     async def test_refused_unrun(self):
         """The caller of a call that has crashed three targets is told so.
 
@@ -266,7 +266,7 @@
         call of another caller is answered.
         """
         self.serve(configuration.Kind.ONCE)
-        fake = await self.add(test_direct_calls.dropping)
+        fake = await self.add(direct_case.dropping)
         status, _, _ = await self.ask(body=b'bad')
         self.assertEqual(502, status)
         fake.close()
@@ -276,7 +276,7 @@
         self.assertEqual(1, len(rows))
         rows[0].starts = ['t7', 't8', 't9']
         self.crashing.share(rows)
-        sound = await self.add(test_direct_calls.whole('yes'))
+        sound = await self.add(direct_case.whole('yes'))
         status, body, headers = await self.ask(body=b'bad')
         self.assertEqual(503, status)
         self.assertIn(b'TT7213', body)
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -16,7 +16,7 @@
 from tamarackthread.policy import backpressure, fleets, rate_limit, sent_calls
 from tamarackthread.shared.site import configuration
 from tests import policy_case, test_backpressure, test_shared_calls
-from tests import test_direct_calls as direct
+from tests import direct_case as direct
 
 TARGET = 't'
 TICK = 0.05
--- a/tests/test_target_starts.py
+++ b/tests/test_target_starts.py
@@ -18,7 +18,7 @@
 from tamarackthread.platform import door
 from tamarackthread.shared import wire
 from tamarackthread.shared.site import announcements
-from tests import policy_case, test_direct_calls
+from tests import policy_case, direct_case
 
 State = announcements.State
 BORN = 1_780_000_000_000
@@ -246,16 +246,16 @@
     return words, last
 
 
-class CallsCase(test_direct_calls.DirectCase):
+class CallsCase(direct_case.DirectCase):
     async def test_under_way_is_lost(self):
         """A target loses power with a call, and starts again under its name.
 
         No reset tells of it.  The call may have run, so it runs nowhere else,
         and its caller hears so at once and not at the deadline.
         """
-        self.serve(test_direct_calls.ONCE)
-        fake = await self.add(test_direct_calls.silent)
-        other = await self.add(test_direct_calls.whole('yes'), zone='far')
+        self.serve(direct_case.ONCE)
+        fake = await self.add(direct_case.silent)
+        other = await self.add(direct_case.whole('yes'), zone='far')
         asking = asyncio.create_task(self.ask(left='60000'))
         while not fake.heads:
             await asyncio.sleep(0)
@@ -265,9 +265,9 @@
 
     async def test_goes_on_elsewhere(self):
         """The same of a call that may repeat: another target answers it."""
-        self.serve(test_direct_calls.IDEMPOTENT)
-        fake = await self.add(test_direct_calls.silent)
-        await self.add(test_direct_calls.whole('yes'), zone='far')
+        self.serve(direct_case.IDEMPOTENT)
+        fake = await self.add(direct_case.silent)
+        await self.add(direct_case.whole('yes'), zone='far')
         asking = asyncio.create_task(self.ask(left='60000'))
         while not fake.heads:
             await asyncio.sleep(0)
@@ -277,8 +277,8 @@
 
     async def test_new_start_is_idle(self):
         """Nothing that was held of the earlier start burdens the later one."""
-        self.serve(test_direct_calls.IDEMPOTENT)
-        fake = await self.add(test_direct_calls.whole('yes'))
+        self.serve(direct_case.IDEMPOTENT)
+        fake = await self.add(direct_case.whole('yes'))
         earlier = self.known.get(fake.name)
         earlier.own = 5
         earlier.failed(asyncio.get_running_loop().time())
