Tell in logs and metrics how a target's answer was framed and how it ended

An on-call engineer could not tell from logs or metrics why callers got cut streams as complete: a stream that is neither late nor sampled has no line, and no line said how the target framed its answer or how its connection ended.

The lines of failed tries and of answered calls now carry framing, ending, bytes, events passed on and bytes after the last event, and a counter has the answers by framing and ending. Reading a body moves to shared/response_body, which knows both. Which answers are taken for whole is unchanged.

--- a/tamarackthread/entry/direct/call_log.py
+++ b/tamarackthread/entry/direct/call_log.py
@@ -6,7 +6,12 @@
 import collections
 import logging
 
-from tamarackthread.entry.direct import calls, sink, stream_timing
+from tamarackthread.entry.direct import (
+    call_progress,
+    calls,
+    sink,
+    stream_timing,
+)
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import site_metrics
@@ -33,6 +38,7 @@
         call: calls.Call,
         version: int,
         timing: stream_timing.StreamTiming,
+        progress: call_progress.CallProgress,
     ) -> None:
         """Record a complete answer; log it if it is late or sampled."""
         now = asyncio.get_running_loop().time()
@@ -62,6 +68,7 @@
             since_pause_ms=_milliseconds(
                 now - timing.longest_pause_end if timing.longest_pause else 0
             ),
+            **progress.answer_fields(),
         )
 
     def log_failed(
--- a/tamarackthread/entry/direct/call_progress.py
+++ b/tamarackthread/entry/direct/call_progress.py
@@ -8,7 +8,7 @@
 import attrs
 
 from tamarackthread.entry.direct import calls, instances
-from tamarackthread.shared import errors, log_events
+from tamarackthread.shared import errors, log_events, response_body
 from tamarackthread.shared.site import site_metrics
 
 _log = logging.getLogger('tamarackthread.entry')
@@ -34,6 +34,12 @@
     failure: errors.CodedError | None = None
     # Groups whose targets have failed the call.
     failed_groups: set[str] = attrs.field(factory=set)
+    # What the newest target has sent; None before the head of its answer.
+    body: response_body.BodyTrace | None = None
+    # Events of the newest target's answer that the caller was sent.
+    events: int = 0
+    # Bytes of the newest target's answer after its last complete event.
+    partial_event_bytes: int = 0
 
     @property
     def tried(self) -> set[str]:
@@ -45,6 +51,25 @@
         """Return the targets that may have run the call, as text."""
         return ', '.join(self.sent)
 
+    def begin_try(self, target: instances.TargetInstance) -> None:
+        """Record that the call goes to another target."""
+        self.current_target = target
+        self.body = None
+        self.events = 0
+        self.partial_event_bytes = 0
+
+    def answer_fields(self) -> dict[str, object]:
+        """Return the log fields that tell what came of the newest answer."""
+        if self.body is None:
+            return {}
+        return {
+            'framing': self.body.framing.value,
+            'ending': self.body.ending.value,
+            'body_bytes': self.body.received_bytes,
+            'events': self.events,
+            'partial_event_bytes': self.partial_event_bytes,
+        }
+
 
 def log_failed_try(
     call: calls.Call,
@@ -76,6 +101,7 @@
         paused_ms=_milliseconds(max(0, target.backoff_until - now)),
         may_have_run=progress.may_have_run,
         last_event=progress.last_event,
+        **progress.answer_fields(),
     )
 
 
--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -58,7 +58,9 @@
         self._budget = budget
         self._random = generator
 
-    async def run(self, call: calls.Call, out: sink.Sink) -> None:
+    async def run(
+        self, call: calls.Call, out: sink.Sink
+    ) -> call_progress.CallProgress:
         """Send the caller an answer, or raise a coded error.
 
         The error says whether the call may have run; part of the answer may
@@ -84,6 +86,7 @@
             raise failures.DeadlineBeforeSend(
                 retry_after=self._jittered(FULL_RETRY_AFTER_SECONDS),
             ) from exc
+        return progress
 
     async def _try_until_answered(
         self,
@@ -107,7 +110,7 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         target.begin_call(started_at)
-        progress.current_target = target
+        progress.begin_try(target)
         try:
             async with target.lifetime():
                 await self._send(call, target, progress, out)
@@ -117,13 +120,25 @@
             call_progress.log_failed_try(call, target, progress, exc)
             return False
         finally:
-            target.own_calls -= 1
-            self._admission.release(call)
+            self._end_try(call, target, progress)
         target.reset_backoff()
         self._poison.note_answer(call)
         self._admission.record_answer(call, loop.time() - started_at)
         return True
 
+    def _end_try(
+        self,
+        call: calls.Call,
+        target: instances.TargetInstance,
+        progress: call_progress.CallProgress,
+    ) -> None:
+        target.own_calls -= 1
+        self._admission.release(call)
+        if progress.body is not None:
+            site_metrics.ANSWERS_ENDED.labels(
+                call.service, progress.body.framing, progress.body.ending
+            ).inc()
+
     async def _next_target(
         self,
         call: calls.Call,
@@ -180,6 +195,7 @@
         if progress.last_event >= 0:
             last_event_id = str(progress.last_event)
         async with self._client.send(call, target, last_event_id) as answer:
+            progress.body = answer.trace
             is_stream = call.route.kind is configuration.RouteKind.STREAM
             if is_stream and answer.head.status == 200:
                 await self._relay(call, answer, progress, out)
@@ -236,7 +252,9 @@
                 progress.last_event = max(progress.last_event, event.number)
                 progress.is_unnumbered |= event.number < 0
                 ready.append(event.payload)
+            progress.partial_event_bytes = len(splitter.rest)
             if ready:
+                progress.events += len(ready)
                 self._admission.note_piece(call)
                 self._note_gap(call, out.timing, len(ready))
                 await out.write(b''.join(ready))
--- a/tamarackthread/entry/direct/frontend.py
+++ b/tamarackthread/entry/direct/frontend.py
@@ -194,7 +194,7 @@
         call: calls.Call | None = None
         try:
             call = await self._admit(request, parsed)
-            await self._runner.run(call, out)
+            progress = await self._runner.run(call, out)
         except errors.CodedError as exc:
             await self._send_error(parsed.call_id, call, out, exc)
         except _UNEXPECTED_ERRORS as exc:
@@ -203,7 +203,9 @@
             fault = failures.TargetFailed(str(exc))
             await self._send_error(parsed.call_id, call, out, fault)
         else:
-            self._call_log.log_answered(call, self._version, out.timing)
+            self._call_log.log_answered(
+                call, self._version, out.timing, progress
+            )
 
     async def _admit(
         self,
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -16,7 +16,7 @@
     instances,
     target_log,
 )
-from tamarackthread.shared import errors
+from tamarackthread.shared import errors, response_body
 from tamarackthread.shared.site import configuration
 
 # Shorter than the retransmission timeout of a lost first packet, since trying
@@ -91,43 +91,33 @@
     ) -> None:
         """Wrap a response; read its body with ``pieces`` or ``whole``."""
         self._head = head
-        self._response = response
-        connection = response.connection
-        # A response that has arrived completely has released its connection.
-        self._protocol = None if connection is None else connection.protocol
+        self._body = response_body.ResponseBody(response)
 
     @property
     def head(self) -> ResponseHead:
         """Return the status and the headers for the caller."""
         return self._head
 
+    @property
+    def trace(self) -> response_body.BodyTrace:
+        """Return what was received of the body so far."""
+        return self._body.trace
+
     async def whole(self) -> bytes:
         """Read the complete body; raise ``Lost`` if it breaks off."""
         with _raising_lost():
-            body = await self._response.read()
-        self._check_complete()
-        return body
+            return await self._body.whole()
 
     async def pieces(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the body as it arrives; raise ``Lost`` if it breaks off."""
-        content = self._response.content
+        arriving = self._body.pieces()
         while True:
             with _raising_lost():
-                piece = await content.readany()
+                piece = await anext(arriving, b'')
             if not piece:
-                self._check_complete()
                 return
             yield piece
 
-    def _check_complete(self) -> None:
-        """Raise ``Lost`` if a body without a length ended with a reset."""
-        if self._protocol is None or _is_framed(self._response):
-            return
-        # Such a body ends with its connection, and aiohttp takes a reset for a
-        # regular end: the answer of a crashed target would look complete.
-        if isinstance(self._protocol.exception(), aiohttp.ClientOSError):
-            raise Lost('connection was reset before the answer had ended')
-
 
 class TargetClient:
     """Hold the connection pools for all targets."""
@@ -257,14 +247,6 @@
         raise Lost(str(exc) or type(exc).__name__) from exc
 
 
-def _is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Tell whether the response itself marks its end."""
-    if 'Content-Length' in response.headers:
-        return True
-    coding = response.headers.get('Transfer-Encoding', '')
-    return 'chunked' in coding.lower()
-
-
 def _new_session(**connector: object) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0, **connector),
--- a/tamarackthread/shared/site/site_metrics.py
+++ b/tamarackthread/shared/site/site_metrics.py
@@ -36,6 +36,12 @@
     ('service', 'code'),
     registry=_registry,
 )
+ANSWERS_ENDED = prometheus_client.Counter(
+    'tamarackthread_answers_ended',
+    'Answers of targets by how they were framed and how their bodies ended.',
+    ('service', 'framing', 'ending'),
+    registry=_registry,
+)
 CALLS_SUSPECTED = prometheus_client.Counter(
     'tamarackthread_calls_suspected',
     'Calls whose target was lost before it answered, and calls refused for it.',
--- a/tests/test_call_log.py
+++ b/tests/test_call_log.py
@@ -5,7 +5,12 @@
 import asyncio
 import logging
 
-from tamarackthread.entry.direct import call_log, calls, stream_timing
+from tamarackthread.entry.direct import (
+    call_log,
+    call_progress,
+    calls,
+    stream_timing,
+)
 from tamarackthread.shared.site import configuration
 from tests import policy_case
 
@@ -65,6 +70,8 @@
         watched = self.assertLogs(log, 'INFO')
         with watched:
             log.info('begin')
-            call_log.CallLog().log_answered(call, 3, timing)
+            call_log.CallLog().log_answered(
+                call, 3, timing, call_progress.CallProgress()
+            )
         written = watched.watcher.records[1:]
         return written[0].fields if written else None
