Find events in each line ending, and comments that are no events

Callers of targets whose lines end with CR or CRLF got no event before the stream had ended, and a stream that broke off was not resumed once it had a comment.

Cause: the splitter knew LF alone as a line end and took whatever stood between two blank lines for an event; with a comment the caller counted as having an event without an id, which can't be resumed from. There were two splitters; the agents' changed CRLF to LF on the way and counted comments among the events that a resumed engine skips.

Now one splitter serves both ways. It ends a block at a blank line in any of the three line endings, however the bytes are cut, passes bytes on unchanged, releases comment lines at once, and bounds an event at 4 MiB on the direct way too.

--- a/bench/fuzzing/parsers.py
+++ b/bench/fuzzing/parsers.py
@@ -55,6 +55,10 @@
     *(None, True, '7', '', [], {}, [[]], -1, 0.5, 1e400, float('nan')),
     *(10**30, -(10**30), 1 << 31, 1 << 63, 'x' * 300, {'a': {'b': 1}}),
 )
+_EVENT_PARTS = (
+    *(b'data: x', b'id: 7', b': comment', b'data: [DONE]'),
+    *(b'\n', b'\n\n', b'\r\n', b'\r', b'\r\r'),
+)
 _BODY = '{"routing": {}, "configuration": {"lapse": "refuse"}, "retries": {}}'
 
 
@@ -178,10 +182,7 @@
     counted = report.Report('events')
     for number in range(runs):
         rng = random.Random(f'events {seed} {number}')
-        parts = [
-            rng.choice((b'data: x', b'\n', b'\n\n', b'\r\n', b'data: [DONE]'))
-            for _ in range(rng.randint(1, 30))
-        ]
+        parts = [rng.choice(_EVENT_PARTS) for _ in range(rng.randint(1, 30))]
         sent = mutations.some(rng, b''.join(parts))
         with counted.run(number):
             _compare_cuts(rng, sent)
@@ -239,13 +240,15 @@
 
 def _compare_cuts(rng: random.Random, sent: bytes) -> None:
     whole = events.EventSplitter()
-    expected = whole.feed(sent)
+    expected = events.join(whole.feed(sent))
     splitter = events.EventSplitter()
     pieces = bytearray()
     start = 0
     while start < len(sent):
         end = start + rng.randint(1, 9)
-        pieces += splitter.feed(sent[start:end])
+        pieces += events.join(splitter.feed(sent[start:end]))
         start = end
     if (bytes(pieces), splitter.count) != (expected, whole.count):
         raise CutsDiffer(repr(sent))
+    if expected + whole.rest != sent:
+        raise CutsDiffer(f'bytes are missing of {sent!r}')
--- a/tamarackthread/agent/gate.py
+++ b/tamarackthread/agent/gate.py
@@ -258,9 +258,9 @@
             return 0
         splitter = events.EventSplitter()
         async for received in response.content.iter_any():
-            whole = splitter.feed(received)
-            if whole:
-                await call.send(whole)
+            blocks = splitter.feed(received)
+            if blocks:
+                await call.send(events.join(blocks))
         # A crashing engine may close its connection cleanly; without the
         # closing event the answer is truncated.
         if self._options.is_model and not splitter.done:
--- a/tamarackthread/entry/attempt.py
+++ b/tamarackthread/entry/attempt.py
@@ -137,14 +137,14 @@
 
     async def _forward(self, received: bytes) -> None:
         before = self._splitter.count
-        complete_events = self._splitter.feed(received)
-        if not complete_events:
+        blocks = self._splitter.feed(received)
+        if not blocks:
             return
-        await self._sink.write(complete_events)
-        events = self._splitter.count - before
-        if events:
-            self._ticket.advance(events)
-        self._progress.events += events
+        await self._sink.write(events.join(blocks))
+        count = self._splitter.count - before
+        if count:
+            self._ticket.advance(count)
+        self._progress.events += count
         self._progress.is_complete = self._splitter.done
 
     async def _relay_plain(
--- a/tamarackthread/entry/direct/call_progress.py
+++ b/tamarackthread/entry/direct/call_progress.py
@@ -8,7 +8,7 @@
 import attrs
 
 from tamarackthread.entry.direct import calls, instances
-from tamarackthread.shared import errors, log_events, response_body
+from tamarackthread.shared import errors, events, log_events, response_body
 from tamarackthread.shared.site import site_metrics
 
 _log = logging.getLogger('tamarackthread.entry')
@@ -37,7 +37,7 @@
     # What the newest target has sent; None before the head of its answer.
     body: response_body.BodyTrace | None = None
     # Events of the newest target's answer that the caller was sent.
-    events: int = 0
+    relayed_events: int = 0
     # Bytes of the newest target's answer after its last complete event.
     partial_event_bytes: int = 0
 
@@ -55,9 +55,20 @@
         """Record that the call goes to another target."""
         self.current_target = target
         self.body = None
-        self.events = 0
+        self.relayed_events = 0
         self.partial_event_bytes = 0
 
+    def drop_repeated(self, blocks: list[events.Block]) -> list[events.Block]:
+        """Record the events of a stream; return the blocks to pass on."""
+        fresh = []
+        for block in blocks:
+            if 0 <= block.number <= self.last_event:
+                continue
+            self.last_event = max(self.last_event, block.number)
+            self.is_unnumbered |= block.is_event and block.number < 0
+            fresh.append(block)
+        return fresh
+
     def answer_fields(self) -> dict[str, object]:
         """Return the log fields that tell what came of the newest answer."""
         if self.body is None:
@@ -66,7 +77,7 @@
             'framing': self.body.framing.value,
             'ending': self.body.ending.value,
             'body_bytes': self.body.received_bytes,
-            'events': self.events,
+            'events': self.relayed_events,
             'partial_event_bytes': self.partial_event_bytes,
         }
 
--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -14,12 +14,11 @@
     poison_requests,
     retry_budgets,
     sink,
-    sse,
     stream_timing,
     target_client,
     targets,
 )
-from tamarackthread.shared import errors
+from tamarackthread.shared import errors, events
 from tamarackthread.shared.site import configuration, site_metrics
 
 # A failed connection costs a target nothing, but the caller waits for it.
@@ -232,7 +231,7 @@
         out: sink.Sink,
     ) -> None:
         """Relay events as they come, each at most once and in order."""
-        splitter = sse.EventSplitter()
+        splitter = events.EventSplitter()
         now = asyncio.get_running_loop().time()
         site_metrics.FIRST_SECONDS.labels(call.service).observe(
             now - call.arrived_at
@@ -245,23 +244,28 @@
             else progress.current_target.name
         )
         async for piece in answer.pieces():
-            ready = []
-            for event in splitter.feed(piece):
-                if 0 <= event.number <= progress.last_event:
-                    continue
-                progress.last_event = max(progress.last_event, event.number)
-                progress.is_unnumbered |= event.number < 0
-                ready.append(event.payload)
+            ready = progress.drop_repeated(splitter.feed(piece))
             progress.partial_event_bytes = len(splitter.rest)
             if ready:
-                progress.events += len(ready)
-                self._admission.note_piece(call)
-                self._note_gap(call, out.timing, len(ready))
-                await out.write(b''.join(ready))
+                await self._pass_on(call, ready, progress, out)
         if splitter.rest:
             await out.write(splitter.rest)
         await out.finish()
 
+    async def _pass_on(
+        self,
+        call: calls.Call,
+        ready: list[events.Block],
+        progress: call_progress.CallProgress,
+        out: sink.Sink,
+    ) -> None:
+        count = sum(block.is_event for block in ready)
+        if count:
+            progress.relayed_events += count
+            self._admission.note_piece(call)
+            self._note_gap(call, out.timing, count)
+        await out.write(events.join(ready))
+
     def _note_gap(
         self,
         call: calls.Call,
--- a/tamarackthread/shared/events.py
+++ b/tamarackthread/shared/events.py
@@ -1,15 +1,26 @@
-"""Split a stream of server-sent events and count whole events, after which a
-broken stream can be resumed.
+"""Split a stream of server-sent events into blocks that end with a blank line.
+
+Bytes are passed on unchanged.  Lines may end with LF, CR or CRLF, see
+https://html.spec.whatwg.org/multipage/server-sent-events.html.
 """
 
 from __future__ import annotations
 
+import re
+
+import attrs
+
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors
 
 MAX_EVENT_BYTES = 4 * 1024 * 1024
-SEPARATOR = b'\n\n'
 DONE = b'data: [DONE]'
+_ID_FIELD = b'id:'
+_DATA_FIELD = b'data'
+_BYTE_ORDER_MARK = b'\xef\xbb\xbf'
+# Atomic groups: the two bytes of a CRLF never count as two line ends.
+_BLOCK_END = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
+_BLANK_AND_COMMENT_LINES = re.compile(rb'(?:(?::[^\r\n]*)?(?>\r\n|\n|\r))+')
 
 
 class EventTooLarge(errors.CodedError):
@@ -20,15 +31,28 @@
     ran = messages.Ran.MAY_HAVE_RUN
 
 
+@attrs.frozen
+class Block:
+    """Bytes that may be passed on; at most one event."""
+
+    payload: bytes
+    # The event's id, -1 without one.
+    number: int = -1
+    # Comments and blank lines are no event.
+    is_event: bool = False
+
+
 class EventSplitter:
-    """Buffer bytes and return whole server-sent events."""
+    """Collect bytes and return complete blocks."""
 
+    # A target may break off inside an event.  Relayed, that part would be
+    # joined to the first event of the next target.
     def __init__(self) -> None:
         """Start with an empty buffer."""
         self._buffer = b''
-        self._pending_cr = b''
+        self._ends_with_cr = False
         self._count = 0
-        self._done = False
+        self._is_done = False
 
     @property
     def count(self) -> int:
@@ -38,43 +62,70 @@
     @property
     def done(self) -> bool:
         """Return whether the final ``[DONE]`` was received."""
-        return self._done
+        return self._is_done
 
     @property
     def rest(self) -> bytes:
-        """Return the buffered bytes of an incomplete event."""
-        return self._buffer + self._pending_cr
+        """Return the bytes after the last complete block."""
+        return self._buffer
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the stream would end inside an event."""
+        return self._buffer not in {b'', _BYTE_ORDER_MARK}
 
-    def feed(self, received: bytes) -> bytes:
-        """Add bytes and return whole events, however the bytes were split;
-        raise ``EventTooLarge`` if an event exceeds the limit.
+    def feed(self, received: bytes) -> list[Block]:
+        """Add bytes and return the blocks that they complete.
+
+        Raises ``EventTooLarge`` if an event exceeds the limit.
         """
-        buffered = self._buffer + self._normalise(received)
-        *events, rest = buffered.split(SEPARATOR)
-        self._store(rest)
-        whole = bytearray()
-        for event in events:
-            text = event.strip(b'\n')
-            if not text:
-                continue
-            whole += text + SEPARATOR
-            self._count_event(text)
-        return bytes(whole)
-
-    def _normalise(self, received: bytes) -> bytes:
-        """Convert CRLF to LF, including a pair that was split between chunks."""
-        received = self._pending_cr + received
-        self._pending_cr = received[-1:] if received.endswith(b'\r') else b''
-        usable = received[: len(received) - len(self._pending_cr)]
-        return usable.replace(b'\r\n', b'\n')
-
-    def _store(self, rest: bytes) -> None:
-        if len(rest) > MAX_EVENT_BYTES:
+        blocks: list[Block] = []
+        if self._ends_with_cr and received.startswith(b'\n'):
+            # The rest of the CRLF whose first byte has ended a block.
+            self._ends_with_cr = False
+            blocks.append(Block(b'\n'))
+            received = received[1:]
+        if not received:
+            return blocks
+        self._split(self._buffer + received, blocks)
+        if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLarge(f'over {MAX_EVENT_BYTES} bytes')
-        self._buffer = rest
-
-    def _count_event(self, event: bytes) -> None:
-        if event == DONE:
-            self._done = True
-            return
-        self._count += 1
+        self._ends_with_cr = not self._buffer and received.endswith(b'\r')
+        return blocks
+
+    def _split(self, buffered: bytes, blocks: list[Block]) -> None:
+        start = 0
+        while True:
+            lines = _BLANK_AND_COMMENT_LINES.match(buffered, start)
+            if lines is not None:
+                blocks.append(Block(lines.group()))
+                start = lines.end()
+            found = _BLOCK_END.search(buffered, start)
+            if found is None:
+                break
+            blocks.append(self._parse(buffered[start : found.end()]))
+            start = found.end()
+        self._buffer = buffered[start:]
+
+    def _parse(self, payload: bytes) -> Block:
+        number = -1
+        is_event = False
+        for line in payload.removeprefix(_BYTE_ORDER_MARK).splitlines():
+            is_event |= line.partition(b':')[0] == _DATA_FIELD
+            if line.startswith(_ID_FIELD):
+                number = _parse_id(line)
+        if payload.strip() == DONE:
+            self._is_done = True
+        else:
+            self._count += is_event
+        return Block(payload, number, is_event)
+
+
+def join(blocks: list[Block]) -> bytes:
+    """Return the bytes of blocks."""
+    return b''.join(block.payload for block in blocks)
+
+
+def _parse_id(line: bytes) -> int:
+    text = line.removeprefix(_ID_FIELD).strip()
+    return int(text) if text.isdigit() else -1
--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -1,5 +1,6 @@
 """Test that no answer that was broken off is taken for whole."""
 
+import asyncio
 import socket
 import types
 
@@ -43,6 +44,23 @@
     return script
 
 
+def pausing(text, read):
+    """Send an event and end the stream once it was read."""
+
+    async def script(target, head, writer):
+        start = direct_case.head_of(target, head)
+        writer.write(f'{start}Connection: close\r\n\r\n{text}'.encode())
+        await read.wait()
+        writer.close()
+
+    return script
+
+
+def numbered(last):
+    """Return a stream of numbered events."""
+    return ''.join(f'id: {no}\ndata: e{no}\n\n' for no in range(1, last + 1))
+
+
 class SightCase(direct_case.DirectCase):
     async def test_failed_try_tells_how_its_answer_ended(self):
         """Guards against a broken answer whose log line says nothing of it."""
@@ -81,8 +99,70 @@
         second = await self.add(
             direct_case.streaming(1, 3, is_whole=True), zone='far'
         )
-        wanted = ''.join(f'id: {no}\ndata: e{no}\n\n' for no in range(1, 4))
-        self.assertEqual((200, wanted.encode()), (await self.ask())[:2])
+        answer = await self.ask()
+        self.assertEqual((200, numbered(3).encode()), answer[:2])
         self.assertEqual(
             '1', direct_case.header(second.heads[0], 'Last-Event-Id')
         )
+
+
+class WholeStreamCase(direct_case.DirectCase):
+    async def test_whole_stream_stays_whole(self):
+        """Guards against a whole stream that is changed or broken off."""
+        self.serve(direct_case.STREAM)
+        texts = (
+            'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n',
+            'id: 1\rdata: a\r\rid: 2\rdata: b\r\r',
+            'data: a\n\ndata: b\n\n',
+            ': first\n\nid: 1\ndata: a\n\n: last\n',
+            '\n',
+            '',
+        )
+        for number, text in enumerate(texts):
+            for framing in FRAMINGS:
+                with self.subTest(framing=framing, text=text):
+                    self.replace(ending(framing, text))
+                    answer = await self.ask(path=f'/a/{number}')
+                    self.assertEqual((200, text.encode()), answer[:2])
+
+    async def test_events_are_passed_on_as_they_arrive(self):
+        """Guards against events that are held back in some line endings."""
+        self.serve(direct_case.STREAM)
+        for text in ('data: a\n\n', 'data: a\r\n\r\n', 'data: a\r\r', ': a\n'):
+            with self.subTest(text):
+                read = asyncio.Event()
+                self.replace(pausing(text, read))
+                response = await self.requested()
+                await response.content.readuntil(b'a')
+                read.set()
+                await response.read()
+
+    async def test_stream_with_comments_is_resumed(self):
+        """Guards against comments that count as events without an id."""
+        self.serve(direct_case.STREAM, is_resumable=True)
+        self.replace(
+            ending(
+                response_body.Framing.CHUNKS, f': hello\n\n{HALF}', missing=1
+            )
+        )
+        await self.add(direct_case.streaming(1, 3, is_whole=True), zone='far')
+        wanted = f': hello\n\n{numbered(3)}'
+        self.assertEqual((200, wanted.encode()), (await self.ask())[:2])
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.add(None)
+
+    async def requested(self):
+        return await self.session.post(
+            f'http://{self.address}/a/b',
+            headers={
+                'Host': direct_case.HOST,
+                'Attempt-Id': 'c1',
+                'Deadline-Ms': '2000',
+                'Authorization': 'Bearer secret',
+            },
+        )
+
+    def replace(self, script):
+        self.fakes[0]._script = script
