Take a stream that ends inside an event for broken off

Cause: an entry took the end of the bytes for the end of the stream. An answer with neither a length nor chunks ends with its connection, so a target that breaks off and closes it regularly leaves no trace in the framing; the entry passed the begun event on and finished its own response. The class: the end of a transport taken for the end of a message.

Why it holds: in the format of events every event ends with a blank line, so a stream that is whole is at such a boundary whatever the framing. The begun event is never passed on; the call is resumed where its route allows it, and else the response is cut visibly. Other content on a streaming route is relayed by its framing, as before.

--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -33,6 +33,8 @@
 CLOSED_RETRY_AFTER_SECONDS = 2.0
 # Spreads the retries of callers that were refused during a cooldown.
 COOLDOWN_JITTER_SECONDS = 1.0
+HTTP_OK = 200
+EVENT_STREAM = 'text/event-stream'
 # Responses with at least this status are failures of the target.
 MIN_ERROR_STATUS = 500
 
@@ -195,8 +197,7 @@
             last_event_id = str(progress.last_event)
         async with self._client.send(call, target, last_event_id) as answer:
             progress.body = answer.trace
-            is_stream = call.route.kind is configuration.RouteKind.STREAM
-            if is_stream and answer.head.status == 200:
+            if _is_event_stream(call, answer.head):
                 await self._relay(call, answer, progress, out)
                 self._record_outcome(target, is_good=True)
                 return
@@ -248,6 +249,8 @@
             progress.partial_event_bytes = len(splitter.rest)
             if ready:
                 await self._pass_on(call, ready, progress, out)
+        if not splitter.is_at_boundary:
+            raise target_client.Lost('answer ended inside an event')
         if splitter.rest:
             await out.write(splitter.rest)
         await out.finish()
@@ -343,3 +346,15 @@
     def _jittered(self, seconds: float) -> float:
         """Add jitter to a retry time, so that callers don't return together."""
         return seconds * self._random.uniform(0.7, 1.5)
+
+
+def _is_event_stream(
+    call: calls.Call, head: target_client.ResponseHead
+) -> bool:
+    """Tell whether an answer is relayed event by event."""
+    if call.route.kind is not configuration.RouteKind.STREAM:
+        return False
+    if head.status != HTTP_OK:
+        return False
+    # Targets may leave the content type out.
+    return head.content_type in {'', EVENT_STREAM}
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -82,6 +82,14 @@
     status: int
     headers: list[tuple[str, str]]
 
+    @property
+    def content_type(self) -> str:
+        """Return the media type in lower case, empty if it is missing."""
+        for name, value in self.headers:
+            if name.lower() == 'content-type':
+                return value.partition(';')[0].strip().lower()
+        return ''
+
 
 class TargetResponse:
     """A target's response whose head has arrived."""
--- a/tamarackthread/shared/events.py
+++ b/tamarackthread/shared/events.py
@@ -70,9 +70,9 @@
         return self._buffer
 
     @property
-    def is_inside_event(self) -> bool:
-        """Return whether the stream would end inside an event."""
-        return self._buffer not in {b'', _BYTE_ORDER_MARK}
+    def is_at_boundary(self) -> bool:
+        """Return whether the stream may end here as complete."""
+        return self._buffer in {b'', _BYTE_ORDER_MARK}
 
     def feed(self, received: bytes) -> list[Block]:
         """Add bytes and return the blocks that they complete.
--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -1,6 +1,7 @@
 """Test that no answer that was broken off is taken for whole."""
 
 import asyncio
+import itertools
 import socket
 import types
 
@@ -21,11 +22,11 @@
 )
 
 
-def ending(framing, text, *, is_reset=False, missing=0):
+def ending(framing, text, *, is_reset=False, missing=0, headers=''):
     """Send a body and end the connection ``missing`` bytes before its end."""
 
     async def script(target, head, writer):
-        start = direct_case.head_of(target, head)
+        start = direct_case.head_of(target, head) + headers
         start += FRAMINGS[framing].format(size=len(text) + missing)
         body = text.encode()
         if framing is response_body.Framing.CHUNKS:
@@ -105,6 +106,18 @@
             '1', direct_case.header(second.heads[0], 'Last-Event-Id')
         )
 
+    async def test_each_framing_cut_inside_an_event(self):
+        """Guards against a cut stream whose framing says that it is whole."""
+        self.serve(direct_case.STREAM)
+        await self.add(None)
+        cases = itertools.product(FRAMINGS, (False, True), (0, 5))
+        for framing, is_reset, missing in cases:
+            self.fakes[0]._script = ending(
+                framing, HALF, is_reset=is_reset, missing=missing
+            )
+            with self.assertRaises(aiohttp.ClientError):
+                await self.ask()
+
 
 class WholeStreamCase(direct_case.DirectCase):
     async def test_whole_stream_stays_whole(self):
@@ -125,6 +138,14 @@
                     answer = await self.ask(path=f'/a/{number}')
                     self.assertEqual((200, text.encode()), answer[:2])
 
+    async def test_other_content_on_a_streaming_route_is_whole(self):
+        """Guards against a document that counts as a cut event."""
+        self.serve(direct_case.STREAM)
+        self.replace(
+            ending(UNFRAMED, '{}', headers='Content-Type: application/json\r\n')
+        )
+        self.assertEqual((200, b'{}'), (await self.ask())[:2])
+
     async def test_events_are_passed_on_as_they_arrive(self):
         """Guards against events that are held back in some line endings."""
         self.serve(direct_case.STREAM)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -26,7 +26,7 @@
                 found = [block.number for block in blocks if block.is_event]
                 self.assertEqual([1, -1], found)
                 self.assertEqual(sent, events.join(blocks))
-                self.assertFalse(splitter.is_inside_event)
+                self.assertTrue(splitter.is_at_boundary)
 
     def test_each_cut(self):
         """Guards against a CRLF that counts as two when it is cut."""
@@ -48,13 +48,13 @@
         """Guards against whole streams that count as broken off."""
         for sent in (b'', b'data: a\n\n\n', b'\xef\xbb\xbf', b': c\n', b'\r'):
             with self.subTest(sent):
-                self.assertFalse(fed([sent])[0].is_inside_event)
+                self.assertTrue(fed([sent])[0].is_at_boundary)
 
     def test_ends_inside_events(self):
         """Guards against broken streams that count as whole."""
         for sent in (b'd', b'data: a', b'data: a\n', b'id: 1\r\n', b': c'):
             with self.subTest(sent):
-                self.assertTrue(fed([b'data: z\n\n', sent])[0].is_inside_event)
+                self.assertFalse(fed([b'data: z\n\n', sent])[0].is_at_boundary)
 
     def test_done_is_no_event(self):
         """Guards against a resumed stream that skips an event."""
