End streams to HTTP/1.0 callers with their connection, and reset cut ones

To an HTTP/1.0 caller nothing is sent in chunks, so the close of the connection is the end of the response. On the agents' way a stream that had broken off was closed regularly: the caller took it for whole. A whole one was closed only after the keep-alive time of 75 s, as the library keeps such a connection. On the direct way every stream failed with status 500, since chunks are forbidden there. An entry that stopped ended streams in the middle with a regular close as well.

Now such a stream closes its connection when it is whole, and everything that leaves a started response incomplete (a broken call, a stop, an unexpected error) resets the connection. HTTP/1.1 callers are served as before: without the last chunk a response is incomplete.

Before: four of the five tests failed (no reset seen; status 500); the fifth passed after 75 s. After: all pass at once.

--- a/tamarackthread/entry/direct/frontend.py
+++ b/tamarackthread/entry/direct/frontend.py
@@ -152,8 +152,9 @@
             await self._respond(request, out)
         except sink.CallerDisconnected:
             self._call_log.log_disconnected(out)
-            out.abort()
         finally:
+            # Also if this entry stops or fails in the middle of a response.
+            out.abort_incomplete()
             self._call_ended(request)
         if self._is_draining:
             out.close_after_response()
@@ -243,7 +244,6 @@
     ) -> None:
         self._call_log.log_failed(failure, call, self._version, out.has_started)
         if out.has_started:
-            out.abort()
             return
         headers = self._dialect.refusal_headers(call_id)
         headers.append(('Content-Type', 'application/json'))
--- a/tamarackthread/entry/direct/sink.py
+++ b/tamarackthread/entry/direct/sink.py
@@ -6,9 +6,10 @@
 import asyncio
 import collections.abc
 
-from aiohttp import web
+from aiohttp import http, web
 
 from tamarackthread.entry.direct import stream_timing, target_client
+from tamarackthread.shared import connection_reset
 
 
 class CallerDisconnected(Exception):
@@ -58,8 +59,11 @@
         """Send nothing yet; ``is_closing`` says whether to close afterwards."""
         self._request = request
         self._is_closing = is_closing
+        # The request loses its transport when the server closes it.
+        self._transport = request.transport
         self._response: web.StreamResponse | None = None
         self._timing = stream_timing.StreamTiming()
+        self._is_complete = False
 
     @property
     def has_started(self) -> bool:
@@ -78,10 +82,16 @@
         return self._response
 
     async def start(self, head: target_client.ResponseHead) -> None:
-        """Send the head; the body follows in chunks."""
+        """Send the head; the body follows in chunks.
+
+        To an HTTP/1.0 caller it follows as it is, until the connection ends.
+        """
         response = web.StreamResponse(status=head.status)
         self._fill(response, head)
-        if self._request.method != 'HEAD':
+        if not self._takes_chunks:
+            # aiohttp would keep the connection, and the response never ends.
+            response.force_close()
+        elif self._request.method != 'HEAD':
             response.enable_chunked_encoding()
         self._response = response
         try:
@@ -103,6 +113,7 @@
             await self.response.write_eof()
         except OSError as exc:
             raise CallerDisconnected from exc
+        self._is_complete = True
 
     async def whole(
         self, head: target_client.ResponseHead, body: bytes
@@ -117,17 +128,27 @@
             await response.write_eof()
         except OSError as exc:
             raise CallerDisconnected from exc
+        self._is_complete = True
 
     def close_after_response(self) -> None:
         """Close the connection after this response."""
         if self._response is not None:
             self._response.force_close()
 
-    def abort(self) -> None:
-        """Abort the connection, so that the response is seen as incomplete."""
-        # Without the last chunk every HTTP client reports an error.
-        if self._request.transport is not None:
-            self._request.transport.abort()
+    def abort_incomplete(self) -> None:
+        """Break the connection if the response has started and is incomplete."""
+        if self._is_complete or not self.has_started:
+            return
+        if not self._takes_chunks:
+            # A regular close would mark the response as complete.
+            connection_reset.reset(self._transport)
+        elif self._transport is not None:
+            # Without the last chunk every HTTP client reports an error.
+            self._transport.abort()
+
+    @property
+    def _takes_chunks(self) -> bool:
+        return self._request.version >= http.HttpVersion11
 
     def _fill(
         self, response: web.StreamResponse, head: target_client.ResponseHead
--- a/tamarackthread/entry/frontend.py
+++ b/tamarackthread/entry/frontend.py
@@ -135,6 +135,8 @@
             with logs.request(request_id):
                 await self._run_call(request, request_id, sink)
         finally:
+            # Also if this entry stops in the middle of a response.
+            sink.close_incomplete()
             self._record_end(began)
         return sink.response
 
--- a/tamarackthread/entry/responses.py
+++ b/tamarackthread/entry/responses.py
@@ -11,11 +11,11 @@
 import types
 
 import attrs
-from aiohttp import web
+from aiohttp import http, web
 
 from tamarackthread.entry import failures
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors
+from tamarackthread.shared import connection_reset, errors
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 RAN_HEADER = 'X-Tamarackthread-Ran'
@@ -118,7 +118,10 @@
         self._request = request
         self._request_id = request_id
         self._write_timeout = write_timeout
+        # The request loses its transport when the server closes it.
+        self._transport = request.transport
         self._response: web.StreamResponse | None = None
+        self._is_complete = False
 
     @property
     def started(self) -> bool:
@@ -132,9 +135,15 @@
         return self._response
 
     async def start(self, head: Head) -> None:
-        """Send the head; the body uses chunked transfer encoding."""
+        """Send the head; the body follows in chunks.
+
+        To an HTTP/1.0 caller it follows as it is, until the connection ends.
+        """
         response = web.StreamResponse(status=head.status)
         self._set_headers(response, head)
+        if not self._takes_chunks:
+            # aiohttp would keep the connection, and the response never ends.
+            response.force_close()
         self._response = response
         async with _caller_errors():
             await response.prepare(self._request)
@@ -148,6 +157,7 @@
         """Send the last chunk, which marks the response as complete."""
         async with _caller_errors(), asyncio.timeout(self._write_timeout):
             await self.response.write_eof()
+        self._is_complete = True
 
     async def send(self, head: Head, body: bytes) -> None:
         """Send a response with ``Content-Length``."""
@@ -157,6 +167,7 @@
         async with _caller_errors(), asyncio.timeout(self._write_timeout):
             await response.prepare(self._request)
             await response.write_eof()
+        self._is_complete = True
 
     async def abort(self, failure: errors.CodedError) -> None:
         """End an incomplete response so that clients report an error."""
@@ -164,9 +175,22 @@
         if response.content_type == 'text/event-stream':
             body = error_body(failure, self._request_id)
             await self._try_write(b'event: error\ndata: %b\n\n' % body)
-        # Without the last chunk the response counts as incomplete.
-        if self._request.transport is not None:
-            self._request.transport.close()
+        self.close_incomplete()
+
+    def close_incomplete(self) -> None:
+        """Break the connection if the response has started and is incomplete."""
+        if self._is_complete or not self.started:
+            return
+        if not self._takes_chunks:
+            # A regular close would mark the response as complete.
+            connection_reset.reset(self._transport)
+        elif self._transport is not None:
+            # Without the last chunk the response counts as incomplete.
+            self._transport.close()
+
+    @property
+    def _takes_chunks(self) -> bool:
+        return self._request.version >= http.HttpVersion11
 
     async def _try_write(self, payload: bytes) -> None:
         try:
--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -187,3 +187,49 @@
 
     def replace(self, script):
         self.fakes[0]._script = script
+
+
+class OldCallerCase(direct_case.DirectCase):
+    """Callers that speak HTTP/1.0, to which nothing is sent in chunks."""
+
+    async def test_whole_stream(self):
+        """Guards against streams that fail for HTTP/1.0 callers."""
+        self.serve(direct_case.STREAM)
+        await self.add(direct_case.streaming(1, 3, is_whole=True))
+        for header in ('', 'Connection: keep-alive\r\n'):
+            head, body = await self.read_old(header)
+            self.assertIn(b' 200 ', head)
+            self.assertNotIn(b'Transfer-Encoding', head)
+            self.assertEqual(numbered(3).encode(), body)
+
+    async def test_cut_stream(self):
+        """Guards against a cut stream that an HTTP/1.0 caller takes for whole."""
+        self.serve(direct_case.STREAM)
+        await self.add(direct_case.streaming(1, 3, is_whole=False))
+        with self.assertRaises(ConnectionResetError):
+            await self.read_old()
+
+    async def test_entry_stops(self):
+        """Guards against a stop that ends a stream as if it were whole."""
+        self.serve(direct_case.STREAM)
+        await self.add(pausing('data: a\n\n', asyncio.Event()))
+        reader, _ = await self.ask_old()
+        await reader.readuntil(b'data: a\n\n')
+        await self.front.stop()
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+
+    async def ask_old(self, header=''):
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(
+            f'POST /a/b HTTP/1.0\r\nHost: {direct_case.HOST}\r\n{header}'
+            'Attempt-Id: c\r\nAuthorization: Bearer secret\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
+        return reader, writer
+
+    async def read_old(self, header=''):
+        reader, _ = await self.ask_old(header)
+        return (await reader.read()).split(b'\r\n\r\n', 1)
--- /dev/null
+++ b/tests/test_relayed_endings.py
@@ -0,0 +1,72 @@
+"""Test that an answer that broke off on an agent's way is not taken for whole."""
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from tamarackthread.shared import connection_reset
+from tests import loopback
+
+EVENT = b'data: {"choices": [{"delta": {"content": "x"}}]}\n\n'
+STREAM_HEAD = b'Content-Type: text/event-stream\r\n'
+NO_RESUME = {'resume': {'enabled': False}}  # noqa: WPS407  sent as JSON
+
+
+def sending(body, *, head=STREAM_HEAD, is_reset=False):
+    """Answer with neither a length nor chunks, then end the connection."""
+
+    async def answer(request):
+        transport = request.transport
+        transport.write(
+            b'HTTP/1.1 200 OK\r\n%bConnection: close\r\n\r\n%b' % (head, body)
+        )
+        if is_reset:
+            connection_reset.reset(transport)
+        transport.close()
+        await asyncio.Event().wait()
+
+    return answer
+
+
+def agent_of(answer, kind):
+    app = web.Application()
+    app.router.add_get(
+        '/load',
+        lambda request: web.json_response(
+            {'running': 0, 'queued': 0, 'batch_slots': 8}
+        ),
+    )
+    app.router.add_route('*', '/{path:.*}', answer)
+    service = 'draft' if kind == 'model' else 'stock'
+    return loopback.Agent('a', app, kind=kind, service=service)
+
+
+class OldCallerCase(unittest.IsolatedAsyncioTestCase):
+    async def test_cut_stream(self):
+        """Guards against a cut stream that an HTTP/1.0 caller takes for whole."""
+        agent = agent_of(sending(EVENT), 'model')
+        async with loopback.running([agent], NO_RESUME) as (entry, _):
+            reader = await self.ask(entry, '/v1/completions')
+            with self.assertRaises(ConnectionResetError):
+                await reader.read()
+
+    async def test_whole_stream(self):
+        """Guards against a stream whose HTTP/1.0 caller waits for its end."""
+        body = b'%bdata: [DONE]\n\n' % EVENT
+        agent = agent_of(sending(body), 'model')
+        async with loopback.running([agent], NO_RESUME) as (entry, _):
+            reader = await self.ask(entry, '/v1/completions')
+            self.assertTrue((await reader.read()).endswith(body))
+
+    async def ask(self, entry, path):
+        host, _, port = entry.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        body = '{"prompt": "x", "stream": true}'
+        writer.write(
+            f'POST {path} HTTP/1.0\r\nConnection: keep-alive\r\n'
+            f'Authorization: Bearer {loopback.TOKEN}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+        )
+        return reader
