Take an answer that was reset for broken off at an agent as well

The caller got half of an answer as complete (test: COMPLETE, wanted MAY_HAVE_RUN). The direct way had a check for this; the agents' way had none. Both read bodies through shared/response_body now, which knows how the connection ended. An answer that ends by a regular close stays whole (test passes before and after).

--- a/tamarackthread/agent/gate.py
+++ b/tamarackthread/agent/gate.py
@@ -18,7 +18,13 @@
     weight_loading,
 )
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, events, stream, target_errors
+from tamarackthread.shared import (
+    errors,
+    events,
+    response_body,
+    stream,
+    target_errors,
+)
 
 DEFAULT_IDLE_SECONDS = 15.0
 URGENT = 0
@@ -231,7 +237,7 @@
                 ),
             )
             sent = await self._relay_body(call, opening, response)
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
             raise target_errors.TargetBroke(
                 f'while reading the answer: {exc!r}'
             ) from exc
@@ -252,12 +258,13 @@
         opening: messages.OpenCall,
         response: aiohttp.ClientResponse,
     ) -> int:
+        body = response_body.ResponseBody(response)
         if response.content_type != _EVENT_STREAM:
-            async for received in response.content.iter_any():
+            async for received in body.pieces():
                 await call.send(received)
             return 0
         splitter = events.EventSplitter()
-        async for received in response.content.iter_any():
+        async for received in body.pieces():
             blocks = splitter.feed(received)
             if blocks:
                 await call.send(events.join(blocks))
--- a/tests/test_relayed_endings.py
+++ b/tests/test_relayed_endings.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from bench import load
 from tamarackthread.shared import connection_reset
 from tests import loopback
 
@@ -42,6 +43,22 @@
     return loopback.Agent('a', app, kind=kind, service=service)
 
 
+class ResetCase(unittest.IsolatedAsyncioTestCase):
+    async def test_reset_does_not_end_an_answer(self):
+        """Guards against a reset answer that counts as complete."""
+        agent = agent_of(sending(b'half', head=b'', is_reset=True), 'plain')
+        async with loopback.running([agent]) as (entry, caller):
+            answer = await caller.plain(entry.address, 'POST', '/stock', 'x')
+        self.assertEqual(load.Outcome.MAY_HAVE_RUN, answer.outcome)
+
+    async def test_closed_answer_is_whole(self):
+        """Guards against a whole answer without a length that is broken."""
+        agent = agent_of(sending(b'all of it', head=b''), 'plain')
+        async with loopback.running([agent]) as (entry, caller):
+            answer = await caller.plain(entry.address, 'POST', '/stock', 'x')
+        self.assertEqual('all of it', answer.text)
+
+
 class OldCallerCase(unittest.IsolatedAsyncioTestCase):
     async def test_cut_stream(self):
         """Guards against a cut stream that an HTTP/1.0 caller takes for whole."""
