Take a plain service's stream that ends inside an event for broken off

The caller got half an event in a response that ended regularly (test: no error raised; now one is). Whole streams in each line ending, with comments and empty ones pass unchanged before and after.

--- a/tamarackthread/agent/gate.py
+++ b/tamarackthread/agent/gate.py
@@ -274,6 +274,8 @@
             raise target_errors.TargetBroke(
                 'answer ended without its closing event'
             )
+        if not splitter.done and not splitter.is_at_boundary:
+            raise target_errors.TargetBroke('answer ended inside an event')
         if splitter.rest:
             await call.send(splitter.rest)
         return (opening.resume_events or 0) + splitter.count
--- a/tamarackthread/entry/attempt.py
+++ b/tamarackthread/entry/attempt.py
@@ -129,6 +129,7 @@
             async for received in _chunks(call):
                 await self._forward(received)
             self._check_end(call)
+            self._check_boundary()
         except errors.StreamBroken:
             # After the engine's last event the response is complete.
             if not self._progress.is_complete:
@@ -181,6 +182,10 @@
             raise self._end_error(call)
         self._check_call_id(call, end.call_id)
 
+    def _check_boundary(self) -> None:
+        if not self._splitter.done and not self._splitter.is_at_boundary:
+            raise errors.StreamBroken('answer ended inside an event')
+
     def _check_call_id(self, call: stream.Stream, call_id: bytes) -> None:
         if call_id != call.call_id:
             call.cancel(failures.AnswerMismatched.code)
--- a/tests/test_relayed_endings.py
+++ b/tests/test_relayed_endings.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+import aiohttp
 from aiohttp import web
 
 from bench import load
@@ -59,6 +60,33 @@
         self.assertEqual('all of it', answer.text)
 
 
+class PlainStreamCase(unittest.IsolatedAsyncioTestCase):
+    """Event streams of services that send no closing event."""
+
+    async def test_stream_closed_inside_an_event(self):
+        """Guards against a cut stream that counts as complete."""
+        cut = sending(b'data: a\n\ndata: b')
+        async with loopback.running([agent_of(cut, 'plain')]) as (
+            entry,
+            caller,
+        ):
+            with self.assertRaises(aiohttp.ClientError):
+                await self.read(entry, caller)
+
+    async def test_whole_streams(self):
+        """Guards against a whole stream that is changed or broken off."""
+        for body in (b'data: a\r\n\r\n', b'data: a\r\r', b': c\n', b''):
+            agent = agent_of(sending(body), 'plain')
+            async with loopback.running([agent]) as (entry, caller):
+                self.assertEqual(body, await self.read(entry, caller))
+
+    async def read(self, entry, caller):
+        url = f'http://{entry.address}/stock'
+        headers = {'Authorization': f'Bearer {loopback.TOKEN}'}
+        async with caller._session.get(url, headers=headers) as response:
+            return await response.read()
+
+
 class OldCallerCase(unittest.IsolatedAsyncioTestCase):
     async def test_cut_stream(self):
         """Guards against a cut stream that an HTTP/1.0 caller takes for whole."""
