Ask a resumed stream for the event that was cut

Same class, at a resumed try: a target breaks off inside an event, and the next one answers the resumed stream with nothing and a regular end. That there was an event after the last one sent is known, so this end can't be the stream's. The caller got a stream without it as complete (test: no error; now one). A stream whose first target broke off between two events, or in a comment, may still be resumed with nothing more to send.

--- a/tamarackthread/entry/direct/call_progress.py
+++ b/tamarackthread/entry/direct/call_progress.py
@@ -40,6 +40,10 @@
     relayed_events: int = 0
     # Bytes of the newest target's answer after its last complete event.
     partial_event_bytes: int = 0
+    # Whether the newest target's answer has begun an event.
+    has_begun_event: bool = False
+    # Whether an earlier target has begun an event that no one has sent since.
+    is_event_due: bool = False
 
     @property
     def tried(self) -> set[str]:
@@ -57,6 +61,13 @@
         self.body = None
         self.relayed_events = 0
         self.partial_event_bytes = 0
+        self.is_event_due |= self.has_begun_event
+        self.has_begun_event = False
+
+    def note_rest(self, splitter: events.EventSplitter) -> None:
+        """Record what a target has sent after its last complete event."""
+        self.partial_event_bytes = len(splitter.rest)
+        self.has_begun_event = splitter.has_begun_event
 
     def drop_repeated(self, blocks: list[events.Block]) -> list[events.Block]:
         """Record the events of a stream; return the blocks to pass on."""
@@ -65,6 +76,7 @@
             if 0 <= block.number <= self.last_event:
                 continue
             self.last_event = max(self.last_event, block.number)
+            self.is_event_due &= not block.is_event
             self.is_unnumbered |= block.is_event and block.number < 0
             fresh.append(block)
         return fresh
--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -246,11 +246,13 @@
         )
         async for piece in answer.pieces():
             ready = progress.drop_repeated(splitter.feed(piece))
-            progress.partial_event_bytes = len(splitter.rest)
+            progress.note_rest(splitter)
             if ready:
                 await self._pass_on(call, ready, progress, out)
         if not splitter.is_at_boundary:
             raise target_client.Lost('answer ended inside an event')
+        if progress.is_event_due:
+            raise target_client.Lost('answer lacks the event that was cut')
         if splitter.rest:
             await out.write(splitter.rest)
         await out.finish()
--- a/tamarackthread/shared/events.py
+++ b/tamarackthread/shared/events.py
@@ -74,6 +74,11 @@
         """Return whether the stream may end here as complete."""
         return self._buffer in {b'', _BYTE_ORDER_MARK}
 
+    @property
+    def has_begun_event(self) -> bool:
+        """Return whether part of an event was received, and not the rest."""
+        return not self.is_at_boundary and not self._buffer.startswith(b':')
+
     def feed(self, received: bytes) -> list[Block]:
         """Add bytes and return the blocks that they complete.
 
--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -119,6 +119,27 @@
                 await self.ask()
 
 
+class ResumedStreamCase(direct_case.DirectCase):
+    async def test_event_that_was_cut_must_follow(self):
+        """Guards against an end that skips the event that was cut before."""
+        self.serve(direct_case.STREAM, is_resumable=True)
+        await self.add(ending(UNFRAMED, HALF))
+        await self.add(ending(UNFRAMED, ''), zone='far')
+        with self.assertRaises(aiohttp.ClientError):
+            await self.ask()
+
+    async def test_nothing_left_to_send(self):
+        """Guards against a whole stream that is broken as it is resumed."""
+        self.serve(direct_case.STREAM, is_resumable=True)
+        for text in (numbered(2), f'{numbered(2)}: cut'):
+            first = await self.add(ending(UNFRAMED, text, is_reset=True))
+            last = await self.add(ending(UNFRAMED, ''), zone='far')
+            answer = await self.ask(path=f'/a/{len(text)}')
+            self.assertEqual((200, numbered(2).encode()), answer[:2])
+            for fake in (first, last):
+                self.known.mark_gone(self.known.get(fake.name))
+
+
 class WholeStreamCase(direct_case.DirectCase):
     async def test_whole_stream_stays_whole(self):
         """Guards against a whole stream that is changed or broken off."""
