--- a/tamarackthread/shared/response_body.py
+++ b/tamarackthread/shared/response_body.py
@@ -80,6 +80,10 @@
             raise aiohttp.ClientPayloadError(
                 'connection was reset before the answer had ended'
             )
+        if self._trace.ending is Ending.UNSEEN:
+            raise aiohttp.ClientPayloadError(
+                'connection was released before its end was seen'
+            )
 
     async def whole(self) -> bytes:
         """Read the complete body; raise like ``pieces``."""
--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -4,6 +4,8 @@
 import itertools
 import socket
 import types
+import unittest
+from unittest import mock
 
 import aiohttp
 
@@ -254,3 +256,14 @@
     async def read_old(self, header=''):
         reader, _ = await self.ask_old(header)
         return (await reader.read()).split(b'\r\n\r\n', 1)
+
+
+class UnseenEndCase(unittest.IsolatedAsyncioTestCase):
+    async def test_end_that_was_not_seen(self):
+        """Guards against a lost connection whose end counts as regular."""
+        released = mock.Mock(
+            status=200, method='POST', headers={}, connection=None
+        )
+        released.content.readany = mock.AsyncMock(side_effect=(b'half', b''))
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await response_body.ResponseBody(released).whole()
