Ask an engine again whose refusal was cut

A cut refusal is silence now: the record is sent again. Whole answers of engines are JSON objects or lines with a closing result, which a cut one never is; refusals with another content type or no body stay as they were.

--- a/tamarackthread/agent/engine_client.py
+++ b/tamarackthread/agent/engine_client.py
@@ -11,10 +11,12 @@
 import aiohttp
 
 from tamarackthread.agent import order_errors
+from tamarackthread.shared import response_body
 
 ASK_SECONDS = 1.0
 # Engines send a progress line of a running order at least every second.
 LINE_SECONDS = 5.0
+_JSON = 'application/json'
 _REFUSAL_STATUSES = range(400, 500)
 _REQUEST_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 
@@ -107,7 +109,7 @@
             method,
             self._url + path,
             data=text,
-            headers={'Content-Type': 'application/json'},
+            headers={'Content-Type': _JSON},
             timeout=timeout,
             allow_redirects=False,
         )
@@ -120,21 +122,18 @@
 
 
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    body = await response.read()
+    body = await response_body.ResponseBody(response).whole()
     if response.status in _REFUSAL_STATUSES:
-        raise _refusal_error(response.status, body)
+        # Invalid JSON is a refusal that was cut; its reason decides what the
+        # agent does.
+        is_json = response.content_type == _JSON and body
+        refusal = _parse_object(body) if is_json else {}
+        reason = str(refusal.get('reason', ''))
+        raise EngineRefused(f'{response.status} {reason}', reason)
     response.raise_for_status()
     return body
 
 
-def _refusal_error(status: int, body: bytes) -> EngineRefused:
-    try:
-        reason = str(_parse_object(body).get('reason', ''))
-    except ValueError:
-        reason = ''
-    return EngineRefused(f'{status} {reason}', reason)
-
-
 def _parse_object(body: bytes) -> Answer:
     parsed = json.loads(body)
     if not isinstance(parsed, dict):
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -15,6 +15,7 @@
     switch_record,
 )
 from tamarackthread.policy import expert_map
+from tamarackthread.shared import connection_reset
 
 RECORD = switch_record.SwitchRecord(
     number=1,
@@ -50,6 +51,20 @@
     return answer
 
 
+def cut_refusal(is_reset):
+    async def answer(request):
+        request.transport.write(
+            b'HTTP/1.1 409 No\r\nContent-Type: application/json\r\n'
+            b'Connection: close\r\n\r\n{"reason": "too'
+        )
+        if is_reset:
+            connection_reset.reset(request.transport)
+        request.transport.close()
+        return web.Response()
+
+    return answer
+
+
 def line_answer(*objects):
     async def answer(request):
         text = ''.join(f'{json.dumps(one)}\n' for one in objects)
@@ -109,6 +124,17 @@
             await engine.apply_record(RECORD, 1)
         self.assertEqual(len(fake.requests), 1)
 
+    async def test_refusal_that_is_cut(self):
+        """Guards against a refusal whose reason was lost with its end."""
+        for is_reset in (False, True):
+            whole = json_answer({'reason': http_engine.TOO_LATE}, 409)
+            fake, engine = await self.start_engine(
+                http_engine.RECORD_PATH, cut_refusal(is_reset), whole
+            )
+            with self.assertRaises(order_errors.ArmTooLate):
+                await engine.apply_record(RECORD, 1)
+            self.assertEqual(len(fake.requests), 2)
+
     async def test_refused(self):
         fake, engine = await self.start_engine(
             http_engine.RECORD_PATH,
