Hold each framing and ending of plain answers in a table of tests

All cases of calls that run once or may be repeated, by length, chunks and neither, closed, reset and silent, whole and cut; they passed on the code as it stood.

--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -121,6 +121,40 @@
                 await self.ask()
 
 
+class PlainAnswerCase(direct_case.DirectCase):
+    async def test_each_framing_and_ending(self):
+        """Guards against a cut plain answer that its caller takes for whole."""
+        await self.add(None)
+        cases = itertools.product(
+            (direct_case.ONCE, direct_case.IDEMPOTENT),
+            FRAMINGS,
+            (False, True),
+            (0, 5),
+        )
+        for kind, framing, is_reset, missing in cases:
+            is_whole = not missing
+            if framing is UNFRAMED:
+                is_whole = not is_reset
+            self.serve(kind)
+            self.fakes[0]._script = ending(
+                framing, 'text', is_reset=is_reset, missing=missing
+            )
+            with self.subTest(kind=kind, framing=framing, reset=is_reset):
+                answer = await self.ask()
+                self.assertEqual(200 if is_whole else 502, answer[0])
+                self.assertEqual(is_whole, answer[1] == b'text')
+
+    async def test_silence(self):
+        """Guards against an answer that a deadline ends as if it were whole."""
+        await self.add(pausing('id: 1\ndata: a\n\n', asyncio.Event()))
+        for kind in (direct_case.ONCE, direct_case.IDEMPOTENT):
+            self.serve(kind)
+            self.assertEqual(504, (await self.ask(left='60'))[0])
+        self.serve(direct_case.STREAM)
+        with self.assertRaises(aiohttp.ClientError):
+            await self.ask(left='60')
+
+
 class ResumedStreamCase(direct_case.DirectCase):
     async def test_event_that_was_cut_must_follow(self):
         """Guards against an end that skips the event that was cut before."""
--- a/tests/test_relayed_endings.py
+++ b/tests/test_relayed_endings.py
@@ -15,7 +15,7 @@
 NO_RESUME = {'resume': {'enabled': False}}  # noqa: WPS407  sent as JSON
 
 
-def sending(body, *, head=STREAM_HEAD, is_reset=False):
+def sending(body, *, head=STREAM_HEAD, is_reset=False, is_silent=False):
     """Answer with neither a length nor chunks, then end the connection."""
 
     async def answer(request):
@@ -25,7 +25,8 @@
         )
         if is_reset:
             connection_reset.reset(transport)
-        transport.close()
+        if not is_silent:
+            transport.close()
         await asyncio.Event().wait()
 
     return answer
@@ -52,6 +53,14 @@
             answer = await caller.plain(entry.address, 'POST', '/stock', 'x')
         self.assertEqual(load.Outcome.MAY_HAVE_RUN, answer.outcome)
 
+    async def test_silence_does_not_end_an_answer(self):
+        """Guards against a silent target whose answer counts as complete."""
+        agent = agent_of(sending(b'half', head=b'', is_silent=True), 'plain')
+        async with loopback.running([agent]) as (entry, caller):
+            agent.gate.idle_seconds = 0.05
+            answer = await caller.plain(entry.address, 'POST', '/stock', 'x')
+        self.assertEqual(load.Outcome.MAY_HAVE_RUN, answer.outcome)
+
     async def test_closed_answer_is_whole(self):
         """Guards against a whole answer without a length that is broken."""
         agent = agent_of(sending(b'all of it', head=b''), 'plain')
