Let the soak's targets answer without a length or chunks, and cut some

Three of ten answers now have neither a length nor chunks, and three of ten of these are cut: streams inside an event by a regular close, plain answers by a reset. A call whose target has cut its answer is not held against a planned stop of the entry.

A test holds that an agent records no cut answer for the retry of a call with a key.

--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -69,6 +69,7 @@
         """Begin empty."""
         self.attempts: dict[str, Attempt] = {}
         self.runs: collections.Counter[str] = collections.Counter()
+        self.broken_off: set[str] = set()
         self._accepted: list[tuple[float, int]] = []
         self._evacuated: dict[str, float] = {}
         self._cold: dict[str, collections.deque[float]] = {}
@@ -83,6 +84,10 @@
         """Note that a target began to work on a call."""
         self.runs[identity] += 1
 
+    def broke_off(self, identity: str) -> None:
+        """Note that a target has cut its answer to a call."""
+        self.broken_off.add(identity)
+
     def evacuated(self, zone: str, now: float) -> None:
         """Note that an operator was told that a zone is evacuated."""
         self._evacuated[zone] = now
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -164,6 +164,8 @@
         took = asyncio.get_running_loop().time() - asked_at
         if took < CROSSING_SECONDS and not self.seen.runs[attempt.identity]:
             return
+        if attempt.identity in self.seen.broken_off:
+            return
         if entry.is_planned_stop and entry.broken_at + AFTER_SECONDS < asked_at:
             self.seen.cut_by_planned_stop(attempt)
 
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -12,6 +12,7 @@
 
 from bench.soak import ledger
 from tamarackthread.platform import wire
+from tamarackthread.shared import connection_reset
 
 BEAT_SECONDS = 0.6
 ANSWER_SECONDS = 1.0
@@ -19,6 +20,9 @@
 SLOTS = 8
 # After a crash a target is cold for so long.
 COLD_SECONDS = 2.0
+# Shares of answers with neither a length nor chunks, and of those cut short.
+UNFRAMED_SHARE = 0.3
+CUT_SHARE = 0.3
 CRASHING = 'crash'
 _FAILURES = (aiohttp.ClientError, OSError, TimeoutError)
 
@@ -116,6 +120,9 @@
             self.crash()
             request.transport.abort()
         headers = {wire.CALL_ID: identity, wire.SIGNATURE: 's'}
+        draw = random.Random(f'{identity} {self._name}')
+        if draw.random() < UNFRAMED_SHARE:
+            return await self._unframed(request, identity, headers, draw)
         if request.path.startswith('/stream/'):
             return await self._stream(request, identity, headers)
         await asyncio.sleep(WORK_SECONDS)
@@ -124,6 +131,36 @@
             text=ledger.whole_body(identity, kind), headers=headers
         )
 
+    async def _unframed(
+        self,
+        request: web.BaseRequest,
+        identity: str,
+        headers: dict[str, str],
+        draw: random.Random,
+    ) -> web.StreamResponse:
+        """Answer without a length or chunks, and maybe break off."""
+        is_stream = request.path.startswith('/stream/')
+        kind = ledger.Kind.STREAM if is_stream else ledger.Kind.ONCE
+        first = int(request.headers.get(wire.LAST_EVENT_ID) or 0) + 1
+        body = ledger.whole_body(identity, kind).encode()
+        body = body[max(0, body.find(b'id: %d\n' % first)) :]
+        is_cut = draw.random() < CUT_SHARE
+        if is_cut:
+            self._seen.broke_off(identity)
+            body = body[: draw.randrange(1, len(body))]
+            # Nothing tells that a stream which ends between events was cut.
+            body = body.removesuffix(b'\n\n') if is_stream else body
+        transport = request.transport
+        head = ''.join(f'{name}: {text}\r\n' for name, text in headers.items())
+        await asyncio.sleep(WORK_SECONDS)
+        transport.write(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode())
+        transport.write(body)
+        if is_cut and not is_stream:
+            # Only a reset tells that a plain answer was cut.
+            connection_reset.reset(transport)
+        transport.close()
+        return web.Response()
+
     async def _stream(
         self,
         request: web.BaseRequest,
--- a/tests/test_relayed_endings.py
+++ b/tests/test_relayed_endings.py
@@ -53,6 +53,16 @@
             answer = await caller.plain(entry.address, 'POST', '/stock', 'x')
         self.assertEqual(load.Outcome.MAY_HAVE_RUN, answer.outcome)
 
+    async def test_cut_answer_is_not_recorded(self):
+        """Guards against a cut answer that a keyed call's retry is given."""
+        agent = agent_of(sending(b'half', head=b'', is_reset=True), 'plain')
+        async with loopback.running([agent]) as (entry, caller):
+            for _ in range(2):
+                answer = await caller.plain(
+                    entry.address, 'POST', '/stock', 'x', Idempotency_Key='k'
+                )
+                self.assertEqual(load.Outcome.MAY_HAVE_RUN, answer.outcome)
+
     async def test_silence_does_not_end_an_answer(self):
         """Guards against a silent target whose answer counts as complete."""
         agent = agent_of(sending(b'half', head=b'', is_silent=True), 'plain')
