Check where a stream ends on every kind of route

Same class, on routes that are not for streams: a cut stream with neither a length nor chunks reached its caller as a whole answer (test: 200 with half an event; now 502). The content type decides, not the route. A kept connection whose second stream is cut was looked at too: it ends without a last chunk before and after.

--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -35,6 +35,7 @@
 COOLDOWN_JITTER_SECONDS = 1.0
 HTTP_OK = 200
 EVENT_STREAM = 'text/event-stream'
+CUT_INSIDE_EVENT = 'answer ended inside an event'
 # Responses with at least this status are failures of the target.
 MIN_ERROR_STATUS = 500
 
@@ -201,7 +202,7 @@
                 await self._relay(call, answer, progress, out)
                 self._record_outcome(target, is_good=True)
                 return
-            body = await answer.whole()
+            body = await _read_whole(answer)
             if self._should_retry_error(call, progress, answer.head.status):
                 raise target_client.Lost(f'status {answer.head.status}')
             if out.has_started:
@@ -250,7 +251,7 @@
             if ready:
                 await self._pass_on(call, ready, progress, out)
         if not splitter.is_at_boundary:
-            raise target_client.Lost('answer ended inside an event')
+            raise target_client.Lost(CUT_INSIDE_EVENT)
         if progress.is_event_due:
             raise target_client.Lost('answer lacks the event that was cut')
         if splitter.rest:
@@ -360,3 +361,12 @@
         return False
     # Targets may leave the content type out.
     return head.content_type in {'', EVENT_STREAM}
+
+
+async def _read_whole(answer: target_client.TargetResponse) -> bytes:
+    """Read an answer that is not relayed as it comes."""
+    body = await answer.whole()
+    is_stream = answer.head.content_type == EVENT_STREAM
+    if is_stream and not events.is_whole(body):
+        raise target_client.Lost(CUT_INSIDE_EVENT)
+    return body
--- a/tamarackthread/shared/events.py
+++ b/tamarackthread/shared/events.py
@@ -126,6 +126,13 @@
         return Block(payload, number, is_event)
 
 
+def is_whole(body: bytes) -> bool:
+    """Return whether a stream that was read to its end has ended regularly."""
+    splitter = EventSplitter()
+    splitter.feed(body)
+    return splitter.is_at_boundary
+
+
 def join(blocks: list[Block]) -> bytes:
     """Return the bytes of blocks."""
     return b''.join(block.payload for block in blocks)
--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -144,6 +144,21 @@
                 self.assertEqual(200 if is_whole else 502, answer[0])
                 self.assertEqual(is_whole, answer[1] == b'text')
 
+    async def test_events_on_other_routes(self):
+        """Guards against a cut stream on a route that isn't for streams."""
+        await self.add(None)
+        head = 'Content-Type: text/event-stream; charset=utf-8\r\n'
+        cases = itertools.product(
+            (direct_case.ONCE, direct_case.IDEMPOTENT),
+            FRAMINGS,
+            ((HALF, 502), ('id: 1\r\ndata: a\r\n\r\n', 200), ('', 200)),
+        )
+        for kind, framing, (text, status) in cases:
+            self.serve(kind)
+            self.fakes[0]._script = ending(framing, text, headers=head)
+            with self.subTest(kind=kind, framing=framing, text=text):
+                self.assertEqual(status, (await self.ask())[0])
+
     async def test_silence(self):
         """Guards against an answer that a deadline ends as if it were whole."""
         await self.add(pausing('id: 1\ndata: a\n\n', asyncio.Event()))
@@ -246,6 +261,28 @@
         self.fakes[0]._script = script
 
 
+class KeptConnectionCase(direct_case.DirectCase):
+    async def test_cut_stream_after_a_whole_one(self):
+        """Guards against a cut stream that ends with a last chunk."""
+        self.serve(direct_case.STREAM)
+        chunks = response_body.Framing.CHUNKS
+        fake = await self.add(ending(chunks, numbered(1)))
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        request = (
+            f'POST /a/b HTTP/1.1\r\nHost: {direct_case.HOST}\r\n'
+            'Attempt-Id: c\r\nAuthorization: Bearer secret\r\n'
+            'Content-Length: 0\r\n\r\n'
+        )
+        writer.write(request.encode())
+        await reader.readuntil(b'\r\n0\r\n\r\n')
+        fake._script = ending(UNFRAMED, HALF)
+        writer.write(request.encode())
+        answer = await reader.read()
+        self.assertTrue(answer.endswith(b'id: 1\ndata: e1\n\n\r\n'))
+
+
 class OldCallerCase(direct_case.DirectCase):
     """Callers that speak HTTP/1.0, to which nothing is sent in chunks."""
 
