--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -14,12 +14,12 @@
     poison_requests,
     retry_budgets,
     sink,
-    stream_timing,
+    stream_relay,
     target_client,
     targets,
 )
-from tamarackthread.shared import errors, events
-from tamarackthread.shared.site import configuration, site_metrics
+from tamarackthread.shared import errors
+from tamarackthread.shared.site import site_metrics
 
 # A failed connection costs a target nothing, but the caller waits for it.
 MAX_CONNECT_FAILURES = 4
@@ -33,9 +33,6 @@
 CLOSED_RETRY_AFTER_SECONDS = 2.0
 # Spreads the retries of callers that were refused during a cooldown.
 COOLDOWN_JITTER_SECONDS = 1.0
-HTTP_OK = 200
-EVENT_STREAM = 'text/event-stream'
-CUT_INSIDE_EVENT = 'answer ended inside an event'
 # Responses with at least this status are failures of the target.
 MIN_ERROR_STATUS = 500
 
@@ -56,6 +53,7 @@
         self._poison = poison
         self._targets = all_targets
         self._admission = admission
+        self._relay = stream_relay.StreamRelay(admission)
         self._client = client
         self._budget = budget
         self._random = generator
@@ -198,11 +196,11 @@
             last_event_id = str(progress.last_event)
         async with self._client.send(call, target, last_event_id) as answer:
             progress.body = answer.trace
-            if _is_event_stream(call, answer.head):
-                await self._relay(call, answer, progress, out)
+            if stream_relay.is_event_stream(call, answer.head):
+                await self._relay.run(call, answer, progress, out)
                 self._record_outcome(target, is_good=True)
                 return
-            body = await _read_whole(answer)
+            body = await stream_relay.read_whole(answer)
             if self._should_retry_error(call, progress, answer.head.status):
                 raise target_client.Lost(f'status {answer.head.status}')
             if out.has_started:
@@ -225,64 +223,6 @@
             return False
         return self._budget.has_room(call.service)
 
-    async def _relay(
-        self,
-        call: calls.Call,
-        answer: target_client.TargetResponse,
-        progress: call_progress.CallProgress,
-        out: sink.Sink,
-    ) -> None:
-        """Relay events as they come, each at most once and in order."""
-        splitter = events.EventSplitter()
-        now = asyncio.get_running_loop().time()
-        site_metrics.FIRST_SECONDS.labels(call.service).observe(
-            now - call.arrived_at
-        )
-        if not out.has_started:
-            await out.start(answer.head)
-        out.timing.target = (
-            ''
-            if progress.current_target is None
-            else progress.current_target.name
-        )
-        async for piece in answer.pieces():
-            ready = progress.drop_repeated(splitter.feed(piece))
-            progress.note_rest(splitter)
-            if ready:
-                await self._pass_on(call, ready, progress, out)
-        if not splitter.is_at_boundary:
-            raise target_client.Lost(CUT_INSIDE_EVENT)
-        if progress.is_event_due:
-            raise target_client.Lost('answer lacks the event that was cut')
-        if splitter.rest:
-            await out.write(splitter.rest)
-        await out.finish()
-
-    async def _pass_on(
-        self,
-        call: calls.Call,
-        ready: list[events.Block],
-        progress: call_progress.CallProgress,
-        out: sink.Sink,
-    ) -> None:
-        count = sum(block.is_event for block in ready)
-        if count:
-            progress.relayed_events += count
-            self._admission.note_piece(call)
-            self._note_gap(call, out.timing, count)
-        await out.write(events.join(ready))
-
-    def _note_gap(
-        self,
-        call: calls.Call,
-        timing: stream_timing.StreamTiming,
-        pieces: int,
-    ) -> None:
-        if not timing.last_at:
-            return
-        pause = asyncio.get_running_loop().time() - timing.last_at
-        self._admission.note_gap(call, pause / pieces)
-
     def _record_failure(
         self,
         call: calls.Call,
@@ -349,24 +289,3 @@
     def _jittered(self, seconds: float) -> float:
         """Add jitter to a retry time, so that callers don't return together."""
         return seconds * self._random.uniform(0.7, 1.5)
-
-
-def _is_event_stream(
-    call: calls.Call, head: target_client.ResponseHead
-) -> bool:
-    """Tell whether an answer is relayed event by event."""
-    if call.route.kind is not configuration.RouteKind.STREAM:
-        return False
-    if head.status != HTTP_OK:
-        return False
-    # Targets may leave the content type out.
-    return head.content_type in {'', EVENT_STREAM}
-
-
-async def _read_whole(answer: target_client.TargetResponse) -> bytes:
-    """Read an answer that is not relayed as it comes."""
-    body = await answer.whole()
-    is_stream = answer.head.content_type == EVENT_STREAM
-    if is_stream and not events.is_whole(body):
-        raise target_client.Lost(CUT_INSIDE_EVENT)
-    return body
