Put back reasons that the rewording had dropped

Those that were gone and still hold are back, in today's names: 18 comments and five module docstrings, in policy, entry and control. No code changes.

--- a/tamarackthread/control/decisions.py
+++ b/tamarackthread/control/decisions.py
@@ -1,4 +1,8 @@
-"""Record the first, final decision on each switch of a group's expert map."""
+"""Record the first, final decision on each switch of a group's expert map.
+
+Ranks that hold at the switch step ask for it; a second, different decision
+would split the group.
+"""
 
 from __future__ import annotations
 
--- a/tamarackthread/control/leader_term.py
+++ b/tamarackthread/control/leader_term.py
@@ -174,6 +174,7 @@
         """Return the expiry of the leader lease, in loop time."""
         # Voters reject candidates for ``election_min`` after a heartbeat; the
         # lease counts from its sending and is shorter than that by the drift.
+        # Any later election needs one of these voters.
         if self._is_handing_over:
             return -math.inf
         return self.quorum_acked_at(members, now) + self._times.lease
--- a/tamarackthread/control/leases.py
+++ b/tamarackthread/control/leases.py
@@ -101,6 +101,8 @@
 
     def begin_term(self) -> None:
         """Extend every lease in full, since its last renewal is unknown."""
+        # The leader before may have renewed any of them a moment ago; with a
+        # shorter wait, two holders could act at once.
         now = self._clock()
         self._expiries = {
             record.name: _Expiry(record.fence, now + _seconds(record.lease_ms))
--- a/tamarackthread/control/reconfiguration.py
+++ b/tamarackthread/control/reconfiguration.py
@@ -151,6 +151,7 @@
     state: replica.Replica, term: leader_term.LeaderTerm
 ) -> None:
     """Remove an unresponsive voter while more than ``min_voters`` remain."""
+    # One that is gone for good would count against the others for ever.
     min_voters = state.parts.times.min_voters
     if not min_voters or len(state.membership.voters) <= min_voters:
         return
--- a/tamarackthread/control/references.py
+++ b/tamarackthread/control/references.py
@@ -1,4 +1,8 @@
-"""Check references between documents while a change is applied."""
+"""Check references between documents while a change is applied.
+
+Only then is it certain what exists: two changes that were each valid when they
+were proposed may not be valid together.
+"""
 
 from __future__ import annotations
 
--- a/tamarackthread/control/reply_cache.py
+++ b/tamarackthread/control/reply_cache.py
@@ -17,6 +17,9 @@
 class ReplyCache:
     """Hold replies by change id for ``RETENTION_MS`` of the machine's clock."""
 
+    # That clock adds up what leaders measure between commands.  With the wall
+    # clock, one that is set forward would shorten the retention.
+
     def __init__(self) -> None:
         """Start empty."""
         self._cached: dict[str, messages.KeptAnswer] = {}
--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -294,6 +294,7 @@
 
 def group_timing(site: generated.Site) -> timing.Timing:
     """Return the group's timing; with fencing, elections may be hurried."""
+    # Where engines refuse an outdated fence, nothing depends on the lease.
     return attrs.evolve(
         TIMES,
         min_voters=2 * site.lost_hosts + 1,
--- a/tamarackthread/control/site/maps/group_state.py
+++ b/tamarackthread/control/site/maps/group_state.py
@@ -195,6 +195,8 @@
 
     def _update_load(self, calls: float, now: float) -> None:
         """Note whether calls are delayed or the initial map is in force."""
+        # A group that never had a map planned is the least balanced one; its
+        # first map is planned as soon as there are calls, before they are late.
         is_slow = self.step_seconds >= LONG_STEP_SECONDS or self.is_full
         # Long copies are started before the steps become long.
         is_slow |= self.has_long_copies
--- a/tamarackthread/control/site/maps/map_planner.py
+++ b/tamarackthread/control/site/maps/map_planner.py
@@ -90,6 +90,8 @@
         current_skew: float,
     ) -> tuple[ranks.GroupMap, float]:
         """Plan a map with as few copies as needed; return it and its skew."""
+        # Half of the copies are enough, except past the capacity: steps are
+        # long there with any map, and all callers feel the last tenth of skew.
         if state.has_long_copies:
             return await self._plan_staged(state, tokens, paces)
         for min_gain in (rebalancing.COARSE_MIN_GAIN, rebalancing.MIN_GAIN):
--- a/tamarackthread/control/site/site_directory.py
+++ b/tamarackthread/control/site/site_directory.py
@@ -156,6 +156,8 @@
     other: announcements.Announcement,
 ) -> bool:
     """Return whether ``other``, started later, has replaced the target."""
+    # An announcement that was held up by a partition may arrive after its
+    # target has crashed and another one serves at the address.
     is_later = 0 < announcement.born < other.born
     return is_later and other.state == announcements.State.READY
 
--- a/tamarackthread/entry/connections.py
+++ b/tamarackthread/entry/connections.py
@@ -13,6 +13,9 @@
 class LimitedServer(web.Server):
     """Close connections over the limit and those without a request in time."""
 
+    # A connection that sends its headers a byte at a time, or nothing, would
+    # hold a slot for ever, and many of them would lock callers out.
+
     def __init__(
         self,
         handler: typing.Any,
--- a/tamarackthread/entry/direct/call_log.py
+++ b/tamarackthread/entry/direct/call_log.py
@@ -18,6 +18,7 @@
 
 SUMMARY_SECONDS = 10.0
 # One of this many ordinary answers gets a log line.
+# At 32 calls a second of an entry, that is a line every 1.5 s.
 SAMPLE_INTERVAL = 50
 _Event = log_events.Event
 _log = logging.getLogger('tamarackthread.entry')
--- a/tamarackthread/entry/direct/load_exchange.py
+++ b/tamarackthread/entry/direct/load_exchange.py
@@ -15,8 +15,10 @@
 from tamarackthread.shared import errors, link_pool
 
 # Short against the duration of a call, so that few calls are unaccounted for.
+# A call at a rank lasts about ten times as long.
 MIN_INTERVAL_SECONDS = 0.05
 # Rate limit of all entries together, which bounds the work of the control host.
+# It takes a tenth of a core there at most, however many entries there are.
 EXCHANGES_A_SECOND = 400
 MAX_INTERVAL_SECONDS = 1.0
 # A host that does not reply in time is skipped for the next one.
--- a/tamarackthread/entry/direct/retry_budgets.py
+++ b/tamarackthread/entry/direct/retry_budgets.py
@@ -48,6 +48,7 @@
             )
             # Entries that start together and don't know each other yet would
             # each spend the whole reserve.
+            # At a common start that was three times as many retries as allowed.
             level = reserve / 2 if entries else 0
             budget = retries.RetryBudget(settings, self._now(), level)
             self._by_service[service] = budget
--- a/tamarackthread/entry/keyed_claim.py
+++ b/tamarackthread/entry/keyed_claim.py
@@ -1,4 +1,8 @@
-"""Claim the keys of non-idempotent calls before each handover."""
+"""Claim the keys of non-idempotent calls before each handover.
+
+The claim names the agent, so that others know whom to ask if this process
+dies after the handover.
+"""
 
 from __future__ import annotations
 
--- a/tamarackthread/entry/takeover.py
+++ b/tamarackthread/entry/takeover.py
@@ -1,4 +1,8 @@
-"""Resolve claims of other requests; take them over only with proof."""
+"""Resolve claims of other requests; take them over only with proof.
+
+An agent that seals a claim proves that its call did not start and never will,
+whether the holder is dead, slow or just waking up.
+"""
 
 from __future__ import annotations
 
--- a/tamarackthread/entry/unkeyed_claim.py
+++ b/tamarackthread/entry/unkeyed_claim.py
@@ -1,4 +1,8 @@
-"""Claim non-idempotent calls without a key at the agent alone."""
+"""Claim non-idempotent calls without a key at the agent alone.
+
+This costs no round trip, and after a lost link the agent can still tell whether
+the call ran.  Other entries know nothing of it.
+"""
 
 from __future__ import annotations
 
--- a/tamarackthread/policy/admission.py
+++ b/tamarackthread/policy/admission.py
@@ -190,6 +190,8 @@
 
     def _shed(self, now: float) -> None:
         """Refuse queued calls that can no longer start in time."""
+        # The queue drains more slowly than estimated after a target is lost;
+        # without this, calls would be held until they expire.
         # Dividing by the caution keeps noise in the rate from shedding calls.
         rate = self._estimator.drain_rate(now) / self._settings.caution
         ahead: float = 0
--- a/tamarackthread/policy/fairness.py
+++ b/tamarackthread/policy/fairness.py
@@ -64,6 +64,8 @@
 
     def __init__(self, credit: float = 0) -> None:
         """Start empty; ``credit`` is the cost at weight 1 to catch up by."""
+        # Without credit, a small flow with three calls at once would wait three
+        # turns although it is far under its share.
         self._credit = credit
         self._sequence = itertools.count()
         self._flows: dict[str, _Flow[_Item]] = {}
--- a/tamarackthread/policy/poison_calls.py
+++ b/tamarackthread/policy/poison_calls.py
@@ -97,6 +97,9 @@
 class PoisonCalls:
     """The crash histories seen by this entry and received from others."""
 
+    # Each entry keeps what all of them know, so that a history outlives the
+    # entries that have seen it; all forget it at the same time, by its age.
+
     def __init__(self) -> None:
         """Start without histories."""
         self._records: collections.OrderedDict[bytes, _Record] = (
--- a/tamarackthread/policy/portions.py
+++ b/tamarackthread/policy/portions.py
@@ -53,6 +53,8 @@
     """Hold one organisation's leases and their running sums."""
 
     # All leases have the same length, so insertion order is expiry order.
+    # Sums are kept, since adding up hundreds of entries at each of their
+    # requests would grow with the square of their number.
 
     def __init__(self) -> None:
         self._leases: dict[str, _Lease] = {}
--- a/tamarackthread/policy/queue_rates.py
+++ b/tamarackthread/policy/queue_rates.py
@@ -85,6 +85,8 @@
 class RetrySchedule:
     """Spread the retries of refused calls to avoid a retry storm."""
 
+    # One fixed time for all would bring a wave of callers back as a wave.
+
     def __init__(
         self,
         generator: random.Random,
