Hold the draft in the test that urgent calls preempt it

The test failed in 2 of 16 runs at once beside load: its draft lasted 3 s of the real clock and had ended before the last urgent call was answered. It also passed with preemption switched off (planted fault): the urgent calls overtook a draft that had not reached the engine yet, or were served when the engine's silence had broken the draft off.

Now the engine keeps the draft's last token until the urgent calls are answered, the calls are sent once the draft runs there, and its silence breaks nothing off.

--- a/tests/test_profiles_in_use.py
+++ b/tests/test_profiles_in_use.py
@@ -4,11 +4,26 @@
 import unittest
 
 from bench import load
-from bench.engines import batch
+from bench.engines import batch, journal, replica
 from tamarackthread.policy import routing
 from tests import loopback, test_call_path
 
 ONE_SLOT = batch.EngineOptions(step_seconds=0.002, slots=1)
+DRAFT_TOKENS = 1500
+HOUR_SECONDS = 3600
+
+
+class HeldBatch(batch.Batch):
+    """Keep the last token of a draft until it is released."""
+
+    def __init__(self, options):
+        super().__init__(options)
+        self.is_released = False
+
+    def _emit(self, call):
+        is_last = call.position == DRAFT_TOKENS - 1
+        if self.is_released or not is_last:
+            super()._emit(call)
 
 
 class ProfileCase(unittest.IsolatedAsyncioTestCase):
@@ -43,15 +58,24 @@
         """An urgent call preempts a draft that holds the only slot, and the
         draft resumes at its position.
         """
-        draft = load.Chat(prompt='a long narrative', tokens=1500)
+        draft = load.Chat(prompt='a long narrative', tokens=DRAFT_TOKENS)
         notice = load.Chat(prompt='aurora now', tokens=5)
-        agents = [test_call_path.engine('a', ONE_SLOT)]
+        # The draft can't end first, however slow the machine is; behind it,
+        # the urgent calls would wait until their deadlines.
+        held = HeldBatch(ONE_SLOT)
+        emulated = replica.Replica(ONE_SLOT, journal.Journal(None))
+        emulated._batch = held
+        agents = [
+            loopback.Agent(
+                'a', emulated.application(), kind='model', service='draft'
+            )
+        ]
         async with loopback.running(agents) as (entry, caller):
             draft_task = asyncio.ensure_future(
                 caller.chat(entry.address, draft, X_Priority='background'),
             )
-            view = entry.fleet.connection('draft', 'a').view
-            while view.load.own_calls < 1:
+            agents[0].gate.idle_seconds = HOUR_SECONDS
+            while not held.running:
                 await asyncio.sleep(0)
             urgent = []
             for _ in range(4):
@@ -66,6 +90,7 @@
                 )
             answers = await asyncio.gather(*urgent)
             self.assertFalse(draft_task.done())
+            held.is_released = True
             answer = await draft_task
         outcomes = {urgent_answer.outcome for urgent_answer in answers}
         self.assertEqual(outcomes, {load.Outcome.COMPLETE})
