--- a/tests/direct_case.py
+++ b/tests/direct_case.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-import socket
-import struct
 import unittest
 
 import aiohttp
@@ -21,13 +19,13 @@
 )
 from tamarackthread.generated import settings
 from tamarackthread.platform import calls as platform_calls
+from tamarackthread.shared import connection_reset
 from tamarackthread.shared.site import announcements, configuration
 
 HOST = 'h.example'
 ONCE = configuration.RouteKind.ONCE
 STREAM = configuration.RouteKind.STREAM
 IDEMPOTENT = configuration.RouteKind.IDEMPOTENT
-RESET = struct.pack('ii', 1, 0)
 ANSWER = (
     'HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s.{name}\r\n'
 )
@@ -117,9 +115,7 @@
     writer.write(f'{start}Connection: close\r\n\r\nhalf'.encode())
     await writer.drain()
     await asyncio.sleep(0.02)
-    raw = writer.get_extra_info('socket')
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-    writer.transport.abort()
+    connection_reset.reset(writer.transport)
 
 
 async def ending_unframed(target, head, writer):
--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import itertools
-import socket
 import types
 import unittest
 from unittest import mock
 
 import aiohttp
 
-from tamarackthread.shared import response_body
+from tamarackthread.shared import connection_reset, response_body
 from tamarackthread.shared.site import site_metrics
 from tests import direct_case
 
@@ -37,11 +36,7 @@
         writer.write(start.encode() + body)
         await writer.drain()
         if is_reset:
-            raw = writer.get_extra_info('socket')
-            raw.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, direct_case.RESET
-            )
-            writer.transport.abort()
+            connection_reset.reset(writer.transport)
         writer.close()
 
     return script
