Tell in logs which parts a lost call's prompt had, and whether its target is gone

Nobody could tell from the logs whether targets went down under one part of the prompts or under one call, nor a crashed target from a rank that broke off its streams because another rank was lost: both were a failed try. Lines of tries now have the parts of the prompt but the last, and a call_lost line tells how far the answer had got and whether the target still takes connections, which one connection finds out. No decision changes.

--- a/tamarackthread/entry/direct/call_progress.py
+++ b/tamarackthread/entry/direct/call_progress.py
@@ -11,6 +11,14 @@
 from tamarackthread.shared import errors, events, log_events, response_body
 from tamarackthread.shared.site import site_metrics
 
+# A stream without a length or chunks ends early by a regular close too.
+_EARLY_ENDINGS = frozenset(
+    (
+        response_body.Ending.CLOSED,
+        response_body.Ending.RESET,
+        response_body.Ending.CUT,
+    )
+)
 _log = logging.getLogger('tamarackthread.entry')
 
 
@@ -45,6 +53,11 @@
     # Whether an earlier target has begun an event that no one has sent since.
     is_event_due: bool = False
 
+    @property
+    def is_cut(self) -> bool:
+        """Tell whether the newest target's connection ended too early."""
+        return self.body is not None and self.body.ending in _EARLY_ENDINGS
+
     @property
     def tried(self) -> set[str]:
         """Return the names of the targets that are not tried again."""
@@ -124,6 +137,7 @@
         paused_ms=_milliseconds(max(0, target.backoff_until - now)),
         may_have_run=progress.may_have_run,
         last_event=progress.last_event,
+        parts=call.request.shared_parts,
         **progress.answer_fields(),
     )
 
--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -116,6 +116,7 @@
                 await self._send(call, target, progress, out)
         except errors.CodedError as exc:
             self._poison.note_failure(call, target, exc)
+            self._poison.trace_loss(call, target, progress, exc)
             self._record_failure(call, target, progress, exc)
             call_progress.log_failed_try(call, target, progress, exc)
             return False
--- a/tamarackthread/entry/direct/poison_requests.py
+++ b/tamarackthread/entry/direct/poison_requests.py
@@ -7,11 +7,15 @@
 import hashlib
 import logging
 
+import attrs
+
 from tamarackthread.entry.direct import (
+    call_progress,
     calls,
     failures,
     instances,
     target_client,
+    target_probe,
 )
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import poison_calls
@@ -23,15 +27,27 @@
 RETRY_AFTER_SECONDS = 30.0
 _log = logging.getLogger('tamarackthread.entry')
 
+Probe = collections.abc.Callable[[str], collections.abc.Awaitable[bool]]
+
+
+@attrs.frozen(eq=False)
+class _LostCall:
+    call: calls.Call
+    target: instances.TargetInstance
+    # Events of the answer that came from the target.
+    events: int
+
 
 class PoisonRequests:
     """Check calls before they are sent, and track those that crash targets."""
 
     # A hash of request, organisation and body identifies repetitions; it is
     # computed only after a target was lost, and while there are suspects.
-    def __init__(self) -> None:
-        """Start without suspects."""
+    def __init__(self, probe: Probe = target_probe.is_listening) -> None:
+        """Start without suspects; ``probe`` tells if an address listens."""
         self._suspects = poison_calls.PoisonCalls()
+        self._probe = probe
+        self._probing: set[asyncio.Task[None]] = set()
 
     def check(self, call: calls.Call) -> None:
         """Raise ``CallCrashes`` for a call that has crashed several targets."""
@@ -63,6 +79,22 @@
         site_metrics.CALLS_SUSPECTED.labels('lost').inc()
         self._log_suspect(call, 'lost')
 
+    def trace_loss(
+        self,
+        call: calls.Call,
+        target: instances.TargetInstance,
+        progress: call_progress.CallProgress,
+        failure: errors.CodedError,
+    ) -> None:
+        """Log a call whose connection was lost, and whether its target is."""
+        is_unanswered = isinstance(failure, target_client.Unanswered)
+        if not is_unanswered and not progress.is_cut:
+            return
+        lost = _LostCall(call, target, progress.relayed_events)
+        probing = asyncio.get_running_loop().create_task(self._log_lost(lost))
+        self._probing.add(probing)
+        probing.add_done_callback(self._probing.discard)
+
     def note_answer(self, call: calls.Call) -> None:
         """Record that a target has answered a call."""
         if self._suspects:
@@ -92,6 +124,26 @@
             [poison_calls.from_message(row) for row in rows], now
         )
 
+    async def _log_lost(self, lost: _LostCall) -> None:
+        target = lost.target
+        is_listening = await self._probe(target.announcement.address)
+        log_events.emit(
+            _log,
+            log_events.Event.CALL_LOST,
+            'entry: call was lost at %s after %d events, target %s',
+            target.name,
+            lost.events,
+            'goes on' if is_listening else 'is gone',
+            target=target.name,
+            born=target.announcement.born,
+            is_gone=not is_listening,
+            is_draining=target.is_draining,
+            events=lost.events,
+            parts=lost.call.request.shared_parts,
+            path=lost.call.request.path,
+            organisation=lost.call.organisation,
+        )
+
     def _verdict(self, call: calls.Call) -> poison_calls.Verdict:
         if not self._suspects:
             return poison_calls.Verdict.ALLOWED
--- a/tamarackthread/platform/calls.py
+++ b/tamarackthread/platform/calls.py
@@ -59,6 +59,7 @@
             key=_bearer_token(headers.get(wire.AUTHORIZATION, '')),
             time_left=None if left_ms is None else left_ms / MILLISECONDS,
             last_event_id=headers.get(wire.LAST_EVENT_ID, ''),
+            shared_parts=_shared_parts(headers.get(wire.PROMPT, '')),
         )
 
     def request_headers(
@@ -74,9 +75,8 @@
             for name, value in call.request.headers
             if name.lower() not in _ENTRY_HEADERS
         ]
-        headers.append(
-            (wire.DEADLINE, str(max(1, int(time_left * MILLISECONDS))))
-        )
+        left_ms = max(1, int(time_left * MILLISECONDS))
+        headers.append((wire.DEADLINE, str(left_ms)))
         headers.append((wire.EXPECTED_TARGET, target))
         if last_event_id:
             headers.append((wire.LAST_EVENT_ID, last_event_id))
@@ -112,11 +112,8 @@
         headers: multidict.CIMultiDictProxy[str],
     ) -> backpressure.Backpressure:
         """Read the backpressure headers of a response."""
-        rest = (
-            headers.get(wire.RETRY_AFTER, '')
-            if status == wire.REFUSAL_STATUS
-            else ''
-        )
+        is_refusal = status == wire.REFUSAL_STATUS
+        rest = headers.get(wire.RETRY_AFTER, '') if is_refusal else ''
         return backpressure.Backpressure(
             is_leaving=headers.get(wire.LEAVING) == _TRUE,
             cooldown=backpressure.parse_retry_after(rest),
@@ -150,6 +147,12 @@
     return header.partition(':')[0].lower()
 
 
+def _shared_parts(prompt: str) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts but the last, the call's own."""
+    ids = [part.partition(':')[0].strip() for part in prompt.split(',')]
+    return tuple(filter(None, ids[:-1]))
+
+
 def _bearer_token(credential: str) -> str:
     if not credential.startswith(wire.BEARER):
         return ''
--- a/tamarackthread/platform/http_api.py
+++ b/tamarackthread/platform/http_api.py
@@ -43,20 +43,15 @@
     ) -> str:
         """Serve at HOST:PORT and return the address in use."""
         app = web.Application(client_max_size=MAX_BODY_BYTES)
-        app.router.add_post(wire.REPLACE, http_errors.bind(_replace, site))
-        app.router.add_get(wire.READ, http_errors.bind(_read, site))
-        for path, is_evacuated in (
-            (wire.EVACUATE, True),
-            (wire.RESTORE, False),
-        ):
+        router = app.router
+        router.add_post(wire.REPLACE, http_errors.bind(_replace, site))
+        router.add_get(wire.READ, http_errors.bind(_read, site))
+        zone_paths = {wire.EVACUATE: True, wire.RESTORE: False}
+        for path, is_evacuated in zone_paths.items():
             handler = functools.partial(_set_zone, is_evacuated)
-            app.router.add_post(path, http_errors.bind(handler, zones))
-        app.router.add_post(
-            wire.HEARTBEAT, http_errors.bind(_heartbeat, targets)
-        )
-        app.router.add_post(
-            wire.DEREGISTER, http_errors.bind(_deregister, targets)
-        )
+            router.add_post(path, http_errors.bind(handler, zones))
+        router.add_post(wire.HEARTBEAT, http_errors.bind(_heartbeat, targets))
+        router.add_post(wire.DEREGISTER, http_errors.bind(_deregister, targets))
         self._runner = web.AppRunner(
             app, access_log=None, handle_signals=False, shutdown_timeout=0.5
         )
--- a/tamarackthread/platform/ranks.py
+++ b/tamarackthread/platform/ranks.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import collections.abc
 import functools
 import json
 import types
+import typing
 
 from tamarackthread.control.site.maps import rank_client, ranks
 from tamarackthread.platform import wire
@@ -27,6 +29,7 @@
 _WITH_VERSION = frozenset((ranks.PREPARE, ranks.ARM, ranks.DISARM))
 _PARSE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 _Body = fields.JsonObject
+_Parsed = typing.TypeVar('_Parsed')
 
 
 class PlatformRanks(ranks.Ranks):
@@ -38,27 +41,16 @@
 
     async def report(self, rank: ranks.Rank) -> ranks.RankReport | None:
         """Read a rank's status, ``None`` if unavailable."""
-        body = await self._get(rank, wire.REPORT)
-        try:
-            return None if body is None else _report(body)
-        except _PARSE_ERRORS:
-            return None
+        return await self._read(rank, wire.REPORT, _report)
 
     async def counts(self, rank: ranks.Rank, sets: int) -> ranks.Counts | None:
         """Read how often each expert was chosen, ``None`` if unavailable."""
-        body = await self._get(rank, wire.COUNTS)
-        try:
-            return None if body is None else _counts(body, sets)
-        except _PARSE_ERRORS:
-            return None
+        parse = functools.partial(_counts, sets=sets)
+        return await self._read(rank, wire.COUNTS, parse)
 
     async def placement(self, rank: ranks.Rank) -> ranks.Placement | None:
         """Read the map version and the rank's experts by set."""
-        body = await self._get(rank, wire.PLACEMENT)
-        try:
-            return None if body is None else _placement(body)
-        except _PARSE_ERRORS:
-            return None
+        return await self._read(rank, wire.PLACEMENT, _placement)
 
     def stall_seconds(self, numbers: int) -> float:
         """Return how long a group stalls while ``numbers`` values are read."""
@@ -88,10 +80,19 @@
         """Close all connections."""
         await self._asking.close()
 
-    async def _get(self, rank: ranks.Rank, path: str) -> _Body | None:
-        return await self._asking.get(
-            f'http://{rank.address}{path}', {wire.EXPECTED_TARGET: rank.target}
-        )
+    async def _read(
+        self,
+        rank: ranks.Rank,
+        path: str,
+        parse: collections.abc.Callable[[_Body], _Parsed],
+    ) -> _Parsed | None:
+        """Read and parse a rank's answer, ``None`` if that fails."""
+        headers = {wire.EXPECTED_TARGET: rank.target}
+        body = await self._asking.get(f'http://{rank.address}{path}', headers)
+        try:
+            return None if body is None else parse(body)
+        except _PARSE_ERRORS:
+            return None
 
 
 def _report(body: _Body) -> ranks.RankReport:
--- a/tamarackthread/platform/wire.py
+++ b/tamarackthread/platform/wire.py
@@ -18,6 +18,8 @@
 # Milliseconds until the deadline.
 DEADLINE = 'Deadline-Ms'
 LAST_EVENT_ID = 'Last-Event-Id'
+# The parts of a prompt, in order, as ID:TOKENS separated by commas.
+PROMPT = 'Prompt-Prefix'
 AUTHORIZATION = 'Authorization'
 BEARER = 'Bearer '
 
--- a/tamarackthread/shared/log_events.py
+++ b/tamarackthread/shared/log_events.py
@@ -17,6 +17,7 @@
     CALL_FAILED = 'call_failed'
     CALL_BROKEN = 'call_broken'
     CALLER_LEFT = 'caller_left'
+    CALL_LOST = 'call_lost'
     SUSPECT = 'suspect'
     CALLS_SUMMED = 'calls_summed'
     # State as seen by this process.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,7 +5,10 @@
 import re
 import unittest
 
+from aiohttp import test_utils
+
 import tamarackthread
+from tamarackthread.platform import calls as platform_calls
 from tamarackthread.platform import configuration as platform_configuration
 from tamarackthread.platform import wire
 from tamarackthread.shared import findings
@@ -65,6 +68,27 @@
         self.assertLessEqual(lines, MAX_LINES)
 
 
+class PromptCase(unittest.TestCase):
+    def test_shared_parts(self):
+        """Guards against taking a call's own part for one that others share."""
+        cases = {
+            '5c1e:800,91bd:410,e440:250': ('5c1e', '91bd'),
+            ' 5c1e:800 , 91bd:410': ('5c1e',),
+            'e440:250': (),
+            '5c1e:800,,e440:250': ('5c1e',),
+            '': (),
+        }
+        for header, wanted in cases.items():
+            with self.subTest(header=header):
+                request = test_utils.make_mocked_request(
+                    'POST',
+                    '/a/b',
+                    headers={wire.CALL_ID: 'c1', wire.PROMPT: header},
+                )
+                parsed = platform_calls.PlatformDialect().read_request(request)
+                self.assertEqual(wanted, parsed.shared_parts)
+
+
 class ReaderCase(unittest.TestCase):
     def test_whole_configuration(self):
         """All fields of a configuration are parsed."""
