Take a target that is gone for crashed, however far its answer had got

Callers saw target after target go down. An entry suspected a call only when its connection closed before anything of the answer had come; targets that crash as they begin to write have sent the head by then, so that no crash counted.

A loss counts now if the target takes no new connection, so a rank that breaks off because another rank was lost, a reset link and a dropped answer accuse nobody. What is kept and shared is the crash with all calls that ran there, not a sum for each call: an answer on the same call that got further, or was whole, clears it, and the fewest suspects that explain the crashes are blamed. A crash of half a dozen targets at once counts for a suspect that half of them ran, and one such moment alone refuses nothing. A refusal keeps its evidence: what forgot after a minute let three more targets crash each minute.

Changed tests: losses are recorded as crashes of targets, with the same bounds; the target of test_refused_unrun now goes down, as one that goes on is no evidence any more; memory is bounded in crashes and in suspects of one crash. New, failed before: test_crash_after_the_head, test_target_that_goes_on (the call was suspected), test_kept_while_refused.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -284,17 +284,23 @@
 // and failed there of late.  It gets the sums of all entries at the targets at
 // which these have changed since serial.
 struct SiteCalls { 1: string id, 2: i32 calls, 3: i32 answered, 4: i32 failed }
-// starts are those of targets that were lost while they ran the call that mark is
-// a hash of; so long ago one was lost for the last time, and one has answered it, if
-// ever.  Both sides tell them whole, and only if they have changed; a reply joins
-// what all other entries have told.
-struct SiteSuspect { 1: binary mark, 2: list<string> starts, 3: i32 lost_ms, 4: optional i32 answered_ms }
+// A crash of the target instance start: who saw it first, how long ago it was, and
+// how long ago a call was last refused for it.  Suspects are marks of the calls that
+// ran there: hashes of calls, and parts of prompts.  reach tells how far the longest
+// answer got: 0 nothing, 1 begun; is_cleared that another answer got further.
+struct SiteCrashSuspect { 1: binary mark, 2: i32 depth, 3: i32 reach, 4: bool is_cleared }
+struct SiteCrash {
+  1: string start, 2: string service_name, 3: string witness, 4: i32 lost_ms, 5: i32 used_ms,
+  6: list<SiteCrashSuspect> suspects,
+}
+// Both sides tell the crashes that have changed since the other's crashes_serial.
+// Fields 4 and 5 are no longer sent.
 struct SiteLoadRequest { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> own,
-  4: optional list<SiteSuspect> suspects, 5: i64 suspects_serial,
+  6: optional list<SiteCrash> crashes, 7: i64 crashes_serial,
 }
 // entries counts those whose calls are in the sums.
 struct SiteLoadReply { 1: i64 epoch, 2: i64 serial, 3: list<SiteCalls> changed,
-  4: optional list<SiteSuspect> suspects, 5: i64 suspects_serial, 6: i32 entries,
+  6: i32 entries, 7: optional list<SiteCrash> crashes, 8: i64 crashes_serial,
 }
 
 // An operator asks for a zone to be evacuated or taken back; without a name, how
--- a/tamarackthread/control/site/loads.py
+++ b/tamarackthread/control/site/loads.py
@@ -7,7 +7,7 @@
 import attrs
 
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.policy import poison_calls
+from tamarackthread.policy import crash_records
 
 # Time after which a silent entry's calls are dropped.  An entry that was killed has
 # closed its connections, which cancels its calls.
@@ -37,8 +37,6 @@
 
     rows: dict[str, CallTotals]
     received_at: float
-    suspects: tuple[messages.SiteSuspect, ...] = ()
-    suspects_at: float = 0
 
 
 _NO_CALLS = CallTotals()
@@ -47,6 +45,8 @@
 class Loads:
     """Sum the calls of all entries and send each entry the changes.
 
+    Crashes of targets go round in the same way.
+
     Without the totals an entry sees only its own calls, and would send more to
     targets that other entries have filled.
     """
@@ -58,7 +58,7 @@
         self._totals: dict[str, CallTotals] = {}
         self._changed_at: dict[str, int] = {}
         self._serial = 0
-        self._suspects_serial = 0
+        self._crashes = crash_records.CrashRecords()
 
     def answer(
         self,
@@ -72,15 +72,12 @@
             for row in request.own
         }
         self._set_rows(entry, rows, now)
-        if request.suspects is not None:
-            self._reports[entry].suspects = tuple(request.suspects)
-            self._reports[entry].suspects_at = now
-            self._suspects_serial += 1
+        for row in request.crashes or ():
+            self._crashes.record(crash_records.from_message(row), now)
         self._drop_silent(now)
         is_known = request.epoch == self._epoch
         known_serial = request.serial if is_known else 0
-        known_suspects_serial = request.suspects_serial if is_known else 0
-        has_news = (known_suspects_serial or 0) != self._suspects_serial
+        known_crashes = (request.crashes_serial or 0) if is_known else 0
         return messages.SiteLoadReply(
             epoch=self._epoch,
             serial=self._serial,
@@ -89,24 +86,14 @@
                 for target, serial in self._changed_at.items()
                 if serial > known_serial
             ],
-            suspects=self._suspects(entry) if has_news else None,
-            suspects_serial=self._suspects_serial,
+            crashes=[
+                crash_records.to_message(crash)
+                for crash in self._crashes.crashes(now, known_crashes)
+            ],
+            crashes_serial=self._crashes.serial,
             entries=len(self._reports),
         )
 
-    def _suspects(self, entry: str) -> list[messages.SiteSuspect]:
-        """Merge the suspected poison requests of all entries but one."""
-        now = asyncio.get_running_loop().time()
-        rows = (
-            poison_calls.from_message(row).aged(now - report.suspects_at)
-            for other, report in self._reports.items()
-            if other != entry
-            for row in report.suspects
-        )
-        return [
-            poison_calls.to_message(row) for row in poison_calls.merge(rows)
-        ]
-
     def _set_rows(
         self, entry: str, rows: dict[str, CallTotals], now: float
     ) -> None:
--- /dev/null
+++ b/tamarackthread/entry/direct/call_marks.py
@@ -0,0 +1,51 @@
+"""Identify what calls have in common, to blame it for crashes of targets."""
+
+from __future__ import annotations
+
+import hashlib
+
+from tamarackthread.entry.direct import calls
+from tamarackthread.policy import crash_records
+
+FINGERPRINT_BYTES = 16
+# Repetitions of one call are fewer than calls that share any part.
+CALL_DEPTH = 1 << 20
+_CALL = b'call:'
+
+
+def of(call: calls.Call) -> list[bytes]:
+    """List the marks of a call, those that fewer calls share last."""
+    return [*of_parts(call), _CALL + fingerprint(call)]
+
+
+def of_parts(call: calls.Call) -> list[bytes]:
+    """List the marks that other calls may have too."""
+    return []
+
+
+def suspects(
+    call: calls.Call, reach: crash_records.Reach
+) -> tuple[crash_records.Suspect, ...]:
+    """Make suspects of the marks of a call whose answer got so far."""
+    marks = of(call)
+    depths = [*range(len(marks) - 1), CALL_DEPTH]
+    return tuple(
+        crash_records.Suspect(mark, depth, reach)
+        for mark, depth in zip(marks, depths, strict=True)
+    )
+
+
+def describe(mark: bytes) -> str:
+    """Return a mark as text for logs."""
+    return f'call {mark.removeprefix(_CALL).hex()}'
+
+
+def fingerprint(call: calls.Call) -> bytes:
+    """Return a hash that is equal for repetitions of a call."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    fields = (call.request.method, call.request.host, call.request.path)
+    for part in (*fields, call.organisation):
+        digest.update(part.encode())
+        digest.update(b'\0')
+    digest.update(call.body)
+    return digest.digest()
--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -53,7 +53,7 @@
         self._poison = poison
         self._targets = all_targets
         self._admission = admission
-        self._relay = stream_relay.StreamRelay(admission)
+        self._relay = stream_relay.StreamRelay(admission, poison)
         self._client = client
         self._budget = budget
         self._random = generator
@@ -115,15 +115,14 @@
             async with target.lifetime():
                 await self._send(call, target, progress, out)
         except errors.CodedError as exc:
-            self._poison.note_failure(call, target, exc)
-            self._poison.trace_loss(call, target, progress, exc)
+            self._poison.note_failure(call, target, progress, exc)
             self._record_failure(call, target, progress, exc)
             call_progress.log_failed_try(call, target, progress, exc)
             return False
         finally:
             self._end_try(call, target, progress)
         target.reset_backoff()
-        self._poison.note_answer(call)
+        self._poison.note_whole(call)
         self._admission.record_answer(call, loop.time() - started_at)
         return True
 
@@ -156,6 +155,7 @@
         await self._targets.wait_for_target(
             call.service, tried, calls.startup_wait(time_left)
         )
+        self._check_poison(call, progress)
         target = self._targets.choose(
             call.service, tried, progress.failed_groups
         )
@@ -163,6 +163,17 @@
             raise self._final_error(call, progress)
         return target
 
+    def _check_poison(
+        self, call: calls.Call, progress: call_progress.CallProgress
+    ) -> None:
+        """Raise the final error for a call that was found to be poison."""
+        try:
+            self._poison.check(call)
+        except failures.CallCrashes:
+            if progress.may_have_run:
+                raise self._final_error(call, progress) from None
+            raise
+
     def _may_retry(
         self, call: calls.Call, progress: call_progress.CallProgress
     ) -> bool:
--- a/tamarackthread/entry/direct/load_exchange.py
+++ b/tamarackthread/entry/direct/load_exchange.py
@@ -25,7 +25,7 @@
 REPLY_TIMEOUT_SECONDS = 0.3
 # The loads of other entries expire after this time without an exchange.
 STALE_SECONDS = 1.0
-NEVER_SENT = -1
+NEVER_SENT = 0
 _log = logging.getLogger('tamarackthread.entry')
 
 ListNames = collections.abc.Callable[[], collections.abc.Sequence[str]]
@@ -48,7 +48,7 @@
         """Exchange the loads of ``all_targets`` with one of ``hosts``.
 
         ``on_exchange`` is called after each attempt, also if no host replied.
-        Poison requests are exchanged as well.
+        Crashes of targets are exchanged as well.
         """
         self._poison = poison or poison_requests.PoisonRequests()
         self._targets = all_targets
@@ -91,7 +91,7 @@
 
     async def _exchange_with(self, host: str) -> None:
         own = self._targets.own_loads()
-        suspects = self._poison.own_rows()
+        crashes = self._poison.changed_rows(self._sent_serial)
         serial = self._poison.serial
         request = messages.SiteLoadRequest(
             epoch=self._epoch,
@@ -105,8 +105,8 @@
                 )
                 for target, load in own.items()
             ],
-            suspects=None if serial == self._sent_serial else suspects,
-            suspects_serial=self._received_serial,
+            crashes=crashes or None,
+            crashes_serial=self._received_serial,
         )
         async with asyncio.timeout(REPLY_TIMEOUT_SECONDS):
             reply = await self._links.request(
@@ -130,8 +130,8 @@
             self._sent_serial = NEVER_SENT
         self._epoch = reply.epoch
         self._serial = reply.serial
-        self._received_serial = reply.suspects_serial or 0
-        self._poison.set_shared_rows(reply.suspects or ())
+        self._received_serial = reply.crashes_serial or 0
+        self._poison.learn_rows(reply.crashes or ())
         for row in reply.changed:
             outcomes = outlier_detection.OutcomeCounts(
                 row.answered or 0, row.failed or 0
--- a/tamarackthread/entry/direct/poison_requests.py
+++ b/tamarackthread/entry/direct/poison_requests.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import collections.abc
-import hashlib
 import logging
 
 import attrs
 
 from tamarackthread.entry.direct import (
+    call_marks,
     call_progress,
     calls,
     failures,
@@ -18,12 +18,11 @@
     target_probe,
 )
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.policy import poison_calls
+from tamarackthread.policy import crash_records, poison_calls
 from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import site_metrics
 
-FINGERPRINT_BYTES = 16
-# A retry within the time to live of the suspect would be refused again.
+# A retry would be refused again for as long as the evidence is kept.
 RETRY_AFTER_SECONDS = 30.0
 _log = logging.getLogger('tamarackthread.entry')
 
@@ -36,147 +35,205 @@
     target: instances.TargetInstance
     # Events of the answer that came from the target.
     events: int
+    # On the loop's clock.
+    lost_at: float
 
 
 class PoisonRequests:
     """Check calls before they are sent, and track those that crash targets."""
 
-    # A hash of request, organisation and body identifies repetitions; it is
-    # computed only after a target was lost, and while there are suspects.
-    def __init__(self, probe: Probe = target_probe.is_listening) -> None:
-        """Start without suspects; ``probe`` tells if an address listens."""
-        self._suspects = poison_calls.PoisonCalls()
+    def __init__(
+        self,
+        name: str = '',
+        probe: Probe = target_probe.is_listening,
+    ) -> None:
+        """Start without crashes.
+
+        ``name`` is this entry's; ``probe`` tells if an address listens.
+        """
+        self._name = name
+        self._poison = poison_calls.PoisonCalls()
         self._probe = probe
         self._probing: set[asyncio.Task[None]] = set()
+        self._blamed: poison_calls.Findings = {}
 
     def check(self, call: calls.Call) -> None:
-        """Raise ``CallCrashes`` for a call that has crashed several targets."""
-        if self._verdict(call) is not poison_calls.Verdict.REFUSED:
+        """Raise ``CallCrashes`` for a call that would crash its target."""
+        now = asyncio.get_running_loop().time()
+        finding = self._finding(call, now)
+        if finding is None:
             return
+        if finding.verdict is not poison_calls.Verdict.REFUSED:
+            return
+        self._poison.records.record_use(
+            [crash.start for crash in finding.crashes], now
+        )
         site_metrics.CALLS_SUSPECTED.labels('refused').inc()
-        self._log_suspect(call, 'refused')
+        _log_finding(finding, 'refused', call.request.path, call.organisation)
         raise failures.CallCrashes(
             call.request.path, retry_after=RETRY_AFTER_SECONDS
         )
 
     def may_repeat(self, call: calls.Call) -> bool:
         """Tell whether this entry may retry a call."""
-        return self._verdict(call) is poison_calls.Verdict.ALLOWED
-
-    def note_failure(
-        self,
-        call: calls.Call,
-        target: instances.TargetInstance,
-        failure: errors.CodedError,
-    ) -> None:
-        """Record a failed try, if the target was lost before it answered."""
-        # A target that had begun to answer survived running the call.
-        if not isinstance(failure, target_client.Unanswered):
-            return
         now = asyncio.get_running_loop().time()
-        instance = f'{target.name}/{target.announcement.born}'
-        self._suspects.record_loss(fingerprint(call), instance, now)
-        site_metrics.CALLS_SUSPECTED.labels('lost').inc()
-        self._log_suspect(call, 'lost')
+        return self._finding(call, now) is None
 
-    def trace_loss(
+    def note_failure(
         self,
         call: calls.Call,
         target: instances.TargetInstance,
         progress: call_progress.CallProgress,
         failure: errors.CodedError,
     ) -> None:
-        """Log a call whose connection was lost, and whether its target is."""
+        """Record a crash if the try's target has closed its connection."""
         is_unanswered = isinstance(failure, target_client.Unanswered)
         if not is_unanswered and not progress.is_cut:
             return
-        lost = _LostCall(call, target, progress.relayed_events)
-        probing = asyncio.get_running_loop().create_task(self._log_lost(lost))
+        loop = asyncio.get_running_loop()
+        lost = _LostCall(call, target, progress.relayed_events, loop.time())
+        probing = loop.create_task(self._examine(lost))
         self._probing.add(probing)
         probing.add_done_callback(self._probing.discard)
 
-    def note_answer(self, call: calls.Call) -> None:
-        """Record that a target has answered a call."""
-        if self._suspects:
-            now = asyncio.get_running_loop().time()
-            self._suspects.record_answer(fingerprint(call), now)
+    def note_begun(self, call: calls.Call) -> None:
+        """Record that a target has sent some of a call's answer."""
+        self._note_answer(call, crash_records.Reach.BEGUN)
+
+    def note_whole(self, call: calls.Call) -> None:
+        """Record that a target has answered a call in whole."""
+        self._note_answer(call, crash_records.Reach.WHOLE)
 
     @property
     def serial(self) -> int:
-        """Return a number that grows with each change of ``own_rows``."""
-        return self._suspects.serial
+        """Return a number that grows with each change of ``changed_rows``."""
+        return self._poison.records.serial
 
-    def own_rows(self) -> list[messages.SiteSuspect]:
-        """List the suspects that this entry reports to the others."""
+    def changed_rows(self, since: int = 0) -> list[messages.SiteCrash]:
+        """List the crashes that have changed after version ``since``."""
         now = asyncio.get_running_loop().time()
+        self._log_blamed(now)
         return [
-            poison_calls.to_message(row)
-            for row in self._suspects.histories(now)
+            crash_records.to_message(crash)
+            for crash in self._poison.records.crashes(now, since)
         ]
 
-    def set_shared_rows(
+    def learn_rows(
         self,
-        rows: collections.abc.Iterable[messages.SiteSuspect],
+        rows: collections.abc.Iterable[messages.SiteCrash],
     ) -> None:
-        """Replace the suspects reported by the other entries."""
+        """Merge the crashes that other entries have seen."""
         now = asyncio.get_running_loop().time()
-        self._suspects.merge(
-            [poison_calls.from_message(row) for row in rows], now
-        )
+        for row in rows:
+            self._poison.records.record(crash_records.from_message(row), now)
+
+    async def probed(self) -> None:
+        """Wait until all lost calls so far are examined."""
+        await asyncio.gather(*self._probing)
 
-    async def _log_lost(self, lost: _LostCall) -> None:
+    async def _examine(self, lost: _LostCall) -> None:
+        """Record a lost call as a suspect if its target is gone."""
+        # A rank breaks off its answers when another rank of its group is lost,
+        # and links lose connections; such a target still listens.
         target = lost.target
         is_listening = await self._probe(target.announcement.address)
-        log_events.emit(
-            _log,
-            log_events.Event.CALL_LOST,
-            'entry: call was lost at %s after %d events, target %s',
-            target.name,
-            lost.events,
-            'goes on' if is_listening else 'is gone',
-            target=target.name,
-            born=target.announcement.born,
-            is_gone=not is_listening,
-            is_draining=target.is_draining,
-            events=lost.events,
-            parts=lost.call.request.shared_parts,
-            path=lost.call.request.path,
-            organisation=lost.call.organisation,
-        )
-
-    def _verdict(self, call: calls.Call) -> poison_calls.Verdict:
-        if not self._suspects:
-            return poison_calls.Verdict.ALLOWED
-        now = asyncio.get_running_loop().time()
-        return self._suspects.verdict(fingerprint(call), now)
-
-    def _log_suspect(self, call: calls.Call, verdict: str) -> None:
-        mark = fingerprint(call)
+        _log_lost(lost, is_listening=is_listening)
+        if is_listening or target.is_draining:
+            return
+        reach = crash_records.Reach.NOTHING
+        if lost.events:
+            reach = crash_records.Reach.BEGUN
         now = asyncio.get_running_loop().time()
-        losses = self._suspects.crash_count(mark, now)
-        log_events.emit(
-            _log,
-            log_events.Event.SUSPECT,
-            'entry: call %s of organisation %s was %s, %d targets crashed by it',
-            mark.hex(),
-            call.organisation or '-',
-            verdict,
-            losses,
-            level=logging.WARNING,
-            mark=mark.hex(),
-            path=call.request.path,
-            organisation=call.organisation,
-            verdict=verdict,
-            losses=losses,
+        site_metrics.CALLS_SUSPECTED.labels('lost').inc()
+        self._poison.records.record(
+            crash_records.Crash(
+                start=f'{target.name}/{target.announcement.born}',
+                service=lost.call.service,
+                witness=self._name,
+                lost=now - lost.lost_at,
+                suspects=call_marks.suspects(lost.call, reach),
+            ),
+            now,
         )
 
-
-def fingerprint(call: calls.Call) -> bytes:
-    """Return a hash that is equal for repetitions of a call."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    fields = (call.request.method, call.request.host, call.request.path)
-    for part in (*fields, call.organisation):
-        digest.update(part.encode())
-        digest.update(b'\0')
-    digest.update(call.body)
-    return digest.digest()
+    def _note_answer(
+        self, call: calls.Call, reach: crash_records.Reach
+    ) -> None:
+        records = self._poison.records
+        if not records and not call.request.shared_parts:
+            return
+        now = asyncio.get_running_loop().time()
+        marks = call_marks.of(call) if records else call_marks.of_parts(call)
+        records.record_answer(call.service, marks, reach, now)
+
+    def _finding(
+        self, call: calls.Call, now: float
+    ) -> poison_calls.Finding | None:
+        if not self._poison.findings(now):
+            return None
+        return self._poison.worst(call_marks.of(call), now)
+
+    def _log_blamed(self, now: float) -> None:
+        """Log what is refused from now on, and on which evidence."""
+        findings = self._poison.findings(now)
+        if findings is self._blamed:
+            return
+        for mark, finding in findings.items():
+            before = self._blamed.get(mark)
+            if before is None or before.verdict is not finding.verdict:
+                _log_finding(finding, finding.verdict.value)
+        self._blamed = findings
+        verdicts = [blamed.verdict for blamed in findings.values()]
+        site_metrics.SUSPECTS.set(verdicts.count(poison_calls.Verdict.REFUSED))
+
+
+def _log_lost(lost: _LostCall, *, is_listening: bool) -> None:
+    target = lost.target
+    log_events.emit(
+        _log,
+        log_events.Event.CALL_LOST,
+        'entry: call was lost at %s after %d events, target %s',
+        target.name,
+        lost.events,
+        'goes on' if is_listening else 'is gone',
+        target=target.name,
+        born=target.announcement.born,
+        is_gone=not is_listening,
+        is_draining=target.is_draining,
+        events=lost.events,
+        parts=lost.call.request.shared_parts,
+        path=lost.call.request.path,
+        organisation=lost.call.organisation,
+    )
+
+
+def _log_finding(
+    finding: poison_calls.Finding,
+    verdict: str,
+    path: str = '',
+    organisation: str = '',
+) -> None:
+    """Log a suspect with its evidence; a path if one call is refused."""
+    name = call_marks.describe(finding.mark)
+    log_events.emit(
+        _log,
+        log_events.Event.SUSPECT,
+        'entry: %s is %s, %d targets crashed on it',
+        name,
+        verdict,
+        len(finding.crashes),
+        level=logging.WARNING,
+        mark=name,
+        path=path,
+        organisation=organisation,
+        verdict=verdict,
+        losses=len(finding.crashes),
+        targets=[crash.start for crash in finding.crashes],
+        witnesses=sorted({crash.witness for crash in finding.crashes}),
+        first_ms_ago=_milliseconds(max(one.lost for one in finding.crashes)),
+        last_ms_ago=_milliseconds(min(one.lost for one in finding.crashes)),
+    )
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -81,7 +81,7 @@
                 self._targets, reader, tables, admission, cold_limits
             ),
         )
-        poison = poison_requests.PoisonRequests()
+        poison = poison_requests.PoisonRequests(settings.node.id)
         self._load_exchange = load_exchange.LoadExchange(
             self._targets,
             self._links,
--- a/tamarackthread/entry/direct/stream_relay.py
+++ b/tamarackthread/entry/direct/stream_relay.py
@@ -8,6 +8,7 @@
     admission_control,
     call_progress,
     calls,
+    poison_requests,
     sink,
     stream_timing,
     target_client,
@@ -23,9 +24,17 @@
 class StreamRelay:
     """Relay streams to callers, event by event."""
 
-    def __init__(self, admission: admission_control.AdmissionControl) -> None:
-        """Tell ``admission`` of the events and the gaps between them."""
+    def __init__(
+        self,
+        admission: admission_control.AdmissionControl,
+        poison: poison_requests.PoisonRequests,
+    ) -> None:
+        """Tell ``admission`` of the events and the gaps between them.
+
+        ``poison`` is told of answers that have begun.
+        """
         self._admission = admission
+        self._poison = poison
 
     async def run(
         self,
@@ -69,6 +78,8 @@
     ) -> None:
         count = sum(block.is_event for block in ready)
         if count:
+            if not progress.relayed_events:
+                self._poison.note_begun(call)
             progress.relayed_events += count
             self._admission.note_piece(call)
             self._note_gap(call, out.timing, count)
--- a/tamarackthread/policy/poison_calls.py
+++ b/tamarackthread/policy/poison_calls.py
@@ -1,29 +1,29 @@
-"""Detect poison calls, which crash every target that runs them."""
+"""Detect what crashes each target that runs it: a call, or a shared part."""
 
 from __future__ import annotations
 
-import collections
 import collections.abc
 import enum
 import math
+import operator
 
 import attrs
 
-from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.policy import crash_records
 
 # Crashes after which a call isn't retried and after which it is refused;
 # ordinary calls may see one or two by coincidence.
 NO_RETRY_LOSSES = 2
 REFUSED_LOSSES = 3
-# This many targets lost within this time share a cause, such as a power or
-# network failure, so the loss isn't attributed to calls.
+# Crashes within this time may share a cause, such as a power failure.  So many
+# do unless half of the targets ran the same suspect, and one such moment alone
+# refuses nothing.
 CORRELATED_LOSS_SECONDS = 0.5
 CORRELATED_LOSS_TARGETS = 3
-# Time to live of a history; a refused call is then tried again.
-HISTORY_TTL_SECONDS = 60.0
-# Most histories kept; the least recently updated one is evicted first.
-MAX_CALLS = 128
-MILLISECONDS = 1000
+MIN_REFUSED_MOMENTS = 2
+# Of suspects with about as many crashes the one that fewest calls share is
+# blamed.  One that more calls share must explain this many more.
+WIDER_SUSPECT_LOSSES = 2
 
 
 class Verdict(enum.Enum):
@@ -34,231 +34,176 @@
     REFUSED = 'refused'
 
 
-@attrs.frozen(kw_only=True)
-class CrashHistory:
-    """The crashes caused by one call; ``mark`` is its fingerprint."""
-
-    mark: bytes
-    # Target instances that were lost while running the call.
-    starts: frozenset[str] = frozenset()
-    # Seconds since the last loss and the last answer, or infinity.
-    lost: float = math.inf
-    answered: float = math.inf
-
-    @property
-    def is_harmless(self) -> bool:
-        """Tell whether the call was answered since its last crash."""
-        return self.answered <= self.lost
-
-    def is_equivalent(self, other: CrashHistory) -> bool:
-        """Tell whether both are the same except for their ages."""
-        is_alike = self.is_harmless == other.is_harmless
-        return is_alike and self.starts == other.starts
-
-    def aged(self, seconds: float) -> CrashHistory:
-        """Return a copy whose ages are increased by ``seconds``."""
-        return attrs.evolve(
-            self, lost=self.lost + seconds, answered=self.answered + seconds
-        )
-
-    def merged(self, other: CrashHistory) -> CrashHistory:
-        """Merge two histories; an answer clears the crashes before it."""
-        answered = min(self.answered, other.answered)
-        counted = [
-            history for history in (self, other) if history.lost < answered
-        ]
-        starts = frozenset[str]().union(
-            *(history.starts for history in counted)
-        )
-        return CrashHistory(
-            mark=self.mark,
-            starts=starts,
-            lost=min(self.lost, other.lost),
-            answered=answered,
-        )
-
-
 @attrs.frozen
-class _Loss:
-    mark: bytes
-    start: str
-    seen_at: float
+class Finding:
+    """A suspect that is blamed, and the crashes that it explains."""
 
+    mark: bytes
+    verdict: Verdict
+    crashes: tuple[crash_records.Crash, ...]
 
-@attrs.define(eq=False)
-class _Record:
-    """A call's history; times are the loop's, minus infinity for never."""
 
-    starts: set[str] = attrs.field(factory=set)
-    lost_at: float = -math.inf
-    answered_at: float = -math.inf
+Findings = collections.abc.Mapping[bytes, Finding]
 
 
 class PoisonCalls:
-    """The crash histories seen by this entry and received from others."""
-
-    # Each entry keeps what all of them know, so that a history outlives the
-    # entries that have seen it; all forget it at the same time, by its age.
+    """What this entry knows of crashes, and what it blames them on."""
 
     def __init__(self) -> None:
-        """Start without histories."""
-        self._records: collections.OrderedDict[bytes, _Record] = (
-            collections.OrderedDict()
-        )
-        self._losses: collections.deque[_Loss] = collections.deque()
-        self._pending: list[_Loss] = []
-        self._serial = 0
+        """Start without crashes."""
+        self._records = crash_records.CrashRecords()
+        self._findings: Findings = {}
+        self._found_serial = 0
+        self._next_look = -math.inf
 
     @property
-    def serial(self) -> int:
-        """Return a version that grows with each change to be shared."""
-        return self._serial
-
-    def __bool__(self) -> bool:
-        """Tell whether there are histories, so that calls need a look-up."""
-        return bool(self._records or self._pending)
-
-    def record_loss(self, mark: bytes, start: str, now: float) -> None:
-        """Record that a target instance was lost before answering a call."""
-        loss = _Loss(mark, start, now)
-        self._losses.append(loss)
-        self._pending.append(loss)
-
-    def record_answer(self, mark: bytes, now: float) -> None:
-        """Record an answer to a call; calls without a history are ignored."""
-        is_pending = any(loss.mark == mark for loss in self._pending)
-        if mark not in self._records and not is_pending:
-            return
-        history = self._record(mark)
-        history.starts.clear()
-        history.answered_at = now
-        self._serial += 1
-        self._pending = [loss for loss in self._pending if loss.mark != mark]
-
-    def merge(
-        self,
-        others: collections.abc.Iterable[CrashHistory],
-        now: float,
-    ) -> None:
-        """Merge histories received from other entries."""
-        for other in others:
-            if min(other.lost, other.answered) >= HISTORY_TTL_SECONDS:
-                continue
-            held = self._history(other.mark, now)
-            combined = held.merged(other)
-            # Ages differ slightly between entries and aren't shared again.
-            if combined.is_equivalent(held):
-                continue
-            self._serial += 1
-            history = self._record(other.mark)
-            history.starts = set(combined.starts)
-            history.lost_at = now - combined.lost
-            history.answered_at = now - combined.answered
-
-    def histories(self, now: float) -> list[CrashHistory]:
-        """List the histories."""
-        self._attribute_losses(now)
-        return [self._history(mark, now) for mark in self._records]
-
-    def crash_count(self, mark: bytes, now: float) -> int:
-        """Count the instances that a call has crashed, 0 if it is harmless."""
-        self._attribute_losses(now)
-        found = self._history(mark, now)
-        return 0 if found.is_harmless else len(found.starts)
-
-    def verdict(self, mark: bytes, now: float) -> Verdict:
-        """Decide how to handle a call."""
-        losses = self.crash_count(mark, now)
-        if losses >= REFUSED_LOSSES:
-            return Verdict.REFUSED
-        return (
-            Verdict.NO_RETRY if losses >= NO_RETRY_LOSSES else Verdict.ALLOWED
+    def records(self) -> crash_records.CrashRecords:
+        """Return the crashes."""
+        return self._records
+
+    def findings(self, now: float) -> Findings:
+        """Return what is blamed, by mark."""
+        is_current = self._found_serial == self._records.serial
+        if is_current and now < self._next_look:
+            return self._findings
+        crashes = self._records.crashes(now)
+        self._findings = find_poison(crashes)
+        self._found_serial = self._records.serial
+        self._next_look = now + _seconds_to_change(crashes)
+        return self._findings
+
+    def worst(
+        self, marks: collections.abc.Iterable[bytes], now: float
+    ) -> Finding | None:
+        """Return the finding with the most crashes of a call's marks."""
+        findings = self.findings(now)
+        found = [findings[mark] for mark in marks if mark in findings]
+        return max(
+            found, key=lambda finding: len(finding.crashes), default=None
         )
 
-    def _record(self, mark: bytes) -> _Record:
-        history = self._records.setdefault(mark, _Record())
-        self._records.move_to_end(mark)
-        if len(self._records) > MAX_CALLS:
-            self._records.popitem(last=False)
-        return history
-
-    def _history(self, mark: bytes, now: float) -> CrashHistory:
-        history = self._records.get(mark)
-        if history is None:
-            return CrashHistory(mark=mark)
-        return CrashHistory(
-            mark=mark,
-            starts=frozenset(history.starts),
-            lost=now - history.lost_at,
-            answered=now - history.answered_at,
-        )
+    def verdict(
+        self, marks: collections.abc.Iterable[bytes], now: float
+    ) -> Verdict:
+        """Decide how to handle a call with these marks."""
+        finding = self.worst(marks, now)
+        return Verdict.ALLOWED if finding is None else finding.verdict
+
+
+def find_poison(
+    crashes: collections.abc.Sequence[crash_records.Crash],
+) -> dict[bytes, Finding]:
+    """Blame the fewest suspects that explain the crashes, by mark."""
+    mature = [
+        crash for crash in crashes if crash.lost >= CORRELATED_LOSS_SECONDS
+    ]
+    found: dict[bytes, Finding] = {}
+    unexplained = mature
+    while True:
+        finding = _likeliest(unexplained, mature)
+        if finding is None:
+            return found
+        found[finding.mark] = finding
+        explained = {crash.start for crash in finding.crashes}
+        unexplained = [
+            crash for crash in unexplained if crash.start not in explained
+        ]
 
-    def _attribute_losses(self, now: float) -> None:
-        """Attribute losses that are old enough to exclude a common cause."""
-        pending = self._pending
-        self._pending = []
-        for loss in pending:
-            if now - loss.seen_at < CORRELATED_LOSS_SECONDS:
-                self._pending.append(loss)
-                continue
-            if self._is_isolated(loss):
-                history = self._record(loss.mark)
-                self._serial += loss.start not in history.starts
-                history.starts.add(loss.start)
-                history.lost_at = max(history.lost_at, loss.seen_at)
-        self._evict_expired(now)
-
-    def _is_isolated(self, loss: _Loss) -> bool:
-        """Tell whether a loss wasn't correlated with those of others."""
-        correlated = {
-            other.start
-            for other in self._losses
-            if abs(other.seen_at - loss.seen_at) <= CORRELATED_LOSS_SECONDS
-        }
-        return len(correlated) < CORRELATED_LOSS_TARGETS
-
-    def _evict_expired(self, now: float) -> None:
-        oldest = now - HISTORY_TTL_SECONDS
-        while self._losses and self._losses[0].seen_at < oldest:
-            self._losses.popleft()
-        for mark, history in tuple(self._records.items()):
-            if max(history.lost_at, history.answered_at) < oldest:
-                self._records.pop(mark)
-
-
-def merge(rows: collections.abc.Iterable[CrashHistory]) -> list[CrashHistory]:
-    """Merge the histories of several entries by call."""
-    found: dict[bytes, CrashHistory] = {}
-    for history in rows:
-        held = found.get(history.mark)
-        found[history.mark] = history if held is None else held.merged(history)
-    return list(found.values())
-
-
-def to_message(history: CrashHistory) -> messages.SiteSuspect:
-    """Convert a history into a message between nodes."""
-    return messages.SiteSuspect(
-        mark=history.mark,
-        starts=sorted(history.starts),
-        lost_ms=_milliseconds(history.lost) or 0,
-        answered_ms=_milliseconds(history.answered),
-    )
 
+@attrs.define(eq=False)
+class _Count:
+    """The crashes that one suspect would explain."""
+
+    mark: bytes
+    depth: int = 0
+    crashes: list[crash_records.Crash] = attrs.field(factory=list)
 
-def from_message(message: messages.SiteSuspect) -> CrashHistory:
-    """Convert a message back into a history."""
-    answered = math.inf
-    if message.answered_ms is not None:
-        answered = message.answered_ms / MILLISECONDS
-    return CrashHistory(
-        mark=message.mark,
-        starts=frozenset(message.starts),
-        lost=(message.lost_ms or 0) / MILLISECONDS
-        if message.starts
-        else math.inf,
-        answered=answered,
+    @property
+    def verdict(self) -> Verdict:
+        if len(self.crashes) < NO_RETRY_LOSSES:
+            return Verdict.ALLOWED
+        has_moments = _count_moments(self.crashes) >= MIN_REFUSED_MOMENTS
+        if len(self.crashes) < REFUSED_LOSSES or not has_moments:
+            return Verdict.NO_RETRY
+        return Verdict.REFUSED
+
+    @property
+    def rank(self) -> tuple[int, int, bytes]:
+        """Return what orders suspects with about as many crashes."""
+        return self.depth, len(self.crashes), self.mark
+
+
+def _likeliest(
+    unexplained: list[crash_records.Crash],
+    mature: list[crash_records.Crash],
+) -> Finding | None:
+    """Find the suspect that most likely caused some of the crashes."""
+    counts = _count_suspects(unexplained, mature)
+    for verdict in (Verdict.REFUSED, Verdict.NO_RETRY):
+        alike = [count for count in counts if count.verdict is verdict]
+        if not alike:
+            continue
+        most = max(len(count.crashes) for count in alike)
+        fewest = most - WIDER_SUSPECT_LOSSES
+        near = [count for count in alike if len(count.crashes) > fewest]
+        blamed = max(near, key=operator.attrgetter('rank'))
+        return Finding(blamed.mark, verdict, tuple(blamed.crashes))
+    return None
+
+
+def _count_suspects(
+    unexplained: list[crash_records.Crash],
+    mature: list[crash_records.Crash],
+) -> list[_Count]:
+    """Count the crashes of each suspect that no answer has cleared."""
+    counts: dict[bytes, _Count] = {}
+    for crash in unexplained:
+        for suspect in crash.suspects:
+            if suspect.is_cleared or _is_correlated(suspect, crash, mature):
+                continue
+            count = counts.setdefault(suspect.mark, _Count(suspect.mark))
+            count.depth = max(count.depth, suspect.depth)
+            count.crashes.append(crash)
+    return list(counts.values())
+
+
+def _count_moments(crashes: list[crash_records.Crash]) -> int:
+    """Count the crashes, those that came together as one."""
+    count = 0
+    ends_at = -1.0
+    for lost in sorted(crash.lost for crash in crashes):
+        if lost <= ends_at:
+            continue
+        count += 1
+        ends_at = lost + CORRELATED_LOSS_SECONDS
+    return count
+
+
+def _is_correlated(
+    suspect: crash_records.Suspect,
+    crash: crash_records.Crash,
+    mature: list[crash_records.Crash],
+) -> bool:
+    """Tell whether something else took down many targets at once."""
+    together = [
+        other
+        for other in mature
+        if abs(other.lost - crash.lost) <= CORRELATED_LOSS_SECONDS
+    ]
+    if len(together) < CORRELATED_LOSS_TARGETS:
+        return False
+    carrying = sum(
+        any(other.mark == suspect.mark for other in crashed.suspects)
+        for crashed in together
     )
+    return 2 * carrying < len(together)
 
 
-def _milliseconds(seconds: float) -> int | None:
-    return None if math.isinf(seconds) else round(seconds * MILLISECONDS)
+def _seconds_to_change(crashes: list[crash_records.Crash]) -> float:
+    """Return when the verdicts may change without a new crash or answer."""
+    waits = [
+        CORRELATED_LOSS_SECONDS - crash.lost
+        for crash in crashes
+        if crash.lost < CORRELATED_LOSS_SECONDS
+    ]
+    return min(waits, default=crash_records.REFRESH_SECONDS)
--- a/tamarackthread/shared/site/site_metrics.py
+++ b/tamarackthread/shared/site/site_metrics.py
@@ -44,10 +44,15 @@
 )
 CALLS_SUSPECTED = prometheus_client.Counter(
     'tamarackthread_calls_suspected',
-    'Calls whose target was lost before it answered, and calls refused for it.',
+    'Calls whose target has crashed, and calls refused as its cause.',
     ('verdict',),
     registry=_registry,
 )
+SUSPECTS = prometheus_client.Gauge(
+    'tamarackthread_suspects',
+    'Calls and parts of prompts that are refused here since they crash targets.',
+    registry=_registry,
+)
 OPEN_CALLS = prometheus_client.Gauge(
     'tamarackthread_open_calls',
     'Calls in this entry now.',
--- a/tests/direct_case.py
+++ b/tests/direct_case.py
@@ -110,6 +110,19 @@
     writer.close()
 
 
+async def crashing(target, head, writer):
+    """Go down without an answer; new connections are refused too."""
+    target.close()
+    writer.close()
+
+
+async def crashing_after_head(target, head, writer):
+    start = head_of(target, head)
+    writer.write(f'{start}Transfer-Encoding: chunked\r\n\r\n'.encode())
+    await writer.drain()
+    await crashing(target, head, writer)
+
+
 async def resetting_unframed(target, head, writer):
     start = head_of(target, head)
     writer.write(f'{start}Connection: close\r\n\r\nhalf'.encode())
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -10,12 +10,14 @@
 from tamarackthread.control.site import loads
 from tamarackthread.entry.direct import failures as refusals
 from tamarackthread.entry.direct import (
+    call_marks,
+    call_progress,
     instances,
     load_exchange,
     poison_requests,
     target_client,
 )
-from tamarackthread.policy import poison_calls
+from tamarackthread.policy import crash_records, poison_calls
 from tamarackthread.shared.site import announcements, configuration
 from tests import direct_case, policy_case, test_admission_control
 from tests import test_load_exchange as shared_calls
@@ -28,6 +30,22 @@
 ATTRIBUTION_SECONDS = poison_calls.CORRELATED_LOSS_SECONDS
 SEED = 9
 ENTRIES = 6
+# Of a call that has had nothing of its answer.
+PROGRESS = call_progress.CallProgress()
+
+
+def lose(known, mark, start, now):
+    """Record that a target instance crashed while it ran a call."""
+    known.records.record(
+        crash_records.Crash(
+            start=start, suspects=(crash_records.Suspect(mark),)
+        ),
+        now,
+    )
+
+
+def answer(known, mark, now):
+    known.records.record_answer('', (mark,), crash_records.Reach.WHOLE, now)
 
 
 class AttributionCase(unittest.TestCase):
@@ -36,13 +54,16 @@
     def setUp(self):
         self.known = poison_calls.PoisonCalls()
 
+    def verdict(self, mark, now):
+        return self.known.verdict((mark,), now)
+
     def test_three_targets(self):
         """Guards against a poison call that crashes a fourth target."""
         found = []
         for number in range(3):
-            self.known.record_loss(POISON, f't{number}', 10.0 * number)
+            lose(self.known, POISON, f't{number}', 10.0 * number)
             found.append(
-                self.known.verdict(POISON, 10.0 * number + ATTRIBUTION_SECONDS)
+                self.verdict(POISON, 10.0 * number + ATTRIBUTION_SECONDS)
             )
         self.assertEqual([ALLOWED, NO_RETRY, REFUSED], found)
 
@@ -50,45 +71,59 @@
         """Guards against blaming an ordinary call on the crashed target."""
         for number in range(3):
             moment = 10.0 * number
-            self.known.record_loss(POISON, f't{number}', moment)
-            self.known.record_loss(ORDINARY, f't{number}', moment)
-            self.known.record_answer(ORDINARY, moment + 1)
-            self.assertEqual(ALLOWED, self.known.verdict(ORDINARY, moment + 2))
-        self.assertEqual(REFUSED, self.known.verdict(POISON, 30))
+            lose(self.known, POISON, f't{number}', moment)
+            lose(self.known, ORDINARY, f't{number}', moment)
+            answer(self.known, ORDINARY, moment + 1)
+            self.assertEqual(ALLOWED, self.verdict(ORDINARY, moment + 2))
+        self.assertEqual(REFUSED, self.verdict(POISON, 30))
 
     def test_lost_together(self):
         """Guards against blaming a call for power failures of its zone."""
         for number in range(3):
             for target in range(poison_calls.CORRELATED_LOSS_TARGETS):
                 mark = POISON if target == 0 else bytes([target])
-                self.known.record_loss(
-                    mark, f't{number}-{target}', 10.0 * number
-                )
-        self.assertEqual(ALLOWED, self.known.verdict(POISON, 21))
+                lose(self.known, mark, f't{number}-{target}', 10.0 * number)
+        self.assertEqual(ALLOWED, self.verdict(POISON, 21))
 
     def test_failing_target(self):
         """Guards against blaming a call for a target that drops connections."""
         for number in range(9):
-            self.known.record_loss(POISON, 't0', 10.0 * number)
-        self.assertEqual(ALLOWED, self.known.verdict(POISON, 90))
+            lose(self.known, POISON, 't0', 10.0 * number)
+        self.assertEqual(ALLOWED, self.verdict(POISON, 90))
 
     def test_forgotten(self):
         """Guards against refusing a call for ever."""
         for number in range(3):
-            self.known.record_loss(POISON, f't{number}', 10.0 * number)
-        later = 20 + poison_calls.HISTORY_TTL_SECONDS + 1
-        self.assertEqual(ALLOWED, self.known.verdict(POISON, later))
-        self.assertFalse(self.known)
+            lose(self.known, POISON, f't{number}', 10.0 * number)
+        self.assertEqual(REFUSED, self.verdict(POISON, 21))
+        later = 20 + crash_records.HISTORY_TTL_SECONDS + 1
+        self.assertEqual(ALLOWED, self.verdict(POISON, later))
+        self.assertFalse(self.known.records)
+
+    def test_kept_while_refused(self):
+        """Guards against another three crashes whenever a minute has passed."""
+        for number in range(3):
+            lose(self.known, POISON, f't{number}', 10.0 * number)
+        now = 20.0
+        for _ in range(10):
+            now += 0.9 * crash_records.HISTORY_TTL_SECONDS
+            finding = self.known.worst((POISON,), now)
+            self.assertEqual(REFUSED, finding.verdict)
+            starts = [crash.start for crash in finding.crashes]
+            self.known.records.record_use(starts, now)
 
     def test_bounded(self):
         """Guards against unbounded memory."""
-        for number in range(10 * poison_calls.MAX_CALLS):
-            self.known.record_loss(
-                number.to_bytes(4), f't{number}', number / 100
+        for number in range(10 * crash_records.MAX_CRASHES):
+            mark = number.to_bytes(4)
+            lose(self.known, mark, f't{number}', number / 100)
+            lose(self.known, mark, 't0', number / 100)
+        crashes = self.known.records.crashes(13)
+        self.assertLessEqual(len(crashes), crash_records.MAX_CRASHES)
+        for crash in crashes:
+            self.assertLessEqual(
+                len(crash.suspects), crash_records.MAX_SUSPECTS
             )
-        self.assertLessEqual(
-            len(self.known.histories(13)), poison_calls.MAX_CALLS
-        )
 
     def test_ordinary_losses(self):
         """Guards against refusing ordinary calls for random crashes."""
@@ -99,10 +134,10 @@
             mark = number.to_bytes(4)
             while generator.random() < 0.03:
                 start = f't{generator.randrange(60)}/{int(now)}'
-                self.known.record_loss(mark, start, now)
+                lose(self.known, mark, start, now)
                 now += 0.3
-                self.assertNotEqual(REFUSED, self.known.verdict(mark, now))
-            self.known.record_answer(mark, now)
+                self.assertNotEqual(REFUSED, self.verdict(mark, now))
+            answer(self.known, mark, now)
 
 
 def start_of(name):
@@ -118,7 +153,7 @@
     """A simulated entry that exchanges histories with others."""
 
     def __init__(self, name, hosts):
-        self.crashing = poison_requests.PoisonRequests()
+        self.crashing = poison_requests.PoisonRequests(name, _is_gone)
         known, links, _ = shared_calls.entry_of(name, hosts)
         self.links = links
         self.sharing = load_exchange.LoadExchange(
@@ -140,7 +175,7 @@
 
     def answer(self, entry, asked):
         reply = super().answer(entry, asked)
-        self.rows += len(asked.suspects or ()) + len(reply.suspects or ())
+        self.rows += len(asked.crashes or ()) + len(reply.crashes or ())
         return reply
 
 
@@ -205,12 +240,12 @@
     async def _forgotten(self):
         entries = await self._crashed({'h0': loads.Loads(1)})
         call = test_admission_control.call_of()
-        for _ in range(int(2 * poison_calls.HISTORY_TTL_SECONDS)):
+        for _ in range(int(2 * crash_records.HISTORY_TTL_SECONDS)):
             await asyncio.sleep(1)
             await _exchange(entries)
         for entry in entries:
             entry.crashing.check(call)
-            self.assertEqual([], entry.crashing.own_rows())
+            self.assertEqual([], entry.crashing.changed_rows())
 
     async def _sent_once(self):
         hosts = {'h0': CountingLoads(1)}
@@ -234,7 +269,7 @@
     async def _answered(self):
         entries = await self._crashed({'h0': loads.Loads(1)})
         call = test_admission_control.call_of()
-        entries[-1].crashing.note_answer(call)
+        entries[-1].crashing.note_whole(call)
         await _exchange(entries)
         for entry in entries:
             entry.crashing.check(call)
@@ -245,7 +280,9 @@
         lost = target_client.Unanswered('closed')
         for number, entry in enumerate(entries[:3]):
             entry.crashing.check(call)
-            entry.crashing.note_failure(call, start_of(f't{number}'), lost)
+            entry.crashing.note_failure(
+                call, start_of(f't{number}'), PROGRESS, lost
+            )
             await asyncio.sleep(1)
             await _exchange(entries)
         return entries
@@ -260,41 +297,77 @@
         call = test_admission_control.call_of(call_id='one')
         again = test_admission_control.call_of(call_id='two')
         self.assertEqual(
-            poison_requests.fingerprint(call),
-            poison_requests.fingerprint(again),
+            call_marks.fingerprint(call),
+            call_marks.fingerprint(again),
         )
         other = _with_body(again, b'another')
         self.assertNotEqual(
-            poison_requests.fingerprint(call),
-            poison_requests.fingerprint(other),
+            call_marks.fingerprint(call),
+            call_marks.fingerprint(other),
         )
 
 
 class CallerCase(direct_case.DirectCase):
+    async def test_crash_after_the_head(self):
+        """Guards against a poison call whose target crashes after its head."""
+        self.serve(configuration.RouteKind.IDEMPOTENT)
+        for _ in range(9):
+            await self.add(direct_case.crashing_after_head)
+        with mock.patch.object(poison_calls, 'CORRELATED_LOSS_SECONDS', 0):
+            for _ in range(5):
+                status, body, _ = await self.ask(body=b'bad')
+                await self.crashing.probed()
+        self.assertEqual(503, status)
+        self.assertIn(b'TT7213', body)
+        arrived = sum(len(fake.heads) for fake in self.fakes)
+        self.assertEqual(poison_calls.REFUSED_LOSSES, arrived)
+
+    async def test_target_that_goes_on(self):
+        """Guards against blaming calls that a lost rank of the group cut."""
+        self.serve(configuration.RouteKind.ONCE)
+        for _ in range(5):
+            await self.add(direct_case.dropping)
+        for _ in range(5):
+            status, _, _ = await self.ask(body=b'good')
+            self.assertEqual(502, status)
+            await self.crashing.probed()
+        self.assertEqual([], self.crashing.changed_rows())
+
     async def test_refused_unrun(self):
         """Guards against sending a known poison call to one more target."""
         self.serve(configuration.RouteKind.ONCE)
-        fake = await self.add(direct_case.dropping)
+        await self._crash_on_bad()
+        await self._crash_on_bad()
+        # Attributes the losses without waiting for correlated ones.
+        with mock.patch.object(poison_calls, 'CORRELATED_LOSS_SECONDS', 0):
+            rows = self.crashing.changed_rows()
+            self.assertEqual(2, len(rows))
+            rows[0].start = 't9'
+            self.crashing.learn_rows(rows[:1])
+            await self._refuse_bad()
+
+    async def _crash_on_bad(self):
+        fake = await self.add(direct_case.crashing)
         status, _, _ = await self.ask(body=b'bad')
         self.assertEqual(502, status)
-        fake.close()
-        # Attributes the loss without waiting for correlated ones.
-        with mock.patch.object(poison_calls, 'CORRELATED_LOSS_SECONDS', 0):
-            rows = self.crashing.own_rows()
-        self.assertEqual(1, len(rows))
-        rows[0].starts = ['t7', 't8', 't9']
-        self.crashing.set_shared_rows(rows)
+        await self.crashing.probed()
+        self.known.get(fake.name).back_off(asyncio.get_running_loop().time())
+
+    async def _refuse_bad(self):
         sound = await self.add(direct_case.whole('yes'))
         status, body, headers = await self.ask(body=b'bad')
         self.assertEqual(503, status)
         self.assertIn(b'TT7213', body)
         self.assertGreater(float(headers['Retry-After']), 1)
         self.assertEqual([], sound.heads)
-        self.known.get(fake.name).back_off(asyncio.get_running_loop().time())
         status, _, _ = await self.ask(body=b'good')
         self.assertEqual(200, status)
 
 
+async def _is_gone(address):
+    return False
+
+
 def _with_body(call, body):
     return attrs.evolve(call, body=body)
 
