Blame a part of prompts that all calls share which crashed their targets

A suspect was a hash of the whole call; calls that crash their targets by one part of their prompts are new each time, so three crashes never added up.

The parts of a prompt but the last are suspects of a crash beside the call itself.

--- a/tamarackthread/entry/direct/call_marks.py
+++ b/tamarackthread/entry/direct/call_marks.py
@@ -11,6 +11,9 @@
 # Repetitions of one call are fewer than calls that share any part.
 CALL_DEPTH = 1 << 20
 _CALL = b'call:'
+_PART = b'part:'
+# Longer ids of parts are hashed.
+MAX_ID_BYTES = 32
 
 
 def of(call: calls.Call) -> list[bytes]:
@@ -19,8 +22,9 @@
 
 
 def of_parts(call: calls.Call) -> list[bytes]:
-    """List the marks that other calls may have too."""
-    return []
+    """List the marks of the prompt's parts, which other prompts may contain."""
+    parts = dict.fromkeys(call.request.shared_parts)
+    return [_part_mark(part.lower().encode()) for part in parts]
 
 
 def suspects(
@@ -37,6 +41,9 @@
 
 def describe(mark: bytes) -> str:
     """Return a mark as text for logs."""
+    if mark.startswith(_PART):
+        part = mark.removeprefix(_PART).decode(errors='backslashreplace')
+        return f'part {part}'
     return f'call {mark.removeprefix(_CALL).hex()}'
 
 
@@ -49,3 +56,10 @@
         digest.update(b'\0')
     digest.update(call.body)
     return digest.digest()
+
+
+def _part_mark(part: bytes) -> bytes:
+    if len(part) > MAX_ID_BYTES:
+        digest = hashlib.blake2b(part, digest_size=FINGERPRINT_BYTES)
+        part = digest.hexdigest().encode()
+    return _PART + part
