Blame nothing that calls share while no call of the service is answered

Found by drawn histories of entries, control hosts and targets without a network: crashes that no call had caused, one each four seconds in a group in lockstep, had the part refused that all calls begin with, for good: nothing was answered for ten seconds, so nothing could clear it, and nothing was sent after that.

A crash counts against what calls share only if some call of its service was answered as far within five seconds before it, or is later. A suspect that an answer has cleared of another crash, or that explains less than half of the crashes meanwhile, is refused after five crashes instead of three, and only crashes at the same point of the answer add up. A call that comes again needs none of this, since it is blamed for itself alone.

--- a/tamarackthread/entry/direct/call_marks.py
+++ b/tamarackthread/entry/direct/call_marks.py
@@ -8,8 +8,6 @@
 from tamarackthread.policy import crash_records
 
 FINGERPRINT_BYTES = 16
-# Repetitions of one call are fewer than calls that share any part.
-CALL_DEPTH = 1 << 20
 _CALL = b'call:'
 _PART = b'part:'
 # Longer ids of parts are hashed.
@@ -32,7 +30,7 @@
 ) -> tuple[crash_records.Suspect, ...]:
     """Make suspects of the marks of a call whose answer got so far."""
     marks = of(call)
-    depths = [*range(len(marks) - 1), CALL_DEPTH]
+    depths = [*range(len(marks) - 1), crash_records.CALL_DEPTH]
     return tuple(
         crash_records.Suspect(mark, depth, reach)
         for mark, depth in zip(marks, depths, strict=True)
--- a/tamarackthread/policy/crash_records.py
+++ b/tamarackthread/policy/crash_records.py
@@ -6,6 +6,7 @@
 import collections.abc
 import enum
 import math
+import types
 
 import attrs
 
@@ -16,6 +17,9 @@
 HISTORY_TTL_SECONDS = 240.0
 # An answer shortly before a crash tells as much as one after it.
 CLEARING_SECONDS = 10.0
+# Shorter, so that where any call was answered so shortly before a crash, calls
+# of each common kind were too.
+SERVICE_CLEARING_SECONDS = 5.0
 # A refusal keeps its evidence; the others are told of it this often.
 REFRESH_SECONDS = 30.0
 MAX_CRASHES = 128
@@ -35,6 +39,17 @@
     WHOLE = 2
 
 
+# Depth of a mark that only repetitions of one call have.
+CALL_DEPTH = 1 << 20
+# Suspects of each crash, shared by all calls of the service: cleared once any
+# call there is answered in part, or in whole.
+ANY_BEGUN = b'any:begun'
+ANY_WHOLE = b'any:whole'
+ANY_REACHES = types.MappingProxyType(
+    {ANY_BEGUN: Reach.NOTHING, ANY_WHOLE: Reach.BEGUN}
+)
+
+
 @attrs.frozen
 class Suspect:
     """What may have caused a crash: a call, or something that calls share."""
@@ -47,6 +62,11 @@
     # Whether an answer on the same mark got further at another target.
     is_cleared: bool = False
 
+    @property
+    def is_shared(self) -> bool:
+        """Tell whether calls that aren't repetitions may have the mark."""
+        return self.depth < CALL_DEPTH
+
     def merged(self, other: Suspect) -> Suspect:
         """Merge what two entries know of the same suspect."""
         return Suspect(
@@ -70,6 +90,14 @@
     used: float = math.inf
     suspects: tuple[Suspect, ...] = ()
 
+    def is_cleared(self, mark: bytes) -> bool:
+        """Tell whether a suspect of this crash was cleared by an answer."""
+        return any(
+            suspect.is_cleared
+            for suspect in self.suspects
+            if suspect.mark == mark
+        )
+
 
 @attrs.define(eq=False)
 class _Record:
@@ -149,7 +177,7 @@
         now: float,
     ) -> None:
         """Record how far an answer got, which clears the crashes before it."""
-        for mark in marks:
+        for mark in (*ANY_REACHES, *marks):
             answers = self._answers.setdefault((service, mark), _Answers())
             self._answers.move_to_end((service, mark))
             answers.note(reach, now)
@@ -198,6 +226,8 @@
         )
         self._records[crash.start] = held
         self._change(held)
+        for mark, reach in ANY_REACHES.items():
+            self._merge_suspect(held, Suspect(mark, reach=reach))
         if len(self._records) > MAX_CRASHES:
             oldest = min(self._records, key=self._last_use)
             self._records.pop(oldest)
@@ -231,7 +261,9 @@
         answers = self._answers.get((held.service, suspect.mark))
         if answers is None:
             return suspect.is_cleared
-        since = held.lost_at - CLEARING_SECONDS
+        is_any = suspect.mark in ANY_REACHES
+        window = SERVICE_CLEARING_SECONDS if is_any else CLEARING_SECONDS
+        since = held.lost_at - window
         return suspect.is_cleared or answers.last_beyond(suspect.reach) >= since
 
     def _change(self, held: _Record) -> None:
--- a/tamarackthread/policy/poison_calls.py
+++ b/tamarackthread/policy/poison_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import enum
 import math
@@ -15,6 +16,9 @@
 # ordinary calls may see one or two by coincidence.
 NO_RETRY_LOSSES = 2
 REFUSED_LOSSES = 3
+# Crashes after which a suspect is refused that an answer has once cleared, or
+# that most of the crashes meanwhile can't be blamed on.
+DOUBTFUL_REFUSED_LOSSES = 5
 # Crashes within this time may share a cause, such as a power failure.  So many
 # do unless half of the targets ran the same suspect, and one such moment alone
 # refuses nothing.
@@ -24,6 +28,8 @@
 # Of suspects with about as many crashes the one that fewest calls share is
 # blamed.  One that more calls share must explain this many more.
 WIDER_SUSPECT_LOSSES = 2
+# Bounds the time that the search takes; the likeliest are found first.
+MAX_FINDINGS = 16
 
 
 class Verdict(enum.Enum):
@@ -94,20 +100,34 @@
     crashes: collections.abc.Sequence[crash_records.Crash],
 ) -> dict[bytes, Finding]:
     """Blame the fewest suspects that explain the crashes, by mark."""
-    mature = [
-        crash for crash in crashes if crash.lost >= CORRELATED_LOSS_SECONDS
-    ]
+    unexplained = _list_accused(crashes)
+    cleared = {
+        suspect.mark
+        for crash in crashes
+        for suspect in crash.suspects
+        if suspect.is_cleared
+    }
     found: dict[bytes, Finding] = {}
-    unexplained = mature
-    while True:
-        finding = _likeliest(unexplained, mature)
+    for _ in range(MAX_FINDINGS):
+        finding = _likeliest(unexplained, cleared)
         if finding is None:
-            return found
-        found[finding.mark] = finding
+            break
+        found.setdefault(finding.mark, finding)
         explained = {crash.start for crash in finding.crashes}
         unexplained = [
-            crash for crash in unexplained if crash.start not in explained
+            accused
+            for accused in unexplained
+            if accused.crash.start not in explained
         ]
+    return found
+
+
+@attrs.frozen
+class _Accused:
+    """A crash with the suspects that it may be blamed on."""
+
+    crash: crash_records.Crash
+    suspects: tuple[crash_records.Suspect, ...]
 
 
 @attrs.define(eq=False)
@@ -116,14 +136,18 @@
 
     mark: bytes
     depth: int = 0
+    is_doubtful: bool = False
     crashes: list[crash_records.Crash] = attrs.field(factory=list)
 
     @property
     def verdict(self) -> Verdict:
         if len(self.crashes) < NO_RETRY_LOSSES:
             return Verdict.ALLOWED
+        needed = REFUSED_LOSSES
+        if self.is_doubtful:
+            needed = DOUBTFUL_REFUSED_LOSSES
         has_moments = _count_moments(self.crashes) >= MIN_REFUSED_MOMENTS
-        if len(self.crashes) < REFUSED_LOSSES or not has_moments:
+        if len(self.crashes) < needed or not has_moments:
             return Verdict.NO_RETRY
         return Verdict.REFUSED
 
@@ -134,11 +158,10 @@
 
 
 def _likeliest(
-    unexplained: list[crash_records.Crash],
-    mature: list[crash_records.Crash],
+    unexplained: list[_Accused], cleared: set[bytes]
 ) -> Finding | None:
     """Find the suspect that most likely caused some of the crashes."""
-    counts = _count_suspects(unexplained, mature)
+    counts = _count_suspects(unexplained, cleared)
     for verdict in (Verdict.REFUSED, Verdict.NO_RETRY):
         alike = [count for count in counts if count.verdict is verdict]
         if not alike:
@@ -152,21 +175,83 @@
 
 
 def _count_suspects(
-    unexplained: list[crash_records.Crash],
-    mature: list[crash_records.Crash],
+    unexplained: list[_Accused], cleared: set[bytes]
 ) -> list[_Count]:
     """Count the crashes of each suspect that no answer has cleared."""
-    counts: dict[bytes, _Count] = {}
-    for crash in unexplained:
-        for suspect in crash.suspects:
-            if suspect.is_cleared or _is_correlated(suspect, crash, mature):
-                continue
-            count = counts.setdefault(suspect.mark, _Count(suspect.mark))
+    # A cause crashes its targets at the same point of the answer.
+    counts: dict[tuple[bytes, crash_records.Reach], _Count] = {}
+    for accused in unexplained:
+        for suspect in accused.suspects:
+            count = counts.setdefault(
+                (suspect.mark, suspect.reach), _Count(suspect.mark)
+            )
             count.depth = max(count.depth, suspect.depth)
-            count.crashes.append(crash)
+            count.crashes.append(accused.crash)
+    for count in counts.values():
+        is_minor = _explains_few(count.crashes, unexplained)
+        count.is_doubtful = is_minor or count.mark in cleared
     return list(counts.values())
 
 
+def _explains_few(
+    crashes: list[crash_records.Crash], unexplained: list[_Accused]
+) -> bool:
+    """Tell whether most crashes from the first to the last are others."""
+    first = max(crash.lost for crash in crashes)
+    last = min(crash.lost for crash in crashes)
+    meanwhile = sum(
+        last <= accused.crash.lost <= first for accused in unexplained
+    )
+    return 2 * len(crashes) < meanwhile
+
+
+def _list_accused(
+    crashes: collections.abc.Sequence[crash_records.Crash],
+) -> list[_Accused]:
+    """List the crashes that are old enough, with what may have caused them."""
+    mature = [
+        crash for crash in crashes if crash.lost >= CORRELATED_LOSS_SECONDS
+    ]
+    accused = []
+    for crash in mature:
+        together = [
+            other
+            for other in mature
+            if abs(other.lost - crash.lost) <= CORRELATED_LOSS_SECONDS
+        ]
+        suspects = _evidence(crash)
+        if len(together) >= CORRELATED_LOSS_TARGETS:
+            # Something else took down all of them, unless half had a suspect.
+            shares = collections.Counter(
+                suspect.mark for other in together for suspect in other.suspects
+            )
+            suspects = [
+                suspect
+                for suspect in suspects
+                if 2 * shares[suspect.mark] >= len(together)
+            ]
+        accused.append(_Accused(crash, tuple(suspects)))
+    return accused
+
+
+def _evidence(
+    crash: crash_records.Crash,
+) -> list[crash_records.Suspect]:
+    """List the suspects that a crash may be blamed on."""
+    # Where no call at all is answered, what many calls share isn't the cause.
+    answered = {
+        crash_records.Reach.NOTHING: crash.is_cleared(crash_records.ANY_BEGUN),
+        crash_records.Reach.BEGUN: crash.is_cleared(crash_records.ANY_WHOLE),
+    }
+    return [
+        suspect
+        for suspect in crash.suspects
+        if not suspect.is_cleared
+        and suspect.mark not in crash_records.ANY_REACHES
+        and (answered.get(suspect.reach) or not suspect.is_shared)
+    ]
+
+
 def _count_moments(crashes: list[crash_records.Crash]) -> int:
     """Count the crashes, those that came together as one."""
     count = 0
@@ -179,26 +264,6 @@
     return count
 
 
-def _is_correlated(
-    suspect: crash_records.Suspect,
-    crash: crash_records.Crash,
-    mature: list[crash_records.Crash],
-) -> bool:
-    """Tell whether something else took down many targets at once."""
-    together = [
-        other
-        for other in mature
-        if abs(other.lost - crash.lost) <= CORRELATED_LOSS_SECONDS
-    ]
-    if len(together) < CORRELATED_LOSS_TARGETS:
-        return False
-    carrying = sum(
-        any(other.mark == suspect.mark for other in crashed.suspects)
-        for crashed in together
-    )
-    return 2 * carrying < len(together)
-
-
 def _seconds_to_change(crashes: list[crash_records.Crash]) -> float:
     """Return when the verdicts may change without a new crash or answer."""
     waits = [
