Take a target that restarts at once for crashed as well

A supervisor or a proxy beside a target may go on listening at its address while the target goes down. A lost call's target that still takes connections counts as crashed if a later start is announced at its address within five seconds, or another call is refused there by a new instance; a rank that broke off for another, and a target that drains, count as before for nothing. The new test fails without it: no crash is recorded.

--- a/bench/experiments/logs.py
+++ b/bench/experiments/logs.py
@@ -88,7 +88,7 @@
                 self._sender,
                 retry_budgets.RetryBudgets(site, lambda: 1, loop.time),
                 admission_control.AdmissionControl(self._known, lambda: 1),
-                poison_requests.PoisonRequests(),
+                poison_requests.PoisonRequests('e', self._known.is_replaced),
                 generator,
             ),
             generator,
--- a/tamarackthread/entry/direct/load_exchange.py
+++ b/tamarackthread/entry/direct/load_exchange.py
@@ -50,7 +50,9 @@
         ``on_exchange`` is called after each attempt, also if no host replied.
         Crashes of targets are exchanged as well.
         """
-        self._poison = poison or poison_requests.PoisonRequests()
+        self._poison = poison or poison_requests.PoisonRequests(
+            '', all_targets.is_replaced
+        )
         self._targets = all_targets
         self._links = links
         self._hosts = hosts
--- a/tamarackthread/entry/direct/poison_requests.py
+++ b/tamarackthread/entry/direct/poison_requests.py
@@ -24,8 +24,12 @@
 
 # A retry would be refused again for as long as the evidence is kept.
 RETRY_AFTER_SECONDS = 30.0
+# A target that restarts at once still takes connections; its next announcement
+# or the refusal of another call tells of the restart.
+RESTART_SECONDS = 5.0
 _log = logging.getLogger('tamarackthread.entry')
 
+IsReplaced = collections.abc.Callable[[instances.TargetInstance], bool]
 Probe = collections.abc.Callable[[str], collections.abc.Awaitable[bool]]
 
 
@@ -44,17 +48,22 @@
 
     def __init__(
         self,
-        name: str = '',
+        name: str,
+        is_replaced: IsReplaced,
         probe: Probe = target_probe.is_listening,
     ) -> None:
-        """Start without crashes.
+        """Start without crashes; ``name`` is this entry's.
 
-        ``name`` is this entry's; ``probe`` tells if an address listens.
+        ``is_replaced`` tells if a target has restarted, and ``probe`` if an
+        address listens.
         """
         self._name = name
+        self._is_replaced = is_replaced
         self._poison = poison_calls.PoisonCalls()
         self._probe = probe
         self._probing: set[asyncio.Task[None]] = set()
+        # Calls lost at targets that seem to go on.
+        self._unconfirmed: list[_LostCall] = []
         self._blamed: poison_calls.Findings = {}
 
     def check(self, call: calls.Call) -> None:
@@ -112,6 +121,7 @@
     def changed_rows(self, since: int = 0) -> list[messages.SiteCrash]:
         """List the crashes that have changed after version ``since``."""
         now = asyncio.get_running_loop().time()
+        self._confirm(now)
         self._log_blamed(now)
         return [
             crash_records.to_message(crash)
@@ -132,14 +142,33 @@
         await asyncio.gather(*self._probing)
 
     async def _examine(self, lost: _LostCall) -> None:
-        """Record a lost call as a suspect if its target is gone."""
+        """Find out whether a lost call's target has crashed."""
         # A rank breaks off its answers when another rank of its group is lost,
         # and links lose connections; such a target still listens.
         target = lost.target
         is_listening = await self._probe(target.announcement.address)
         _log_lost(lost, is_listening=is_listening)
-        if is_listening or target.is_draining:
+        if target.is_draining:
             return
+        if is_listening:
+            self._unconfirmed.append(lost)
+            return
+        self._record(lost)
+
+    def _confirm(self, now: float) -> None:
+        """Record the lost calls whose targets have turned out to restart."""
+        waiting = self._unconfirmed
+        self._unconfirmed = []
+        for lost in waiting:
+            if self._is_replaced(lost.target):
+                self._record(lost)
+                continue
+            if now - lost.lost_at < RESTART_SECONDS:
+                self._unconfirmed.append(lost)
+
+    def _record(self, lost: _LostCall) -> None:
+        """Record a lost call as a suspect of its target's crash."""
+        target = lost.target
         reach = crash_records.Reach.NOTHING
         if lost.events:
             reach = crash_records.Reach.BEGUN
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -81,7 +81,9 @@
                 self._targets, reader, tables, admission, cold_limits
             ),
         )
-        poison = poison_requests.PoisonRequests(settings.node.id)
+        poison = poison_requests.PoisonRequests(
+            settings.node.id, self._targets.is_replaced
+        )
         self._load_exchange = load_exchange.LoadExchange(
             self._targets,
             self._links,
--- a/tamarackthread/entry/direct/targets.py
+++ b/tamarackthread/entry/direct/targets.py
@@ -198,6 +198,16 @@
         )
         target_log.log_state(target.announcement)
 
+    def is_replaced(self, target: instances.TargetInstance) -> bool:
+        """Tell whether a target has ended and another has its address."""
+        if target.announcement.state == State.GONE:
+            return True
+        return any(
+            other.announcement.address == target.announcement.address
+            and other.announced_at > target.announced_at
+            for other in self._by_name.values()
+        )
+
     def of_service(self, service: str) -> list[instances.TargetInstance]:
         """List the targets of a service, usable or not."""
         return [
--- a/tests/direct_case.py
+++ b/tests/direct_case.py
@@ -175,7 +175,9 @@
         await self.sender.start()
         site = settings.Site(seeds=(), link_port=1, retry_reserve=20)
         self.tables = routing_table.CurrentTable()
-        self.crashing = poison_requests.PoisonRequests()
+        self.crashing = poison_requests.PoisonRequests(
+            'e', self.known.is_replaced
+        )
         self.admission = admission_control.AdmissionControl(
             self.known, lambda: 1
         )
--- a/tests/poison_site.py
+++ b/tests/poison_site.py
@@ -99,7 +99,9 @@
 
     def new_entry(self, name):
         known, links, _ = test_load_exchange.entry_of(name, self.hosts)
-        poison = poison_requests.PoisonRequests(name, self._is_up)
+        poison = poison_requests.PoisonRequests(
+            name, lambda target: False, self._is_up
+        )
         exchange = load_exchange.LoadExchange(
             known,
             links,
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -154,7 +154,9 @@
     """A simulated entry that exchanges histories with others."""
 
     def __init__(self, name, hosts):
-        self.crashing = poison_requests.PoisonRequests(name, _is_gone)
+        self.crashing = poison_requests.PoisonRequests(
+            name, lambda target: False, _is_gone
+        )
         known, links, _ = shared_calls.entry_of(name, hosts)
         self.links = links
         self.sharing = load_exchange.LoadExchange(
@@ -334,6 +336,20 @@
             await self.crashing.probed()
         self.assertEqual([], self.crashing.changed_rows())
 
+    async def test_target_that_restarts_at_once(self):
+        """Guards against a crash that a new start at the address hides."""
+        self.serve(configuration.RouteKind.ONCE)
+        fake = await self.add(direct_case.dropping)
+        await self.ask(body=b'bad')
+        await self.crashing.probed()
+        self.assertEqual([], self.crashing.changed_rows())
+        ended = self.known.get(fake.name)
+        self.known.take(
+            attrs.evolve(ended.announcement, target='another', born=1)
+        )
+        starts = [row.start for row in self.crashing.changed_rows()]
+        self.assertEqual([f'{fake.name}/0'], starts)
+
     async def test_refused_unrun(self):
         """Guards against sending a known poison call to one more target."""
         self.serve(configuration.RouteKind.ONCE)
