Let the soak's calls crash targets by a part of their prompts

One new call in a quarter of a second shares a part that closes its target after the head of the answer, beside the call that comes again; sound calls share the first part and one of six topics. Judged: more than three such calls later than three seconds after the fifth crash, and a sound call that is refused as the cause.

--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -20,6 +20,11 @@
 CRASHES = 3
 KNOWN_SECONDS = 4.0
 MORE_CRASHES = 3
+# The same for calls that share a part of their prompts, each new.
+PART_CRASHES = 5
+PART_KNOWN_SECONDS = 3.0
+# The code of the refusal of a call that crashes targets.
+CRASHES_CODE = 'TT7213'
 # Calls of one second that a cold target takes from all entries.
 COLD_RATE = 20
 
@@ -50,6 +55,8 @@
     status: int = 0
     body: str = ''
     was_cut: bool = False
+    # Whether the call crashes the target that runs it.
+    is_crashing: bool = False
 
 
 def whole_body(identity: str, kind: Kind) -> str:
@@ -74,6 +81,9 @@
         self._evacuated: dict[str, float] = {}
         self._cold: dict[str, collections.deque[float]] = {}
         self._crashed: dict[str, list[float]] = collections.defaultdict(list)
+        self._crashed_by_part: dict[str, list[float]] = collections.defaultdict(
+            list
+        )
         self._found: list[Violation] = []
 
     def asked(self, attempt: Attempt) -> None:
@@ -122,6 +132,17 @@
         if late > MORE_CRASHES:
             self._add('crashing_call_let_through', f'{late} times, {call}')
 
+    def crashed_by_part(self, part: str, now: float) -> None:
+        """Judge a call that has crashed its target by a part of its prompt."""
+        moments = self._crashed_by_part[part]
+        moments.append(now)
+        if len(moments) <= PART_CRASHES:
+            return
+        known_at = moments[PART_CRASHES - 1] + PART_KNOWN_SECONDS
+        late = sum(moment > known_at for moment in moments)
+        if late > MORE_CRASHES:
+            self._add('crashing_part_let_through', f'{late} times, {part}')
+
     def accepted(self, version: int, now: float) -> None:
         """Note that an operator was told that a version is accepted."""
         self._accepted.append((now, version))
@@ -138,6 +159,13 @@
         """Note a call that a planned stop has cut off."""
         self._add('cut_by_planned_stop', attempt.identity)
 
+    def crashes(self) -> dict[str, int]:
+        """Count the targets that calls and parts of prompts have crashed."""
+        return {
+            'by_call': sum(map(len, self._crashed.values())),
+            'by_part': sum(map(len, self._crashed_by_part.values())),
+        }
+
     def violations(self) -> list[Violation]:
         """Judge all that was seen."""
         found = list(self._found)
@@ -155,6 +183,8 @@
             found.append(Violation('ran_twice', attempt.identity))
         if attempt.kind is Kind.ONCE and attempt.status in NOT_RUN and runs:
             found.append(Violation('false_not_run', attempt.identity))
+        if CRASHES_CODE in attempt.body and not attempt.is_crashing:
+            found.append(Violation('sound_call_blamed', attempt.identity))
         right = whole_body(attempt.identity, attempt.kind)
         if attempt.status == OK and attempt.body != right:
             found.append(Violation('wrong_answer', attempt.identity))
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -23,6 +23,8 @@
 RESEND_SECONDS = 0.1
 EVACUATED_SECONDS = 7.0
 CRASH_SECONDS = 0.5
+# Calls share the first part of their prompts and one of so many topics.
+TOPICS = 6
 OPERATOR_SECONDS = 2.0
 MOST_PAUSE_SECONDS = 2.0
 MOST_DOWN_SECONDS = 1.5
@@ -105,6 +107,7 @@
         working.append(asyncio.create_task(self._change_on(session)))
         working.append(asyncio.create_task(self._evacuate_on(session)))
         working.append(asyncio.create_task(self._crash_on(session)))
+        working.append(asyncio.create_task(self._crash_by_part_on(session)))
         working.append(asyncio.create_task(self._break_entries()))
         working.append(asyncio.create_task(self._break_controls()))
         working.append(asyncio.create_task(self._break_targets()))
@@ -127,14 +130,18 @@
         kind: ledger.Kind,
         entry: world.Node,
         body: str = '',
+        parts: str = '',
     ) -> None:
         attempt = ledger.Attempt(uuid.uuid4().hex, kind, entry.host)
+        attempt.is_crashing = bool(body or parts)
+        topic = parts or f'topic{self._rng.randrange(TOPICS)}'
         self.seen.asked(attempt)
         asked_at = asyncio.get_running_loop().time()
         headers = {
             'Host': _HOST,
             wire.CALL_ID: attempt.identity,
             wire.DEADLINE: str(int(CALL_SECONDS * 1000)),
+            wire.PROMPT: f'shared:40,{topic}:60,{attempt.identity}:9',
         }
         url = f'http://{self._world.callers_address(entry)}{_PATHS[kind]}'
         try:
@@ -205,6 +212,14 @@
             kind = ledger.Kind.REPEATABLE
             await self._call(session, kind, entry, targets.CRASHING)
 
+    async def _crash_by_part_on(self, session: aiohttp.ClientSession) -> None:
+        """Send new calls that crash their targets by a part they share."""
+        while not self._is_over:
+            await asyncio.sleep(self._rng.uniform(0, CRASH_SECONDS))
+            entry = self._rng.choice(self._world.entries)
+            part = targets.CRASHING_PART
+            await self._call(session, ledger.Kind.STREAM, entry, parts=part)
+
     async def _wait(self, seconds: float) -> None:
         """Wait, but no longer than the run lasts."""
         until = asyncio.get_running_loop().time() + seconds
@@ -303,6 +318,7 @@
             'statuses': {str(key): statuses[key] for key in sorted(statuses)},
             'version': self._version,
             'faults': dict(self._faults),
+            'crashes': self.seen.crashes(),
             'violations': [f'{one.promise}: {one.about}' for one in found],
         }
 
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -24,6 +24,7 @@
 UNFRAMED_SHARE = 0.3
 CUT_SHARE = 0.3
 CRASHING = 'crash'
+CRASHING_PART = 'bad'
 _FAILURES = (aiohttp.ClientError, OSError, TimeoutError)
 
 
@@ -120,6 +121,8 @@
             self.crash()
             request.transport.abort()
         headers = {wire.CALL_ID: identity, wire.SIGNATURE: 's'}
+        if f',{CRASHING_PART}:' in request.headers.get(wire.PROMPT, ''):
+            return await self._crash_after_head(request, headers)
         draw = random.Random(f'{identity} {self._name}')
         if draw.random() < UNFRAMED_SHARE:
             return await self._unframed(request, identity, headers, draw)
@@ -131,6 +134,17 @@
             text=ledger.whole_body(identity, kind), headers=headers
         )
 
+    async def _crash_after_head(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        self._seen.crashed_by_part(CRASHING_PART, _now())
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        self.crash()
+        request.transport.abort()
+        return response
+
     async def _unframed(
         self,
         request: web.BaseRequest,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -96,6 +96,23 @@
         held.crashed('/x', now=11)
         self.assertEqual(['crashing_call_let_through'], self.promises(held))
 
+    def test_crashing_part(self):
+        """A part crashes target after target long after the fifth."""
+        held = seen()
+        for moment in (1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11):
+            held.crashed_by_part('bad', now=moment)
+        self.assertEqual([], self.promises(held))
+        held.crashed_by_part('bad', now=12)
+        self.assertEqual(['crashing_part_let_through'], self.promises(held))
+
+    def test_sound_call_blamed(self):
+        """A sound call is refused as one that crashes targets."""
+        blamed = {'status': 503, 'body': 'TT7213 call crashes targets'}
+        held = seen(ledger.Kind.REPEATABLE, **blamed)
+        self.assertEqual(['sound_call_blamed'], self.promises(held))
+        held.attempts['c1'].is_crashing = True
+        self.assertEqual([], self.promises(held))
+
     def test_cut_by_planned_stop(self):
         held = seen()
         held.cut_by_planned_stop(held.attempts['c1'])
