--- /dev/null
+++ b/bench/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Simulate calls that crash targets."""
--- a/tests/poison_site.py
+++ b/bench/poison/site.py
@@ -1,6 +1,9 @@
 """Simulate entries whose calls crash targets, on virtual time."""
 
+from __future__ import annotations
+
 import asyncio
+import collections.abc
 import random
 
 import attrs
@@ -8,14 +11,17 @@
 from tamarackthread.control.site import loads
 from tamarackthread.entry.direct import (
     call_progress,
+    calls,
     failures,
     instances,
     load_exchange,
     poison_requests,
     target_client,
+    targets,
 )
-from tamarackthread.shared.site import announcements
-from tests import test_admission_control, test_load_exchange
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import errors
+from tamarackthread.shared.site import announcements, configuration
 
 TICK_SECONDS = 0.1
 EXCHANGE_SECONDS = 0.2
@@ -28,6 +34,19 @@
 SLOTS = 6
 
 
+SERVICE = 's'
+TIMEOUT_SECONDS = 8.0
+_ROUTE = configuration.Route(
+    name='r',
+    host='h',
+    prefix='/',
+    kind=configuration.RouteKind.STREAM,
+    shares=(configuration.TrafficShare(SERVICE, 1),),
+    timeout=TIMEOUT_SECONDS,
+    latency_goal=0.5,
+)
+
+
 @attrs.frozen
 class Crash:
     """The crash of a target by a part, or by none."""
@@ -45,29 +64,59 @@
     part: str
 
 
-@attrs.define(eq=False)
-class Running:
-    """A call at a target."""
+@attrs.define
+class SoundCall:
+    """What became of a sound call."""
 
-    entry: object
-    call: object
-    target: instances.TargetInstance
-    begins_at: float
-    # The part that crashes the target, empty for a sound call.
-    bad_part: str
+    at: float
+    was_blamed: bool = False
     has_begun: bool = False
 
 
+class Links:
+    """The links of one entry to control hosts."""
+
+    def __init__(self, name: str, hosts: dict[str, loads.Loads]) -> None:
+        """Reach all hosts but those in ``cut``."""
+        self.cut: set[str] = set()
+        self._name = name
+        self._hosts = hosts
+
+    async def request(
+        self, address: str, request: messages.Request, seconds: float
+    ) -> messages.Reply:
+        """Ask a host as an entry does."""
+        await asyncio.sleep(0.001)
+        if address in self.cut:
+            raise errors.FrameInvalid('cut')
+        reply = self._hosts[address].answer(self._name, request.site_load)
+        return messages.Reply(site_load=reply)
+
+
 @attrs.define(eq=False)
 class Entry:
     """An entry's part that knows of crashes, with its link to the hosts."""
 
     name: str
     poison: poison_requests.PoisonRequests
-    links: test_load_exchange.Host
+    links: Links
     exchange: load_exchange.LoadExchange
 
 
+@attrs.define(eq=False)
+class Running:
+    """A call at a target."""
+
+    entry: Entry
+    call: calls.Call
+    target: instances.TargetInstance
+    begins_at: float
+    # The part that crashes the target, empty for a sound call.
+    bad_part: str
+    outcome: SoundCall
+    has_begun: bool = False
+
+
 @attrs.define(eq=False)
 class Site:
     """Entries, control hosts and targets; ``is_group`` if in lockstep."""
@@ -75,21 +124,20 @@
     rng: random.Random
     is_group: bool = False
     targets: int = 12
-    entries: list = attrs.field(factory=list)
-    hosts: dict = attrs.field(factory=dict)
-    up: dict = attrs.field(factory=dict)
-    running: list = attrs.field(factory=list)
-    crashes: list = attrs.field(factory=list)
+    entries: list[Entry] = attrs.field(factory=list)
+    hosts: dict[str, loads.Loads] = attrs.field(factory=dict)
+    up: dict[str, instances.TargetInstance] = attrs.field(factory=dict)
+    running: list[Running] = attrs.field(factory=list)
+    crashes: list[Crash] = attrs.field(factory=list)
     # Calls with a bad part that reached targets.
-    arrivals: list = attrs.field(factory=list)
-    # When sound calls were refused as poison.
-    sound_refused_at: list = attrs.field(factory=list)
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    sound: list[SoundCall] = attrs.field(factory=list)
     closed_until: float = 0
     exchanged_at: float = 0
     _calls: int = 0
     _starts: int = 0
 
-    def open(self, entries=6):
+    def open(self, entries: int = 6) -> None:
         """Start targets, control hosts and entries."""
         self.hosts.update(h0=loads.Loads(1), h1=loads.Loads(2))
         for number in range(self.targets):
@@ -97,50 +145,59 @@
         for number in range(entries):
             self.entries.append(self.new_entry(f'e{number}'))
 
-    def new_entry(self, name):
-        known, links, _ = test_load_exchange.entry_of(name, self.hosts)
+    def new_entry(self, name: str) -> Entry:
+        """Start an entry that knows nothing yet."""
+        links = Links(name, self.hosts)
         poison = poison_requests.PoisonRequests(
             name, lambda target: False, self._is_up
         )
         exchange = load_exchange.LoadExchange(
-            known,
+            targets.Targets('z', 1.0, self.rng),
             links,
             lambda: tuple(self.hosts),
-            lambda: ('e0', 'e1'),
+            lambda: [entry.name for entry in self.entries],
             lambda: None,
             poison,
         )
         return Entry(name, poison, links, exchange)
 
-    def start(self, name):
+    def start(self, name: str) -> None:
         """Start a target anew."""
         self._starts += 1
         self.up[name] = instances.TargetInstance(
             announcements.Announcement(
                 target=f'{name}-{self._starts}',
-                service='s',
+                service=SERVICE,
                 address=f'{name}:80',
                 born=self._starts,
             ),
             0,
         )
 
-    def send(self, parts, bad_part='', service='s'):
-        """Send a new call through some entry; True unless refused."""
+    def send(
+        self,
+        parts: collections.abc.Iterable[str],
+        bad_part: str = '',
+        service: str = SERVICE,
+    ) -> None:
+        """Send a new call through some entry."""
         now = asyncio.get_running_loop().time()
         self._calls += 1
         entry = self.rng.choice(self.entries)
-        call = self._new_call(parts, service)
+        call = self._new_call(parts, service, now)
+        outcome = SoundCall(now)
+        if not bad_part:
+            self.sound.append(outcome)
         try:
             entry.poison.check(call)
         except failures.CallCrashes:
-            if not bad_part:
-                self.sound_refused_at.append(now)
-            return False
-        self._hand_over(entry, call, now, bad_part)
-        return True
+            outcome.was_blamed = True
+            return
+        self._hand_over(entry, call, bad_part, outcome)
 
-    def crash(self, target, now, part=''):
+    def crash(
+        self, target: instances.TargetInstance, now: float, part: str = ''
+    ) -> None:
         """Take a target down, with all calls that run there."""
         name = target.announcement.address.partition(':')[0]
         self.up.pop(name)
@@ -155,12 +212,12 @@
             self.closed_until = max(self.closed_until, opens_at)
             loop.call_later(STALL_SECONDS, self._cut_others)
 
-    def late_from(self, part, crashes):
+    def late_from(self, part: str, crashes: int) -> float:
         """Return when a part had crashed so many targets, or its last one."""
         found = [crash.at for crash in self.crashes if crash.part == part]
         return found[:crashes][-1]
 
-    async def tick(self):
+    async def tick(self) -> None:
         """Go on by one step of all calls, and exchange what is known."""
         await asyncio.sleep(TICK_SECONDS)
         now = asyncio.get_running_loop().time()
@@ -173,13 +230,33 @@
         for entry in self.entries:
             await entry.exchange.exchange()
 
-    def _new_call(self, parts, service):
-        call = test_admission_control.call_of(call_id=str(self._calls))
-        request = attrs.evolve(call.request, shared_parts=tuple(parts))
-        body = str(self._calls).encode()
-        return attrs.evolve(call, request=request, body=body, service=service)
+    def _new_call(
+        self,
+        parts: collections.abc.Iterable[str],
+        service: str,
+        now: float,
+    ) -> calls.Call:
+        return calls.Call(
+            request=calls.CallRequest(
+                call_id=str(self._calls),
+                method='POST',
+                host='h',
+                path='/',
+                headers=(),
+                shared_parts=tuple(parts),
+            ),
+            body=str(self._calls).encode(),
+            route=_ROUTE,
+            service=service,
+            organisation='',
+            arrived_at=now,
+            deadline=now + TIMEOUT_SECONDS,
+        )
 
-    def _hand_over(self, entry, call, now, bad_part):
+    def _hand_over(
+        self, entry: Entry, call: calls.Call, bad_part: str, outcome: SoundCall
+    ) -> None:
+        now = call.arrived_at
         free = [
             target
             for target in self.up.values()
@@ -192,9 +269,11 @@
             self.arrivals.append(Arrival(now, entry.name, bad_part))
         target = self.rng.choice(free)
         begins_at = now + PREFILL_SECONDS * self.rng.uniform(0.5, 1.5)
-        self.running.append(Running(entry, call, target, begins_at, bad_part))
+        self.running.append(
+            Running(entry, call, target, begins_at, bad_part, outcome)
+        )
 
-    def _advance(self, one, now):
+    def _advance(self, one: Running, now: float) -> None:
         if one not in self.running or now < one.begins_at:
             return
         if one.bad_part:
@@ -202,12 +281,13 @@
             return
         if not one.has_begun:
             one.has_begun = True
+            one.outcome.has_begun = True
             one.entry.poison.note_begun(one.call)
         if now >= one.begins_at + ANSWER_SECONDS:
             one.entry.poison.note_whole(one.call)
             self.running.remove(one)
 
-    def _cut(self, lost):
+    def _cut(self, lost: collections.abc.Iterable[Running]) -> None:
         """Cut calls, whose entries see their connections end."""
         for one in lost:
             self.running.remove(one)
@@ -220,9 +300,9 @@
                 target_client.Unanswered('closed'),
             )
 
-    def _cut_others(self):
+    def _cut_others(self) -> None:
         self._cut(tuple(self.running))
 
-    async def _is_up(self, address):
+    async def _is_up(self, address: str) -> bool:
         await asyncio.sleep(0.001)
         return address.partition(':')[0] in self.up
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -6,9 +6,10 @@
 
 import aiohttp
 
+from bench.poison import site as site_model
 from tamarackthread.policy import poison_calls
 from tamarackthread.shared.site import configuration
-from tests import direct_case, poison_site, policy_case
+from tests import direct_case, policy_case
 
 TARGETS = 16
 POISON_CALLS = 10
@@ -68,7 +69,7 @@
                     site = self.run_paused(
                         self._crash_at_random(seed, is_group, gap)
                     )
-                    self.assertEqual([], site.sound_refused_at)
+                    self.assertEqual([], _blamed(site))
                     self.assertGreaterEqual(len(site.crashes), MAX_CRASHES)
 
     def test_entry_cut_off(self):
@@ -117,13 +118,12 @@
             in_touch = [one for one in found if one.entry not in without]
             self.assertLessEqual(len(in_touch), MAX_LATE_CALLS)
         served_from = crashes[:MAX_CRASHES][-1] + 2 * WINDOW_SECONDS
-        refused = [at for at in site.sound_refused_at if at > served_from]
-        self.assertEqual([], refused)
+        self.assertEqual([], [at for at in _blamed(site) if at > served_from])
 
     async def _play(  # noqa: WPS211
         self, seed, places, gap, is_group=False, services=('s',), at=0, do=None
     ):
-        site = poison_site.Site(random.Random(seed), is_group)
+        site = site_model.Site(random.Random(seed), is_group)
         site.open()
         next_poison = 5.0
         now = 0.0
@@ -146,7 +146,7 @@
         return site
 
     async def _crash_at_random(self, seed, is_group, gap):
-        site = poison_site.Site(random.Random(seed), is_group)
+        site = site_model.Site(random.Random(seed), is_group)
         site.open()
         now = 0.0
         next_crash = 5.0
@@ -161,6 +161,11 @@
         return site
 
 
+def _blamed(site):
+    """List when sound calls were refused as poison."""
+    return [call.at for call in site.sound if call.was_blamed]
+
+
 def _send_sound(site, places, services):
     """Send calls with all parts of the others but the one that crashes."""
     for _ in range(2):
