Take an unframed stream without events whose target is gone for broken off

Callers had status 200 and an empty stream that looked whole, and the target had crashed: an answer with neither a length nor chunks whose connection is closed before the first event is no different from an empty stream. It also counted as an answer that clears the part that crashed the target.

Such an end, and only such, asks whether the target still takes connections, one connection and some milliseconds; if not, the stream goes on at another target or breaks visibly, and the crash counts. An empty stream of a target that goes on stays whole.

--- a/tamarackthread/entry/direct/poison_requests.py
+++ b/tamarackthread/entry/direct/poison_requests.py
@@ -113,6 +113,10 @@
         """Record that a target has answered a call in whole."""
         self._note_answer(call, crash_records.Reach.WHOLE)
 
+    async def is_listening(self, target: instances.TargetInstance) -> bool:
+        """Tell whether a target takes a new connection."""
+        return await self._probe(target.announcement.address)
+
     @property
     def serial(self) -> int:
         """Return a number that grows with each change of ``changed_rows``."""
@@ -146,7 +150,7 @@
         # A rank breaks off its answers when another rank of its group is lost,
         # and links lose connections; such a target still listens.
         target = lost.target
-        is_listening = await self._probe(target.announcement.address)
+        is_listening = await self.is_listening(target)
         _log_lost(lost, is_listening=is_listening)
         if target.is_draining:
             return
--- a/tamarackthread/entry/direct/stream_relay.py
+++ b/tamarackthread/entry/direct/stream_relay.py
@@ -13,12 +13,13 @@
     stream_timing,
     target_client,
 )
-from tamarackthread.shared import events
+from tamarackthread.shared import events, response_body
 from tamarackthread.shared.site import configuration, site_metrics
 
 HTTP_OK = 200
 EVENT_STREAM = 'text/event-stream'
 CUT_INSIDE_EVENT = 'answer ended inside an event'
+CUT_BEFORE_EVENTS = 'answer ended before any event, and its target is gone'
 
 
 class StreamRelay:
@@ -61,13 +62,39 @@
             progress.note_rest(splitter)
             if ready:
                 await self._pass_on(call, ready, progress, out)
+        await self._check_end(answer, progress, splitter)
+        if splitter.rest:
+            await out.write(splitter.rest)
+        await out.finish()
+
+    async def _check_end(
+        self,
+        answer: target_client.TargetResponse,
+        progress: call_progress.CallProgress,
+        splitter: events.EventSplitter,
+    ) -> None:
+        """Raise ``Lost`` if a stream has ended too early."""
         if not splitter.is_at_boundary:
             raise target_client.Lost(CUT_INSIDE_EVENT)
         if progress.is_event_due:
             raise target_client.Lost('answer lacks the event that was cut')
-        if splitter.rest:
-            await out.write(splitter.rest)
-        await out.finish()
+        if await self._has_crashed(answer, progress):
+            raise target_client.Lost(CUT_BEFORE_EVENTS)
+
+    async def _has_crashed(
+        self,
+        answer: target_client.TargetResponse,
+        progress: call_progress.CallProgress,
+    ) -> bool:
+        """Tell whether a target crashed before the first event.
+
+        Without a length or chunks such an answer looks like an empty stream.
+        """
+        is_unframed = answer.trace.framing is response_body.Framing.CONNECTION
+        target = progress.current_target
+        if progress.relayed_events or not is_unframed or target is None:
+            return False
+        return not await self._poison.is_listening(target)
 
     async def _pass_on(
         self,
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -200,10 +200,15 @@
         with mock.patch.object(poison_calls, 'CORRELATED_LOSS_SECONDS', 0):
             await self._ask_poison_and_sound()
 
-    async def _ask_poison_and_sound(self):
+    async def test_crash_of_an_unframed_answer(self):
+        """Guards against an unframed crash that passes for an empty stream."""
+        with mock.patch.object(poison_calls, 'CORRELATED_LOSS_SECONDS', 0):
+            await self._ask_poison_and_sound('Connection: close')
+
+    async def _ask_poison_and_sound(self, framing='Transfer-Encoding: chunked'):
         self.serve(configuration.RouteKind.STREAM, is_resumable=True)
         for _ in range(TARGETS):
-            await self.add(_crashing_on('bad'))
+            await self.add(_crashing_on('bad', framing))
         poisoned = []
         sound = []
         for number in range(POISON_CALLS):
@@ -234,7 +239,7 @@
         return status, body
 
 
-def _crashing_on(part):
+def _crashing_on(part, framing):
     """Answer in whole, or crash after the head of an answer on a part."""
     whole = direct_case.streaming(1, 2, is_whole=True)
 
@@ -244,7 +249,7 @@
             await whole(target, head, writer)
             return
         start = direct_case.head_of(target, head)
-        writer.write(f'{start}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        writer.write(f'{start}{framing}\r\n\r\n'.encode())
         await writer.drain()
         target.close()
         writer.close()
