Let only successful answers clear what is suspected of crashes

A target that fails calls with 500 before it runs them cleared the call and each part of its prompt, so beside one target that fails a share of its calls a part could go on crashing the others. Found by reading; the new test failed before: the suspect was cleared by a 500. Answers with a status of 2xx clear, streams by their events.

--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -122,7 +122,6 @@
         finally:
             self._end_try(call, target, progress)
         target.reset_backoff()
-        self._poison.note_whole(call)
         self._admission.record_answer(call, loop.time() - started_at)
         return True
 
@@ -210,6 +209,8 @@
             progress.body = answer.trace
             if stream_relay.is_event_stream(call, answer.head):
                 await self._relay.run(call, answer, progress, out)
+                if progress.relayed_events:
+                    self._poison.note_whole(call)
                 self._record_outcome(target, is_good=True)
                 return
             body = await stream_relay.read_whole(answer)
@@ -220,6 +221,8 @@
             self._record_outcome(
                 target, is_good=answer.head.status < MIN_ERROR_STATUS
             )
+            if answer.head.is_success:
+                self._poison.note_whole(call)
             await out.whole(answer.head, body)
 
     def _should_retry_error(
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -82,6 +82,11 @@
     status: int
     headers: list[tuple[str, str]]
 
+    @property
+    def is_success(self) -> bool:
+        """Tell whether the target has done what it was asked for."""
+        return self.status // 100 == 2
+
     @property
     def content_type(self) -> str:
         """Return the media type in lower case, empty if it is missing."""
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -336,6 +336,18 @@
             await self.crashing.probed()
         self.assertEqual([], self.crashing.changed_rows())
 
+    async def test_failure_clears_nothing(self):
+        """Guards against targets that fail calls unrun and so clear them."""
+        self.serve(configuration.RouteKind.ONCE)
+        await self._crash_on_bad()
+        await self.add(direct_case.whole('no', '500 Failed'))
+        status, _, _ = await self.ask(body=b'bad')
+        self.assertEqual(500, status)
+        rows = self.crashing.changed_rows()
+        self.assertEqual(1, len(rows))
+        for suspect in rows[0].suspects:
+            self.assertFalse(suspect.is_cleared)
+
     async def test_target_that_restarts_at_once(self):
         """Guards against a crash that a new start at the address hides."""
         self.serve(configuration.RouteKind.ONCE)
