Take only a refused connection for the end of a target

A probe that timed out counted as a crash: an entry whose loop stands still for 0.35 s, or that is short of processor time, would have taken the targets of all calls that it lost for crashed. Only a refusal counts now; what is silent is confirmed by a later start at the address, as before. test_silent_address failed before: a probe without time said that the target was gone.

--- a/bench/poison/site.py
+++ b/bench/poison/site.py
@@ -149,7 +149,7 @@
         """Start an entry that knows nothing yet."""
         links = Links(name, self.hosts)
         poison = poison_requests.PoisonRequests(
-            name, lambda target: False, self._is_up
+            name, lambda target: False, self._is_down
         )
         exchange = load_exchange.LoadExchange(
             targets.Targets('z', 1.0, self.rng),
@@ -303,6 +303,6 @@
     def _cut_others(self) -> None:
         self._cut(tuple(self.running))
 
-    async def _is_up(self, address: str) -> bool:
+    async def _is_down(self, address: str) -> bool:
         await asyncio.sleep(0.001)
-        return address.partition(':')[0] in self.up
+        return address.partition(':')[0] not in self.up
--- a/tamarackthread/entry/direct/poison_requests.py
+++ b/tamarackthread/entry/direct/poison_requests.py
@@ -50,12 +50,12 @@
         self,
         name: str,
         is_replaced: IsReplaced,
-        probe: Probe = target_probe.is_listening,
+        probe: Probe = target_probe.is_gone,
     ) -> None:
         """Start without crashes; ``name`` is this entry's.
 
-        ``is_replaced`` tells if a target has restarted, and ``probe`` if an
-        address listens.
+        ``is_replaced`` tells if a target has restarted, and ``probe`` if
+        nothing listens at an address.
         """
         self._name = name
         self._is_replaced = is_replaced
@@ -113,8 +113,8 @@
         """Record that a target has answered a call in whole."""
         self._note_answer(call, crash_records.Reach.WHOLE)
 
-    async def is_listening(self, target: instances.TargetInstance) -> bool:
-        """Tell whether a target takes a new connection."""
+    async def is_gone(self, target: instances.TargetInstance) -> bool:
+        """Tell whether a target refuses connections."""
         return await self._probe(target.announcement.address)
 
     @property
@@ -150,14 +150,14 @@
         # A rank breaks off its answers when another rank of its group is lost,
         # and links lose connections; such a target still listens.
         target = lost.target
-        is_listening = await self.is_listening(target)
-        _log_lost(lost, is_listening=is_listening)
+        is_gone = await self.is_gone(target)
+        _log_lost(lost, is_gone=is_gone)
         if target.is_draining:
             return
-        if is_listening:
-            self._unconfirmed.append(lost)
+        if is_gone:
+            self._record(lost)
             return
-        self._record(lost)
+        self._unconfirmed.append(lost)
 
     def _confirm(self, now: float) -> None:
         """Record the lost calls whose targets have turned out to restart."""
@@ -220,7 +220,7 @@
         site_metrics.SUSPECTS.set(verdicts.count(poison_calls.Verdict.REFUSED))
 
 
-def _log_lost(lost: _LostCall, *, is_listening: bool) -> None:
+def _log_lost(lost: _LostCall, *, is_gone: bool) -> None:
     target = lost.target
     log_events.emit(
         _log,
@@ -228,10 +228,10 @@
         'entry: call was lost at %s after %d events, target %s',
         target.name,
         lost.events,
-        'goes on' if is_listening else 'is gone',
+        'is gone' if is_gone else 'goes on',
         target=target.name,
         born=target.announcement.born,
-        is_gone=not is_listening,
+        is_gone=is_gone,
         is_draining=target.is_draining,
         events=lost.events,
         parts=lost.call.request.shared_parts,
--- a/tamarackthread/entry/direct/stream_relay.py
+++ b/tamarackthread/entry/direct/stream_relay.py
@@ -94,7 +94,7 @@
         target = progress.current_target
         if progress.relayed_events or not is_unframed or target is None:
             return False
-        return not await self._poison.is_listening(target)
+        return await self._poison.is_gone(target)
 
     async def _pass_on(
         self,
--- a/tamarackthread/entry/direct/target_probe.py
+++ b/tamarackthread/entry/direct/target_probe.py
@@ -1,20 +1,25 @@
-"""Tell whether a target that broke off an answer is still listening."""
+"""Tell whether a target that broke off an answer is gone."""
 
 from __future__ import annotations
 
 import asyncio
 
-# Longer than a handshake between regions; a crashed target refuses at once.
+# Longer than a handshake between regions; a host refuses at once.
 PROBE_SECONDS = 0.35
 
 
-async def is_listening(address: str) -> bool:
-    """Tell whether a target at HOST:PORT accepts a connection."""
+async def is_gone(address: str) -> bool:
+    """Tell whether nothing listens at a target's HOST:PORT any more.
+
+    An address that doesn't answer in time may be that of a target that goes on.
+    """
     host, _, port = address.rpartition(':')
     try:
         async with asyncio.timeout(PROBE_SECONDS):
             _, writer = await asyncio.open_connection(host, int(port))
-    except (OSError, ValueError):
+    except TimeoutError:
         return False
+    except OSError:
+        return True
     writer.close()
-    return True
+    return False
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -16,6 +16,7 @@
     load_exchange,
     poison_requests,
     target_client,
+    target_probe,
 )
 from tamarackthread.policy import crash_records, poison_calls
 from tamarackthread.shared.site import announcements, configuration
@@ -310,6 +311,22 @@
         )
 
 
+class ProbeCase(unittest.IsolatedAsyncioTestCase):
+    async def test_silent_address(self):
+        """Guards against a crash seen by an entry that has no time to look."""
+        server = await asyncio.start_server(
+            lambda reader, writer: None, '127.0.0.1', 0
+        )
+        host, port = server.sockets[0].getsockname()
+        address = f'{host}:{port}'
+        self.assertFalse(await target_probe.is_gone(address))
+        with mock.patch.object(target_probe, 'PROBE_SECONDS', -1):
+            self.assertFalse(await target_probe.is_gone(address))
+        server.close()
+        await server.wait_closed()
+        self.assertTrue(await target_probe.is_gone(address))
+
+
 class CallerCase(direct_case.DirectCase):
     async def test_crash_after_the_head(self):
         """Guards against a poison call whose target crashes after its head."""
@@ -394,7 +411,7 @@
 
 
 async def _is_gone(address):
-    return False
+    return True
 
 
 def _with_body(call, body):
