Refuse a call for the strictest of its findings

A call with two blamed marks was judged by the one with most crashes: a part with four doubtful ones, which is only not repeated, let through a call whose other part is refused after three. Found by reading; test_strictest_of_a_call failed before with the call allowed.

--- a/tamarackthread/policy/poison_calls.py
+++ b/tamarackthread/policy/poison_calls.py
@@ -48,6 +48,11 @@
     verdict: Verdict
     crashes: tuple[crash_records.Crash, ...]
 
+    @property
+    def severity(self) -> tuple[bool, int]:
+        """Return what orders findings: refused first, then by crashes."""
+        return self.verdict is Verdict.REFUSED, len(self.crashes)
+
 
 Findings = collections.abc.Mapping[bytes, Finding]
 
@@ -81,12 +86,10 @@
     def worst(
         self, marks: collections.abc.Iterable[bytes], now: float
     ) -> Finding | None:
-        """Return the finding with the most crashes of a call's marks."""
+        """Return the strictest finding of a call's marks."""
         findings = self.findings(now)
         found = [findings[mark] for mark in marks if mark in findings]
-        return max(
-            found, key=lambda finding: len(finding.crashes), default=None
-        )
+        return max(found, key=operator.attrgetter('severity'), default=None)
 
     def verdict(
         self, marks: collections.abc.Iterable[bytes], now: float
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
+import unittest
 from unittest import mock
 
 import aiohttp
 
 from bench.poison import site as site_model
-from tamarackthread.policy import poison_calls
+from tamarackthread.policy import crash_records, poison_calls
 from tamarackthread.shared.site import configuration
 from tests import direct_case, policy_case
 
@@ -193,6 +194,37 @@
         entry.links.cut.add('h0')
 
 
+class VerdictCase(unittest.TestCase):
+    def test_strictest_of_a_call(self):
+        """Guards against a doubtful suspect that hides the one to refuse."""
+        known = poison_calls.PoisonCalls()
+        self._crash(known, b'doubtful', 0)
+        known.records.record_answer(
+            's', (b'doubtful',), crash_records.Reach.BEGUN, 1
+        )
+        for now in (20, 30, 40, 50):
+            self._crash(known, b'doubtful', now)
+        for now in (25, 35, 45):
+            self._crash(known, b'poison', now)
+        marks = (b'doubtful', b'poison')
+        no_retry = poison_calls.Verdict.NO_RETRY
+        refused = poison_calls.Verdict.REFUSED
+        self.assertEqual(no_retry, known.verdict(marks[:1], 60))
+        self.assertEqual(refused, known.verdict(marks[1:], 60))
+        self.assertEqual(refused, known.verdict(marks, 60))
+
+    def _crash(self, known, mark, now):
+        known.records.record_answer('s', (), crash_records.Reach.BEGUN, now)
+        known.records.record(
+            crash_records.Crash(
+                start=f'target at {now}',
+                service='s',
+                suspects=(crash_records.Suspect(mark),),
+            ),
+            now,
+        )
+
+
 class CallerCase(direct_case.DirectCase):
     async def test_part_that_crashes_each_target(self):
         """Guards against calls, each new, that crash targets by a shared part."""
