--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -15,14 +15,6 @@
 APPLY_SECONDS = 2.0
 # Targets of an evacuated zone get nothing so long after it was acknowledged.
 EVACUATION_SECONDS = 5.0
-# A call that has crashed three targets reaches, so long after the third, at most
-# so many more.
-CRASHES = 3
-KNOWN_SECONDS = 4.0
-MORE_CRASHES = 3
-# The same for calls that share a part of their prompts, each new.
-PART_CRASHES = 5
-PART_KNOWN_SECONDS = 3.0
 # The code of the refusal of a call that crashes targets.
 CRASHES_CODE = 'TT7213'
 # Calls of one second that a cold target takes from all entries.
@@ -37,6 +29,21 @@
     STREAM = 'stream'
 
 
+@attrs.frozen
+class CrashBound:
+    """How many crashes one cause may have, and how many more when known."""
+
+    promise: str
+    crashes: int
+    known_seconds: float
+    more: int = 3
+
+
+CALL_BOUND = CrashBound('crashing_call_let_through', 3, 4.0)
+# For calls that share a part of their prompts, each new.
+PART_BOUND = CrashBound('crashing_part_let_through', 5, 3.0)
+
+
 @attrs.frozen
 class Violation:
     """One broken promise."""
@@ -80,9 +87,8 @@
         self._accepted: list[tuple[float, int]] = []
         self._evacuated: dict[str, float] = {}
         self._cold: dict[str, collections.deque[float]] = {}
-        self._crashed: dict[str, list[float]] = collections.defaultdict(list)
-        self._crashed_by_part: dict[str, list[float]] = collections.defaultdict(
-            list
+        self._crashes: dict[tuple[CrashBound, str], list[float]] = (
+            collections.defaultdict(list)
         )
         self._found: list[Violation] = []
 
@@ -123,25 +129,13 @@
 
     def crashed(self, call: str, now: float) -> None:
         """Judge a call that has crashed the target that ran it."""
-        moments = self._crashed[call]
-        moments.append(now)
-        if len(moments) <= CRASHES:
-            return
-        known_at = moments[CRASHES - 1] + KNOWN_SECONDS
-        late = sum(moment > known_at for moment in moments)
-        if late > MORE_CRASHES:
-            self._add('crashing_call_let_through', f'{late} times, {call}')
+        self._crashes[CALL_BOUND, call].append(now)
+        self._judge_crashes(CALL_BOUND, call)
 
     def crashed_by_part(self, part: str, now: float) -> None:
         """Judge a call that has crashed its target by a part of its prompt."""
-        moments = self._crashed_by_part[part]
-        moments.append(now)
-        if len(moments) <= PART_CRASHES:
-            return
-        known_at = moments[PART_CRASHES - 1] + PART_KNOWN_SECONDS
-        late = sum(moment > known_at for moment in moments)
-        if late > MORE_CRASHES:
-            self._add('crashing_part_let_through', f'{late} times, {part}')
+        self._crashes[PART_BOUND, part].append(now)
+        self._judge_crashes(PART_BOUND, part)
 
     def accepted(self, version: int, now: float) -> None:
         """Note that an operator was told that a version is accepted."""
@@ -161,10 +155,11 @@
 
     def crashes(self) -> dict[str, int]:
         """Count the targets that calls and parts of prompts have crashed."""
-        return {
-            'by_call': sum(map(len, self._crashed.values())),
-            'by_part': sum(map(len, self._crashed_by_part.values())),
-        }
+        found = {'by_call': 0, 'by_part': 0}
+        for (bound, _), moments in self._crashes.items():
+            name = 'by_part' if bound is PART_BOUND else 'by_call'
+            found[name] += len(moments)
+        return found
 
     def violations(self) -> list[Violation]:
         """Judge all that was seen."""
@@ -176,6 +171,16 @@
             found.extend(self._judge(attempt))
         return found
 
+    def _judge_crashes(self, bound: CrashBound, cause: str) -> None:
+        """Find crashes that came long after the cause had to be known."""
+        moments = self._crashes[bound, cause]
+        if len(moments) <= bound.crashes:
+            return
+        known_at = moments[bound.crashes - 1] + bound.known_seconds
+        late = sum(moment > known_at for moment in moments)
+        if late > bound.more:
+            self._add(bound.promise, f'{late} times, {cause}')
+
     def _judge(self, attempt: Attempt) -> list[Violation]:
         found = []
         runs = self.runs[attempt.identity]
