--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -19,6 +19,7 @@
     target_probe,
 )
 from tamarackthread.policy import crash_records, poison_calls
+from tamarackthread.shared import errors
 from tamarackthread.shared.site import announcements, configuration
 from tests import direct_case, policy_case, test_admission_control
 from tests import test_load_exchange as shared_calls
@@ -311,6 +312,32 @@
         )
 
 
+class RowCase(unittest.TestCase):
+    def test_malformed_rows(self):
+        """Guards against a row of another process that breaks the records."""
+        crash = crash_records.Crash(
+            start='t1/0', suspects=(crash_records.Suspect(POISON),)
+        )
+        row = crash_records.to_message(crash)
+        self.assertEqual(
+            crash.suspects, crash_records.from_message(row).suspects
+        )
+        for field, wrong in (
+            ('lost_ms', -1),
+            ('used_ms', None),
+            ('suspects', None),
+        ):
+            with self.subTest(field=field):
+                row = crash_records.to_message(crash)
+                setattr(row, field, wrong)
+                with self.assertRaisesRegex(errors.FrameInvalid, 't1/0'):
+                    crash_records.from_message(row)
+        row = crash_records.to_message(crash)
+        row.suspects[0].reach = 7
+        with self.assertRaisesRegex(errors.FrameInvalid, 't1/0'):
+            crash_records.from_message(row)
+
+
 class ProbeCase(unittest.IsolatedAsyncioTestCase):
     async def test_silent_address(self):
         """Guards against a crash seen by an entry that has no time to look."""
