Test that nothing shared is blamed while a service is silent

A shared mark with three crashes is allowed until any call of the service is answered, and refused then.

--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -20,8 +20,6 @@
 WHOLE = (200, b'id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n')
 # An answer that broke off after its head.
 CUT = (200, b'')
-
-
 BAD = frozenset(('bad', 'worse'))
 # Of calls that share parts, by the place of the part that crashes targets.
 PLACES = (('bad', 'topic'), ('shared', 'bad'), ('shared', 'bad', 'topic'))
@@ -213,8 +211,22 @@
         self.assertEqual(refused, known.verdict(marks[1:], 60))
         self.assertEqual(refused, known.verdict(marks, 60))
 
-    def _crash(self, known, mark, now):
-        known.records.record_answer('s', (), crash_records.Reach.BEGUN, now)
+    def test_silent_service(self):
+        """Guards against blaming what calls share while none is answered."""
+        known = poison_calls.PoisonCalls()
+        for now in (0, 10, 20):
+            self._crash(known, b'shared', now, is_silent=True)
+        self.assertEqual(
+            poison_calls.Verdict.ALLOWED, known.verdict((b'shared',), 30)
+        )
+        known.records.record_answer('s', (), crash_records.Reach.BEGUN, 30)
+        self.assertEqual(
+            poison_calls.Verdict.REFUSED, known.verdict((b'shared',), 31)
+        )
+
+    def _crash(self, known, mark, now, is_silent=False):
+        if not is_silent:
+            known.records.record_answer('s', (), crash_records.Reach.BEGUN, now)
         known.records.record(
             crash_records.Crash(
                 start=f'target at {now}',
