Take bytes of a request's head that are no text into its marks

A call whose prompt parts, or path, have bytes that aren't UTF-8 raised UnicodeEncodeError as its first event was passed on, and its caller's answer broke off.

--- a/tamarackthread/entry/direct/call_marks.py
+++ b/tamarackthread/entry/direct/call_marks.py
@@ -22,7 +22,7 @@
 def of_parts(call: calls.Call) -> list[bytes]:
     """List the marks of the prompt's parts, which other prompts may contain."""
     parts = dict.fromkeys(call.request.shared_parts)
-    return [_part_mark(part.lower().encode()) for part in parts]
+    return [_part_mark(_encode(part.lower())) for part in parts]
 
 
 def suspects(
@@ -50,12 +50,17 @@
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     fields = (call.request.method, call.request.host, call.request.path)
     for part in (*fields, call.organisation):
-        digest.update(part.encode())
+        digest.update(_encode(part))
         digest.update(b'\0')
     digest.update(call.body)
     return digest.digest()
 
 
+def _encode(text: str) -> bytes:
+    # Heads of requests may contain bytes that are no text.
+    return text.encode(errors='surrogateescape')
+
+
 def _part_mark(part: bytes) -> bytes:
     if len(part) > MAX_ID_BYTES:
         digest = hashlib.blake2b(part, digest_size=FINGERPRINT_BYTES)
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -298,6 +298,20 @@
         """Guards against a fingerprint that depends on the call id."""
         self.run_paused(self._same())
 
+    def test_bytes_that_are_no_text(self):
+        """Guards against a call whose head can't be hashed and so is broken."""
+        self.run_paused(self._undecodable())
+
+    async def _undecodable(self):
+        call = test_admission_control.call_of()
+        request = attrs.evolve(
+            call.request, path='/\udcff', shared_parts=('\udcfe', 'x' * 99)
+        )
+        marks = call_marks.of(attrs.evolve(call, request=request))
+        self.assertEqual(3, len(set(marks)))
+        for mark in marks:
+            call_marks.describe(mark).encode()
+
     async def _same(self):
         call = test_admission_control.call_of(call_id='one')
         again = test_admission_control.call_of(call_id='two')
