--- a/review/1/case.py
+++ b/review/1/case.py
@@ -90,7 +90,7 @@
 
 async def main() -> int:
     """Play the case and write the record."""
-    site = stand.Site(disks=3)
+    site = stand.Site()
     replica = stand.Replica(site, 'app', 'i-1')
     try:
         is_broken = await play(site, replica)
--- a/review/stand.py
+++ b/review/stand.py
@@ -74,6 +74,7 @@
         self.has_disk = has_disk
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.bootstrap = True
+        self.is_gone = False
         self.folder = site.folder / self.name
         self.folder.mkdir()
 
@@ -121,13 +122,18 @@
             'bounds': dict(BOUNDS),
         }
 
+    def write_settings(self, role: str) -> None:
+        """Write the settings file of a role, without a signal."""
+        row = self.site.deploy['roles'][role]
+        template = (ROOT / row['template']).read_text()
+        path = self.folder / f'{role}.json'
+        path.write_text(render(template, self.fields(role)))
+
     def start(self, role: str) -> None:
         """Start the process of a role with the line of the deploy file."""
+        self.write_settings(role)
         row = self.site.deploy['roles'][role]
         fields = self.fields(role)
-        template = (ROOT / row['template']).read_text()
-        path = self.folder / f'{role}.json'
-        path.write_text(render(template, fields))
         words = [render(word, fields) for word in row['run'].split(' ')]
         environment = {
             'PATH': os.environ.get('PATH', ''),
@@ -135,7 +141,7 @@
             'LANG': os.environ.get('LANG', 'C.UTF-8'),
             'PYTHONPATH': str(ROOT / 'target' / 'deps'),
             'PYTHONDONTWRITEBYTECODE': '1',
-            'TAMARACKTHREAD_CONFIG': str(path),
+            'TAMARACKTHREAD_CONFIG': str(self.folder / f'{role}.json'),
             **row.get('env', {}),
         }
         with (self.folder / f'{role}.log').open('ab') as log:
@@ -158,8 +164,14 @@
 class Site:
     """Machines, an operator and a record of what was seen."""
 
-    def __init__(self, disks: int = 3, others: int = 0) -> None:
-        """Take a temporary folder and free ports."""
+    def __init__(
+        self, machines: int = 3, disks: typing.Sequence[int] = (0, 1, 2)
+    ) -> None:
+        """Take a temporary folder and free ports.
+
+        The machines with the numbers in ``disks`` have one; the first three of
+        these are the seeds.
+        """
         self.deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.started = time.monotonic()
@@ -173,8 +185,8 @@
         first = free_port(base)
         self.internal = [first, free_port(base)]
         self.machines = [
-            Machine(self, number, has_disk=number < disks)
-            for number in range(disks + others)
+            Machine(self, number, has_disk=number in disks)
+            for number in range(machines)
         ]
         self.seeds = [
             machine.control for machine in self.machines if machine.has_disk
@@ -220,9 +232,7 @@
     async def call_control(self, path: str, body: bytes) -> str:
         """Send a call to one control host after another; return who took it."""
         while True:
-            for machine in self.machines:
-                if not machine.has_disk:
-                    continue
+            for machine in self.running():
                 if await self.ask(machine.control, 'POST', path, body) == 200:
                     return machine.name
             await asyncio.sleep(0.1)
@@ -236,15 +246,28 @@
         self.note(f'configuration {document["version"]} acked by {taker}')
         return taker
 
+    def running(self) -> list[Machine]:
+        """List the machines that serve control."""
+        return [
+            machine
+            for machine in self.machines
+            if 'control' in machine.processes and not machine.is_gone
+        ]
+
     async def wait_ready(self, seconds: float = 25.0) -> bool:
-        """Wait until every entry is ready."""
+        """Wait until every entry that was started is ready."""
+        entries = [
+            machine
+            for machine in self.machines
+            if 'entry' in machine.processes and not machine.is_gone
+        ]
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             answers = [
                 await self.ask(
                     machine.ready, 'GET', '/tamarackthread/readiness'
                 )
-                for machine in self.machines
+                for machine in entries
             ]
             if all(answer == 200 for answer in answers):
                 return True
