--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,12 @@
-"""Let another writer's heartbeats name a service whose name is no text."""
+"""Freeze a control host for a moment while another one is being replaced."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import pathlib
+import shutil
+import signal
 import sys
 import time
 
@@ -13,88 +16,128 @@
 import stand  # noqa: E402
 import web  # noqa: E402
 
-BEATS = 3
-# The first half of a pair of surrogates: valid JSON, but no text.  A writer that
-# cuts a name inside such a pair sends this.
-FOREIGN = (
-    r'{"service":"model-\ud83d","address":"127.0.0.1:9","zone":"zone-a",'
-    r'"version":"v1","slots":6,"state":"ready","cold-remaining-ms":0,'
-    r'"sequence":%d}'
-)
-APPLY_SECONDS = stand.BOUNDS['config-apply-ms'] / 1000
-WATCH_SECONDS = 10
-
-
-async def write_foreign(site: stand.Site) -> None:
-    """Send heartbeats as a replica does, at another control host each time."""
-    for number in range(BEATS):
-        machine = site.machines[number % len(site.machines)]
-        status = await site.ask(
-            machine.control,
-            'POST',
-            '/tamarackthread/replicas/x-1/heartbeat',
-            (FOREIGN % (number + 1)).encode(),
-        )
-        site.note(f'foreign heartbeat at {machine.name}: {status}')
-        await asyncio.sleep(stand.HEARTBEAT_SECONDS)
-
-
-async def ask_all(site: stand.Site, after: float, number: int) -> bool:
-    """Ask each entry; return whether one obeys the older version only."""
-    is_stale = False
-    for machine in site.machines:
-        tries = (('old', 'key-south', 401), ('new', 'key-north', 200))
-        for name, key, expected in tries:
-            answer = await web.ask(
-                machine.front,
-                'GET',
-                f'/{name}/x',
-                b'',
-                stand.request_rows(f'{name}-{machine.name}-{number}', key),
-            )
-            site.note(
-                f'{after:.1f} s after the ack, {machine.name} /{name}/ with'
-                f' {key}: {answer.status}, by version 2: {expected}'
-            )
-            is_stale |= name == 'old' and answer.status == 200
-            is_stale |= name == 'new' and answer.status == 404
-    return is_stale
-
-
-async def play(site: stand.Site, replica: stand.Replica) -> bool:
-    """Return whether an entry obeyed an older version for too long."""
-    site.start()
-    await replica.start()
-    old = stand.route('old', 'idempotent', 'app')
-    await site.configure(stand.document(1, [old]))
-    if not await site.wait_ready():
-        raise RuntimeError('an entry is not ready')
-    await asyncio.sleep(4)
+FREEZE_SECONDS = 3.5
+DOWN_SECONDS = 2.0
+TOUCH_SECONDS = stand.BOUNDS['connectivity-window-ms'] / 1000
+CATCH_UP_SECONDS = stand.BOUNDS['catch-up-s']
+GRACE_SECONDS = stand.BOUNDS['grace-period-s']
+RECOVERY_SECONDS = stand.BOUNDS['recovery-s']
+WATCH_SECONDS = 12
+REPLACE = '/tamarackthread/configuration/replace'
+READ = '/tamarackthread/configuration/read'
+LEADS = '\ntamarackthread_log_leads 1'
+TAKEN = 200
+
+
+async def leader_of(site: stand.Site) -> stand.Machine:
+    """Return the machine whose metrics say that it leads."""
+    for machine in site.running():
+        answer = await web.ask(f'{machine.host}:9102', 'GET', '/metrics')
+        if LEADS in answer.body.decode():
+            return machine
+    raise RuntimeError('no control host leads')
+
+
+def body_of(version: int) -> bytes:
+    """Return a configuration as sent."""
+    routes = [stand.route('old', 'idempotent', 'app')]
+    return json.dumps(stand.document(version, routes)).encode()
+
+
+async def send(site: stand.Site, machine: stand.Machine, version: int) -> bool:
+    """Send a configuration to one host once; return whether it is acked."""
+    status = await site.ask(machine.control, 'POST', REPLACE, body_of(version))
+    site.note(f'version {version} sent to {machine.name}: {status}')
+    return status == TAKEN
+
+
+async def freeze(site: stand.Site, machine: stand.Machine) -> None:
+    """Let all processes of a machine stand still for a time."""
+    for role in machine.processes:
+        machine.signal(role, signal.SIGSTOP)
+    site.note(f'{machine.name} freezes')
+    await asyncio.sleep(FREEZE_SECONDS)
+    for role in machine.processes:
+        machine.signal(role, signal.SIGCONT)
+    site.note(f'{machine.name} wakes')
+
+
+async def lose_disk(site: stand.Site, machine: stand.Machine) -> None:
+    """Kill a machine's processes, and start them with an empty folder."""
+    for role, process in machine.processes.items():
+        machine.signal(role, signal.SIGKILL)
+        process.wait()
+    shutil.rmtree(machine.folder / 'data-control')
+    site.note(f'{machine.name} is killed and has lost its disk')
+    await asyncio.sleep(DOWN_SECONDS)
+    machine.start('control')
+    machine.start('entry')
+    site.note(f'{machine.name} is back')
+
+
+async def replace(site: stand.Site) -> stand.Machine:
+    """Replace a host by a new one, as planned; return the new one.
+
+    Before the old one leaves, another freezes for a moment.
+    """
+    new = site.machines[3]
+    new.bootstrap = False
+    new.start('control')
+    new.start('entry')
+    site.note(f'{new.name} has come')
+    await asyncio.sleep(CATCH_UP_SECONDS + 1)
+    leader = await leader_of(site)
+    old, other = (row for row in site.machines[:3] if row is not leader)
     if stand.has_trouble():
-        await write_foreign(site)
+        await freeze(site, other)
     else:
-        await asyncio.sleep(BEATS * stand.HEARTBEAT_SECONDS)
-    await asyncio.sleep(1)
-    document = stand.document(2, [old, stand.route('new', 'idempotent', 'app')])
-    document['tenants'] = document['tenants'][:1]
-    await site.configure(document)
-    acked = time.monotonic()
-    await asyncio.sleep(APPLY_SECONDS + 0.5)
-    is_broken = False
-    for number in range(WATCH_SECONDS):
-        after = time.monotonic() - acked
-        is_broken |= await ask_all(site, after, number)
+        await asyncio.sleep(FREEZE_SECONDS)
+    await asyncio.sleep(CATCH_UP_SECONDS + TOUCH_SECONDS)
+    for role in old.processes:
+        old.signal(role, signal.SIGTERM)
+    old.is_gone = True
+    site.note(f'{old.name} leaves for good')
+    await asyncio.sleep(GRACE_SECONDS + CATCH_UP_SECONDS)
+    return new
+
+
+async def read_back(site: stand.Site) -> bool:
+    """Read the configuration at each host in turn; return whether it comes."""
+    until = time.monotonic() + WATCH_SECONDS
+    has_come = False
+    while time.monotonic() < until:
+        for machine in site.running():
+            status = await site.ask(machine.control, 'GET', READ)
+            site.note(f'read at {machine.name}: {status}')
+            has_come |= status == TAKEN
         await asyncio.sleep(1)
-    return is_broken
+    return has_come
+
+
+async def play(site: stand.Site) -> bool:
+    """Return whether the configuration can't be read back at the end."""
+    for machine in site.machines[:3]:
+        machine.start('control')
+        machine.start('entry')
+    await site.configure(stand.document(1, []))
+    if not await site.wait_ready():
+        raise RuntimeError('an entry is not ready')
+    await asyncio.sleep(TOUCH_SECONDS)
+    new = await replace(site)
+    if not await send(site, new, 2):
+        raise RuntimeError('version 2 is not acked')
+    await lose_disk(site, new)
+    await asyncio.sleep(RECOVERY_SECONDS)
+    for machine in site.running():
+        await send(site, machine, 3)
+    return not await read_back(site)
 
 
 async def main() -> int:
     """Play the case and write the record."""
-    site = stand.Site()
-    replica = stand.Replica(site, 'app', 'i-1')
+    site = stand.Site(machines=4, disks=(0, 1, 2, 3))
     try:
-        is_broken = await play(site, replica)
-        await replica.stop()
+        is_broken = await play(site)
     finally:
         await site.stop()
     return stand.finish(site, FOLDER, is_broken)
