--- a/review/1/case.py
+++ b/review/1/case.py
@@ -144,8 +144,4 @@
 
 
 if __name__ == '__main__':
-    try:
-        sys.exit(asyncio.run(main()))
-    except (RuntimeError, OSError, TimeoutError) as exc:
-        sys.stderr.write(f'the case could not run: {exc!r}\n')
-        sys.exit(2)
+    sys.exit(stand.run(main))
--- a/review/stand.py
+++ b/review/stand.py
@@ -27,6 +27,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEARTBEAT_SECONDS = 1.2
+CANNOT_RUN = 2
 _ENDINGS = (EOFError, OSError, ValueError, asyncio.CancelledError)
 BOUNDS = types.MappingProxyType(
     {
@@ -455,6 +456,27 @@
     ]
 
 
+def run(play: typing.Callable[[], typing.Coroutine[None, None, int]]) -> int:
+    """Run a case and return its exit code, 2 if it could not run.
+
+    SIGTERM ends the case early, with all its processes.
+    """
+    try:
+        return asyncio.run(_watched(play))
+    except (Exception, asyncio.CancelledError) as exc:
+        sys.stderr.write(f'the case could not run: {exc!r}\n')
+    return CANNOT_RUN
+
+
+async def _watched(
+    play: typing.Callable[[], typing.Coroutine[None, None, int]],
+) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await play()
+
+
 def finish(site: Site, folder: pathlib.Path, is_broken: bool) -> int:
     """Write the record and return the exit code."""
     verdict = 'rule broken' if is_broken else 'rule held'
