Let a member that hears nothing from its leader know no leader

A control host frozen for 3.5 s while a fourth voter was in the group was removed after 1.5 s and never took part again; the next lost disk took the quorum, and each read and change got 503 for good.

Cause: a member kept the name of its leader until a newer term or another leader came. A removed member gets neither, and it asks to join again only while it knows no leader.

Evidence: log_voters stays 4 in term 2 at the removed host, 3 at the others; no join arrives. The same steps in a paused clock without a network (test_frozen_voter_rejoins) fail before this change: the frozen host isn't among the voters 4 s after it woke. The test passes with it.

Why this works: the election timer runs on every member, whatever it believes of its membership, and is restarted by each message of a leader. When it expires, the leader is forgotten and the joiner asks; a request of a host that still is a member changes nothing.

--- a/tamarackthread/control/election.py
+++ b/tamarackthread/control/election.py
@@ -28,6 +28,7 @@
     while True:
         await state.timer.wait()
         state.timer.back_off()
+        state.lose_leader()
         try:
             elected = await _run_election(state)
         except failures.DiskFull as exc:
--- a/tamarackthread/control/replica.py
+++ b/tamarackthread/control/replica.py
@@ -19,6 +19,7 @@
     snapshots,
 )
 from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.shared import log_events
 
 _log = logging.getLogger('tamarackthread.control.replica')
 
@@ -223,6 +224,29 @@
         self._leader = leader
         self._timer.record_contact()
 
+    def lose_leader(self) -> None:
+        """Know no leader any more: the election timeout has passed.
+
+        A removed member gets no further messages from its leader, so that
+        nothing else tells it that it has to rejoin.
+        """
+        if not self._leader or self._role.leads:
+            return
+        log_events.emit(
+            _log,
+            log_events.Event.LEADER_LOST,
+            'consensus: %s hears nothing from %s, leader of %s in term %d',
+            self._parts.node,
+            self._leader,
+            self._parts.group,
+            self._hard.term,
+            level=logging.WARNING,
+            group=self._parts.group,
+            term=self._hard.term,
+            leader=self._leader,
+        )
+        self._leader = ''
+
     def record_match(self, index: int) -> None:
         """Record that the log matches this term's leader up to an index."""
         self._matched_index = max(self._matched_index, index)
--- a/tamarackthread/shared/log_events.py
+++ b/tamarackthread/shared/log_events.py
@@ -25,6 +25,7 @@
     TARGET = 'target'
     DEPENDENCY = 'dependency'
     LEADER = 'leader'
+    LEADER_LOST = 'leader_lost'
     MEMBERS = 'members'
     ZONE = 'zone'
     GROUPS = 'groups'
--- a/tests/consensus_net.py
+++ b/tests/consensus_net.py
@@ -143,10 +143,11 @@
             try:
                 loop.run_until_complete(coroutine)
             finally:
-                _cancel_tasks(loop)
+                cancel_tasks(loop)
 
 
-def _cancel_tasks(loop: asyncio.AbstractEventLoop) -> None:
+def cancel_tasks(loop: asyncio.AbstractEventLoop) -> None:
+    """Cancel the tasks that a test has left, and wait for their end."""
     remaining = asyncio.all_tasks(loop)
     for task in remaining:
         task.cancel()
--- /dev/null
+++ b/tests/test_lost_members.py
@@ -0,0 +1,66 @@
+"""Test members that are removed from the group although they are alive."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+import warnings
+
+from tests import consensus_net, freezing_loop, membership_net
+
+# Bounds of the platform's pages, in seconds.
+CATCH_UP = 4.0
+RECOVERY = 12.0
+
+
+class _FrozenCase(consensus_net.PausedCase):
+    """Run a coroutine on a loop whose simulated processes can be frozen."""
+
+    def run_paused(
+        self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        """Run a coroutine to its end, then cancel remaining tasks."""
+        loop = freezing_loop.FreezingLoop()
+        self.addCleanup(loop.close)
+        with warnings.catch_warnings():
+            warnings.simplefilter('ignore')
+            try:
+                loop.run_until_complete(coroutine)
+            finally:
+                loop.wake_all()
+                consensus_net.cancel_tasks(loop)
+
+
+class RejoinTest(_FrozenCase):
+    """Test that a removed member takes part again."""
+
+    def test_frozen_voter_rejoins(self) -> None:
+        """Guards against a voter removed while frozen that never rejoins."""
+        self.run_paused(self._rejoins())
+
+    async def _rejoins(self) -> None:
+        net = await _start(seed=1)
+        leader = await net.leader()
+        old, other = (node for node in membership_net.SEEDS if node != leader)
+        await net.run_host('h4')
+        await asyncio.sleep(CATCH_UP)
+        await net.freeze(other, 3.5)
+        await asyncio.sleep(CATCH_UP)
+        self.assertIn(other, _voters(net))
+        await net.leave(old)
+        await asyncio.sleep(CATCH_UP)
+        await net.lose_disk('h4', 2)
+        self.assertTrue(await net.commit('last', RECOVERY))
+
+
+async def _start(seed: int) -> membership_net.MembershipNet:
+    net = membership_net.MembershipNet(seed)
+    for node in membership_net.SEEDS:
+        await net.run_host(node, first_start=True)
+    return net
+
+
+def _voters(net: membership_net.MembershipNet) -> set[str]:
+    """Return the voters that the newest leader has committed."""
+    state = max(net.replicas().values(), key=lambda state: state.commit_index)
+    return {voter.node for voter in state.membership.voters}
