Ask members for their leader when none of the seeds leads

What operators saw: nothing until a host is lost. A new or removed control host joins only through a host that leads; if its settings and its own list leave the leader out, each request is answered NotLeader and it never becomes a member, so that the group has one voter fewer than planned.

test_newcomer_finds_leader fails before (h4 is no voter 4 s after its start) and passes now. A member that does not lead lists the members with their leader, which is asked next, each address once in a round.

--- a/tamarackthread/control/site/joining.py
+++ b/tamarackthread/control/site/joining.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import collections.abc
 import logging
 
-from tamarackthread.control import consensus
+from tamarackthread.control import consensus, failures
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, link_pool
 
@@ -63,11 +64,19 @@
         )
 
     async def _request_join(self) -> None:
-        for address in self._peer_addresses():
-            if address == self._address:
+        asked = {self._address}
+        waiting = collections.deque(self._peer_addresses())
+        while waiting:
+            address = waiting.popleft()
+            if address in asked:
                 continue
+            asked.add(address)
             try:
                 await self._request_join_from(address)
+            except failures.NotLeader:
+                # The seeds and this host's own list may leave out the leader.
+                waiting.extendleft(await self._leaders_known_to(address))
+                continue
             except (errors.CodedError, TimeoutError) as exc:
                 _log.debug(
                     'control: could not join through %s, %s', address, exc
@@ -77,14 +86,40 @@
             return
 
     async def _request_join_from(self, address: str) -> None:
-        join = messages.MemberRequest(
+        await self._ask(
+            address,
+            messages.MemberRequest(
+                group=self._group.group,
+                action='join',
+                node=self._node,
+                address=self._address,
+                replaces='',
+            ),
+        )
+
+    async def _leaders_known_to(self, address: str) -> list[str]:
+        """Return the leader's address as a member knows it, if it does."""
+        request = messages.MemberRequest(
             group=self._group.group,
-            action='join',
-            node=self._node,
-            address=self._address,
+            action='members',
+            node='',
+            address='',
             replaces='',
         )
+        try:
+            reply = await self._ask(address, request)
+        except (errors.CodedError, TimeoutError):
+            return []
+        if reply.member is None:
+            return []
+        return [row.address for row in reply.member.members if row.leader]
+
+    async def _ask(
+        self, address: str, request: messages.MemberRequest
+    ) -> messages.Reply:
         async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
-            await self._links.request(
-                address, messages.Request(member=join), REQUEST_TIMEOUT_SECONDS
+            return await self._links.request(
+                address,
+                messages.Request(member=request),
+                REQUEST_TIMEOUT_SECONDS,
             )
--- a/tests/membership_net.py
+++ b/tests/membership_net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import random
 
 from bench.history import disks
@@ -52,9 +53,18 @@
         assert isinstance(loop, freezing_loop.FreezingLoop)
         return loop
 
-    async def run_host(self, node: str, *, first_start: bool = False) -> None:
-        """Start a host's process, which joins the group by itself."""
-        seeds = self._draw_seeds(first_start)
+    async def run_host(
+        self,
+        node: str,
+        *,
+        first_start: bool = False,
+        seeds: collections.abc.Sequence[str] = (),
+    ) -> None:
+        """Start a host's process, which joins the group by itself.
+
+        Its settings name ``seeds``, or drawn ones.
+        """
+        seeds = seeds or self._draw_seeds(first_start)
         platter = self.platters.setdefault(node, disks.Platter(self.rng))
         self.machines[node] = self._machine_of()
         process = consensus.Consensus(
--- a/tests/test_lost_members.py
+++ b/tests/test_lost_members.py
@@ -38,6 +38,18 @@
         """Guards against a voter removed while frozen that never rejoins."""
         self.run_paused(self._rejoins())
 
+    def test_newcomer_finds_leader(self) -> None:
+        """Guards against a host that can't join as no seed leads the group."""
+        self.run_paused(self._finds_leader())
+
+    async def _finds_leader(self) -> None:
+        net = await _start(seed=1)
+        leader = await net.leader()
+        seeds = [node for node in membership_net.SEEDS if node != leader]
+        await net.run_host('h4', seeds=seeds)
+        await asyncio.sleep(CATCH_UP)
+        self.assertIn('h4', _voters(net))
+
     async def _rejoins(self) -> None:
         net = await _start(seed=1)
         leader = await net.leader()
