Give up the vote of a host that leaves while enough others vote

What operators saw: after a planned replacement, a disk lost within 1.5 s of the old host's end took the quorum for good, and a freeze at that moment stopped reads and changes until the frozen host woke.

The old host stayed one of four voters until the leader found it unresponsive; with one more lost, two of four are no quorum. No more than one machine is lost then: one that is removed doesn't count once its successor has caught up (DEPLOY.md, Losses).

Why this works: the leaver asks until the leader answers that its removal is committed, which needs only a quorum of those that stay. It keeps its vote if no more than min_voters would vote without it, as before.

--- a/tamarackthread/control/consensus.py
+++ b/tamarackthread/control/consensus.py
@@ -20,6 +20,7 @@
     proposing,
     reconfiguration,
     replica,
+    resigning,
     state_machine,
     timing,
     transport,
@@ -148,9 +149,10 @@
             self._tasks.append(task)
 
     async def stop(self) -> None:
-        """Hand over leadership, if held, and stop; no wait for the disk."""
+        """Hand over leadership and a spare vote, and stop; no wait for the disk."""
         if self._stop_reason is None:
             await self._leadership.hand_over()
+            await resigning.run(self._state, self._leadership.hand_over)
         self._halt(failures.ConsensusStopped())
         for task in self._tasks:
             with contextlib.suppress(asyncio.CancelledError, Exception):
--- a/tamarackthread/control/reconfiguration.py
+++ b/tamarackthread/control/reconfiguration.py
@@ -30,6 +30,8 @@
             add(state, request.node, request.address)
         case 'join':
             join(state, request.node, request.address)
+        case 'leave':
+            leave(state, request.node)
         case 'remove':
             remove(state, request.node)
         case 'replace':
@@ -69,6 +71,20 @@
     add(state, node, address)
 
 
+def leave(state: replica.Replica, node: str) -> None:
+    """Remove a host at its request, unless its vote is needed.
+
+    Raises ``MemberChangeRefused`` until the removal is committed.
+    """
+    _require_no_change(state)
+    member = state.membership.find(node)
+    if member is None or (member.voter and not state.has_spare_voter):
+        return
+    _propose(state, state.membership.without(node), f'{node} has left')
+    # The next leader may not know of a removal that is not committed yet.
+    _require_no_change(state)
+
+
 def remove(state: replica.Replica, node: str) -> None:
     """Remove a voter or learner."""
     _require_no_change(state)
@@ -152,8 +168,7 @@
 ) -> None:
     """Remove an unresponsive voter while more than ``min_voters`` remain."""
     # One that is gone for good would count against the others for ever.
-    min_voters = state.parts.times.min_voters
-    if not min_voters or len(state.membership.voters) <= min_voters:
+    if not state.has_spare_voter:
         return
     unresponsive = _unresponsive_voter(state, term)
     if unresponsive:
--- a/tamarackthread/control/replica.py
+++ b/tamarackthread/control/replica.py
@@ -120,6 +120,11 @@
         """Return whether this node with this disk is known to have a vote."""
         return self.membership.is_voter(self._parts.node, self._hard.disk_id)
 
+    @property
+    def has_spare_voter(self) -> bool:
+        """Return whether more than ``min_voters`` vote, False if that is 0."""
+        return 0 < self._parts.times.min_voters < len(self.membership.voters)
+
     @property
     def is_blank(self) -> bool:
         """Return whether this member has neither a term nor entries."""
--- a/tests/test_lost_members.py
+++ b/tests/test_lost_members.py
@@ -9,8 +9,11 @@
 from tests import consensus_net, freezing_loop, membership_net
 
 # Bounds of the platform's pages, in seconds.
+ACK_TIMEOUT = 4.0
 CATCH_UP = 4.0
 RECOVERY = 12.0
+LONGEST_FREEZE = 7.9
+DRAWN_LEAVES = 12
 
 
 class _FrozenCase(consensus_net.PausedCase):
@@ -42,6 +45,31 @@
         """Guards against a host that can't join as no seed leads the group."""
         self.run_paused(self._finds_leader())
 
+    def test_disk_lost_after_planned_leave(self) -> None:
+        """Guards against a voter that has left and still counts for a quorum."""
+        for seed in range(DRAWN_LEAVES):
+            with self.subTest(seed=seed):
+                self.run_paused(self._leaves(seed))
+
+    def test_freeze_during_planned_leave(self) -> None:
+        """Guards against a planned leave that stops changes beside a freeze."""
+        for seed in range(DRAWN_LEAVES):
+            with self.subTest(seed=seed):
+                self.run_paused(self._leaves_beside_freeze(seed))
+
+    async def _leaves(self, seed: int) -> None:
+        net, old, other = await _start_leaving(seed)
+        await net.leave(old)
+        await net.lose_disk(other, 2)
+        self.assertTrue(await net.commit('last', RECOVERY))
+
+    async def _leaves_beside_freeze(self, seed: int) -> None:
+        net, old, other = await _start_leaving(seed)
+        freezing = asyncio.create_task(net.freeze(other, LONGEST_FREEZE))
+        await net.leave(old)
+        self.assertTrue(await net.commit('last', ACK_TIMEOUT))
+        await freezing
+
     async def _finds_leader(self) -> None:
         net = await _start(seed=1)
         leader = await net.leader()
@@ -72,6 +100,19 @@
     return net
 
 
+async def _start_leaving(
+    seed: int,
+) -> tuple[membership_net.MembershipNet, str, str]:
+    """Start a fourth host; return one to leave and another to be lost."""
+    net = await _start(seed)
+    await net.leader()
+    await net.run_host('h4')
+    await asyncio.sleep(CATCH_UP)
+    old = net.rng.choice(membership_net.SEEDS)
+    other = net.rng.choice(sorted(set(net.processes) - {old}))
+    return net, old, other
+
+
 def _voters(net: membership_net.MembershipNet) -> set[str]:
     """Return the voters that the newest leader has committed."""
     state = max(net.replicas().values(), key=lambda state: state.commit_index)
