Play drawn histories of members that freeze, are replaced and lose disks

In a paused clock without a network, with real members and their joiners: whoever freezes, at any moment, up to 7.9 s and three times while a host is replaced; then a lost disk. Checked: a change is acknowledged in time, nothing acknowledged is lost, logs agree, one leader a term.

--- a/tests/test_lost_members.py
+++ b/tests/test_lost_members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import typing
 import warnings
 
@@ -13,6 +14,7 @@
 CATCH_UP = 4.0
 RECOVERY = 12.0
 LONGEST_FREEZE = 7.9
+DRAWN_HISTORIES = 12
 DRAWN_LEAVES = 12
 
 
@@ -93,6 +95,64 @@
         self.assertTrue(await net.commit('last', RECOVERY))
 
 
+class DrawnHistoriesTest(_FrozenCase):
+    """Test losses of one host at a time while hosts are replaced."""
+
+    def test_drawn_histories(self) -> None:
+        """Guards against losing changes or the quorum with one host lost."""
+        for seed in range(DRAWN_HISTORIES):
+            with self.subTest(seed=seed):
+                self.run_paused(self._play(seed))
+
+    async def _play(self, seed: int) -> None:
+        net = await _start(seed)
+        rng = random.Random(seed)
+        await net.leader()
+        for number in range(2):
+            freezing = asyncio.create_task(_freeze_in_turn(net, rng))
+            await _replace_host(net, rng, f'h{number + 4}')
+            await freezing
+            await asyncio.sleep(CATCH_UP)
+            self.assertTrue(await net.commit(f'{number}', ACK_TIMEOUT), seed)
+            await net.lose_disk(rng.choice(sorted(net.processes)), 2)
+            await asyncio.sleep(CATCH_UP)
+        self.assertTrue(await net.commit('last', RECOVERY), seed)
+        self._check_log(net)
+
+    def _check_log(self, net: membership_net.MembershipNet) -> None:
+        """Check that nothing acknowledged was lost, by one leader a term."""
+        rows = max((machine.rows for machine in net.machines.values()), key=len)
+        self.assertLessEqual({'0', '1', 'last'}, set(rows))
+        for node in net.processes:
+            held = net.machines[node].rows
+            self.assertEqual(rows[: len(held)], held)
+        for leaders in net.elected.values():
+            self.assertEqual(1, len(leaders))
+
+
+async def _freeze_in_turn(
+    net: membership_net.MembershipNet, rng: random.Random
+) -> None:
+    """Freeze hosts at random moments, one at a time."""
+    for _ in range(rng.randint(1, 3)):
+        await asyncio.sleep(rng.uniform(0, CATCH_UP))
+        node = rng.choice(sorted(net.processes))
+        await net.freeze(node, rng.uniform(0.3, LONGEST_FREEZE))
+
+
+async def _replace_host(
+    net: membership_net.MembershipNet, rng: random.Random, new: str
+) -> None:
+    """Start a new host, and stop or kill another one for good."""
+    await net.run_host(new)
+    await asyncio.sleep(CATCH_UP + rng.uniform(0, CATCH_UP))
+    old = rng.choice(sorted(set(net.processes) - {new}))
+    if rng.random() < 0.5:
+        net.crash(old)
+    else:
+        await net.leave(old)
+
+
 async def _start(seed: int) -> membership_net.MembershipNet:
     net = membership_net.MembershipNet(seed)
     for node in membership_net.SEEDS:
