Ask to join again half a second after the leader is lost

A removed host counts as lost until catch-up-s (4 s) after it is back, so it has to vote again by then. A request of a host that is still a member changes nothing.

--- a/tamarackthread/control/site/joining.py
+++ b/tamarackthread/control/site/joining.py
@@ -12,8 +12,9 @@
 from tamarackthread.shared import errors, link_pool
 
 CHECK_SECONDS = 0.25
-# Time without a leader after which a host asks to rejoin; longer than an election.
-LEADER_TIMEOUT_SECONDS = 2.0
+# Time without a leader after which a host asks to rejoin; a member loses nothing
+# by asking.
+LEADER_TIMEOUT_SECONDS = 0.5
 REQUEST_TIMEOUT_SECONDS = 0.5
 _log = logging.getLogger('tamarackthread.control')
 
