Refuse announcements with text that no message can carry

A heartbeat with half a pair of surrogates was acknowledged; no entry got a configuration or a target from that control host for a minute.

Cause: a boundary took any string, and the far end, the reply to a follower, can't carry it. The target's name comes from the path and was not checked at all: neither its length nor control characters, which the header that names the target can't carry.

Evidence: UnicodeEncodeError in link._answer, once for each request. Both tests of test_foreign_text fail before (the heartbeat is taken) and pass now; 300 drawn heartbeats are refused at their place or reach a follower unchanged. The fuzzer of announcements draws such text too.

--- a/bench/fuzzing/parsers.py
+++ b/bench/fuzzing/parsers.py
@@ -54,6 +54,7 @@
 _STRANGE = (
     *(None, True, '7', '', [], {}, [[]], -1, 0.5, 1e400, float('nan')),
     *(10**30, -(10**30), 1 << 31, 1 << 63, 'x' * 300, {'a': {'b': 1}}),
+    *('model-\ud83d', 'a\x00b', 'a\r\nb', ' a'),
 )
 _EVENT_PARTS = (
     *(b'data: x', b'id: 7', b': comment', b'data: [DONE]'),
--- a/tamarackthread/control/site/target_registry.py
+++ b/tamarackthread/control/site/target_registry.py
@@ -112,9 +112,11 @@
     def record(self, announcement: announcements.Announcement) -> None:
         """Record an announcement unless a later one is known.
 
-        Raises ``StartMissing`` if earlier ones named the target's start and this
+        Raises ``FieldInvalid`` if the target's name can't be sent, and
+        ``StartMissing`` if earlier ones named the target's start and this
         one does not: it is from another sender and could hide a crash.
         """
+        fields.checked_text(announcement.target, 'target')
         now = asyncio.get_running_loop().time()
         row = self._rows.get(announcement.target)
         if row is None:
--- a/tamarackthread/shared/fields.py
+++ b/tamarackthread/shared/fields.py
@@ -7,6 +7,7 @@
 import collections.abc
 import json
 import math
+import re
 import typing
 
 from tamarackthread.shared import addresses
@@ -20,6 +21,11 @@
 MAX_INT64 = (1 << 63) - 1
 
 
+# Control characters, which no header carries, and halves of surrogate pairs,
+# which JSON can hold but no message.
+_UNSENDABLE = re.compile('[\x00-\x1f\x7f\ud800-\udfff]')
+
+
 class FieldInvalid(ValueError):
     """A field, named in the text, is missing or invalid."""
 
@@ -40,9 +46,19 @@
 
 def text(record: JsonObject, name: str) -> str:
     """Return a field that is a string, not empty and of bounded length."""
-    value = _require(record, name)
+    return checked_text(_require(record, name), f'$.{name}')
+
+
+def checked_text(value: typing.Any, place: str) -> str:
+    """Return a value that messages and headers carry unchanged; raise
+    ``FieldInvalid`` with its place for any other.
+    """
     if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_LENGTH:
-        raise FieldInvalid(f'$.{name}: not a string, empty or too long')
+        raise FieldInvalid(f'{place}: not a string, empty or too long')
+    if _UNSENDABLE.search(value):
+        raise FieldInvalid(f'{place}: has a character that can not be sent')
+    if value != value.strip():
+        raise FieldInvalid(f'{place}: begins or ends with a space')
     return value
 
 
--- /dev/null
+++ b/tests/test_foreign_text.py
@@ -0,0 +1,110 @@
+"""Test text from other writers: refused at its place, or carried whole."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import types
+import unittest
+
+from tamarackthread.control.site import feed, machine, target_registry
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.platform import http_api
+from tamarackthread.shared import wire
+from tamarackthread.shared.site import announcements
+
+DRAWN = 300
+HALF_PAIR = '\ud83d'
+STRANGE_TEXTS = (
+    *(HALF_PAIR, 'model-\ud83d', '\ude00x', 'a\x00b', 'a\r\nTenant: b'),
+    *('', ' ', ' a', 'a ', '\x7f', 'x' * 256),
+)
+SOUND_TEXTS = ('app', 'model-\U0001f600', 'Wörgl', 'x' * 255, 'a b', '%ff')
+FOLLOWER = types.SimpleNamespace(
+    peer=types.SimpleNamespace(role=messages.Role.CONTROL, address='')
+)
+
+
+def heartbeat(**changed: object) -> bytes:
+    """Build the body of a heartbeat that differs by ``changed``."""
+    row = {
+        'service': 'app',
+        'address': '127.0.0.1:9',
+        'zone': 'a',
+        'slots': 6,
+        'state': 'ready',
+        'sequence': 1,
+        **changed,
+    }
+    return json.dumps(row).encode()
+
+
+class HeartbeatTest(unittest.TestCase):
+    """Test the way of a heartbeat from its bytes to the followers."""
+
+    def setUp(self) -> None:
+        """Start a registry and the feed that tells of it."""
+        self.registry = target_registry.TargetRegistry(1.0)
+        self.feed = feed.Feed(
+            machine.SiteMachine(), self.registry, list, epoch=1
+        )
+
+    def test_half_pair_is_refused(self) -> None:
+        """Guards against a heartbeat that silences the feed of a control host."""
+        asyncio.run(self._send_half_pair())
+
+    def test_drawn_texts(self) -> None:
+        """Guards against text that is taken and then lost or changed."""
+        asyncio.run(self._send_drawn())
+
+    async def _send_half_pair(self) -> None:
+        self._take('t-1')
+        with self.assertRaisesRegex(
+            target_registry.AnnouncementInvalid, r'\$\.service'
+        ):
+            self._take('x-1', service=f'model-{HALF_PAIR}')
+        self.assertEqual({'t-1'}, set(await self._followed()))
+
+    async def _send_drawn(self) -> None:
+        rng = random.Random(1)
+        taken = {}
+        for number in range(DRAWN):
+            sent = {
+                name: rng.choice(SOUND_TEXTS) for name in ('service', 'zone')
+            }
+            name = f'{rng.choice(SOUND_TEXTS)[:200]}-{number}'
+            if rng.random() < 0.5:
+                sent[rng.choice(('service', 'zone'))] = rng.choice(
+                    STRANGE_TEXTS
+                )
+            elif rng.random() < 0.2:
+                name = rng.choice(STRANGE_TEXTS)
+            try:
+                self._take(name, **sent)
+            except target_registry.AnnouncementInvalid:
+                continue
+            self.assertNotIn(name, STRANGE_TEXTS)
+            self.assertTrue(set(sent.values()).isdisjoint(STRANGE_TEXTS))
+            taken[name] = sent
+        followed = await self._followed()
+        told = {
+            name: {'service': row.service, 'zone': row.zone}
+            for name, row in followed.items()
+        }
+        self.assertEqual(taken, told)
+        self.assertTrue(taken)
+
+    def _take(self, target: str, **changed: object) -> None:
+        with self.registry.validating('writer'):
+            self.registry.record(
+                http_api.read_announcement(target, heartbeat(**changed))
+            )
+
+    async def _followed(self) -> dict[str, announcements.Announcement]:
+        """Return the targets that a follower has after one round."""
+        request = messages.SiteFeedRequest(wait_ms=0)
+        reply = messages.Reply(site=await self.feed.answer(FOLLOWER, request))
+        read = wire.decode(messages.Reply, wire.encode(reply))
+        rows = [announcements.from_message(row) for row in read.site.targets]
+        return {row.target: row for row in rows}
