Answer, log and count a reply that can not be sent

Cause: link._answer encoded and wrote the reply outside its try. A failure that quotes foreign text could not be sent either, and a link whose reader ended by an error looked alive to both ends until its heartbeats ran out.

The peer gets TT1003 at once; the error has a line with its traceback and a counter; the link of a failed task is closed, so that its peer dials again.

--- a/tamarackthread/shared/link.py
+++ b/tamarackthread/shared/link.py
@@ -57,6 +57,9 @@
     def on_lost(self, link: Link) -> None:
         """Handle the loss of a link."""
 
+    def on_fault(self, link: Link) -> None:
+        """Handle a fault of this process that a peer may notice."""
+
 
 class Link:
     """One connection to a peer process."""
@@ -129,7 +132,7 @@
         """Run a task that is cancelled when the link closes."""
         task = self._loop.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
 
     def is_alive(self, within_seconds: float) -> bool:
         """Return whether a heartbeat sent within this time was echoed."""
@@ -153,11 +156,12 @@
         """Send a request and wait; raise its failure as a coded error."""
         if self.is_closed:
             raise errors.LinkLost(self._peer.node)
+        payload = wire.encode(request)
         number = next(self._numbers)
         future = self._loop.create_future()
         self._replies[number] = future
-        self.write(wire.Kind.REQUEST, wire.encode(request), number)
         try:
+            self.write(wire.Kind.REQUEST, payload, number)
             async with asyncio.timeout(timeout_seconds):
                 reply = await future
         except TimeoutError as exc:
@@ -342,14 +346,37 @@
             self._handler.on_notification(self, request)
 
     async def _answer(self, number: int, request: messages.Request) -> None:
+        reply = await self._reply_to(request)
+        try:
+            self.write(wire.Kind.REPLY, wire.encode(reply), number)
+        except Exception as exc:
+            # Without any reply the peer would wait for its timeout, and ask
+            # again for the same.
+            self._report_fault('reply to %s can not be sent', exc)
+            failure = replies.failure_reply(errors.PeerFailure('no reply'))
+            self.write(wire.Kind.REPLY, wire.encode(failure), number)
+
+    async def _reply_to(self, request: messages.Request) -> messages.Reply:
         try:
-            reply = await self._handler.on_request(self, request)
+            return await self._handler.on_request(self, request)
         except errors.CodedError as exc:
-            reply = replies.failure_reply(exc)
-        except Exception:
-            _log.exception('link: request of %s failed', self._peer.node)
-            reply = replies.failure_reply(errors.PeerFailure('internal fault'))
-        self.write(wire.Kind.REPLY, wire.encode(reply), number)
+            return replies.failure_reply(exc)
+        except Exception as exc:
+            self._report_fault('request of %s failed', exc)
+            return replies.failure_reply(errors.PeerFailure('internal fault'))
+
+    def _report_fault(self, text: str, fault: BaseException) -> None:
+        """Log and count a fault of this process."""
+        _log.error(f'link: {text}', self._peer.node, exc_info=fault)
+        self._handler.on_fault(self)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        # A link whose reader has ended would look alive to both ends.
+        self._report_fault('task for %s ended', task.exception())
+        self.close('internal fault')
 
     def _handle_reply(self, frame: wire.Frame) -> None:
         future = self._replies.get(frame.stream)
@@ -378,8 +405,8 @@
             await self._handler.on_stream(self, call, opening)
         except errors.CodedError as exc:
             call.cancel(exc.code)
-        except Exception:
-            _log.exception('link: call of %s failed', self._peer.node)
+        except Exception as exc:
+            self._report_fault('call of %s failed', exc)
             call.cancel(errors.StreamBroken.code)
 
 
--- a/tamarackthread/shared/replies.py
+++ b/tamarackthread/shared/replies.py
@@ -9,10 +9,12 @@
 def failure_reply(failure: errors.CodedError) -> messages.Reply:
     """Build the reply for a coded error."""
     leader = getattr(failure, 'leader', None)
+    # The text may quote what another writer sent.
+    text = str(failure).encode(errors='backslashreplace').decode()
     return messages.Reply(
         failure=messages.Failure(
             code=failure.code,
-            text=str(failure),
+            text=text,
             leader=leader,
         ),
     )
--- a/tamarackthread/shared/site/site_metrics.py
+++ b/tamarackthread/shared/site/site_metrics.py
@@ -100,6 +100,11 @@
     'Words to this control host that no target writes.',
     registry=_registry,
 )
+LINK_FAULTS = prometheus_client.Counter(
+    'tamarackthread_link_faults',
+    'Requests and tasks of links that ended by a fault of this process.',
+    registry=_registry,
+)
 MAP_SWITCHES = prometheus_client.Counter(
     'tamarackthread_map_switches',
     'Expert maps that a group was switched to.',
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -116,6 +116,72 @@
             await call.receive()
 
 
+class FaultyAnswers(Echo):
+    """Answer some requests with replies that can not be sent."""
+
+    def __init__(self):
+        self.faults = 0
+
+    def on_fault(self, peer_link):
+        self.faults += 1
+
+    async def on_request(self, peer_link, request):
+        if request.status.revision == 1:
+            return messages.Reply(failure=messages.Failure(code='\ud83d'))
+        if request.status.revision == 2:
+            return messages.Reply(
+                failure=messages.Failure(code='x' * wire.MAX_PAYLOAD_BYTES)
+            )
+        if request.status.revision == 3:
+            raise errors.RequestUnsupported('\ud83d')
+        return await super().on_request(peer_link, request)
+
+
+class FaultCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.handler = FaultyAnswers()
+        self.listener = listener.Listener(options('b'), self.handler)
+        self.address = await self.listener.start('127.0.0.1', 0)
+        self.pool = link_pool.LinkPool(options('a'))
+
+    async def asyncTearDown(self):
+        self.pool.close()
+        self.listener.close()
+        await asyncio.sleep(0)
+
+    async def test_unsendable_reply_is_answered(self):
+        """Guards against a request without any reply, and faults not counted."""
+        with self.assertLogs('tamarackthread.link', 'ERROR'):
+            for revision in (1, 2):
+                with self.assertRaises(errors.PeerFailure):
+                    await self._ask(revision)
+        self.assertEqual(2, self.handler.faults)
+        reply = await self._ask(4)
+        self.assertEqual(4, reply.done.value)
+
+    async def test_unsendable_text_of_an_error(self):
+        """Guards against a coded error that is lost for the text it quotes."""
+        with self.assertRaises(errors.RequestUnsupported):
+            await self._ask(3)
+        self.assertEqual(0, self.handler.faults)
+
+    async def test_task_that_fails_closes_its_link(self):
+        """Guards against a link that looks alive although nobody reads it."""
+        peer_link = await self.pool.link(self.address)
+        with self.assertLogs('tamarackthread.link', 'ERROR'):
+            peer_link.spawn(self._fail())
+            await asyncio.wait_for(peer_link.wait_closed(), 5)
+
+    async def _fail(self):
+        raise LookupError
+
+    async def _ask(self, revision):
+        request = messages.Request(
+            status=messages.StatusRequest(revision=revision)
+        )
+        return await self.pool.request(self.address, request, 5)
+
+
 class StreamIdentityCase(unittest.IsolatedAsyncioTestCase):
     """Give a stream duplicate, missing and misdirected frames."""
 
