Skip stored targets that followers can not be told of

A control host that had taken such a heartbeat stores it and restores it after a restart, also by a release that refuses the heartbeat itself, and its feed stays silent.

Cause: the way from the disk had no checks but for two types; and one row that could not be read dropped all others.

test_unsendable_row fails before (the row is restored) and passes now: each row is checked as a heartbeat is, and the others are kept.

--- a/tamarackthread/control/site/target_file.py
+++ b/tamarackthread/control/site/target_file.py
@@ -15,6 +15,7 @@
 import attrs
 
 from tamarackthread.control import disk, failures
+from tamarackthread.shared import fields
 from tamarackthread.shared.site import announcements
 
 NAME = 'targets.json'
@@ -49,10 +50,11 @@
             _log.warning('control: cannot read the stored targets, %s', exc)
             return []
         try:
-            loaded = [_from_row(row) for row in json.loads(body)]
+            rows = list(json.loads(body))
         except _UNREADABLE as exc:
             _log.warning('control: the file of targets is damaged, %r', exc)
             return []
+        loaded = _readable(rows)
         _log.info('control: read %d stored targets', len(loaded))
         return loaded
 
@@ -99,12 +101,26 @@
     return row
 
 
-def _from_row(row: dict[str, object]) -> announcements.Announcement:
-    announcement = announcements.Announcement(**row)
-    if not isinstance(announcement.target, str) or not isinstance(
-        announcement.address, str
-    ):
-        raise TypeError('a target without a name or an address')
-    return attrs.evolve(
-        announcement, sequence=int(announcement.sequence) - 1, cold=0
+def _readable(
+    rows: list[fields.JsonObject],
+) -> list[announcements.Announcement]:
+    """Read rows, without those that followers could not be told of."""
+    read = []
+    for row in rows:
+        try:
+            read.append(_from_row(row))
+        except _UNREADABLE as exc:
+            _log.warning('control: skipped a stored target, %r', exc)
+    return read
+
+
+def _from_row(row: fields.JsonObject) -> announcements.Announcement:
+    return announcements.Announcement(
+        target=fields.text(row, 'target'),
+        service=fields.text(row, 'service'),
+        address=fields.address(row, 'address'),
+        zone=fields.text(row, 'zone'),
+        slots=fields.integer(row, 'slots', fields.MAX_INT32),
+        sequence=fields.integer(row, 'sequence') - 1,
+        born=fields.integer(row, 'born', default=0),
     )
--- a/tests/test_target_file.py
+++ b/tests/test_target_file.py
@@ -48,6 +48,10 @@
             with self.subTest(body=body):
                 self.run_paused(self._damaged(body))
 
+    def test_unsendable_row(self):
+        """Guards against a stored row that silences control after a restart."""
+        self.run_paused(self._unsendable())
+
     def test_full_disk(self):
         """A full disk costs only the file."""
         self.run_paused(self._full())
@@ -62,6 +66,16 @@
         found = await target_file.TargetFile(self.platter.mount()).load()
         self.assertEqual([attrs.evolve(READY, sequence=6)], found)
 
+    async def _unsendable(self):
+        rows = [attrs.asdict(READY), attrs.asdict(READY)]
+        rows[0]['service'] = 'model-\ud83d'
+        for row in rows:
+            row.pop('state')
+        body = json.dumps(rows).encode()
+        await self.platter.mount().replace(target_file.NAME, body)
+        found = await target_file.TargetFile(self.platter.mount()).load()
+        self.assertEqual([attrs.evolve(READY, sequence=-1)], found)
+
     async def _newer(self):
         target_store = target_file.TargetFile(self.platter.mount())
         await target_store.write([attrs.evolve(READY, sequence=7)])
