Tell followers of as many targets as fit into one reply

All announcements since the follower's serial went into one reply; 260 targets with the longest names that are taken exceed the 1 MB of a message, and no follower got anything.

Cause: of the same class, a part that takes what another can't carry: each text is bounded, their sum was not.

test_many_long_texts (2,000 targets) fails before with TT1005 and passes now.

--- a/tamarackthread/control/site/feed.py
+++ b/tamarackthread/control/site/feed.py
@@ -117,7 +117,7 @@
         held = self._site.held
         current_groups = self._targets.groups
         is_newer = held.version > (request.version or 0)
-        rows = self._targets.changed_since(self._serial_of(request))
+        page = self._targets.page_since(self._serial_of(request))
         return messages.SiteFeedReply(
             version=held.version,
             document=(
@@ -126,8 +126,10 @@
                 else None
             ),
             epoch=self._epoch,
-            serial=self._targets.serial,
-            targets=[announcements.to_message(said) for said in rows],
+            serial=page.serial,
+            targets=[
+                announcements.to_message(said) for said in page.announcements
+            ],
             members=self._members(),
             entries=self._entries(),
             paces=[
--- a/tamarackthread/control/site/target_registry.py
+++ b/tamarackthread/control/site/target_registry.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import operator
 
 import attrs
 
@@ -25,6 +26,10 @@
 # it overrides an older silent state published by another host.
 REFRESH_INTERVALS = 2.5
 SWEEP_SECONDS = 0.25
+# Bytes of announcements in one reply, which may also carry a configuration.
+MAX_PAGE_BYTES = 256 << 10
+# Bytes of an announcement besides its texts.
+ROW_BYTES = 48
 # Paces below the first are normal variation; relative changes below the second are
 # not published.
 MIN_PACE = 1.2
@@ -47,6 +52,14 @@
     status = 400
 
 
+@attrs.frozen
+class Page:
+    """Announcements in the order of their changes, up to ``serial``."""
+
+    announcements: list[announcements.Announcement]
+    serial: int
+
+
 @attrs.define(eq=False)
 class _Entry:
     announcement: announcements.Announcement
@@ -203,6 +216,23 @@
             if held.pace > 1 and now - held.noted_at < PACE_TTL_SECONDS
         }
 
+    def page_since(self, serial: int) -> Page:
+        """Return the first announcements since ``serial`` that fit a reply."""
+        rows = sorted(
+            (row for row in self._rows.values() if row.serial > serial),
+            key=operator.attrgetter('serial'),
+        )
+        page: list[announcements.Announcement] = []
+        last_serial = serial
+        size = 0
+        for row in rows:
+            size += _bytes_of(row.announcement)
+            if page and size > MAX_PAGE_BYTES:
+                return Page(page, last_serial)
+            page.append(row.announcement)
+            last_serial = row.serial
+        return Page(page, self._serial)
+
     def changed_since(self, serial: int) -> list[announcements.Announcement]:
         """List the announcements that have changed since ``serial``."""
         return [
@@ -244,6 +274,17 @@
             listener()
 
 
+def _bytes_of(announcement: announcements.Announcement) -> int:
+    """Return about how many bytes an announcement takes in a reply."""
+    texts = (
+        announcement.target,
+        announcement.service,
+        announcement.address,
+        announcement.zone,
+    )
+    return ROW_BYTES + sum(len(text.encode()) for text in texts)
+
+
 def _is_significant(
     held: announcements.Announcement,
     announcement: announcements.Announcement,
--- a/tests/test_foreign_text.py
+++ b/tests/test_foreign_text.py
@@ -15,6 +15,8 @@
 from tamarackthread.shared.site import announcements
 
 DRAWN = 300
+TARGETS = 2_000
+EPOCH = 1
 HALF_PAIR = '\ud83d'
 STRANGE_TEXTS = (
     *(HALF_PAIR, 'model-\ud83d', '\ude00x', 'a\x00b', 'a\r\nTenant: b'),
@@ -47,7 +49,7 @@
         """Start a registry and the feed that tells of it."""
         self.registry = target_registry.TargetRegistry(1.0)
         self.feed = feed.Feed(
-            machine.SiteMachine(), self.registry, list, epoch=1
+            machine.SiteMachine(), self.registry, list, epoch=EPOCH
         )
 
     def test_half_pair_is_refused(self) -> None:
@@ -58,6 +60,16 @@
         """Guards against text that is taken and then lost or changed."""
         asyncio.run(self._send_drawn())
 
+    def test_many_long_texts(self) -> None:
+        """Guards against a reply that is too large for one message."""
+        asyncio.run(self._send_many())
+
+    async def _send_many(self) -> None:
+        names = {f'{number:0255}' for number in range(TARGETS)}
+        for name in names:
+            self._take(name, service='\U0001f600' * 255)
+        self.assertEqual(names, set(await self._followed()))
+
     async def _send_half_pair(self) -> None:
         self._take('t-1')
         with self.assertRaisesRegex(
@@ -102,9 +114,19 @@
             )
 
     async def _followed(self) -> dict[str, announcements.Announcement]:
-        """Return the targets that a follower has after one round."""
-        request = messages.SiteFeedRequest(wait_ms=0)
-        reply = messages.Reply(site=await self.feed.answer(FOLLOWER, request))
-        read = wire.decode(messages.Reply, wire.encode(reply))
-        rows = [announcements.from_message(row) for row in read.site.targets]
-        return {row.target: row for row in rows}
+        """Return the targets that a follower has once nothing is new."""
+        rows: dict[str, announcements.Announcement] = {}
+        serial = 0
+        while serial < self.registry.serial:
+            request = messages.SiteFeedRequest(
+                wait_ms=0, serial=serial, epoch=EPOCH
+            )
+            reply = await self.feed.answer(FOLLOWER, request)
+            payload = wire.encode(messages.Reply(site=reply))
+            frame = wire.pack(wire.Kind.REPLY, payload)
+            read = wire.decode(messages.Reply, frame[wire.HEADER_BYTES :]).site
+            for row in read.targets:
+                rows[row.id] = announcements.from_message(row)
+            self.assertGreater(read.serial, serial)
+            serial = read.serial
+        return rows
