Go on polling a control host after a part that can not be applied

What callers would see: an entry that takes no more news of a control host, for good and without a line, after one row that it can't read, for instance a state of a later release.

The task that polls ended by the error, and nobody looked at it; the rows behind the bad one and the rest of the reply were lost with it.

test_bad_parts fails before (only the first target, version 0, one request) and passes now: each row and each part is applied by itself, and a fault has a line, a traceback and a counter.

--- a/tamarackthread/shared/site/feed_client.py
+++ b/tamarackthread/shared/site/feed_client.py
@@ -5,7 +5,9 @@
 import abc
 import asyncio
 import collections.abc
+import functools
 import logging
+import typing
 
 import attrs
 
@@ -18,6 +20,7 @@
     source_selection,
     groups,
     host_addresses,
+    site_metrics,
     zones,
 )
 
@@ -30,6 +33,7 @@
 # A host is dropped once no settings and no other host list it.
 UNLISTED_SECONDS = 10.0
 _log = logging.getLogger('tamarackthread.site')
+_Part = typing.TypeVar('_Part')
 
 
 @attrs.define(eq=False)
@@ -243,25 +247,59 @@
         source.serial = reply.serial
         source.groups_serial = reply.groups_serial or 0
         for row in reply.targets:
-            self._subscriber.learn_target(announcements.from_message(row))
+            self._apply_part(address, self._apply_target, row)
+        # Zones are applied before the first configuration, which admits calls.
+        for apply in (
+            functools.partial(self._apply_paces, address),
+            self._apply_groups,
+            self._apply_zones,
+            self._apply_document,
+        ):
+            self._apply_part(address, apply, reply)
+        self._add_sources(reply.members)
+        self._entries = tuple(reply.entries)
+
+    def _apply_part(
+        self,
+        address: str,
+        apply: collections.abc.Callable[[_Part], None],
+        part: _Part,
+    ) -> None:
+        """Apply one part of a reply; a fault leaves out this part only."""
+        try:
+            apply(part)
+        except Exception:
+            # Otherwise the task would end, and the host never be asked again.
+            _log.exception(
+                'site: cannot apply a part of the news of %s', address
+            )
+            site_metrics.FEED_FAULTS.inc()
+
+    def _apply_target(self, row: messages.SiteTarget) -> None:
+        self._subscriber.learn_target(announcements.from_message(row))
+
+    def _apply_paces(self, address: str, reply: messages.SiteFeedReply) -> None:
         self._subscriber.learn_paces(
             address,
             {slow.id: slow.percent / PERCENT for slow in reply.paces},
         )
+
+    def _apply_groups(self, reply: messages.SiteFeedReply) -> None:
         if reply.groups is not None:
             self._subscriber.learn_groups(
                 reply.groups_term or 0, groups.from_messages(reply.groups)
             )
-        # Applied before the first configuration, which admits calls.
+
+    def _apply_zones(self, reply: messages.SiteFeedReply) -> None:
         if reply.zones is not None:
             self._subscriber.learn_zones(zones.from_messages(reply.zones))
+
+    def _apply_document(self, reply: messages.SiteFeedReply) -> None:
         is_newer = reply.version > self._subscriber.version
         # A host that was partitioned may send an older configuration.
         if reply.document is not None and is_newer:
             stored = document.Document(reply.version, reply.document)
             self._subscriber.learn_document(stored)
-        self._add_sources(reply.members)
-        self._entries = tuple(reply.entries)
 
 
 def _log_connection(address: str, *, is_up: bool, reason: str = '') -> None:
--- a/tamarackthread/shared/site/site_metrics.py
+++ b/tamarackthread/shared/site/site_metrics.py
@@ -100,6 +100,11 @@
     'Words to this control host that no target writes.',
     registry=_registry,
 )
+FEED_FAULTS = prometheus_client.Counter(
+    'tamarackthread_feed_faults',
+    'Parts of the news of control hosts that this process could not apply.',
+    registry=_registry,
+)
 LINK_FAULTS = prometheus_client.Counter(
     'tamarackthread_link_faults',
     'Requests and tasks of links that ended by a fault of this process.',
