Refuse configurations with values that can not be carried

What operators and callers would see: a configuration is acknowledged, and each call of an organisation whose name has half a pair of surrogates or a line break fails, since no header carries it; a priority that is a list fails each call that is compared with another; NaN as a timeout ends none. 1e400, a version over 64 bits and deep nesting were answered with 500.

Texts are refused only where they can't be encoded, and names of organisations also where a header would change them.

--- a/tamarackthread/platform/configuration.py
+++ b/tamarackthread/platform/configuration.py
@@ -8,7 +8,7 @@
 import types
 import typing
 
-from tamarackthread.shared import findings
+from tamarackthread.shared import fields, findings
 from tamarackthread.shared.site import checks
 from tamarackthread.shared.site import configuration as site
 
@@ -23,7 +23,6 @@
         'streaming': site.RouteKind.STREAM,
     },
 )
-_PARSE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
 class PlatformReader(site.Reader):
@@ -147,10 +146,11 @@
 
 
 def _organisation(row: _Row) -> site.Organisation:
+    priority = row.get('priority')
     return site.Organisation(
         name=_string(row['name']),
         keys=frozenset(_string(key) for key in row.get('api-keys') or ()),
-        priority=row.get('priority'),
+        priority=None if priority is None else int(priority),
     )
 
 
@@ -176,5 +176,5 @@
     """Turn a parse error into a finding at ``place``."""
     try:
         yield
-    except _PARSE_ERRORS as exc:
+    except fields.MISREAD_ERRORS as exc:
         found.append(findings.Finding(place, code, f'invalid, {exc!r}'))
--- a/tamarackthread/platform/ranks.py
+++ b/tamarackthread/platform/ranks.py
@@ -27,7 +27,6 @@
     },
 )
 _WITH_VERSION = frozenset((ranks.PREPARE, ranks.ARM, ranks.DISARM))
-_PARSE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 _Body = fields.JsonObject
 _Parsed = typing.TypeVar('_Parsed')
 
@@ -91,7 +90,7 @@
         body = await self._asking.get(f'http://{rank.address}{path}', headers)
         try:
             return None if body is None else parse(body)
-        except _PARSE_ERRORS:
+        except fields.MISREAD_ERRORS:
             return None
 
 
--- a/tamarackthread/shared/fields.py
+++ b/tamarackthread/shared/fields.py
@@ -21,9 +21,19 @@
 MAX_INT64 = (1 << 63) - 1
 
 
+# Raised by code that reads JSON of another shape than it expects.
+MISREAD_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 # Control characters, which no header carries, and halves of surrogate pairs,
 # which JSON can hold but no message.
 _UNSENDABLE = re.compile('[\x00-\x1f\x7f\ud800-\udfff]')
+_HALF_PAIR = re.compile('[\ud800-\udfff]')
 
 
 class FieldInvalid(ValueError):
@@ -55,13 +65,21 @@
     """
     if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_LENGTH:
         raise FieldInvalid(f'{place}: not a string, empty or too long')
-    if _UNSENDABLE.search(value):
-        raise FieldInvalid(f'{place}: has a character that can not be sent')
-    if value != value.strip():
-        raise FieldInvalid(f'{place}: begins or ends with a space')
+    if not is_sendable(value):
+        raise FieldInvalid(f'{place}: has characters that can not be sent')
     return value
 
 
+def is_sendable(value: str) -> bool:
+    """Return whether messages and headers carry a text unchanged."""
+    return not _UNSENDABLE.search(value) and value == value.strip()
+
+
+def is_encodable(value: str) -> bool:
+    """Return whether a text can be encoded, which JSON's escapes may not."""
+    return not _HALF_PAIR.search(value)
+
+
 def address(record: JsonObject, name: str) -> str:
     """Return a field that is an IP address and a port."""
     value = text(record, name)
--- a/tests/test_foreign_text.py
+++ b/tests/test_foreign_text.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
+import math
 import random
 import types
+import typing
 import unittest
 
+import attrs
+
 from tamarackthread.control.site import feed, machine, target_registry
 from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.platform import configuration as platform_configuration
 from tamarackthread.platform import http_api
-from tamarackthread.shared import wire
-from tamarackthread.shared.site import announcements
+from tamarackthread.shared import findings, wire
+from tamarackthread.shared.site import announcements, configuration, document
 
 DRAWN = 300
 TARGETS = 2_000
@@ -23,6 +29,35 @@
     *('', ' ', ' a', 'a ', '\x7f', 'x' * 256),
 )
 SOUND_TEXTS = ('app', 'model-\U0001f600', 'Wörgl', 'x' * 255, 'a b', '%ff')
+STRANGE_VALUES = (None, True, [], {}, -1, 0.5, 1e400, float('nan'), 1 << 63)
+DOCUMENT = types.MappingProxyType(
+    {
+        'version': 1,
+        'routes': [
+            {
+                'name': 'old',
+                'host': 'site.example',
+                'path-prefix': '/old/',
+                'kind': 'idempotent',
+                'timeout-ms': 8000,
+                'target-latency-ms': 400,
+                'gap-target-ms': 120,
+                'priority': 1,
+                'attempts': 2,
+                'service': 'app',
+            },
+        ],
+        'services': [
+            {
+                'name': 'app',
+                'cold-per-s': 2,
+                'engine': {'step_ms': 5, 'stride': 2},
+            },
+        ],
+        'limits': {'max-body-bytes': 4194304},
+        'tenants': [{'name': 'north', 'api-keys': ['key'], 'priority': 1}],
+    }
+)
 FOLLOWER = types.SimpleNamespace(
     peer=types.SimpleNamespace(role=messages.Role.CONTROL, address='')
 )
@@ -130,3 +165,75 @@
             self.assertGreater(read.serial, serial)
             serial = read.serial
         return rows
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Test strange values at each place of a configuration."""
+
+    def test_strange_values(self) -> None:
+        """Guards against a configuration that is taken and can't be obeyed."""
+        reader = platform_configuration.PlatformReader()
+        taken = 0
+        for place in _places(dict(DOCUMENT)):
+            for strange in (*STRANGE_TEXTS, *STRANGE_VALUES):
+                with self.subTest(place=place, strange=strange):
+                    body = json.dumps(
+                        _with(dict(DOCUMENT), place, strange)
+                    ).encode()
+                    taken += self._is_taken(reader, body)
+        self.assertTrue(taken)
+
+    def test_deeply_nested(self) -> None:
+        """Guards against a body whose depth ends in an error without a code."""
+        reader = platform_configuration.PlatformReader()
+        with self.assertRaises(findings.InvalidError):
+            reader.read(b'[' * 100_000)
+
+    def _is_taken(self, reader: configuration.Reader, body: bytes) -> bool:
+        try:
+            read = reader.read(body)
+        except findings.InvalidError as exc:
+            self.assertTrue(all(found.place for found in exc.findings))
+            return False
+        if read.version > 0:
+            stored = document.pack(read.version, body).encode()
+            self.assertEqual(read, reader.read(document.decode(stored).body))
+        for organisation in read.organisations:
+            self.assertEqual(organisation.name, organisation.name.strip())
+            self.assertNotRegex(organisation.name, '[\x00-\x1f]')
+        for text in _texts(attrs.asdict(read)):
+            text.encode()
+        for route in read.routes:
+            self.assertTrue(0 < route.timeout < math.inf)
+        return True
+
+
+def _places(value: object, place: tuple = ()) -> typing.Iterator[tuple]:
+    """Yield the place of each value in a document, but its own."""
+    rows = value.items() if isinstance(value, dict) else ()
+    if isinstance(value, list):
+        rows = enumerate(value)
+    for key, inner in rows:
+        yield (*place, key)
+        yield from _places(inner, (*place, key))
+
+
+def _with(value: dict, place: tuple, strange: object) -> dict:
+    """Return a copy of a document with another value at a place."""
+    changed = copy.deepcopy(value)
+    holder = changed
+    for key in place[:-1]:
+        holder = holder[key]
+    holder[place[-1]] = strange
+    return changed
+
+
+def _texts(value: object) -> typing.Iterator[str]:
+    """Yield all texts in nested values."""
+    if isinstance(value, str):
+        yield value
+    rows = value.values() if isinstance(value, dict) else ()
+    if isinstance(value, list | tuple | set | frozenset):
+        rows = value
+    for inner in rows:
+        yield from _texts(inner)
