Refuse settings and documents with text that can't be encoded

What operators would see: folders and availability zones of such a name are taken and fail later without a place; a document with such a text gets no findings, as the reply that lists them can't be sent. Names of nodes and addresses were checked already.

test_half_pair_of_surrogates and a row of test_refused_as_a_whole fail before and pass now; findings have the place of the text in a settings file.

--- a/tamarackthread/shared/documents.py
+++ b/tamarackthread/shared/documents.py
@@ -16,6 +16,7 @@
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import (
     addresses,
+    fields,
     findings,
     jsonc,
     structure,
@@ -175,13 +176,16 @@
 
 
 def _decode(body: str, pairs: _Pairs) -> typing.Any:
-    """Decode JSON, rejecting NaN and infinite numbers."""
-    return json.loads(
+    """Decode JSON, rejecting what no message carries."""
+    value = json.loads(
         body,
         object_pairs_hook=pairs,
         parse_constant=_reject_number,
         parse_float=_finite,
     )
+    if not fields.is_encodable(json.dumps(value, ensure_ascii=False)):
+        raise ValueError('a text has half a pair of surrogates')
+    return value
 
 
 def _finite(text: str) -> float:
--- a/tamarackthread/shared/jsonc.py
+++ b/tamarackthread/shared/jsonc.py
@@ -12,7 +12,7 @@
 import attrs
 import lark
 
-from tamarackthread.shared import findings, schema_errors
+from tamarackthread.shared import fields, findings, schema_errors
 
 MAX_NUMBER_CHARACTERS = 64
 Path = schema_errors.Path
@@ -129,6 +129,8 @@
             ]
         if node.kind == 'number' and not math.isfinite(node.value):
             self._add_problem(node.position, findings.ValueInvalid, 'too large')
+        if isinstance(node.value, str):
+            self._check_text(node.value, node.position)
         return node.value
 
     def _object(self, node: _Node, path: Path) -> dict[str, typing.Any]:
@@ -139,10 +141,16 @@
                 text = f'"{pair.key}" already appears in line {first.line}'
                 self._add_problem(pair.position, findings.KeyDuplicate, text)
                 continue
+            self._check_text(pair.key, pair.position)
             self.positions[(*path, pair.key)] = pair.position
             values[pair.key] = self.read(pair.node, (*path, pair.key))
         return values
 
+    def _check_text(self, text: str, position: Position) -> None:
+        if not fields.is_encodable(text):
+            problem = 'half a pair of surrogates'
+            self._add_problem(position, findings.ValueInvalid, problem)
+
     def _add_problem(self, position: Position, kind: type, text: str) -> None:
         self.problems.append(Problem(position, kind.code, text))
 
--- a/tamarackthread/shared/settings.py
+++ b/tamarackthread/shared/settings.py
@@ -51,6 +51,8 @@
             parse_float=_finite,
         )
         settings_check.validate(body)
+        # Fails for halves of surrogate pairs, which no message carries.
+        json.dumps(body, ensure_ascii=False).encode()
     except (OSError, ValueError, RecursionError):
         return None
     return None if settings_rules.check(body) else body
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -41,6 +41,7 @@
             ('profile', 'n', '{', '$', 'TT2002'),
             ('profile', 'n', '[' * 60_000, '$', 'TT2002'),
             ('profile', 'n', '{"drain":{"seconds":NaN}}', '$', 'TT2002'),
+            ('profile', 'n', json.dumps({'\ud83d': 1}), '$', 'TT2002'),
             ('profile', 'n', ' ' * 70_000, '$', 'TT2022'),
             ('service', 'n', f'{{"models":[{many}]}}', '$', 'TT2022'),
             ('service', 'n', '{}', '$', 'TT2005'),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -101,6 +101,13 @@
         self.path.unlink()
         self.assertEqual(self.found(), [(1, 1, 'TT2001')])
 
+    def test_half_pair_of_surrogates(self):
+        """Guards against settings with text that no message carries."""
+        self.write(cache_folder='cache-\ud83d')
+        self.assertEqual(1, len(self.found()))
+        with self.assertRaises(findings.InvalidError):
+            settings.load(self.path)
+
     def test_rules_between_settings(self):
         member = {'node': 'e1', 'address': '10.0.0.1:9'}
         for changed, codes in (
