--- a/tamarackthread/control/site/handler.py
+++ b/tamarackthread/control/site/handler.py
@@ -8,7 +8,7 @@
 from tamarackthread.control.site import evacuation, feed, loads
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, link
-from tamarackthread.shared.site import site_metrics, zones
+from tamarackthread.shared.site import zones
 
 
 class SiteHandler(link.Handler):
@@ -64,10 +64,6 @@
         rows = [zones.to_message(row) for row in await self._zones.list_zones()]
         return messages.Reply(site_zone=messages.SiteZoneReply(rows))
 
-    def on_fault(self, link: link.Link) -> None:
-        """Count a fault."""
-        site_metrics.LINK_FAULTS.inc()
-
     def on_lost(self, link: link.Link) -> None:
         """Check on the leader if the lost link was to it."""
         if link.peer.role != messages.Role.CONTROL:
--- a/tamarackthread/shared/link.py
+++ b/tamarackthread/shared/link.py
@@ -14,6 +14,7 @@
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import (
     errors,
+    faults,
     handshake,
     identity,
     replies,
@@ -57,9 +58,6 @@
     def on_lost(self, link: Link) -> None:
         """Handle the loss of a link."""
 
-    def on_fault(self, link: Link) -> None:
-        """Handle a fault of this process that a peer may notice."""
-
 
 class Link:
     """One connection to a peer process."""
@@ -352,7 +350,7 @@
         except Exception as exc:
             # Without any reply the peer would wait for its timeout, and ask
             # again for the same.
-            self._report_fault('reply to %s can not be sent', exc)
+            self._report_fault('can not send a reply to', exc)
             failure = replies.failure_reply(errors.PeerFailure('no reply'))
             self.write(wire.Kind.REPLY, wire.encode(failure), number)
 
@@ -362,20 +360,18 @@
         except errors.CodedError as exc:
             return replies.failure_reply(exc)
         except Exception as exc:
-            self._report_fault('request of %s failed', exc)
+            self._report_fault('can not answer a request of', exc)
             return replies.failure_reply(errors.PeerFailure('internal fault'))
 
-    def _report_fault(self, text: str, fault: BaseException) -> None:
-        """Log and count a fault of this process."""
-        _log.error(f'link: {text}', self._peer.node, exc_info=fault)
-        self._handler.on_fault(self)
+    def _report_fault(self, text: str, fault: BaseException | None) -> None:
+        faults.report(faults.Part.LINK, f'{text} {self._peer.node}', fault)
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
         # A link whose reader has ended would look alive to both ends.
-        self._report_fault('task for %s ended', task.exception())
+        self._report_fault('a task ended for', task.exception())
         self.close('internal fault')
 
     def _handle_reply(self, frame: wire.Frame) -> None:
@@ -406,7 +402,7 @@
         except errors.CodedError as exc:
             call.cancel(exc.code)
         except Exception as exc:
-            self._report_fault('call of %s failed', exc)
+            self._report_fault('can not serve a call of', exc)
             call.cancel(errors.StreamBroken.code)
 
 
--- a/tamarackthread/shared/role_start.py
+++ b/tamarackthread/shared/role_start.py
@@ -9,7 +9,7 @@
 import typing
 
 from tamarackthread.generated import settings as generated
-from tamarackthread.shared import live_settings, logs, reload
+from tamarackthread.shared import faults, live_settings, logs, reload
 
 Run = collections.abc.Callable[
     [generated.Settings],
@@ -45,5 +45,6 @@
     reloader: reload.Reloader,
     role: collections.abc.Coroutine[None, None, None],
 ) -> None:
+    asyncio.get_running_loop().set_exception_handler(faults.on_loop)
     reloader.watch()
     await role
--- a/tamarackthread/shared/site/feed_client.py
+++ b/tamarackthread/shared/site/feed_client.py
@@ -13,14 +13,13 @@
 
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, link_pool, log_events
+from tamarackthread.shared import errors, faults, link_pool, log_events
 from tamarackthread.shared.site import (
     announcements,
     document,
     source_selection,
     groups,
     host_addresses,
-    site_metrics,
     zones,
 )
 
@@ -268,12 +267,11 @@
         """Apply one part of a reply; a fault leaves out this part only."""
         try:
             apply(part)
-        except Exception:
+        except Exception as exc:
             # Otherwise the task would end, and the host never be asked again.
-            _log.exception(
-                'site: cannot apply a part of the news of %s', address
+            faults.report(
+                faults.Part.FEED, f'can not apply news of {address}', exc
             )
-            site_metrics.FEED_FAULTS.inc()
 
     def _apply_target(self, row: messages.SiteTarget) -> None:
         self._subscriber.learn_target(announcements.from_message(row))
--- a/tamarackthread/shared/site/site_metrics.py
+++ b/tamarackthread/shared/site/site_metrics.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import functools
+
 import prometheus_client
 from aiohttp import web
 
+from tamarackthread.shared import faults
+
 PATH = '/metrics'
 # Bounds in seconds, from answers of plain services to the longest streams.
 BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
@@ -100,16 +104,6 @@
     'Words to this control host that no target writes.',
     registry=_registry,
 )
-FEED_FAULTS = prometheus_client.Counter(
-    'tamarackthread_feed_faults',
-    'Parts of the news of control hosts that this process could not apply.',
-    registry=_registry,
-)
-LINK_FAULTS = prometheus_client.Counter(
-    'tamarackthread_link_faults',
-    'Requests and tasks of links that ended by a fault of this process.',
-    registry=_registry,
-)
 MAP_SWITCHES = prometheus_client.Counter(
     'tamarackthread_map_switches',
     'Expert maps that a group was switched to.',
@@ -129,6 +123,21 @@
 )
 
 
+def _count_faults() -> prometheus_client.Gauge:
+    gauge = prometheus_client.Gauge(
+        'tamarackthread_faults',
+        'Faults that this process went on after, by its part.',
+        ('part',),
+        registry=_registry,
+    )
+    for part in faults.Part:
+        gauge.labels(part).set_function(functools.partial(faults.count, part))
+    return gauge
+
+
+FAULTS = _count_faults()
+
+
 class MetricsServer:
     """HTTP server of the metrics."""
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -7,6 +7,7 @@
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import (
     errors,
+    faults,
     identity,
     link,
     link_pool,
@@ -119,12 +120,6 @@
 class FaultyAnswers(Echo):
     """Answer some requests with replies that can not be sent."""
 
-    def __init__(self):
-        self.faults = 0
-
-    def on_fault(self, peer_link):
-        self.faults += 1
-
     async def on_request(self, peer_link, request):
         if request.status.revision == 1:
             return messages.Reply(failure=messages.Failure(code='\ud83d'))
@@ -139,8 +134,8 @@
 
 class FaultCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.handler = FaultyAnswers()
-        self.listener = listener.Listener(options('b'), self.handler)
+        self.faults_before = faults.count(faults.Part.LINK)
+        self.listener = listener.Listener(options('b'), FaultyAnswers())
         self.address = await self.listener.start('127.0.0.1', 0)
         self.pool = link_pool.LinkPool(options('a'))
 
@@ -151,11 +146,11 @@
 
     async def test_unsendable_reply_is_answered(self):
         """Guards against a request without any reply, and faults not counted."""
-        with self.assertLogs('tamarackthread.link', 'ERROR'):
+        with self.assertLogs('tamarackthread.faults', 'ERROR'):
             for revision in (1, 2):
                 with self.assertRaises(errors.PeerFailure):
                     await self._ask(revision)
-        self.assertEqual(2, self.handler.faults)
+        self.assertEqual(2, self._new_faults())
         reply = await self._ask(4)
         self.assertEqual(4, reply.done.value)
 
@@ -163,18 +158,21 @@
         """Guards against a coded error that is lost for the text it quotes."""
         with self.assertRaises(errors.RequestUnsupported):
             await self._ask(3)
-        self.assertEqual(0, self.handler.faults)
+        self.assertEqual(0, self._new_faults())
 
     async def test_task_that_fails_closes_its_link(self):
         """Guards against a link that looks alive although nobody reads it."""
         peer_link = await self.pool.link(self.address)
-        with self.assertLogs('tamarackthread.link', 'ERROR'):
+        with self.assertLogs('tamarackthread.faults', 'ERROR'):
             peer_link.spawn(self._fail())
             await asyncio.wait_for(peer_link.wait_closed(), 5)
 
     async def _fail(self):
         raise LookupError
 
+    def _new_faults(self):
+        return faults.count(faults.Part.LINK) - self.faults_before
+
     async def _ask(self, revision):
         request = messages.Request(
             status=messages.StatusRequest(revision=revision)
