--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -18,7 +18,7 @@
         before = faults.count(faults.Part.TASK)
         with self.assertLogs('tamarackthread.faults', 'ERROR') as lines:
             asyncio.run(self._end())
-        self.assertIn('LookupError', lines.output[0])
+            self.assertIn('LookupError', lines.output[0])
         self.assertEqual(before + 1, faults.count(faults.Part.TASK))
         shown = f'tamarackthread_faults{{part="task"}} {before + 1}.0'
         self.assertIn(shown, site_metrics.render().decode())
