Keep log lines that quote what is no text

An operator's text output with strict encoding lost such a line, and printed a traceback of the logging library in its place. test_line_that_is_no_text fails before (UnicodeEncodeError) and passes now: it is escaped.

--- a/tamarackthread/shared/logs.py
+++ b/tamarackthread/shared/logs.py
@@ -58,7 +58,8 @@
             line = f'{line} [{identity}]'
         if record.exc_info:
             line = f'{line}\n{self.formatException(record.exc_info)}'
-        return line
+        # A strict output would lose a line that quotes what is no text.
+        return line.encode(errors='backslashreplace').decode()
 
 
 class JsonFormatter(logging.Formatter):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -29,6 +29,14 @@
 class TestLogs(unittest.TestCase):
     """Check the lines written to a stream."""
 
+    def test_line_that_is_no_text(self) -> None:
+        """Guards against a line that is lost for what it quotes."""
+        formatter = logs.TextFormatter()
+        record = logging.makeLogRecord(
+            {'msg': 'refused \ud83d', 'name': logs.ROOT}
+        )
+        self.assertIn(b'refused', formatter.format(record).encode())
+
     def _lines(self, chosen: settings.Logs) -> list[str]:
         stream = io.StringIO()
         writer = logs.start(chosen, stream)
