Pass header values byte for byte

What callers and targets saw: bytes of a header that are no UTF-8, for instance a name in ISO 8859-1, were left out on the way, in both directions and in silence.

test_values_pass_unchanged fails before (b'Wrgl' for b'W\xf6rgl') and passes now; line breaks in values are refused as before.

--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -16,7 +16,7 @@
     instances,
     target_log,
 )
-from tamarackthread.shared import errors, response_body
+from tamarackthread.shared import errors, header_bytes, response_body
 from tamarackthread.shared.site import configuration
 
 # Shorter than the retransmission timeout of a lost first packet, since trying
@@ -143,6 +143,7 @@
 
     async def start(self) -> None:
         """Create the pools; must be called in the running event loop."""
+        header_bytes.install()
         self._pooled = _new_session(keepalive_timeout=KEEPALIVE_SECONDS)
         # Calls that must not repeat use a new connection each: a stale pooled
         # one may lose the call, and nobody knows whether it ran.
