--- a/tests/membership_net.py
+++ b/tests/membership_net.py
@@ -118,11 +118,11 @@
 
     async def leave(self, node: str) -> None:
         """Stop a host for good, as planned."""
-        for task in self._tasks.pop(node):
-            task.cancel()
         process = self.processes.pop(node)
         await freezing_loop.create_task(node, process.stop())
         self.network.handlers.pop(node, None)
+        for task in self._tasks.pop(node):
+            task.cancel()
 
     async def commit(self, row: str, seconds: float) -> bool:
         """Submit a row at one host after another; return whether it is acked."""
