Pause before asking again for news that can not be applied

A configuration that an entry can't apply came back at once with each poll: 99 requests a second in test_bad_parts, and a traceback for each. Now there are under 10. The line that a leader is no longer followed also appears when a leader hands over, so it says no more than that.

--- a/tamarackthread/control/replica.py
+++ b/tamarackthread/control/replica.py
@@ -231,7 +231,7 @@
         self._timer.record_contact()
 
     def lose_leader(self) -> None:
-        """Know no leader any more: the election timeout has passed.
+        """Forget the leader after the election timeout.
 
         A removed member gets no further messages from its leader, so that
         nothing else tells it that it has to rejoin.
@@ -241,12 +241,11 @@
         log_events.emit(
             _log,
             log_events.Event.LEADER_LOST,
-            'consensus: %s hears nothing from %s, leader of %s in term %d',
+            'consensus: %s no longer follows %s, leader of %s in term %d',
             self._parts.node,
             self._leader,
             self._parts.group,
             self._hard.term,
-            level=logging.WARNING,
             group=self._parts.group,
             term=self._hard.term,
             leader=self._leader,
--- a/tamarackthread/shared/site/feed_client.py
+++ b/tamarackthread/shared/site/feed_client.py
@@ -176,7 +176,9 @@
             if not source.is_up:
                 _log_connection(address, is_up=True)
             source.is_up = True
-            self._apply(address, source, reply)
+            if not self._apply(address, source, reply):
+                # The same part may come again at once.
+                await asyncio.sleep(RETRY_SECONDS)
             await self._await_document(address, reply.version)
 
     async def _request(
@@ -241,12 +243,15 @@
         address: str,
         source: _Source,
         reply: messages.SiteFeedReply,
-    ) -> None:
+    ) -> bool:
+        """Apply a reply; return whether all of its parts could be applied."""
         source.epoch = reply.epoch
         source.serial = reply.serial
         source.groups_serial = reply.groups_serial or 0
-        for row in reply.targets:
+        applied = [
             self._apply_part(address, self._apply_target, row)
+            for row in reply.targets
+        ]
         # Zones are applied before the first configuration, which admits calls.
         for apply in (
             functools.partial(self._apply_paces, address),
@@ -254,24 +259,27 @@
             self._apply_zones,
             self._apply_document,
         ):
-            self._apply_part(address, apply, reply)
+            applied.append(self._apply_part(address, apply, reply))
         self._add_sources(reply.members)
         self._entries = tuple(reply.entries)
+        return all(applied)
 
     def _apply_part(
         self,
         address: str,
         apply: collections.abc.Callable[[_Part], None],
         part: _Part,
-    ) -> None:
+    ) -> bool:
         """Apply one part of a reply; a fault leaves out this part only."""
         try:
             apply(part)
+            return True
         except Exception as exc:
             # Otherwise the task would end, and the host never be asked again.
             faults.report(
                 faults.Part.FEED, f'can not apply news of {address}', exc
             )
+            return False
 
     def _apply_target(self, row: messages.SiteTarget) -> None:
         self._subscriber.learn_target(announcements.from_message(row))
--- a/tests/test_feed_client.py
+++ b/tests/test_feed_client.py
@@ -18,6 +18,8 @@
 
 HOST = '10.0.0.1:7'
 UNKNOWN_STATE = 99
+# Requests a second to a host whose news can't be applied.
+MAX_REQUESTS = 10
 
 
 class Pupil(feed_client.Subscriber):
@@ -122,3 +124,4 @@
         self.assertEqual({'t1', 't3'}, pupil.targets)
         self.assertEqual(2, pupil.version)
         self.assertEqual(3, links.requests[-1].serial)
+        self.assertLess(len(links.requests), MAX_REQUESTS)
