--- a/tests/membership_net.py
+++ b/tests/membership_net.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import random
+import typing
 
 from tamarackthread.control import consensus, replica, timing
 from tamarackthread.control.site import host, joining
@@ -43,6 +44,7 @@
         self.network._rng = self.rng
         self._times = times
         self.elected: dict[int, set[str]] = {}
+        self.votes: dict[tuple[int, str, bytes], set[str]] = {}
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
 
     @property
@@ -86,14 +88,16 @@
         self.processes[node] = process
         self._tasks[node] = [
             freezing_loop.create_task(node, joiner.run()),
-            freezing_loop.create_task(node, self._note_elections(process)),
         ]
+        self._note_elections(process)
 
         async def handle(request: messages.Request) -> messages.Reply:
             # A request that has arrived is handled even if its sender has
             # stopped waiting for the answer.
             answering = freezing_loop.create_task(node, process.handle(request))
-            return await asyncio.shield(answering)
+            reply = await asyncio.shield(answering)
+            self._note_vote(node, request.vote, reply.vote)
+            return reply
 
         self.network.handlers[node] = handle
 
@@ -152,14 +156,36 @@
         asking = freezing_loop.create_task(
             node, process.submit(row.encode(), 0.85)
         )
+        # An answer that comes later is ignored, but not its error.
+        asking.add_done_callback(asyncio.Task.exception)
         await asyncio.wait([asking], timeout=1)
         if not asking.done():
             return False
         return asking.exception() is None
 
-    async def _note_elections(self, process: consensus.Consensus) -> None:
-        while True:
-            if process.is_leader:
-                leaders = self.elected.setdefault(process.term, set())
-                leaders.add(process._state.parts.node)
-            await asyncio.sleep(0.01)
+    def _note_elections(self, process: consensus.Consensus) -> None:
+        """Note each election that this process wins, and the vote for itself."""
+        state = process._state
+        become_leader = state.become_leader
+
+        def noted() -> typing.Any:
+            term = become_leader()
+            node = state.parts.node
+            self.elected.setdefault(term.term, set()).add(node)
+            voter = (term.term, node, process.disk_id)
+            self.votes.setdefault(voter, set()).add(node)
+            return term
+
+        state.become_leader = noted
+
+    def _note_vote(
+        self,
+        node: str,
+        request: messages.VoteRequest | None,
+        reply: messages.VoteReply | None,
+    ) -> None:
+        if request is None or reply is None:
+            return
+        if reply.granted and not request.pre_vote:
+            voter = (request.term, node, reply.disk_id)
+            self.votes.setdefault(voter, set()).add(request.candidate)
--- a/tests/test_lost_members.py
+++ b/tests/test_lost_members.py
@@ -120,7 +120,7 @@
         self._check_log(net)
 
     def _check_log(self, net: membership_net.MembershipNet) -> None:
-        """Check that nothing acknowledged was lost, by one leader a term."""
+        """Check the log, and for one leader a term and one vote of each voter."""
         rows = max((machine.rows for machine in net.machines.values()), key=len)
         self.assertLessEqual({'0', '1', 'last'}, set(rows))
         for node in net.processes:
@@ -128,6 +128,8 @@
             self.assertEqual(rows[: len(held)], held)
         for leaders in net.elected.values():
             self.assertEqual(1, len(leaders))
+        for candidates in net.votes.values():
+            self.assertEqual(1, len(candidates))
 
 
 async def _freeze_in_turn(
