--- a/tests/consensus_net.py
+++ b/tests/consensus_net.py
@@ -140,21 +140,24 @@
 
     def run_paused(self, coroutine: collections.abc.Awaitable[None]) -> None:
         """Run a coroutine to its end, then cancel remaining tasks."""
-        loop = async_solipsism.EventLoop()
+        loop = self.new_loop()
         self.addCleanup(loop.close)
         with warnings.catch_warnings():
             warnings.simplefilter('ignore')
             try:
                 loop.run_until_complete(coroutine)
             finally:
-                cancel_tasks(loop)
-
-
-def cancel_tasks(loop: asyncio.AbstractEventLoop) -> None:
-    """Cancel the tasks that a test has left, and wait for their end."""
-    remaining = asyncio.all_tasks(loop)
-    for task in remaining:
-        task.cancel()
-    if remaining:
-        ending = asyncio.gather(*remaining, return_exceptions=True)
-        loop.run_until_complete(ending)
+                self.cancel_tasks(loop)
+
+    def new_loop(self) -> async_solipsism.EventLoop:
+        """Return a loop with simulated time."""
+        return async_solipsism.EventLoop()
+
+    def cancel_tasks(self, loop: async_solipsism.EventLoop) -> None:
+        """Cancel the tasks that a test has left, and wait for their end."""
+        remaining = asyncio.all_tasks(loop)
+        for task in remaining:
+            task.cancel()
+        if remaining:
+            ending = asyncio.gather(*remaining, return_exceptions=True)
+            loop.run_until_complete(ending)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -44,9 +44,11 @@
         call.finish(messages.CallEnd(call_id=call.call_id, events=1))
 
 
-class LinkCase(unittest.IsolatedAsyncioTestCase):
+class LoopbackCase(unittest.IsolatedAsyncioTestCase):
+    handler = Echo
+
     async def asyncSetUp(self):
-        self.listener = listener.Listener(options('b'), Echo())
+        self.listener = listener.Listener(options('b'), self.handler())
         self.address = await self.listener.start('127.0.0.1', 0)
         self.pool = link_pool.LinkPool(options('a'))
 
@@ -55,6 +57,8 @@
         self.listener.close()
         await asyncio.sleep(0)
 
+
+class LinkCase(LoopbackCase):
     async def test_request_and_coded_failure(self):
         request = messages.Request(status=messages.StatusRequest(revision=7))
         reply = await self.pool.request(self.address, request, 5)
@@ -132,17 +136,11 @@
         return await super().on_request(peer_link, request)
 
 
-class FaultCase(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.faults_before = faults.count(faults.Part.LINK)
-        self.listener = listener.Listener(options('b'), FaultyAnswers())
-        self.address = await self.listener.start('127.0.0.1', 0)
-        self.pool = link_pool.LinkPool(options('a'))
+class FaultCase(LoopbackCase):
+    handler = FaultyAnswers
 
-    async def asyncTearDown(self):
-        self.pool.close()
-        self.listener.close()
-        await asyncio.sleep(0)
+    def setUp(self):
+        self.faults_before = faults.count(faults.Part.LINK)
 
     async def test_unsendable_reply_is_answered(self):
         """Guards against a request without any reply, and faults not counted."""
--- a/tests/test_lost_members.py
+++ b/tests/test_lost_members.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import random
-import typing
-import warnings
 
 from tests import consensus_net, freezing_loop, membership_net
 
@@ -21,19 +19,14 @@
 class _FrozenCase(consensus_net.PausedCase):
     """Run a coroutine on a loop whose simulated processes can be frozen."""
 
-    def run_paused(
-        self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
-    ) -> None:
-        """Run a coroutine to its end, then cancel remaining tasks."""
-        loop = freezing_loop.FreezingLoop()
-        self.addCleanup(loop.close)
-        with warnings.catch_warnings():
-            warnings.simplefilter('ignore')
-            try:
-                loop.run_until_complete(coroutine)
-            finally:
-                loop.wake_all()
-                consensus_net.cancel_tasks(loop)
+    def new_loop(self) -> freezing_loop.FreezingLoop:
+        """Return a loop whose processes can be frozen."""
+        return freezing_loop.FreezingLoop()
+
+    def cancel_tasks(self, loop: freezing_loop.FreezingLoop) -> None:
+        """Cancel remaining tasks, those of frozen processes too."""
+        loop.wake_all()
+        super().cancel_tasks(loop)
 
 
 class RejoinTest(_FrozenCase):
