--- a/review/5/check.py
+++ b/review/5/check.py
@@ -26,7 +26,9 @@
 async def check(test_bed: bed.Bed) -> bool:
     """Tell whether no request reached the replica after its drain."""
     replicas = [
-        replica.Replica(test_bed, configs.PLAIN_SERVICE, number, home=HOMES[number])
+        replica.Replica(
+            test_bed, configs.PLAIN_SERVICE, number, home=HOMES[number]
+        )
         for number in range(len(HOMES))
     ]
     for one in replicas:
