--- a/review/5/check.py
+++ b/review/5/check.py
@@ -1,113 +1,198 @@
-"""A control host loses its disk right after it has acknowledged a farewell."""
+"""An entry is stopped as planned while requests wait in it for a free slot."""
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import pathlib
 import signal
 import sys
 import time
 
-from review.second import bed, clients, configs, replica, web
+from review.second import bed, clients, configs, replica, streams, web
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-# The control host that each replica has picked.  The second one leaves.
-HOMES = (1, 0, 2, 1)
-LEAVING = 1
-# The core counts as stable this long after its last kill or start.
-TOUCH_SECONDS = 3.0
-DRAIN_SECONDS = 2.0
-DOWN_SECONDS = 1.0
-# How long the replica goes on serving after its farewell.
-SERVE_SECONDS = 9.0
-PAUSE_SECONDS = 0.04
+DEADLINE_MS = 8050
+TIMEOUT_SECONDS = 8.0
+GRACE_SECONDS = 8.0
+SLACK_SECONDS = 0.2
+REPLICAS = 3
+# Clients with an open connection to the entry that is stopped.
+KEPT = 12
+# Steady traffic, from the start to the end: 12 requests a second, of which the
+# six slots can run 4.3.
+PAUSE_SECONDS = 0.25
+STEADY_SECONDS = 9.0
+# How long after the signal clients still use connections that they have open.
+KEPT_SECONDS = 2.5
+STOPPED = 0
+
+
+@dataclasses.dataclass
+class Asked:
+    """A request to one machine, and how it ended."""
+
+    machine: int
+    attempt: str = dataclasses.field(default_factory=clients.new_id)
+    sent_at: float = dataclasses.field(default_factory=time.monotonic)
+    ended_at: float = 0
+    answer: web.Message = dataclasses.field(default_factory=web.Message)
+
+    @property
+    def took(self) -> float:
+        """Return the seconds until the answer or the end without one."""
+        return self.ended_at - self.sent_at
 
 
 async def check(test_bed: bed.Bed) -> bool:
-    """Tell whether no request reached the replica after its drain."""
-    replicas = [
-        replica.Replica(
-            test_bed, configs.PLAIN_SERVICE, number, home=HOMES[number]
+    """Tell whether the stopped entry answered all that it had read."""
+    replicas = await _start(test_bed)
+    asked: list[Asked] = []
+    stop_at = time.monotonic() + STEADY_SECONDS
+    end_at = stop_at + GRACE_SECONDS + 1
+    asking = [
+        asyncio.create_task(
+            _ask_until(
+                test_bed,
+                asked,
+                machine,
+                stop_at if machine == STOPPED else end_at,
+            )
         )
-        for number in range(len(HOMES))
+        for machine in range(len(test_bed.hosts))
     ]
+    kept = await _open_connections(test_bed)
+    await asyncio.sleep(stop_at - time.monotonic())
+    if test_bed.has_trouble:
+        test_bed.send_signal(STOPPED, 'entry', signal.SIGTERM)
+    await _ask_on(test_bed, asked, kept)
+    await asyncio.gather(*asking)
+    for one in replicas:
+        await one.stop()
+    return _judge(test_bed, replicas, asked, stop_at)
+
+
+async def _start(test_bed: bed.Bed) -> list[replica.Replica]:
+    replicas = []
+    for number in range(REPLICAS):
+        engine = streams.Engine()
+        replicas.append(
+            replica.Replica(
+                test_bed,
+                configs.MODEL_SERVICE,
+                number,
+                engine.answer,
+                slots=streams.SLOTS,
+            )
+        )
+    replicas.append(replica.Replica(test_bed, configs.PLAIN_SERVICE, REPLICAS))
     for one in replicas:
         await one.start()
     await test_bed.start_all()
-    await test_bed.configure(configs.plain())
+    await test_bed.configure(configs.with_model())
     await replica.wait_announced(replicas)
     await test_bed.wait_ready()
-    # All machines are in touch before the farewell.
-    await asyncio.sleep(2 * TOUCH_SECONDS)
-    leaving = replicas[LEAVING]
-    asking = asyncio.create_task(_ask(test_bed))
-    left_at = await _leave(test_bed, leaving)
-    counts_from = left_at + DRAIN_SECONDS
-    if test_bed.has_trouble:
-        back_at = await _wipe(test_bed)
-        counts_from = max(counts_from, back_at + TOUCH_SECONDS)
-    await asyncio.sleep(left_at + SERVE_SECONDS - time.monotonic())
-    asking.cancel()
-    for one in replicas:
-        await one.stop()
-    return _judge(test_bed, replicas, left_at, counts_from)
+    return replicas
+
+
+async def _ask_until(
+    test_bed: bed.Bed, asked: list[Asked], machine: int, until: float
+) -> None:
+    """Send requests to an entry, each on a new connection."""
+    asking = []
+    while time.monotonic() < until:
+        one = Asked(machine)
+        asked.append(one)
+        asking.append(asyncio.create_task(_ask(test_bed, one)))
+        await asyncio.sleep(PAUSE_SECONDS)
+    await asyncio.gather(*asking)
 
 
-async def _leave(test_bed: bed.Bed, leaving: replica.Replica) -> float:
-    """Say farewell to the first control host; return when it was answered."""
-    leaving.stop_announcing()
-    if not await leaving.deregister(test_bed.controls[0]):
-        raise bed.CannotRun('the farewell was not acknowledged')
-    left_at = time.monotonic()
-    if test_bed.has_trouble:
-        test_bed.send_signal(0, 'control', signal.SIGKILL)
-    test_bed.note(f'farewell of {leaving.name} was acknowledged')
-    return left_at
-
-
-async def _wipe(test_bed: bed.Bed) -> float:
-    """Start the killed control host again with an empty disk."""
-    await asyncio.sleep(DOWN_SECONDS)
-    test_bed.wipe(0, 'control')
-    test_bed.start(0, 'control')
-    return time.monotonic()
-
-
-async def _ask(test_bed: bed.Bed) -> None:
-    """Send lookups to the entries of the machines without disruption."""
-    number = 0
-    while True:
-        attempt = clients.new_id()
-        request = clients.request(
-            attempt, f'{configs.LOOKUPS}{number}', method='GET'
+async def _open_connections(test_bed: bed.Bed) -> list[web.Kept]:
+    """Open connections to the entry, and look something up on each."""
+    kept = [await web.keep(test_bed.front(STOPPED)) for _ in range(KEPT)]
+    for connection in kept:
+        lookup = clients.request(
+            clients.new_id(), f'{configs.LOOKUPS}5', method='GET'
         )
-        answer = await web.exchange(
-            test_bed.front(1 + number % 2), request, seconds=2
-        )
-        test_bed.note(f'sent {attempt}; got {answer.start}')
-        number += 1
-        await asyncio.sleep(PAUSE_SECONDS)
+        answer = await connection.exchange(lookup, seconds=2)
+        if answer.status != web.OK:
+            raise bed.CannotRun(f'a lookup got {answer.start}')
+    return kept
+
+
+async def _ask_on(
+    test_bed: bed.Bed, asked: list[Asked], kept: list[web.Kept]
+) -> None:
+    """Send one request on each open connection, in even steps."""
+    asking = []
+    for connection in kept:
+        one = Asked(STOPPED)
+        asked.append(one)
+        asking.append(asyncio.create_task(_ask(test_bed, one, connection)))
+        await asyncio.sleep(KEPT_SECONDS / KEPT)
+    await asyncio.gather(*asking)
+    for connection in kept:
+        connection.close()
+
+
+async def _ask(
+    test_bed: bed.Bed, asked: Asked, kept: web.Kept | None = None
+) -> None:
+    request = clients.request(
+        asked.attempt,
+        f'{configs.DRAFTS}2f',
+        b'{"note": "starter feed"}',
+        [('Model', 'm'), ('Token-Counts', '674,70')],
+        deadline_ms=DEADLINE_MS,
+    )
+    seconds = DEADLINE_MS / 1000
+    if kept is None:
+        front = test_bed.front(asked.machine)
+        asked.answer = await web.exchange(front, request, seconds)
+    else:
+        asked.answer = await kept.exchange(request, seconds)
+    asked.ended_at = time.monotonic()
+    test_bed.note(
+        f'{asked.attempt} to front-{asked.machine} ended after '
+        f'{asked.took:.3f} s: {asked.answer.start}'
+    )
 
 
 def _judge(
     test_bed: bed.Bed,
     replicas: list[replica.Replica],
-    left_at: float,
-    counts_from: float,
+    asked: list[Asked],
+    stop_at: float,
 ) -> bool:
-    leaving = replicas[LEAVING]
-    late = [
-        (arrived_at - left_at, request.get('Attempt-Id'))
-        for arrived_at, request in leaving.ran
-        if arrived_at > counts_from
+    ran = {
+        request.get('Attempt-Id') for one in replicas for _, request in one.ran
+    }
+    test_bed.note(f'replicas were sent {sorted(ran)}')
+    lost = [
+        one
+        for one in asked
+        if one.machine == STOPPED
+        and one.attempt not in ran
+        and _was_cut(one, stop_at)
     ]
-    for after, attempt in late:
-        test_bed.note(f'{attempt} reached {leaving.name} after {after:.3f} s')
-    others = [len(one.ran) for one in replicas if one is not leaving]
-    test_bed.note(f'{len(late)} requests came late; others ran {others}')
-    if not any(others):
-        raise bed.CannotRun('no request ran at another replica')
-    return not late
+    for cut in lost:
+        test_bed.note(
+            f'{cut.attempt} was read, never passed on, and ended without an '
+            f'answer after {cut.took:.3f} s'
+        )
+    answered = sum(one.answer.status == web.OK for one in asked)
+    test_bed.note(f'{len(lost)} lost; {answered} of {len(asked)} had a success')
+    if not answered:
+        raise bed.CannotRun('no request had a success')
+    return not lost
+
+
+def _was_cut(asked: Asked, stop_at: float) -> bool:
+    """Tell whether a request ended as the rule forbids it."""
+    if asked.answer.status or asked.ended_at > stop_at + GRACE_SECONDS + 1:
+        return False
+    return SLACK_SECONDS < asked.took < TIMEOUT_SECONDS
 
 
 if __name__ == '__main__':
--- a/review/6/check.py
+++ b/review/6/check.py
@@ -1,161 +1,113 @@
-"""A replica sends one answer twice, the second time late."""
+"""A control host loses its disk right after it has acknowledged a farewell."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 
 from review.second import bed, clients, configs, replica, web
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-WORK_SECONDS = 0.06
-# How late the second answer comes: while the next request is in work.
-LATE_SECONDS = 0.05
-PAUSE_SECONDS = 0.03
-# The replica spoils answers for so long, at most this share of them.
-SPOIL_SECONDS = 5.0
-SPOILED_SHARE = 0.03
+# The control host that each replica has picked.  The second one leaves.
+HOMES = (1, 0, 2, 1)
+LEAVING = 1
+# The core counts as stable this long after its last kill or start.
 TOUCH_SECONDS = 3.0
-STEADY_SECONDS = 12.0
-# Answers on a connection before one is sent twice.
-BEFORE_EXTRA = 5
-
-
-class Spoiler:
-    """The answers of a replica, of which some are sent twice."""
-
-    def __init__(self, test_bed: bed.Bed) -> None:
-        """Send each answer once."""
-        self._bed = test_bed
-        self._answers: dict[asyncio.StreamWriter, int] = {}
-        self._late: set[asyncio.Task[None]] = set()
-        self.spoils = False
-        self.given = 0
-        self.extras = 0
-
-    async def answer(
-        self,
-        served_by: replica.Replica,
-        request: web.Message,
-        writer: asyncio.StreamWriter,
-    ) -> bool:
-        """Answer after a while, and perhaps once more."""
-        await asyncio.sleep(WORK_SECONDS)
-        body = f'for {request.target}'.encode()
-        answer = served_by.encode(request, web.OK, body)
-        writer.write(answer)
-        await writer.drain()
-        self.given += self.spoils
-        count = self._answers.get(writer, 0) + 1
-        self._answers[writer] = count
-        if self.spoils and count == BEFORE_EXTRA:
-            self.extras += 1
-            late = asyncio.create_task(self._send_late(answer, writer))
-            self._late.add(late)
-            late.add_done_callback(self._late.discard)
-        return True
-
-    async def _send_late(
-        self, answer: bytes, writer: asyncio.StreamWriter
-    ) -> None:
-        await asyncio.sleep(LATE_SECONDS)
-        self._bed.note(f'an answer is sent again: {answer[:60]!r}')
-        writer.write(answer)
-
-
-class Tally:
-    """How the requests of one kind ended while the state was steady."""
-
-    def __init__(self) -> None:
-        """Count nothing."""
-        self.sent = 0
-        self.served = 0
-
-    @property
-    def share(self) -> float:
-        """Return the share that was served."""
-        return self.served / max(1, self.sent)
+DRAIN_SECONDS = 2.0
+DOWN_SECONDS = 1.0
+# How long the replica goes on serving after its farewell.
+SERVE_SECONDS = 9.0
+PAUSE_SECONDS = 0.04
 
 
 async def check(test_bed: bed.Bed) -> bool:
-    """Tell whether an added route is served as the first one is."""
-    spoiler = Spoiler(test_bed)
-    served_by = replica.Replica(
-        test_bed, configs.PLAIN_SERVICE, 0, spoiler.answer
-    )
-    await served_by.start()
-    await test_bed.start_all()
-    first = configs.plain(7)
-    await test_bed.configure(
-        {**first, 'routes': first['routes'][:1]}  # type: ignore[index]
-    )
-    await replica.wait_announced([served_by])
-    await test_bed.wait_ready()
-    await asyncio.sleep(TOUCH_SECONDS)
-    await test_bed.configure(configs.plain(8))
-    await asyncio.sleep(TOUCH_SECONDS)
-    tallies = {configs.ORDERS: Tally(), configs.LOOKUPS: Tally()}
-    counts_from = time.monotonic() + SPOIL_SECONDS + TOUCH_SECONDS
-    asking = [
-        asyncio.create_task(
-            _ask_until(test_bed, machine, prefix, tallies, counts_from)
+    """Tell whether no request reached the replica after its drain."""
+    replicas = [
+        replica.Replica(
+            test_bed, configs.PLAIN_SERVICE, number, home=HOMES[number]
         )
-        for machine in range(len(test_bed.hosts))
-        for prefix in tallies
+        for number in range(len(HOMES))
     ]
-    spoiler.spoils = test_bed.has_trouble
-    await asyncio.sleep(SPOIL_SECONDS)
-    spoiler.spoils = False
-    await asyncio.gather(*asking)
-    await served_by.stop()
-    return _judge(test_bed, spoiler, tallies)
-
-
-async def _ask_until(
-    test_bed: bed.Bed,
-    machine: int,
-    prefix: str,
-    tallies: dict[str, Tally],
-    counts_from: float,
-) -> None:
-    """Send one request after the other to an entry."""
+    for one in replicas:
+        await one.start()
+    await test_bed.start_all()
+    await test_bed.configure(configs.plain())
+    await replica.wait_announced(replicas)
+    await test_bed.wait_ready()
+    # All machines are in touch before the farewell.
+    await asyncio.sleep(2 * TOUCH_SECONDS)
+    leaving = replicas[LEAVING]
+    asking = asyncio.create_task(_ask(test_bed))
+    left_at = await _leave(test_bed, leaving)
+    counts_from = left_at + DRAIN_SECONDS
+    if test_bed.has_trouble:
+        back_at = await _wipe(test_bed)
+        counts_from = max(counts_from, back_at + TOUCH_SECONDS)
+    await asyncio.sleep(left_at + SERVE_SECONDS - time.monotonic())
+    asking.cancel()
+    for one in replicas:
+        await one.stop()
+    return _judge(test_bed, replicas, left_at, counts_from)
+
+
+async def _leave(test_bed: bed.Bed, leaving: replica.Replica) -> float:
+    """Say farewell to the first control host; return when it was answered."""
+    leaving.stop_announcing()
+    if not await leaving.deregister(test_bed.controls[0]):
+        raise bed.CannotRun('the farewell was not acknowledged')
+    left_at = time.monotonic()
+    if test_bed.has_trouble:
+        test_bed.send_signal(0, 'control', signal.SIGKILL)
+    test_bed.note(f'farewell of {leaving.name} was acknowledged')
+    return left_at
+
+
+async def _wipe(test_bed: bed.Bed) -> float:
+    """Start the killed control host again with an empty disk."""
+    await asyncio.sleep(DOWN_SECONDS)
+    test_bed.wipe(0, 'control')
+    test_bed.start(0, 'control')
+    return time.monotonic()
+
+
+async def _ask(test_bed: bed.Bed) -> None:
+    """Send lookups to the entries of the machines without disruption."""
     number = 0
-    method = 'POST' if prefix == configs.ORDERS else 'GET'
-    while time.monotonic() < counts_from + STEADY_SECONDS:
-        number += 1
+    while True:
         attempt = clients.new_id()
-        sent_at = time.monotonic()
-        answer = await web.exchange(
-            test_bed.front(machine),
-            clients.request(attempt, f'{prefix}{number}', method=method),
+        request = clients.request(
+            attempt, f'{configs.LOOKUPS}{number}', method='GET'
         )
-        test_bed.note(
-            f'{attempt} {prefix}{number} to front-{machine}: {answer.start}'
+        answer = await web.exchange(
+            test_bed.front(1 + number % 2), request, seconds=2
         )
-        if sent_at > counts_from:
-            tallies[prefix].sent += 1
-            tallies[prefix].served += answer.status == web.OK
+        test_bed.note(f'sent {attempt}; got {answer.start}')
+        number += 1
         await asyncio.sleep(PAUSE_SECONDS)
 
 
 def _judge(
-    test_bed: bed.Bed, spoiler: Spoiler, tallies: dict[str, Tally]
+    test_bed: bed.Bed,
+    replicas: list[replica.Replica],
+    left_at: float,
+    counts_from: float,
 ) -> bool:
-    orders, lookups = tallies[configs.ORDERS], tallies[configs.LOOKUPS]
-    test_bed.note(
-        f'{spoiler.extras} of {spoiler.given} answers were sent twice'
-    )
-    if spoiler.extras > SPOILED_SHARE * spoiler.given:
-        raise bed.CannotRun('the replica spoiled too many answers')
-    test_bed.note(
-        f'served in steady state: {orders.served} of {orders.sent} on the first '
-        f'route, {lookups.served} of {lookups.sent} on the added one'
-    )
-    if lookups.sent < 20 or not orders.served:
-        raise bed.CannotRun('too few requests')
-    return lookups.share >= orders.share / 4
+    leaving = replicas[LEAVING]
+    late = [
+        (arrived_at - left_at, request.get('Attempt-Id'))
+        for arrived_at, request in leaving.ran
+        if arrived_at > counts_from
+    ]
+    for after, attempt in late:
+        test_bed.note(f'{attempt} reached {leaving.name} after {after:.3f} s')
+    others = [len(one.ran) for one in replicas if one is not leaving]
+    test_bed.note(f'{len(late)} requests came late; others ran {others}')
+    if not any(others):
+        raise bed.CannotRun('no request ran at another replica')
+    return not late
 
 
 if __name__ == '__main__':
--- a/review/second/configs.py
+++ b/review/second/configs.py
@@ -97,3 +97,22 @@
         'routes': [*config['routes'], drafts],  # type: ignore[misc]
         'services': [*config['services'], model],  # type: ignore[misc]
     }
+
+
+def with_experts(version: int = 7) -> dict[str, object]:
+    """Return the configuration with the experts of the model's ranks."""
+    config = with_model(version)
+    plain_service, model = config['services']  # type: ignore[misc]
+    engine = {
+        **model['engine'],
+        'slots': 6,
+        'link-mbps': 1000.0,
+        'sets': 2,
+        'experts': 8,
+        'placements': 4,
+        'spare': 2,
+        'expert-mb': 10.0,
+        'expert-share': 0.85,
+        'form_ms': 600.0,
+    }
+    return {**config, 'services': [plain_service, {**model, 'engine': engine}]}
