--- a/review/second/streams.py
+++ b/review/second/streams.py
@@ -10,7 +10,8 @@
 EVENTS = 14
 PAUSE_SECONDS = 0.1
 SLOTS = 2
-QUEUED = 2
+# Twice the slots, as the replicas of the users' sheets have.
+QUEUED = 4
 
 
 class Engine:
