Commit departures of targets to the log before they are acknowledged

What callers saw: a target told a control host that it was gone and was answered 200; the host was killed and came back with an empty disk.

Cause: a departure was soft state of the one host that was told, as announcements are. Those are repeated; a departure isn't once it is answered. The answer was even written before the followers of the host's feed were woken, so it was a race between the kill and the feed's replies.

Ruled out: entries that were told and did not obey, and a host that revives the target after its start.

Why this works: a departure is in a quorum's logs before the answer, and every member that applies it tells its followers. Followers are still told at once by the host that was called, which only withholds calls.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -265,8 +265,11 @@
 struct SiteZone { 1: string name, 2: bool is_evacuated, 3: i64 revision }
 // The targets that share their passes; one that is not open makes none.
 struct SiteGroup { 1: string name, 2: list<string> members, 3: bool is_open }
-// What a log's snapshot holds once any zone was evacuated; document as in a command.
-struct SiteSnapshot { 1: binary document, 2: list<SiteZone> zones }
+// A target that drains or is gone; at_ms is the Unix time at the host that was told.
+struct SiteDeparture { 1: SiteTarget target, 2: i64 at_ms }
+// What a log's snapshot holds once a zone was evacuated or a target has left; document as
+// in a command.
+struct SiteSnapshot { 1: binary document, 2: list<SiteZone> zones, 3: optional list<SiteDeparture> departures }
 // zone_changes is the sum of the revisions of all zones that the follower holds.
 struct SiteFeedRequest { 1: i64 version, 2: i64 epoch, 3: i64 serial, 4: i32 wait_ms, 5: i64 zone_changes, 6: i64 groups_serial,
   7: bool without_document }
--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -19,6 +19,7 @@
     transport,
 )
 from tamarackthread.control.site import (
+    announcing,
     api,
     evacuation,
     feed,
@@ -83,7 +84,7 @@
         self,
         address: str,
         site: api.SiteApi,
-        targets: target_registry.TargetRegistry,
+        targets: announcing.Announcing,
         zones: evacuation.Evacuation,
     ) -> str:
         """Serve at HOST:PORT and return the address in use."""
@@ -122,6 +123,9 @@
         self._registry = target_registry.TargetRegistry(
             self._site.announce_seconds
         )
+        self._announcing = announcing.Announcing(
+            self._group, self._machine, self._registry
+        )
         # Serial up to which the directory has learned the registry's targets.
         self._learned_serial = 0
         self._api = api.SiteApi(self._group, self._machine, reader)
@@ -181,7 +185,10 @@
             self._registry.restore(announcement)
             self._directory.learn_target(announcement)
         http = await self._http_server.open(
-            self._site.http_address, self._api, self._registry, self._evacuation
+            self._site.http_address,
+            self._api,
+            self._announcing,
+            self._evacuation,
         )
         await self._metrics_server.start(self._site.metrics_address)
         loop = asyncio.get_running_loop()
--- a/tamarackthread/control/site/target_registry.py
+++ b/tamarackthread/control/site/target_registry.py
@@ -78,7 +78,8 @@
     """Keep the newest announcement of the latest start of each target.
 
     The state is soft: it is neither stored nor replicated, and is rebuilt from
-    announcements within one interval of a restart.
+    announcements within one interval of a restart.  Departures alone come from
+    the replicated state as well.
     """
 
     def __init__(self, interval_seconds: float) -> None:
@@ -157,34 +158,49 @@
         The target may have left since, so it turns silent early unless it
         announces itself.
         """
-        if announcement.target in self._rows:
+        row = self._rows.get(announcement.target)
+        if row is not None and not announcement.is_later_start(
+            row.announcement
+        ):
             return
         now = asyncio.get_running_loop().time()
         elapsed = (MAX_MISSED_INTERVALS - RESTORED_INTERVALS) * self._interval
         self._publish(_Entry(announcement, now - elapsed, now, 0), now)
 
-    def mark_gone(self, target: str, born: int = 0) -> None:
-        """Record that a start of a target takes no more calls.
+    def mark_gone(
+        self, target: str, born: int = 0
+    ) -> announcements.Announcement:
+        """Record and return that a start of a target takes no more calls.
 
         Without ``born`` the last known start is meant: ignoring the message
         would lose calls, while obeying it in error only withholds them.
         """
-        row = self._rows.get(target)
-        if row is None:
-            gone = announcements.Announcement(
+        return self.record_departure(
+            announcements.Announcement(
                 target=target,
                 service='',
                 address='',
                 state=announcements.State.GONE,
                 born=born,
             )
-        else:
-            gone = attrs.evolve(
+        )
+
+    def record_departure(
+        self, departed: announcements.Announcement
+    ) -> announcements.Announcement:
+        """Record that a target drains or is gone, whichever host was told.
+
+        Returns the departure with what is known of the target.
+        """
+        row = self._rows.get(departed.target)
+        if row is not None and not departed.is_later_start(row.announcement):
+            departed = attrs.evolve(
                 row.announcement,
-                state=announcements.State.GONE,
-                born=born or row.announcement.born,
+                state=departed.state,
+                born=departed.born or row.announcement.born,
             )
-        self.record(gone)
+        self.record(departed)
+        return departed
 
     def record_pace(self, target: str, pace: float) -> None:
         """Record a target's pace, the factor by which it is slower than usual.
--- a/tamarackthread/platform/http_api.py
+++ b/tamarackthread/platform/http_api.py
@@ -8,11 +8,11 @@
 from aiohttp import web
 
 from tamarackthread.control.site import (
+    announcing,
     api,
     evacuation,
     host,
     http_errors,
-    target_registry,
 )
 from tamarackthread.platform import wire
 from tamarackthread.shared import fields
@@ -38,7 +38,7 @@
         self,
         address: str,
         site: api.SiteApi,
-        targets: target_registry.TargetRegistry,
+        targets: announcing.Announcing,
         zones: evacuation.Evacuation,
     ) -> str:
         """Serve at HOST:PORT and return the address in use."""
@@ -95,25 +95,25 @@
 
 
 async def _heartbeat(
-    targets: target_registry.TargetRegistry,
+    targets: announcing.Announcing,
     request: web.Request,
 ) -> web.StreamResponse:
     body = await request.read()
-    with targets.validating(_sender(request)):
+    with targets.registry.validating(_sender(request)):
         announcement = read_announcement(request.match_info['target'], body)
-        targets.record(announcement)
+        await targets.announce(announcement)
     return web.json_response({})
 
 
 async def _deregister(
-    targets: target_registry.TargetRegistry,
+    targets: announcing.Announcing,
     request: web.Request,
 ) -> web.StreamResponse:
     body = await request.read()
-    with targets.validating(_sender(request)):
+    with targets.registry.validating(_sender(request)):
         row = fields.parse(body) if body.strip() else {}
         born = fields.integer(row, wire.BORN, default=0)
-        targets.mark_gone(request.match_info['target'], born)
+        await targets.deregister(request.match_info['target'], born)
     return web.json_response({})
 
 
--- a/tests/membership_net.py
+++ b/tests/membership_net.py
@@ -34,6 +34,19 @@
         return await self._carrier.call(address, request, timeout_seconds)
 
 
+class FrozenCase(consensus_net.PausedCase):
+    """Run a coroutine on a loop whose simulated processes can be frozen."""
+
+    def new_loop(self) -> freezing_loop.FreezingLoop:
+        """Return a loop whose processes can be frozen."""
+        return freezing_loop.FreezingLoop()
+
+    def cancel_tasks(self, loop: freezing_loop.FreezingLoop) -> None:
+        """Cancel remaining tasks, those of frozen processes too."""
+        loop.wake_all()
+        super().cancel_tasks(loop)
+
+
 class MembershipNet(consensus_net.Net):
     """Simulate hosts of a site that join, freeze, leave and lose disks."""
 
--- a/tests/test_lost_members.py
+++ b/tests/test_lost_members.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 
-from tests import consensus_net, freezing_loop, membership_net
+from tests import membership_net
 
 # Bounds of the platform's pages, in seconds.
 ACK_TIMEOUT = 4.0
@@ -16,20 +16,7 @@
 DRAWN_LEAVES = 12
 
 
-class _FrozenCase(consensus_net.PausedCase):
-    """Run a coroutine on a loop whose simulated processes can be frozen."""
-
-    def new_loop(self) -> freezing_loop.FreezingLoop:
-        """Return a loop whose processes can be frozen."""
-        return freezing_loop.FreezingLoop()
-
-    def cancel_tasks(self, loop: freezing_loop.FreezingLoop) -> None:
-        """Cancel remaining tasks, those of frozen processes too."""
-        loop.wake_all()
-        super().cancel_tasks(loop)
-
-
-class RejoinTest(_FrozenCase):
+class RejoinTest(membership_net.FrozenCase):
     """Test that a removed member takes part again."""
 
     def test_frozen_voter_rejoins(self) -> None:
@@ -88,7 +75,7 @@
         self.assertTrue(await net.commit('last', RECOVERY))
 
 
-class DrawnHistoriesTest(_FrozenCase):
+class DrawnHistoriesTest(membership_net.FrozenCase):
     """Test losses of one host at a time while hosts are replaced."""
 
     def test_drawn_histories(self) -> None:
--- a/tests/test_target_starts.py
+++ b/tests/test_target_starts.py
@@ -10,7 +10,9 @@
 
 import aiohttp
 
+from tamarackthread.control import proposing
 from tamarackthread.control.site import (
+    announcing,
     api,
     machine,
     site_directory,
@@ -325,9 +327,12 @@
 
     async def asyncSetUp(self):
         self.targets = target_registry.TargetRegistry(BEAT)
+        self.announcing = announcing.Announcing(
+            _Committed(), machine.SiteMachine(), self.targets
+        )
         self.door = http_api.PlatformApi()
         self.address = await self.door.open(
-            '127.0.0.1:0', _NoApi(), self.targets, _NoApi()
+            '127.0.0.1:0', _NoApi(), self.announcing, _NoApi()
         )
         self.session = aiohttp.ClientSession()
 
@@ -390,6 +395,13 @@
     return bodies
 
 
+class _Committed:
+    """A stub of the replicated log that commits everything at once."""
+
+    async def submit(self, command, timeout_seconds):
+        return proposing.ProposeResult(1, machine.APPLIED)
+
+
 class _NoApi(api.SiteApi):
     """A stub of the operators' API."""
 
