Take an answer on a shared connection for its own call only

What callers saw: a target sent three answers twice, the second time late.

Cause: an answer with another id was reported as lost and its response closed, but a response that has arrived whole has released its connection by then. The connection went back to the pool with the call's own answer still due on it, which was taken for the answer to the next call, and so on. Bytes that arrived while nothing was due were kept as the next answer too.

Why this works: the protocol of the connections takes one answer for each request. On bytes while nothing is due, on what follows an answer, and on an answer to another call, the connection is closed, also after it was released. An answer without an id is believed only on the first use of a connection.

--- a/tamarackthread/entry/direct/dialect.py
+++ b/tamarackthread/entry/direct/dialect.py
@@ -46,6 +46,11 @@
         event.
         """
 
+    @property
+    @abc.abstractmethod
+    def id_header(self) -> str:
+        """Return the header of a call's id, which targets echo."""
+
     @abc.abstractmethod
     def classify(
         self,
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import typing
 
 import aiohttp
 import attrs
@@ -16,8 +17,13 @@
     instances,
     target_log,
 )
-from tamarackthread.shared import errors, header_bytes, response_body
-from tamarackthread.shared.site import configuration
+from tamarackthread.shared import (
+    errors,
+    header_bytes,
+    http_connection,
+    response_body,
+)
+from tamarackthread.shared.site import configuration, site_metrics
 
 # Shorter than the retransmission timeout of a lost first packet, since trying
 # another target is faster.
@@ -25,6 +31,9 @@
 # Shorter than the idle timeout of targets, so that they rarely close a
 # connection just as it is reused.
 KEEPALIVE_SECONDS = 2.0
+# How long connections to a target that sent what belongs to no request aren't shared:
+# it may do so again, and each time a call on the connection is lost.
+FOREIGN_SECONDS = 10.0
 READ_BYTES = 64 * 1024
 # Hop-by-hop headers, besides those that the Connection header names.
 _HOP_BY_HOP = frozenset(
@@ -42,6 +51,12 @@
 )
 
 
+# Kinds of responses that tell nothing of the target that was asked.
+_OF_OTHER_TARGETS = frozenset(
+    (dialect.ResponseKind.MISDIRECTED, dialect.ResponseKind.MISMATCHED)
+)
+
+
 class NotSent(errors.CodedError):
     """Connection to the target could not be made."""
 
@@ -100,7 +115,9 @@
     """A target's response whose head has arrived."""
 
     def __init__(
-        self, head: ResponseHead, response: aiohttp.ClientResponse
+        self,
+        head: ResponseHead,
+        response: aiohttp.ClientResponse,
     ) -> None:
         """Wrap a response; read its body with ``pieces`` or ``whole``."""
         self._head = head
@@ -138,16 +155,20 @@
     def __init__(self, header_dialect: dialect.Dialect) -> None:
         """Open no connections until ``start``."""
         self._dialect = header_dialect
+        # When connections to an address are shared again.
+        self._foreign_until: dict[str, float] = {}
         self._pooled: aiohttp.ClientSession | None = None
         self._unpooled: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Create the pools; must be called in the running event loop."""
         header_bytes.install()
-        self._pooled = _new_session(keepalive_timeout=KEEPALIVE_SECONDS)
+        self._pooled = _new_session(
+            self._note_foreign, keepalive_timeout=KEEPALIVE_SECONDS
+        )
         # Calls that must not repeat use a new connection each: a stale pooled
         # one may lose the call, and nobody knows whether it ran.
-        self._unpooled = _new_session(force_close=True)
+        self._unpooled = _new_session(self._note_foreign, force_close=True)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -171,7 +192,7 @@
         headers = self._dialect.request_headers(
             call, target.name, call.deadline - now, last_event_id
         )
-        requesting = self._pool(call).request(
+        requesting = self._pool(call, target).request(
             call.request.method,
             yarl.URL(
                 f'http://{target.announcement.address}{call.request.path}',
@@ -181,29 +202,52 @@
             data=call.body or None,
             allow_redirects=False,
         )
-        response = await _await_head(requesting)
+        response = typing.cast(
+            http_connection.Response, await _await_head(requesting)
+        )
         try:
-            yield self._classified(call, target, response)
+            head = self._read_head(call, target, response)
+            yield TargetResponse(head, response)
         finally:
             # A response that was read completely has released its connection;
             # this closes the others.
             response.close()
 
-    def _pool(self, call: calls.Call) -> aiohttp.ClientSession:
-        session = self._pooled
-        if call.route.kind is configuration.RouteKind.ONCE:
-            session = self._unpooled
+    def _pool(
+        self, call: calls.Call, target: instances.TargetInstance
+    ) -> aiohttp.ClientSession:
+        is_once = call.route.kind is configuration.RouteKind.ONCE
+        is_pooled = not is_once and not self._sends_foreign(target)
+        session = self._pooled if is_pooled else self._unpooled
         if session is None:
             raise errors.CodedError('target client is not started')
         return session
 
-    def _classified(
+    def _note_foreign(self, address: str) -> None:
+        """Stop sharing connections to an address for some seconds."""
+        now = asyncio.get_running_loop().time()
+        self._foreign_until = {
+            known: until
+            for known, until in self._foreign_until.items()
+            if until > now
+        }
+        if address not in self._foreign_until:
+            target_log.log_foreign(address)
+        self._foreign_until[address] = now + FOREIGN_SECONDS
+        site_metrics.FOREIGN_ANSWERS.inc()
+
+    def _sends_foreign(self, target: instances.TargetInstance) -> bool:
+        until = self._foreign_until.get(target.announcement.address, 0)
+        return asyncio.get_running_loop().time() < until
+
+    def _read_head(
         self,
         call: calls.Call,
         target: instances.TargetInstance,
-        response: aiohttp.ClientResponse,
-    ) -> TargetResponse:
-        kind = self._dialect.classify(call, response.status, response.headers)
+        response: http_connection.Response,
+    ) -> ResponseHead:
+        """Return the head of an answer; raise what else a response means."""
+        kind = self._kind_of(call, response)
         self._apply_backpressure(target, response, kind)
         if kind is dialect.ResponseKind.NOT_RUN:
             raise Refused(f'status {response.status}')
@@ -211,10 +255,21 @@
             raise Elsewhere(f'status {response.status}')
         if kind is dialect.ResponseKind.MISMATCHED:
             raise Lost(f'status {response.status} is no answer to this call')
-        head = ResponseHead(
+        return ResponseHead(
             response.status, self._dialect.response_headers(response.headers)
         )
-        return TargetResponse(head, response)
+
+    def _kind_of(
+        self, call: calls.Call, response: http_connection.Response
+    ) -> dialect.ResponseKind:
+        """Classify a response; one to another call ends its connection."""
+        echoed_id = response.headers.get(self._dialect.id_header)
+        if not response.belongs_to(call.request.call_id, echoed_id):
+            return dialect.ResponseKind.MISMATCHED
+        kind = self._dialect.classify(call, response.status, response.headers)
+        if kind is dialect.ResponseKind.MISMATCHED:
+            response.carrier.give_up()
+        return kind
 
     def _apply_backpressure(
         self,
@@ -223,7 +278,7 @@
         kind: dialect.ResponseKind,
     ) -> None:
         """Apply the backpressure of a response to its target."""
-        if kind is dialect.ResponseKind.MISDIRECTED:
+        if kind in _OF_OTHER_TARGETS:
             return
         now = asyncio.get_running_loop().time()
         requested = self._dialect.read_backpressure(
@@ -261,9 +316,12 @@
         raise Lost(str(exc) or type(exc).__name__) from exc
 
 
-def _new_session(**connector: object) -> aiohttp.ClientSession:
-    session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, **connector),
+def _new_session(
+    on_foreign: http_connection.OnForeign, **connector: object
+) -> aiohttp.ClientSession:
+    session = http_connection.new_session(
+        {'limit': 0, **connector},
+        on_foreign,
         timeout=aiohttp.ClientTimeout(
             total=None, connect=CONNECT_SECONDS, sock_connect=CONNECT_SECONDS
         ),
--- a/tamarackthread/entry/direct/target_log.py
+++ b/tamarackthread/entry/direct/target_log.py
@@ -72,6 +72,19 @@
     )
 
 
+def log_foreign(address: str) -> None:
+    """Log that a target sends what belongs to no call."""
+    log_events.emit(
+        _log,
+        log_events.Event.TARGET,
+        'entry: target at %s sends what belongs to no call',
+        address,
+        level=logging.WARNING,
+        address=address,
+        state='foreign',
+    )
+
+
 def log_zones(known: zones.Zones) -> None:
     """Log the evacuated zones, and set their metric."""
     evacuated = [row.name for row in known.rows if row.is_evacuated]
--- a/tamarackthread/platform/calls.py
+++ b/tamarackthread/platform/calls.py
@@ -84,6 +84,11 @@
             headers.append((wire.ORGANISATION, call.organisation))
         return tuple(headers)
 
+    @property
+    def id_header(self) -> str:
+        """Return the header of a call's id, which targets echo."""
+        return wire.CALL_ID
+
     def classify(
         self,
         call: calls.Call,
@@ -91,16 +96,11 @@
         headers: multidict.CIMultiDictProxy[str],
     ) -> dialect.ResponseKind:
         """Classify a target's response by its head."""
-        echoed = headers.get(wire.CALL_ID)
-        # A late response to an earlier call on the same connection is detected
-        # by its echoed id.
-        if echoed is not None and echoed != call.request.call_id:
-            return dialect.ResponseKind.MISMATCHED
         if status == wire.MISDIRECTED:
             return dialect.ResponseKind.MISDIRECTED
         if wire.NOT_EXECUTED in headers:
             return dialect.ResponseKind.NOT_RUN
-        if wire.SIGNATURE not in headers or echoed is None:
+        if wire.SIGNATURE not in headers or wire.CALL_ID not in headers:
             return dialect.ResponseKind.MISMATCHED
         if 'Content-Encoding' in headers:
             return dialect.ResponseKind.MISMATCHED
--- a/tamarackthread/shared/site/site_metrics.py
+++ b/tamarackthread/shared/site/site_metrics.py
@@ -46,6 +46,11 @@
     ('service', 'framing', 'ending'),
     registry=_registry,
 )
+FOREIGN_ANSWERS = prometheus_client.Counter(
+    'tamarackthread_foreign_answers',
+    'Connections to targets that carried what belongs to no call.',
+    registry=_registry,
+)
 CALLS_SUSPECTED = prometheus_client.Counter(
     'tamarackthread_calls_suspected',
     'Calls whose target has crashed, and calls refused as its cause.',
