Give each order to a rank a connection of its own

Two ranks had sent their answer to "prepare" once more when the answer to "arm" was expected, and had refused the arm; control took the copy for its acceptance and released the group.

Orders went over pooled connections, and their answers have no id on the platform's wire, so that the status of whatever answer came next was believed.

Why this works: on a connection that carries one request no other answer can come. The reports that decide on a release after a fence are read the same way, since a late copy of an earlier report could hide an armed rank. Periodic reports and counts go on sharing connections: a late copy makes one of them old, its own answer then comes while nothing is due and closes the connection, and nothing that must hold depends on them.

--- a/tamarackthread/control/site/maps/group_discovery.py
+++ b/tamarackthread/control/site/maps/group_discovery.py
@@ -49,7 +49,7 @@
     group: switching.Group,
 ) -> switching.Group | None:
     """Return the group's current state, ``None`` if incomplete or replaced."""
-    answers = await ask_all(client.report, group.members, HELD_MAX_ATTEMPTS)
+    answers = await ask_all(client.read_back, group.members, HELD_MAX_ATTEMPTS)
     known = [report for report in answers if report is not None]
     if len(known) != len(answers):
         return None
--- a/tamarackthread/control/site/maps/rank_client.py
+++ b/tamarackthread/control/site/maps/rank_client.py
@@ -5,30 +5,41 @@
 import aiohttp
 
 from tamarackthread.control.site.maps import ranks
-from tamarackthread.shared import fields
+from tamarackthread.shared import fields, http_connection
 
-_CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 HTTP_OK = 200
+# A target accepts few connections, so idle ones are closed soon.
+KEEPALIVE_SECONDS = 4
+_ANSWER_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
 
 class RankClient:
-    """Send requests over pooled connections; return ``None`` on failure."""
+    """Send requests to ranks; return ``None`` on failure.
+
+    Answers of ranks have no id.  An earlier answer that is sent again late would
+    pass for the acceptance of the next order, and a group would step with two
+    maps.  So each order, and each report that a switch depends on, has a
+    connection of its own.  Other reports share connections.
+    """
 
     def __init__(self) -> None:
-        """Start without a session; the first request opens it."""
-        self._session: aiohttp.ClientSession | None = None
+        """Start without sessions; the first request opens them."""
+        self._sessions: dict[bool, aiohttp.ClientSession] = {}
 
     async def get(
         self,
         url: str,
         headers: dict[str, str],
+        *,
+        is_pooled: bool,
     ) -> fields.JsonObject | None:
         """Fetch a JSON object; return ``None`` unless the status is 200."""
+        getting = self._session(is_pooled=is_pooled).get(url, headers=headers)
         try:
-            async with self._get_session().get(url, headers=headers) as answer:
+            async with getting as answer:
                 body = await answer.read()
                 return fields.parse(body) if answer.status == HTTP_OK else None
-        except _CONNECTION_ERRORS:
+        except _ANSWER_ERRORS:
             return None
 
     async def post(
@@ -39,30 +50,35 @@
         timeout_seconds: float,
     ) -> int | None:
         """Post a JSON body once; return the status, ``None`` on a timeout."""
+        posting = self._session(is_pooled=False).post(
+            url,
+            data=body,
+            headers={**headers, 'Content-Type': 'application/json'},
+            timeout=aiohttp.ClientTimeout(total=timeout_seconds),
+        )
         try:
-            async with self._get_session().post(
-                url,
-                data=body,
-                headers={**headers, 'Content-Type': 'application/json'},
-                timeout=aiohttp.ClientTimeout(total=timeout_seconds),
-            ) as answer:
+            async with posting as answer:
                 await answer.read()
                 return answer.status
-        except _CONNECTION_ERRORS:
+        except _ANSWER_ERRORS:
             return None
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in self._sessions.values():
+            await session.close()
 
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            # A target accepts few connections, so idle ones are closed soon.
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=4),
+    def _session(self, *, is_pooled: bool) -> aiohttp.ClientSession:
+        if is_pooled not in self._sessions:
+            keeping = (
+                {'keepalive_timeout': KEEPALIVE_SECONDS}
+                if is_pooled
+                else {'force_close': True}
+            )
+            self._sessions[is_pooled] = http_connection.new_session(
+                {'limit': 0, **keeping},
                 timeout=aiohttp.ClientTimeout(
                     total=ranks.ANSWER_TIMEOUT_SECONDS
                 ),
             )
-        return self._session
+        return self._sessions[is_pooled]
--- a/tamarackthread/control/site/maps/ranks.py
+++ b/tamarackthread/control/site/maps/ranks.py
@@ -113,6 +113,10 @@
     async def report(self, rank: Rank) -> RankReport | None:
         """Return the rank's report, ``None`` without a response."""
 
+    async def read_back(self, rank: Rank) -> RankReport | None:
+        """Return a report that can't be an earlier one, sent again late."""
+        return await self.report(rank)
+
     @abc.abstractmethod
     async def counts(self, rank: Rank, sets: int) -> Counts | None:
         """Return the choices in ``sets`` sets, ``None`` without a response."""
--- a/tamarackthread/control/site/maps/switching.py
+++ b/tamarackthread/control/site/maps/switching.py
@@ -337,7 +337,7 @@
         if order.operation != ranks.PREPARE:
             return ranks.Outcome.REFUSED
         for _ in range(REPORT_READS):
-            report = await self._ranks.report(rank)
+            report = await self._ranks.read_back(rank)
             if report is not None and report.prepared == order.version:
                 return ranks.Outcome.DONE
             await asyncio.sleep(REPORT_PAUSE_SECONDS)
--- a/tamarackthread/platform/ranks.py
+++ b/tamarackthread/platform/ranks.py
@@ -42,6 +42,10 @@
         """Read a rank's status, ``None`` if unavailable."""
         return await self._read(rank, wire.REPORT, _report)
 
+    async def read_back(self, rank: ranks.Rank) -> ranks.RankReport | None:
+        """Read a rank's status on a connection of its own."""
+        return await self._read(rank, wire.REPORT, _report, is_pooled=False)
+
     async def counts(self, rank: ranks.Rank, sets: int) -> ranks.Counts | None:
         """Read how often each expert was chosen, ``None`` if unavailable."""
         parse = functools.partial(_counts, sets=sets)
@@ -84,10 +88,13 @@
         rank: ranks.Rank,
         path: str,
         parse: collections.abc.Callable[[_Body], _Parsed],
+        *,
+        is_pooled: bool = True,
     ) -> _Parsed | None:
         """Read and parse a rank's answer, ``None`` if that fails."""
         headers = {wire.EXPECTED_TARGET: rank.target}
-        body = await self._asking.get(f'http://{rank.address}{path}', headers)
+        url = f'http://{rank.address}{path}'
+        body = await self._asking.get(url, headers, is_pooled=is_pooled)
         try:
             return None if body is None else parse(body)
         except fields.MISREAD_ERRORS:
@@ -105,8 +112,8 @@
         size=fields.integer(group if 'size' in group else body, 'size'),
         is_open=group['state'] == 'open',
         step=fields.integer(body, 'step', default=0),
-        version=_number_or_field(body, 'map', 'version') or 0,
-        prepared=_number_or_field(body, 'prepared', 'version'),
+        version=fields.optional_integer(body, 'map', 'version') or 0,
+        prepared=fields.optional_integer(body, 'prepared', 'version'),
         armed=(
             ranks.Armed(
                 fields.integer(armed, 'version'), fields.integer(armed, 'step')
@@ -114,7 +121,7 @@
             if armed
             else None
         ),
-        held=_number_or_field(body, 'held', 'step'),
+        held=fields.optional_integer(body, 'held', 'step'),
         pace=fields.number(body, 'pace', 0) or 1,
         running=fields.integer(body, 'running', default=0),
         waiting=fields.integer(body, 'waiting', default=0),
@@ -122,15 +129,6 @@
     )
 
 
-def _number_or_field(body: _Body, name: str, part: str) -> int | None:
-    """Read a number given directly or as a field of an object."""
-    found = body.get(name)
-    if found is None:
-        return None
-    row = found if isinstance(found, dict) else {part: found}
-    return fields.integer(row, part)
-
-
 def _counts(body: _Body, sets: int) -> ranks.Counts:
     """Split the flat list of counts by set."""
     row = [int(count) for count in body['counts']]
--- a/tamarackthread/shared/fields.py
+++ b/tamarackthread/shared/fields.py
@@ -120,6 +120,14 @@
     return value
 
 
+def optional_integer(row: JsonObject, name: str, part: str) -> int | None:
+    """Read an integer that is given directly or as ``part`` of an object."""
+    found = row.get(name)
+    if found is None:
+        return None
+    return integer(found if isinstance(found, dict) else {part: found}, part)
+
+
 def number(record: JsonObject, name: str, default: float) -> float:
     """Return a field that is a number from 0 to ``MAX_INT32``."""
     value = record.get(name)
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
+import unittest
 from unittest import mock
 
+from tamarackthread.control.site.maps import ranks
 from tamarackthread.entry.direct import target_client
+from tamarackthread.platform import ranks as platform_ranks
 from tests import direct_case
 
 SEEDS = range(12)
@@ -156,3 +160,89 @@
         if status == OK:
             self.assertEqual(call_id.encode(), body)
         return status
+
+
+class _Server:
+    """Serve each request by a function that is told which one it is."""
+
+    def __init__(self, answer):
+        self._answer = answer
+        # The requests that each connection has carried.
+        self.carried = []
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        return f'{host}:{port}'
+
+    def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        requests = []
+        self.carried.append(requests)
+        try:
+            while True:
+                head = (await reader.readuntil(b'\r\n\r\n')).decode()
+                size = int(direct_case.header(head, 'Content-Length') or 0)
+                body = await reader.readexactly(size)
+                requests.append(body)
+                writer.write(self._answer(head, body, requests))
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+
+def _encode(status, body=b'{}', headers=''):
+    start = f'HTTP/1.1 {status} Status\r\nContent-Length: {len(body)}\r\n'
+    return f'{start}{headers}\r\n'.encode() + body
+
+
+class RankCase(unittest.IsolatedAsyncioTestCase):
+    async def test_late_answer_to_an_order(self):
+        """Guards against an arm that passes for accepted and two maps in a step."""
+        server = _Server(self._answer_orders)
+        rank = ranks.Rank('t', await server.start())
+        client = platform_ranks.PlatformRanks()
+        try:
+            found = [
+                await client.order(rank, _order(operation))
+                for operation in (ranks.PREPARE, ranks.ARM)
+            ]
+        finally:
+            await client.close()
+            server.close()
+        self.assertEqual([ranks.Outcome.DONE, ranks.Outcome.REFUSED], found)
+
+    async def test_late_report(self):
+        """Guards against a release by a report from before the fence."""
+        server = _Server(self._answer_reports)
+        rank = ranks.Rank('t', await server.start())
+        client = platform_ranks.PlatformRanks()
+        try:
+            await client.report(rank)
+            found = await client.read_back(rank)
+        finally:
+            await client.close()
+            server.close()
+        self.assertEqual(7, found.held)
+
+    def _answer_orders(self, head, body, requests):
+        """Refuse to arm, after the answer to an earlier order once more."""
+        earlier = _encode(202) * (len(requests) - 1)
+        is_arm = json.loads(body)['operation'] == 'arm'
+        status = 409 if is_arm else 202
+        return earlier + _encode(status)
+
+    def _answer_reports(self, head, body, requests):
+        is_first = len(requests) == 1
+        held = 7 if is_first else None
+        return _encode(200, json.dumps(_report(held)).encode())
+
+
+def _order(operation):
+    return ranks.Order(operation=operation, epoch=1, fence=1, timeout_seconds=9)
+
+
+def _report(held):
+    group = {'name': 'g', 'epoch': 1, 'rank': 0, 'size': 1, 'state': 'open'}
+    return {'group': group, 'map': 1, 'held': held}
