Take a target's answer for its own call only at agents

What was found: on an agent's pooled connection to its target the late copy of an earlier answer reached the caller of the next call, as its answer (MIXED).

The answers of a target have no id that must be there, so that the order on the connection was believed.

Why this works: a connection is used again only if the target echoes X-Call-Id; otherwise each call has a connection of its own, on loopback. Load polls and cancels have one as well.

AgentCase.test_late_answer got 'first' for the second call before.

--- a/tamarackthread/agent/target.py
+++ b/tamarackthread/agent/target.py
@@ -11,7 +11,10 @@
 
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import target_errors
+from tamarackthread.shared import (
+    http_connection,
+    target_errors,
+)
 
 LOAD_PATH = '/load'
 CANCEL_PATH = '/cancel'
@@ -53,8 +56,11 @@
 
 
 class TargetClient:
-    """Send calls to the target and poll its load.  Calls that must not be
-    repeated use new connections, since a pooled one may be half-open.
+    """Send calls to the target and poll its load.
+
+    Calls that must not be repeated use new connections, since a pooled one may
+    be half-open.  So do all calls to a target that doesn't echo their ids, and
+    load polls: on a pooled connection a late answer would pass for the next.
     """
 
     def __init__(self, settings: generated.Agent) -> None:
@@ -66,16 +72,15 @@
     async def start(self) -> None:
         """Open two sessions, with and without connection reuse."""
         limit = self._settings.connection_limit
-        self._pooled = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=limit,
-                keepalive_timeout=self._settings.idle_connection_seconds,
-            ),
+        self._pooled = http_connection.new_session(
+            {
+                'limit': limit,
+                'keepalive_timeout': self._settings.idle_connection_seconds,
+            },
             auto_decompress=False,
         )
-        self._fresh = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=limit, force_close=True),
-            auto_decompress=False,
+        self._fresh = http_connection.new_session(
+            {'limit': limit, 'force_close': True}, auto_decompress=False
         )
 
     async def stop(self) -> None:
@@ -101,7 +106,7 @@
             sock_read=idle_seconds,
         )
         try:
-            return await session.request(
+            response = await session.request(
                 opening.method,
                 self._settings.target_url + opening.path,
                 data=body or None,
@@ -118,6 +123,11 @@
             raise target_errors.TargetBroke(
                 f'before its answer: {exc}'
             ) from exc
+        own = typing.cast(http_connection.Response, response)
+        echoed_id = own.headers.get(CALL_HEADER)
+        if not own.belongs_to(opening.call_id.hex(), echoed_id):
+            raise target_errors.TargetBroke('answer belongs to another call')
+        return own
 
     async def load(self) -> TargetReport:
         """Poll the load; raise ``TargetSilent`` without a valid answer."""
@@ -148,11 +158,11 @@
         body: typing.Any,
         timeout_seconds: float,
     ) -> typing.Any:
-        assert self._pooled is not None
+        assert self._fresh is not None
         timeout = aiohttp.ClientTimeout(total=timeout_seconds)
         url = self._settings.target_url + path
         try:
-            async with self._pooled.request(
+            async with self._fresh.request(
                 method,
                 url,
                 json=body,
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -5,12 +5,16 @@
 import asyncio
 import json
 import random
+import types
 import unittest
 from unittest import mock
 
+from tamarackthread.agent import target as agent_target
 from tamarackthread.control.site.maps import ranks
 from tamarackthread.entry.direct import target_client
+from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.platform import ranks as platform_ranks
+from tamarackthread.shared import target_errors
 from tests import direct_case
 
 SEEDS = range(12)
@@ -246,3 +250,49 @@
 def _report(held):
     group = {'name': 'g', 'epoch': 1, 'rank': 0, 'size': 1, 'state': 'open'}
     return {'group': group, 'map': 1, 'held': held}
+
+
+class AgentCase(unittest.IsolatedAsyncioTestCase):
+    async def test_late_answer(self):
+        """Guards against a caller who gets the answer to another call."""
+        for header in ('', 'X-Call-Id: {id}\r\n'):
+            with self.subTest(header=header):
+                found = await self._ask_twice(header)
+                self.assertNotEqual('first', found[1])
+
+    async def _ask_twice(self, header):
+        late = []
+
+        def answer(head, body, requests):
+            call_id = direct_case.header(head, 'X-Call-Id')
+            own = _encode(200, body, header.format(id=call_id))
+            late.append(own)
+            first = len(late) - len(requests)
+            return b''.join(late[first:])
+
+        server = _Server(answer)
+        client = agent_target.TargetClient(
+            types.SimpleNamespace(
+                connection_limit=4,
+                idle_connection_seconds=9,
+                connect_timeout_seconds=9,
+                target_url=f'http://{await server.start()}',
+            )
+        )
+        await client.start()
+        try:
+            return [await _call(client, text) for text in ('first', 'second')]
+        finally:
+            await client.stop()
+            server.close()
+
+
+async def _call(client, text):
+    opening = messages.OpenCall(
+        call_id=text.encode(), idempotent=True, method='POST', path='/'
+    )
+    try:
+        answer = await client.send_call(opening, text.encode(), 9)
+    except target_errors.TargetBroke:
+        return None
+    return (await answer.read()).decode()
