Split an event that comes in small pieces at a cost in proportion to its size

Cause: each piece was joined to a copy of all bytes before it, and the end of the event was looked for from the beginning.

Why this works: only a line end can complete a block, and a block can't end in bytes that were searched before but for the last one; the buffer is changed in place. test_cost_of_large_event counts the bytes that are looked at and failed before; test_drawn_pieces cuts drawn streams at drawn places.

--- a/tamarackthread/entry/direct/call_progress.py
+++ b/tamarackthread/entry/direct/call_progress.py
@@ -79,7 +79,7 @@
 
     def note_rest(self, splitter: events.EventSplitter) -> None:
         """Record what a target has sent after its last complete event."""
-        self.partial_event_bytes = len(splitter.rest)
+        self.partial_event_bytes = splitter.rest_size
         self.has_begun_event = splitter.has_begun_event
 
     def drop_repeated(self, blocks: list[events.Block]) -> list[events.Block]:
--- a/tamarackthread/shared/events.py
+++ b/tamarackthread/shared/events.py
@@ -19,6 +19,7 @@
 _DATA_FIELD = b'data'
 _BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 # Atomic groups: the two bytes of a CRLF never count as two line ends.
+_LINE_END = re.compile(rb'[\r\n]')
 _BLOCK_END = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
 _BLANK_AND_COMMENT_LINES = re.compile(rb'(?:(?::[^\r\n]*)?(?>\r\n|\n|\r))+')
 
@@ -49,7 +50,7 @@
     # joined to the first event of the next target.
     def __init__(self) -> None:
         """Start with an empty buffer."""
-        self._buffer = b''
+        self._buffer = bytearray()
         self._ends_with_cr = False
         self._count = 0
         self._is_done = False
@@ -67,12 +68,17 @@
     @property
     def rest(self) -> bytes:
         """Return the bytes after the last complete block."""
-        return self._buffer
+        return bytes(self._buffer)
+
+    @property
+    def rest_size(self) -> int:
+        """Return the number of bytes after the last complete block."""
+        return len(self._buffer)
 
     @property
     def is_at_boundary(self) -> bool:
         """Return whether the stream may end here as complete."""
-        return self._buffer in {b'', _BYTE_ORDER_MARK}
+        return not self._buffer or self._buffer == _BYTE_ORDER_MARK
 
     @property
     def has_begun_event(self) -> bool:
@@ -92,25 +98,33 @@
             received = received[1:]
         if not received:
             return blocks
-        self._split(self._buffer + received, blocks)
+        searched = len(self._buffer)
+        self._buffer += received
+        # Only a line end can complete a block.  Without this check the cost of an
+        # event that comes in small pieces is the square of its size.
+        if not searched or _LINE_END.search(received):
+            self._split(searched, blocks)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLarge(f'over {MAX_EVENT_BYTES} bytes')
         self._ends_with_cr = not self._buffer and received.endswith(b'\r')
         return blocks
 
-    def _split(self, buffered: bytes, blocks: list[Block]) -> None:
+    def _split(self, searched: int, blocks: list[Block]) -> None:
+        """Take blocks from the buffer; none ends in its ``searched`` bytes."""
+        buffered = self._buffer
         start = 0
         while True:
             lines = _BLANK_AND_COMMENT_LINES.match(buffered, start)
             if lines is not None:
-                blocks.append(Block(lines.group()))
+                blocks.append(Block(bytes(lines.group())))
                 start = lines.end()
-            found = _BLOCK_END.search(buffered, start)
+            # The first line end of a blank line may be the last byte searched.
+            found = _BLOCK_END.search(buffered, max(start, searched - 1))
             if found is None:
                 break
-            blocks.append(self._parse(buffered[start : found.end()]))
+            blocks.append(self._parse(bytes(buffered[start : found.end()])))
             start = found.end()
-        self._buffer = buffered[start:]
+        del buffered[:start]  # noqa: WPS420  in place, without a copy
 
     def _parse(self, payload: bytes) -> Block:
         number = -1
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,10 +1,15 @@
 """Test that events of a stream are found in each line ending."""
 
+import random
 import unittest
+from unittest import mock
 
 from tamarackthread.shared import events
 
 LINE_ENDS = (b'\n', b'\r', b'\r\n')
+SEEDS = range(8)
+EVENT_BYTES = 128 << 10
+PIECE = b'data: x\n' * 16
 LINES = (b': hi', b'', b'id: 1', b'data: a', b'', b'data: b', b'', b'')
 
 
@@ -61,3 +66,49 @@
         splitter, _ = fed([b': c\r\n\r\ndata: a\r\n\r\ndata: [DONE]\r\n\r\n'])
         self.assertEqual(1, splitter.count)
         self.assertTrue(splitter.done)
+
+
+class _Counting:
+    """A pattern that counts the bytes that it looks at."""
+
+    def __init__(self, pattern):
+        self.bytes = 0
+        self._pattern = pattern
+
+    def search(self, text, start=0):
+        self.bytes += len(text) - start
+        return self._pattern.search(text, start)
+
+
+class SplitterCase(unittest.TestCase):
+    def test_cost_of_large_event(self):
+        """Guards against a cost that is the square of an event's size."""
+        counting = _Counting(events._BLOCK_END)
+        splitter = events.EventSplitter()
+        with mock.patch.object(events, '_BLOCK_END', counting):
+            for _ in range(EVENT_BYTES // len(PIECE)):
+                self.assertEqual([], splitter.feed(PIECE))
+        self.assertEqual(EVENT_BYTES, len(splitter.rest))
+        self.assertLess(counting.bytes, 3 * EVENT_BYTES)
+
+    def test_drawn_pieces(self):
+        """Guards against events that depend on how a stream was cut."""
+        parts = (b'data: x', b'id: 7', b': c', b'\n', b'\r', b'\r\n', b'\n\n')
+        for seed in SEEDS:
+            rng = random.Random(seed)
+            stream = b''.join(rng.choice(parts) for _ in range(200))
+            splitter = events.EventSplitter()
+            blocks = []
+            position = 0
+            while position < len(stream):
+                size = rng.randint(1, 9)
+                blocks += splitter.feed(stream[position : position + size])
+                position += size
+            self.assertEqual(stream, events.join(blocks) + splitter.rest)
+            at_once = events.EventSplitter().feed(stream)
+            self.assertEqual(_events(at_once), _events(blocks), seed)
+
+
+def _events(blocks):
+    """Return events without the last line end, which may come by itself."""
+    return [block.payload.rstrip() for block in blocks if block.is_event]
