Bound the bytes that are read of an answer, at every reader

What was missing: bytes that are no answer may come without end. A body was read until its end or the deadline, whatever its size: 64 MB of an answer by a length, and as much of one without a frame, of chunks, of a chunk's size or extension and of 1xx answers. Reports of ranks, load reports of targets and answers of engines had no bound but their time.

Why this works: a connection counts what is no body, 64 KB and eight times the body; a reader counts what it holds, for one answer and for all together. Over a bound the connection is closed and the answer counts as lost.

--- a/tamarackthread/agent/engine_client.py
+++ b/tamarackthread/agent/engine_client.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc
 import json
 import typing
@@ -11,14 +12,27 @@
 import aiohttp
 
 from tamarackthread.agent import order_errors
-from tamarackthread.shared import response_body
+from tamarackthread.shared import (
+    byte_budget,
+    http_connection,
+    response_body,
+)
 
 ASK_SECONDS = 1.0
 # Engines send a progress line of a running order at least every second.
 LINE_SECONDS = 5.0
 _JSON = 'application/json'
 _REFUSAL_STATUSES = range(400, 500)
-_REQUEST_ERRORS = (aiohttp.ClientError, OSError, ValueError)
+# Bytes of answers that are read at once: of one, which may list the weights of a
+# rank, and of all.
+MAX_ANSWER_BYTES = 4 << 20
+MAX_HELD_BYTES = 16 << 20
+_REQUEST_ERRORS = (
+    aiohttp.ClientError,
+    byte_budget.BudgetExceeded,
+    OSError,
+    ValueError,
+)
 
 Answer = dict[str, typing.Any]
 
@@ -50,13 +64,15 @@
         self._url = url
         self._connect_seconds = connect_seconds
         self._session: aiohttp.ClientSession | None = None
+        self._held_bytes = byte_budget.ByteBudget(
+            MAX_HELD_BYTES, MAX_ANSWER_BYTES
+        )
 
     async def start(self) -> None:
         """Open the session."""
         # A pooled connection may be half-open, and each request on it would
         # wait for its timeout.
-        connector = aiohttp.TCPConnector(force_close=True)
-        self._session = aiohttp.ClientSession(connector=connector)
+        self._session = http_connection.new_session({'force_close': True})
 
     async def stop(self) -> None:
         """Close all connections, which cancels the requests on them."""
@@ -76,7 +92,7 @@
         timeout = self._timeout(total=seconds)
         try:
             async with self._request(method, path, text, timeout) as response:
-                return _parse_object(await _read_body(response))
+                return _parse_object(await self._read_body(response))
         except _REQUEST_ERRORS as exc:
             raise EngineSilent(f'{path}: {exc!r}') from exc
 
@@ -90,8 +106,8 @@
         try:
             async with self._request('POST', path, text, timeout) as response:
                 if not response.ok:
-                    _parse_object(await _read_body(response))
-                async for line in response.content:
+                    _parse_object(await self._read_body(response))
+                while line := await _read_line(response):
                     yield _parse_object(line)
         except _REQUEST_ERRORS as exc:
             raise EngineSilent(f'{path}: {exc!r}') from exc
@@ -114,6 +130,22 @@
             allow_redirects=False,
         )
 
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        held = self._held_bytes.reserve()
+        try:
+            body = await response_body.ResponseBody(response).whole(held)
+        finally:
+            held.release()
+        if response.status in _REFUSAL_STATUSES:
+            # Invalid JSON is a refusal that was cut; its reason decides what
+            # the agent does.
+            is_json = response.content_type == _JSON and body
+            refusal = _parse_object(body) if is_json else {}
+            reason = str(refusal.get('reason', ''))
+            raise EngineRefused(f'{response.status} {reason}', reason)
+        response.raise_for_status()
+        return body
+
     def _timeout(self, **limits: float) -> aiohttp.ClientTimeout:
         return aiohttp.ClientTimeout(
             sock_connect=self._connect_seconds,
@@ -121,17 +153,11 @@
         )
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    body = await response_body.ResponseBody(response).whole()
-    if response.status in _REFUSAL_STATUSES:
-        # Invalid JSON is a refusal that was cut; its reason decides what the
-        # agent does.
-        is_json = response.content_type == _JSON and body
-        refusal = _parse_object(body) if is_json else {}
-        reason = str(refusal.get('reason', ''))
-        raise EngineRefused(f'{response.status} {reason}', reason)
-    response.raise_for_status()
-    return body
+async def _read_line(response: aiohttp.ClientResponse) -> bytes:
+    """Read a line, empty at the end; it must be complete in ``LINE_SECONDS``."""
+    # The timeout of the session starts again with every byte.
+    async with asyncio.timeout(LINE_SECONDS):
+        return await response.content.readline()
 
 
 def _parse_object(body: bytes) -> Answer:
--- a/tamarackthread/agent/target.py
+++ b/tamarackthread/agent/target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import typing
 
@@ -12,7 +13,9 @@
 from tamarackthread.generated import settings as generated
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import (
+    byte_budget,
     http_connection,
+    response_body,
     target_errors,
 )
 
@@ -36,8 +39,16 @@
         'expect',
     ),
 )
+# Bytes of a load report, and of all that are read at once.
+MAX_REPORT_BYTES = 4 << 20
+MAX_HELD_BYTES = 8 << 20
 # ``OSError`` includes ``TimeoutError``; ``ValueError`` is invalid JSON.
-_REQUEST_ERRORS = (aiohttp.ClientError, OSError, ValueError)
+_REQUEST_ERRORS = (
+    aiohttp.ClientError,
+    byte_budget.BudgetExceeded,
+    OSError,
+    ValueError,
+)
 _log = logging.getLogger('tamarackthread.agent')
 
 
@@ -68,6 +79,9 @@
         self._settings = settings
         self._pooled: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
+        self._held_bytes = byte_budget.ByteBudget(
+            MAX_HELD_BYTES, MAX_REPORT_BYTES
+        )
 
     async def start(self) -> None:
         """Open two sessions, with and without connection reuse."""
@@ -169,10 +183,17 @@
                 timeout=timeout,
             ) as response:
                 response.raise_for_status()
-                return await response.json(content_type=None)
+                return json.loads(await self._read_body(response))
         except _REQUEST_ERRORS as exc:
             raise target_errors.TargetSilent(f'{path}: {exc!r}') from exc
 
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        held = self._held_bytes.reserve()
+        try:
+            return await response_body.ResponseBody(response).whole(held)
+        finally:
+            held.release()
+
 
 def request_headers(opening: messages.OpenCall) -> list[tuple[str, str]]:
     """Build the request headers from the caller's and the agent's own."""
--- a/tamarackthread/control/site/maps/rank_client.py
+++ b/tamarackthread/control/site/maps/rank_client.py
@@ -5,12 +5,22 @@
 import aiohttp
 
 from tamarackthread.control.site.maps import ranks
-from tamarackthread.shared import fields, http_connection
+from tamarackthread.shared import byte_budget, fields, http_connection
 
 HTTP_OK = 200
 # A target accepts few connections, so idle ones are closed soon.
 KEEPALIVE_SECONDS = 4
-_ANSWER_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
+# Bytes of answers that are read at once: of one, more than the counts of all
+# experts take, and of all.
+MAX_ANSWER_BYTES = 4 << 20
+MAX_HELD_BYTES = 32 << 20
+_ANSWER_ERRORS = (
+    aiohttp.ClientError,
+    byte_budget.BudgetExceeded,
+    OSError,
+    TimeoutError,
+    ValueError,
+)
 
 
 class RankClient:
@@ -25,6 +35,9 @@
     def __init__(self) -> None:
         """Start without sessions; the first request opens them."""
         self._sessions: dict[bool, aiohttp.ClientSession] = {}
+        self._held_bytes = byte_budget.ByteBudget(
+            MAX_HELD_BYTES, MAX_ANSWER_BYTES
+        )
 
     async def get(
         self,
@@ -37,7 +50,7 @@
         getting = self._session(is_pooled=is_pooled).get(url, headers=headers)
         try:
             async with getting as answer:
-                body = await answer.read()
+                body = await self._read_body(answer)
                 return fields.parse(body) if answer.status == HTTP_OK else None
         except _ANSWER_ERRORS:
             return None
@@ -58,7 +71,7 @@
         )
         try:
             async with posting as answer:
-                await answer.read()
+                await self._read_body(answer)
                 return answer.status
         except _ANSWER_ERRORS:
             return None
@@ -68,6 +81,17 @@
         for session in self._sessions.values():
             await session.close()
 
+    async def _read_body(self, answer: aiohttp.ClientResponse) -> bytes:
+        held = self._held_bytes.reserve()
+        body = bytearray()
+        try:
+            while not answer.content.at_eof():
+                body += await answer.content.readany()
+                held.resize(len(body))
+        finally:
+            held.release()
+        return bytes(body)
+
     def _session(self, *, is_pooled: bool) -> aiohttp.ClientSession:
         if is_pooled not in self._sessions:
             keeping = (
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -18,6 +18,7 @@
     target_log,
 )
 from tamarackthread.shared import (
+    byte_budget,
     errors,
     header_bytes,
     http_connection,
@@ -35,6 +36,10 @@
 # it may do so again, and each time a call on the connection is lost.
 FOREIGN_SECONDS = 10.0
 READ_BYTES = 64 * 1024
+# Bytes of answers that are held until they are complete: of one, and of all, which
+# is a quarter of an entry's memory.
+MAX_ANSWER_BYTES = 16 << 20
+MAX_HELD_BYTES = 64 << 20
 # Hop-by-hop headers, besides those that the Connection header names.
 _HOP_BY_HOP = frozenset(
     (
@@ -51,6 +56,12 @@
 )
 
 
+_BODY_ERRORS = (
+    aiohttp.ClientError,
+    byte_budget.BudgetExceeded,
+    OSError,
+    ValueError,
+)
 # Kinds of responses that tell nothing of the target that was asked.
 _OF_OTHER_TARGETS = frozenset(
     (dialect.ResponseKind.MISDIRECTED, dialect.ResponseKind.MISMATCHED)
@@ -118,9 +129,11 @@
         self,
         head: ResponseHead,
         response: aiohttp.ClientResponse,
+        held: byte_budget.Reservation,
     ) -> None:
         """Wrap a response; read its body with ``pieces`` or ``whole``."""
         self._head = head
+        self._held = held
         self._body = response_body.ResponseBody(response)
 
     @property
@@ -136,7 +149,15 @@
     async def whole(self) -> bytes:
         """Read the complete body; raise ``Lost`` if it breaks off."""
         with _raising_lost():
-            return await self._body.whole()
+            return await self._body.whole(self._held)
+
+    def hold(self, size: int) -> None:
+        """Count bytes that were read and can't be passed on yet.
+
+        Raises ``Lost`` if this entry holds too many bytes of answers.
+        """
+        with _raising_lost():
+            self._held.resize(size)
 
     async def pieces(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the body as it arrives; raise ``Lost`` if it breaks off."""
@@ -155,6 +176,9 @@
     def __init__(self, header_dialect: dialect.Dialect) -> None:
         """Open no connections until ``start``."""
         self._dialect = header_dialect
+        self._held_bytes = byte_budget.ByteBudget(
+            MAX_HELD_BYTES, MAX_ANSWER_BYTES
+        )
         # When connections to an address are shared again.
         self._foreign_until: dict[str, float] = {}
         self._pooled: aiohttp.ClientSession | None = None
@@ -205,10 +229,12 @@
         response = typing.cast(
             http_connection.Response, await _await_head(requesting)
         )
+        held = self._held_bytes.reserve()
         try:
             head = self._read_head(call, target, response)
-            yield TargetResponse(head, response)
+            yield TargetResponse(head, response, held)
         finally:
+            held.release()
             # A response that was read completely has released its connection;
             # this closes the others.
             response.close()
@@ -312,7 +338,7 @@
 def _raising_lost() -> collections.abc.Iterator[None]:
     try:
         yield
-    except (aiohttp.ClientError, OSError, ValueError) as exc:
+    except _BODY_ERRORS as exc:
         raise Lost(str(exc) or type(exc).__name__) from exc
 
 
--- a/tamarackthread/shared/http_connection.py
+++ b/tamarackthread/shared/http_connection.py
@@ -14,8 +14,12 @@
 import typing
 
 import aiohttp
-from aiohttp import client_proto, streams
+from aiohttp import client_proto, helpers, streams
 
+# Bytes of an answer besides its body: heads, sizes of chunks and trailers.
+MAX_FRAMING_BYTES = 64 << 10
+# More of them are allowed in proportion to the body: a chunk of one byte has five.
+MAX_FRAMING_RATIO = 8
 _HEAD_END = b'\r\n\r\n'
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
@@ -42,6 +46,7 @@
         self._uses = 0
         self._is_due = False
         self._has_surplus = False
+        self._received_bytes = 0
         # The last bytes before the current piece: the end of a head, or of chunks,
         # may lie in both.
         self._last_bytes = b''
@@ -57,6 +62,7 @@
         """Prepare for the answer to a request that is about to be sent."""
         self._uses += 1
         self._is_due = True
+        self._received_bytes = 0
         self._last_bytes = b''
         self._head = None
         self._body = None
@@ -134,9 +140,11 @@
         had_head = self._head is not None
         bytes_before = self._body_bytes
         client_proto.ResponseHandler.data_received(self, data)
+        self._received_bytes += len(data)
         if not self._is_complete:
             if had_head:
                 self._last_bytes = data[1 - len(_HEAD_END) :]
+            self._check_framing()
             return
         self._is_due = False
         is_exact = self._body_bytes - bytes_before == len(data)
@@ -145,6 +153,19 @@
         if self._has_surplus or (had_head and not is_exact):
             self.give_up()
 
+    def _check_framing(self) -> None:
+        framing_bytes = self._received_bytes - self._body_bytes
+        limit = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._body_bytes
+        if framing_bytes <= limit:
+            return
+        failure = aiohttp.ClientPayloadError(
+            f'over {MAX_FRAMING_BYTES} bytes that are no body'
+        )
+        if self._body is not None:
+            helpers.set_exception(self._body, failure)
+        self.set_exception(failure)
+        self.give_up()
+
 
 class Response(aiohttp.ClientResponse):
     """Response that can close its connection after it has released it."""
--- a/tamarackthread/shared/response_body.py
+++ b/tamarackthread/shared/response_body.py
@@ -8,6 +8,8 @@
 import aiohttp
 import attrs
 
+from tamarackthread.shared import byte_budget
+
 _BODILESS_STATUSES = frozenset((204, 304))
 _READ_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 
@@ -85,9 +87,17 @@
                 'connection was released before its end was seen'
             )
 
-    async def whole(self) -> bytes:
-        """Read the complete body; raise like ``pieces``."""
-        return b''.join([piece async for piece in self.pieces()])
+    async def whole(self, held: byte_budget.Reservation) -> bytes:
+        """Read the complete body; raise like ``pieces``.
+
+        Raises ``BudgetExceeded`` as soon as the body exceeds what may be
+        ``held``.
+        """
+        body = bytearray()
+        async for piece in self.pieces():
+            held.resize(len(body) + len(piece))
+            body += piece
+        return bytes(body)
 
     async def _next_piece(self) -> bytes:
         try:
--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -8,7 +8,11 @@
 
 import aiohttp
 
-from tamarackthread.shared import connection_reset, response_body
+from tamarackthread.shared import (
+    byte_budget,
+    connection_reset,
+    response_body,
+)
 from tamarackthread.shared.site import site_metrics
 from tests import direct_case
 
@@ -334,4 +338,5 @@
         )
         released.content.readany = mock.AsyncMock(side_effect=(b'half', b''))
         with self.assertRaises(aiohttp.ClientPayloadError):
-            await response_body.ResponseBody(released).whole()
+            held = byte_budget.ByteBudget(99, 99).reserve()
+            await response_body.ResponseBody(released).whole(held)
