Say that a call was not run only if none of its tries may have run

Cause: the error of the last wait was passed on as it was. One place corrected it, for calls that crash targets.

Why this works: the runner, through which every error passes, turns one that says not run into TargetFailed once a try may have run, so that no later path can forget it. test_no_room_for_second_try got 503 before.

--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -18,6 +18,7 @@
     target_client,
     targets,
 )
+from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors
 from tamarackthread.shared.site import site_metrics
 
@@ -86,6 +87,11 @@
             raise failures.DeadlineBeforeSend(
                 retry_after=self._jittered(FULL_RETRY_AFTER_SECONDS),
             ) from exc
+        except errors.CodedError as exc:
+            if progress.may_have_run and exc.ran == messages.Ran.NOT_RUN:
+                # Only the last try was refused.
+                raise failures.TargetFailed(str(progress.failure)) from exc
+            raise
         return progress
 
     async def _try_until_answered(
@@ -154,7 +160,7 @@
         await self._targets.wait_for_target(
             call.service, tried, calls.startup_wait(time_left)
         )
-        self._check_poison(call, progress)
+        self._poison.check(call)
         target = self._targets.choose(
             call.service, tried, progress.failed_groups
         )
@@ -162,17 +168,6 @@
             raise self._final_error(call, progress)
         return target
 
-    def _check_poison(
-        self, call: calls.Call, progress: call_progress.CallProgress
-    ) -> None:
-        """Raise the final error for a call that was found to be poison."""
-        try:
-            self._poison.check(call)
-        except failures.CallCrashes:
-            if progress.may_have_run:
-                raise self._final_error(call, progress) from None
-            raise
-
     def _may_retry(
         self, call: calls.Call, progress: call_progress.CallProgress
     ) -> bool:
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -1,11 +1,12 @@
 """Test what callers get from an entry with direct calls."""
 
 import asyncio
+from unittest import mock
 
 import aiohttp
 import attrs
 
-from tamarackthread.entry.direct import routing_table
+from tamarackthread.entry.direct import failures, routing_table
 from tamarackthread.shared.site import configuration
 from tests import direct_case
 
@@ -160,6 +161,16 @@
         self.assertEqual(200, (await self.ask(method='GET'))[0])
         self.assertEqual((1, 1), (len(first.heads), len(second.heads)))
 
+    async def test_no_room_for_second_try(self):
+        """Guards against a call that may have run, answered as not run."""
+        self.serve(direct_case.IDEMPOTENT)
+        await self.add(direct_case.dropping)
+        other = await self.add(direct_case.whole('yes'), zone='far')
+        full = mock.AsyncMock(side_effect=(None, failures.NoRoomInTime()))
+        with mock.patch.object(self.admission, 'admit', full):
+            self.assertEqual(502, (await self.ask())[0])
+        self.assertEqual([], other.heads)
+
     async def test_refused_unrun(self):
         """A call that all targets refuse gets 503 with Retry-After."""
         self.serve(direct_case.ONCE)
