Answer every request that a stopping entry has read

Cause: the drain knew how long it may take and waited for all calls; what waits knew only the deadlines of calls, and was cancelled at the end.

Evidence: 'drain timed out with 7 calls open', and no line for the three calls that were lost, so that no error was raised for them. Ruled out: a refusal that is not written, an entry that ends early.

Why this works: one object knows when the process ends, and shortens every open wait when a stop begins. A waiting call is refused as long before the end as calls take; a half-read body and a call that no target was sent are refused at the end of the drain, and a call that a target has is answered 502. 0.3 s follow in which the last answers are written.

--- a/bench/engines/lockstep_day.py
+++ b/bench/engines/lockstep_day.py
@@ -27,6 +27,7 @@
 )
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.policy import rebalancing
+from tamarackthread.shared import stop_deadline
 from tamarackthread.shared.site import announcements, configuration
 
 SHIFT_SHARE = 0.65
@@ -140,6 +141,7 @@
             bound(self._site.gap, empty),
             known,
             lambda: self._site.entries,
+            stop_deadline.StopDeadline(),
         )
 
     async def _press(self, seconds: float) -> None:
--- a/bench/experiments/logs.py
+++ b/bench/experiments/logs.py
@@ -32,7 +32,7 @@
 from tamarackthread.generated import settings
 from tamarackthread.platform import calls as dialect
 from tamarackthread.platform import wire
-from tamarackthread.shared import logs
+from tamarackthread.shared import logs, stop_deadline
 from tamarackthread.shared.site import announcements, configuration
 
 HOST = 'bench.example'
@@ -80,6 +80,7 @@
         tables = routing_table.CurrentTable()
         tables.put(routing_table.RoutingTable(_configuration()))
         site = settings.Site(seeds=(), link_port=1)
+        stopping = stop_deadline.StopDeadline()
         self._front = frontend.Frontend(
             spoken,
             tables,
@@ -87,12 +88,16 @@
                 self._known,
                 self._sender,
                 retry_budgets.RetryBudgets(site, lambda: 1, loop.time),
-                admission_control.AdmissionControl(self._known, lambda: 1),
+                admission_control.AdmissionControl(
+                    self._known, lambda: 1, stopping
+                ),
                 poison_requests.PoisonRequests('e', self._known.is_replaced),
                 generator,
+                stopping,
             ),
             generator,
             call_log.CallLog(),
+            stopping,
         )
         self._address = await self._front.start('127.0.0.1:0')
         self._runner = web.ServerRunner(web.Server(_answer))
--- a/tamarackthread/entry/direct/admission_control.py
+++ b/tamarackthread/entry/direct/admission_control.py
@@ -10,6 +10,7 @@
 
 from tamarackthread.entry.direct import calls, failures, targets
 from tamarackthread.policy import concurrency, outages
+from tamarackthread.shared import stop_deadline
 from tamarackthread.shared.site import configuration
 
 # The rest of the current pass, one pass for the prompt, and the round trip.
@@ -41,9 +42,11 @@
         limit: concurrency.ConcurrencyLimit,
         all_targets: targets.Targets,
         entries: EntryCount,
+        stopping: stop_deadline.StopDeadline,
     ) -> None:
         """Limit the concurrency that ``all_targets`` reports by ``limit``."""
         self._service = service
+        self._stopping = stopping
         self._limit = limit
         self._targets = all_targets
         self._entries = entries
@@ -68,7 +71,8 @@
     async def admit(self, call: calls.Call) -> None:
         """Wait until the ranks have a free slot for a call.
 
-        Raises ``NoRoomInTime`` as soon as the deadline can no longer be met.
+        Raises ``NoRoomInTime`` as soon as the deadline can no longer be met,
+        and ``EntryStops`` if this entry stops before a call could end.
         """
         if not self._waiting and self._take_slot():
             return
@@ -76,9 +80,15 @@
         waiter = _Waiter(call, loop.create_future())
         self._waiting.append(waiter)
         try:
-            async with asyncio.timeout_at(call.deadline - self._answer_seconds):
+            async with self._stopping.timeout_at(
+                call.deadline - self._answer_seconds, self._answer_seconds
+            ):
                 await waiter.granted
         except TimeoutError as exc:
+            if self._stopping.ends_at < call.deadline:
+                raise failures.EntryStops(
+                    retry_after=failures.STOPPING_RETRY_AFTER_SECONDS
+                ) from exc
             raise failures.NoRoomInTime(
                 retry_after=RETRY_AFTER_SECONDS
             ) from exc
@@ -171,8 +181,10 @@
         self,
         all_targets: targets.Targets,
         entries: EntryCount,
+        stopping: stop_deadline.StopDeadline,
     ) -> None:
         """Start without queues."""
+        self._stopping = stopping
         self._targets = all_targets
         self._entries = entries
         self._queues: dict[str, AdmissionQueue] = {}
@@ -203,7 +215,7 @@
             queue.limit = limit
             return
         self._queues[service] = AdmissionQueue(
-            service, limit, self._targets, self._entries
+            service, limit, self._targets, self._entries, self._stopping
         )
 
     async def admit(self, call: calls.Call) -> None:
--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -19,7 +19,7 @@
     targets,
 )
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors
+from tamarackthread.shared import errors, stop_deadline
 from tamarackthread.shared.site import site_metrics
 
 # A failed connection costs a target nothing, but the caller waits for it.
@@ -49,8 +49,10 @@
         admission: admission_control.AdmissionControl,
         poison: poison_requests.PoisonRequests,
         generator: random.Random,
+        stopping: stop_deadline.StopDeadline,
     ) -> None:
         """Select among ``all_targets`` and send with ``client``."""
+        self._stopping = stopping
         self._poison = poison
         self._targets = all_targets
         self._admission = admission
@@ -71,22 +73,10 @@
         progress = call_progress.CallProgress()
         self._budget.earn(call.service)
         try:
-            async with asyncio.timeout_at(call.deadline):
+            async with self._stopping.timeout_at(call.deadline):
                 await self._try_until_answered(call, progress, out)
         except TimeoutError as exc:
-            if progress.current_target is not None:
-                self._record_outcome(progress.current_target, is_good=False)
-                progress.sent.append(progress.current_target.name)
-                progress.may_have_run = True
-                timed_out = failures.DeadlinePassed('no answer')
-                call_progress.log_failed_try(
-                    call, progress.current_target, progress, timed_out
-                )
-            if progress.may_have_run:
-                raise failures.DeadlinePassed(progress.names) from exc
-            raise failures.DeadlineBeforeSend(
-                retry_after=self._jittered(FULL_RETRY_AFTER_SECONDS),
-            ) from exc
+            raise self._timeout_error(call, progress) from exc
         except errors.CodedError as exc:
             if progress.may_have_run and exc.ran == messages.Ran.NOT_RUN:
                 # Only the last try was refused.
@@ -94,6 +84,32 @@
             raise
         return progress
 
+    def _timeout_error(
+        self, call: calls.Call, progress: call_progress.CallProgress
+    ) -> errors.CodedError:
+        """Return the error for a call that ran out of time."""
+        is_stopped = self._stopping.ends_at < call.deadline
+        late = failures.CutByStop if is_stopped else failures.DeadlinePassed
+        target = progress.current_target
+        if target is not None:
+            # A target that this entry has cut off is not to blame.
+            if not is_stopped:
+                self._record_outcome(target, is_good=False)
+            progress.sent.append(target.name)
+            progress.may_have_run = True
+            call_progress.log_failed_try(
+                call, target, progress, late('no answer')
+            )
+        if progress.may_have_run:
+            return late(progress.names)
+        if is_stopped:
+            return failures.EntryStops(
+                retry_after=failures.STOPPING_RETRY_AFTER_SECONDS
+            )
+        return failures.DeadlineBeforeSend(
+            retry_after=self._jittered(FULL_RETRY_AFTER_SECONDS),
+        )
+
     async def _try_until_answered(
         self,
         call: calls.Call,
--- a/tamarackthread/entry/direct/discovery.py
+++ b/tamarackthread/entry/direct/discovery.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 
 from tamarackthread.entry.direct import instances
 
@@ -46,6 +45,9 @@
             if found is not None:
                 deadline = min(deadline, started_at + LESS_LOADED_WAIT_SECONDS)
             announced = self._announced
-            with contextlib.suppress(TimeoutError):
+            try:
                 async with asyncio.timeout_at(deadline):
                     await announced.wait()
+            except TimeoutError:
+                # By its resolution, the clock may still be before the deadline.
+                return
--- a/tamarackthread/entry/direct/failures.py
+++ b/tamarackthread/entry/direct/failures.py
@@ -6,6 +6,10 @@
 from tamarackthread.shared import errors
 
 
+# Another entry can take the call at once.
+STOPPING_RETRY_AFTER_SECONDS = 0.01
+
+
 class NoConfiguration(errors.CodedError):
     """Entry has no configuration yet."""
 
@@ -107,7 +111,15 @@
 
 
 class EntryStops(errors.CodedError):
-    """Entry is shutting down and takes no new calls."""
+    """Entry is shutting down; the call was not sent to any target."""
 
     code = 'TT7210'
     status = 503
+
+
+class CutByStop(errors.CodedError):
+    """Entry has ended while a target had the call."""
+
+    code = 'TT7216'
+    status = 502
+    ran = messages.Ran.MAY_HAVE_RUN
--- a/tamarackthread/entry/direct/frontend.py
+++ b/tamarackthread/entry/direct/frontend.py
@@ -6,6 +6,7 @@
 import collections.abc
 import json
 import logging
+import math
 import random
 
 from aiohttp import web
@@ -20,13 +21,11 @@
     sink,
     target_client,
 )
-from tamarackthread.shared import errors, logs
+from tamarackthread.shared import errors, logs, stop_deadline
 from tamarackthread.shared.site import site_metrics
 
 # Longer than callers keep idle connections, so that they close them first.
 KEEPALIVE_SECONDS = 75.0
-# Another entry can take the call at once.
-STOPPING_RETRY_AFTER_SECONDS = 0.01
 # Limit of one header.  Callers may send 16 KB of headers, which is over the
 # default limit of aiohttp.
 MAX_HEADER_BYTES = 32 << 10
@@ -51,8 +50,10 @@
         runner: call_runner.CallRunner,
         generator: random.Random,
         call_logger: call_log.CallLog,
+        stopping: stop_deadline.StopDeadline,
     ) -> None:
         """Serve nothing until ``start``."""
+        self._stopping = stopping
         self._call_log = call_logger
         self._dialect = header_dialect
         self._tables = tables
@@ -194,7 +195,7 @@
     ) -> None:
         call: calls.Call | None = None
         try:
-            call = await self._admit(request, parsed)
+            call = await self._admit_in_time(request, parsed)
             progress = await self._runner.run(call, out)
         except errors.CodedError as exc:
             await self._send_error(parsed.call_id, call, out, exc)
@@ -208,6 +209,20 @@
                 call, self._version, out.timing, progress
             )
 
+    async def _admit_in_time(
+        self,
+        request: web.BaseRequest,
+        parsed: calls.CallRequest,
+    ) -> calls.Call:
+        """Route a request; raise ``EntryStops`` if its body comes too late."""
+        try:
+            async with self._stopping.timeout_at(math.inf):
+                return await self._admit(request, parsed)
+        except TimeoutError as exc:
+            raise failures.EntryStops(
+                retry_after=failures.STOPPING_RETRY_AFTER_SECONDS
+            ) from exc
+
     async def _admit(
         self,
         request: web.BaseRequest,
@@ -216,7 +231,9 @@
         """Route a request; raise a coded error if it is refused."""
         arrived = asyncio.get_running_loop().time()
         if self._is_refusing:
-            raise failures.EntryStops(retry_after=STOPPING_RETRY_AFTER_SECONDS)
+            raise failures.EntryStops(
+                retry_after=failures.STOPPING_RETRY_AFTER_SECONDS
+            )
         table = await self._tables.wait(calls.startup_wait(parsed.time_left))
         path = parsed.path.partition('?')[0]
         match = table.find(parsed.host, path, parsed.key)
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -22,7 +22,7 @@
 )
 from tamarackthread.generated import settings as generated
 from tamarackthread.policy import cold_start, known_entries
-from tamarackthread.shared import link_pool, log_events, process
+from tamarackthread.shared import link_pool, log_events, process, stop_deadline
 from tamarackthread.shared.site import (
     configuration,
     site_metrics,
@@ -30,6 +30,8 @@
     host_addresses,
 )
 
+# Time after the end of the drain to write the last answers.
+WRITE_SECONDS = 0.3
 _log = logging.getLogger('tamarackthread.entry')
 
 
@@ -47,6 +49,7 @@
         self._site = settings.site
         self._own = settings.entry
         generator = random.Random()
+        self._stopping = stop_deadline.StopDeadline()
         loop = asyncio.get_running_loop()
         self._link_binding = process.bind_links(settings)
         self._links = link_pool.LinkPool(
@@ -72,7 +75,9 @@
         self._metrics_server = site_metrics.MetricsServer()
         tables = routing_table.CurrentTable()
         admission = admission_control.AdmissionControl(
-            self._targets, lambda: len(self._feed_client.entries)
+            self._targets,
+            lambda: len(self._feed_client.entries),
+            self._stopping,
         )
         self._feed_client = feed_client.FeedClient(
             self._site,
@@ -107,9 +112,11 @@
                 admission,
                 poison,
                 generator,
+                self._stopping,
             ),
             generator,
             self._call_log,
+            self._stopping,
         )
 
     async def run(self, announce: process.Announce | None) -> None:
@@ -150,7 +157,9 @@
             raise fault
 
     async def _drain(self) -> None:
-        """Stop accepting calls and wait until those in progress have ended."""
+        """Stop accepting calls and wait until all that were read are answered."""
+        own = self._own
+        self._stopping.begin(own.health_grace_seconds + own.drain_seconds)
         log_events.emit(
             _log,
             log_events.Event.STOPPING,
@@ -161,10 +170,12 @@
         self._frontend.begin_drain()
         # The platform sends new connections until its readiness probe has
         # failed twice.  Responses ask callers to reconnect elsewhere.
-        await asyncio.sleep(self._own.health_grace_seconds)
+        await asyncio.sleep(own.health_grace_seconds)
         self._frontend.refuse_new()
         try:
-            async with asyncio.timeout(self._own.drain_seconds):
+            async with asyncio.timeout_at(
+                self._stopping.ends_at + WRITE_SECONDS
+            ):
                 await self._frontend.wait_idle()
         except TimeoutError:
             _log.warning(
--- a/tests/direct_case.py
+++ b/tests/direct_case.py
@@ -21,7 +21,7 @@
 )
 from tamarackthread.generated import settings
 from tamarackthread.platform import calls as platform_calls
-from tamarackthread.shared import connection_reset
+from tamarackthread.shared import connection_reset, stop_deadline
 from tamarackthread.shared.site import announcements, configuration
 
 HOST = 'h.example'
@@ -185,12 +185,13 @@
         )
         await self.sender.start()
         site = settings.Site(seeds=(), link_port=1, retry_reserve=20)
+        self.stopping = stop_deadline.StopDeadline()
         self.tables = routing_table.CurrentTable()
         self.crashing = poison_requests.PoisonRequests(
             'e', self.known.is_replaced
         )
         self.admission = admission_control.AdmissionControl(
-            self.known, lambda: 1
+            self.known, lambda: 1, self.stopping
         )
         self.front = frontend.Frontend(
             platform_calls.PlatformDialect(),
@@ -202,9 +203,11 @@
                 self.admission,
                 self.crashing,
                 rng,
+                self.stopping,
             ),
             rng,
             call_log.CallLog(),
+            self.stopping,
         )
         self.address = await self.front.start('127.0.0.1:0')
         self.session = aiohttp.ClientSession()
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -19,6 +19,7 @@
     targets,
 )
 from tamarackthread.policy import concurrency, outages
+from tamarackthread.shared import stop_deadline
 from tamarackthread.shared.site import announcements, configuration
 from tests import policy_case
 
@@ -170,7 +171,11 @@
             )
         known.set_other_loads({})
         queue = admission_control.AdmissionQueue(
-            SERVICE, limit, known, lambda: entries
+            SERVICE,
+            limit,
+            known,
+            lambda: entries,
+            stop_deadline.StopDeadline(),
         )
         return known, queue
 
@@ -291,7 +296,9 @@
 
     async def _changed_configuration(self):
         known = targets.Targets('z', 1.0, random.Random(1))
-        admission = admission_control.AdmissionControl(known, lambda: 1)
+        admission = admission_control.AdmissionControl(
+            known, lambda: 1, stop_deadline.StopDeadline()
+        )
         for gap in (0.15, 0.3):
             admission.learn(_configuration(gap))
         call = call_of()
@@ -387,5 +394,9 @@
     def _queue(self):
         known = targets.Targets('z', 1.0, random.Random(1))
         return admission_control.AdmissionQueue(
-            SERVICE, FixedLimit(1), known, lambda: 1
+            SERVICE,
+            FixedLimit(1),
+            known,
+            lambda: 1,
+            stop_deadline.StopDeadline(),
         )
