Catch stop signals before a role serves anything

What was found: SIGTERM and SIGINT were caught only after a role had started all its parts, so that a signal during the start ended the process with the requests that it had read by then.

Why this works: the handlers are installed first, and the role stops in its ordinary way as soon as it has started. test_signals_are_caught_first failed before: the default handler was in place as the frontend started.

--- a/bench/config/subscribers.py
+++ b/bench/config/subscribers.py
@@ -125,7 +125,7 @@
         print(json.dumps({name: str(node.port)}))
         await node.start()
         watching = asyncio.ensure_future(node.watch())
-        await process.wait_for_stop_signal()
+        await process.catch_stop_signals().wait()
         watching.cancel()
         await node.stop()
 
--- a/tamarackthread/agent/role.py
+++ b/tamarackthread/agent/role.py
@@ -165,6 +165,7 @@
 
     async def run(self, announce: process.Announce | None) -> None:
         """Run until asked to stop, then drain."""
+        stopping = process.catch_stop_signals()
         await self._client.start()
         await self._group.start()
         address = await self._listener.start_on_socket(self._link_binding.bound)
@@ -178,7 +179,7 @@
         if announce is not None:
             announce({'link': address})
         _log.info('agent: started for target %s', self._own.target_id)
-        await process.wait_for_stop_signal()
+        await stopping.wait()
         await self._drain()
         for work in working:
             work.cancel()
--- a/tamarackthread/control/host.py
+++ b/tamarackthread/control/host.py
@@ -86,6 +86,7 @@
 
     async def run(self, announce: process.Announce | None) -> None:
         """Run until SIGTERM or a group's failure, which is raised after a drain."""
+        stopping = process.catch_stop_signals()
         address = await self._listener.start_on_socket(self._link_binding.bound)
         for group in self._groups.values():
             await group.start()
@@ -98,7 +99,7 @@
         if announce is not None:
             announce({'link': address})
         _log.info('control: listening on %s', address)
-        stop_requested = loop.create_task(process.wait_for_stop_signal())
+        stop_requested = loop.create_task(stopping.wait())
         group_failed = loop.create_task(self._wait_for_failure())
         await asyncio.wait(
             (stop_requested, group_failed),
--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -179,6 +179,7 @@
 
     async def run(self, announce: process.Announce | None) -> None:
         """Run until asked to stop, then hand over leadership and stop."""
+        signalled = process.catch_stop_signals()
         address = await self._listener.start_on_socket(self._link_binding.bound)
         await self._group.start()
         for announcement in await self._targets.load():
@@ -209,7 +210,7 @@
             http,
             address=address,
         )
-        stopping = loop.create_task(process.wait_for_stop_signal())
+        stopping = loop.create_task(signalled.wait())
         failing = loop.create_task(self._wait_for_fault(working))
         await asyncio.wait(
             (stopping, failing), return_when=asyncio.FIRST_COMPLETED
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -124,6 +124,7 @@
 
         Raises what has ended one of the entry's own tasks.
         """
+        signalled = process.catch_stop_signals()
         await self._target_client.start()
         loop = asyncio.get_running_loop()
         working = [
@@ -144,7 +145,7 @@
             http,
             address=http,
         )
-        stopping = loop.create_task(process.wait_for_stop_signal())
+        stopping = loop.create_task(signalled.wait())
         await asyncio.wait(
             (stopping, *working), return_when=asyncio.FIRST_COMPLETED
         )
--- a/tamarackthread/entry/role.py
+++ b/tamarackthread/entry/role.py
@@ -144,6 +144,7 @@
 
     async def run(self, announce: process.Announce | None) -> None:
         """Run until asked to stop, then drain the open calls."""
+        stopping = process.catch_stop_signals()
         address = await self._listener.start_on_socket(self._link_binding.bound)
         self._feed.subscribe(self._apply_configuration)
         self._feed.start()
@@ -158,7 +159,7 @@
         if announce is not None:
             announce({'link': address, 'http': http})
         _log.info('entry: serves callers on %s', http)
-        await process.wait_for_stop_signal()
+        await stopping.wait()
         await self._stop()
         for task in tasks:
             task.cancel()
--- a/tamarackthread/shared/process.py
+++ b/tamarackthread/shared/process.py
@@ -81,13 +81,17 @@
     return int(now.timestamp() * 1_000_000)
 
 
-async def wait_for_stop_signal() -> None:
-    """Wait for SIGTERM or SIGINT."""
+def catch_stop_signals() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set from now on.
+
+    A role calls it before it serves anything: uncaught, the signal ends the
+    process with the requests that it has read.
+    """
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    await stopping.wait()
+    return stopping
 
 
 def first_failure(
--- a/tests/test_direct_role.py
+++ b/tests/test_direct_role.py
@@ -3,11 +3,12 @@
 import asyncio
 import json
 import pathlib
+import signal
 import tempfile
 import unittest
 from unittest import mock
 
-from tamarackthread.entry.direct import role, targets
+from tamarackthread.entry.direct import frontend, role, targets
 from tamarackthread.platform import calls, configuration
 from tamarackthread.shared import settings
 
@@ -20,6 +21,12 @@
     raise Fault
 
 
+async def starting(front, address):
+    """Fail if this process would not notice that it has to stop."""
+    assert signal.getsignal(signal.SIGTERM) is not signal.SIG_DFL
+    raise Fault
+
+
 class FaultCase(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -49,6 +56,12 @@
             with self.assertRaises(Fault):
                 asyncio.run(self.run_entry())
 
+    def test_signals_are_caught_first(self):
+        """Guards against a stop signal that cuts off the first requests."""
+        with mock.patch.object(frontend.Frontend, 'start', starting):
+            with self.assertRaises(Fault):
+                asyncio.run(self.run_entry())
+
     async def run_entry(self):
         await role.run(
             self.settings,
