Refuse changes and reads at once at a control host that stops

What was found: a change or a read that was under way while a control host stopped was tried until 0.85 s had passed, of which its HTTP server waited for 0.5 s before it closed the connection without an answer.

--- a/tamarackthread/control/site/committing.py
+++ b/tamarackthread/control/site/committing.py
@@ -26,7 +26,8 @@
 ) -> bytes:
     """Propose an idempotent command until it is committed; return its result.
 
-    Raises ``ChangeUnsettled`` at ``until``, a time of the loop's clock.
+    Raises ``ChangeUnsettled`` at ``until``, a time of the loop's clock, or as soon
+    as this host stops.
     """
     loop = asyncio.get_running_loop()
     failure: errors.CodedError = failures.NotLeader('no leader is known')
@@ -36,6 +37,9 @@
             entry = await group.submit(command, remaining)
         except failures.CommandTooLarge:
             raise
+        except failures.ConsensusStopped as exc:
+            # This host is stopping: another can be asked at once.
+            raise ChangeUnsettled(str(exc)) from exc
         except errors.CodedError as exc:
             failure = exc
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
--- a/tamarackthread/platform/http_api.py
+++ b/tamarackthread/platform/http_api.py
@@ -52,8 +52,9 @@
             router.add_post(path, http_errors.bind(handler, zones))
         router.add_post(wire.HEARTBEAT, http_errors.bind(_heartbeat, targets))
         router.add_post(wire.DEREGISTER, http_errors.bind(_deregister, targets))
+        # Stopping takes longer than a change or a read.
         self._runner = web.AppRunner(
-            app, access_log=None, handle_signals=False, shutdown_timeout=0.5
+            app, access_log=None, handle_signals=False, shutdown_timeout=1.0
         )
         await self._runner.setup()
         bind_host, _, port = address.rpartition(':')
--- a/tests/test_site_control.py
+++ b/tests/test_site_control.py
@@ -5,7 +5,13 @@
 import unittest
 
 from tamarackthread.control import failures
-from tamarackthread.control.site import api, feed, machine, target_registry
+from tamarackthread.control.site import (
+    api,
+    committing,
+    feed,
+    machine,
+    target_registry,
+)
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.platform import configuration as reading
 from tamarackthread.shared import findings
@@ -156,6 +162,10 @@
         """A follower forwards a change and acknowledges it, also on a retry."""
         self.run_paused(self._any_host())
 
+    def test_stopping_host(self):
+        """Guards against a change that is cut off as its host stops."""
+        self.run_paused(self._stopping())
+
     def test_invalid_is_refused_first(self):
         """An invalid change is rejected even if its version is outdated."""
         self.run_paused(self._invalid())
@@ -212,6 +222,24 @@
         net.kill(leader)
         self.assertEqual(3, await site_api.replace(body(3)))
 
+    async def _stopping(self):
+        net = consensus_net.Net(machine.SiteMachine)
+        await net.start(*consensus_net.NODES)
+        stopping = await net.leader()
+        site_api = api.SiteApi(
+            net.processes[stopping],
+            net.machines[stopping],
+            reading.PlatformReader(),
+        )
+        await net.processes[stopping].stop()
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        with self.assertRaises(committing.ChangeUnsettled):
+            await site_api.replace(body(3))
+        with self.assertRaises(api.NewestUnknown):
+            await site_api.read()
+        self.assertEqual(asked_at, loop.time())
+
     async def _invalid(self):
         net = consensus_net.Net()
         await net.start(*consensus_net.NODES)
