Read whole bodies of answers in one place

The reservation of bytes and its release stood at four readers. It is a block now, and agents read bodies through one function. Behaviour is the same; the tests of endless answers and of endings pass as before.

--- a/tamarackthread/agent/engine_client.py
+++ b/tamarackthread/agent/engine_client.py
@@ -131,11 +131,7 @@
         )
 
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
-        held = self._held_bytes.reserve()
-        try:
-            body = await response_body.ResponseBody(response).whole(held)
-        finally:
-            held.release()
+        body = await response_body.read_whole(response, self._held_bytes)
         if response.status in _REFUSAL_STATUSES:
             # Invalid JSON is a refusal that was cut; its reason decides what
             # the agent does.
--- a/tamarackthread/agent/target.py
+++ b/tamarackthread/agent/target.py
@@ -183,17 +183,13 @@
                 timeout=timeout,
             ) as response:
                 response.raise_for_status()
-                return json.loads(await self._read_body(response))
+                body = await response_body.read_whole(
+                    response, self._held_bytes
+                )
+                return json.loads(body)
         except _REQUEST_ERRORS as exc:
             raise target_errors.TargetSilent(f'{path}: {exc!r}') from exc
 
-    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
-        held = self._held_bytes.reserve()
-        try:
-            return await response_body.ResponseBody(response).whole(held)
-        finally:
-            held.release()
-
 
 def request_headers(opening: messages.OpenCall) -> list[tuple[str, str]]:
     """Build the request headers from the caller's and the agent's own."""
--- a/tamarackthread/control/site/maps/rank_client.py
+++ b/tamarackthread/control/site/maps/rank_client.py
@@ -82,14 +82,11 @@
             await session.close()
 
     async def _read_body(self, answer: aiohttp.ClientResponse) -> bytes:
-        held = self._held_bytes.reserve()
         body = bytearray()
-        try:
+        with self._held_bytes.reserve() as held:
             while not answer.content.at_eof():
                 body += await answer.content.readany()
                 held.resize(len(body))
-        finally:
-            held.release()
         return bytes(body)
 
     def _session(self, *, is_pooled: bool) -> aiohttp.ClientSession:
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -229,12 +229,11 @@
         response = typing.cast(
             http_connection.Response, await _await_head(requesting)
         )
-        held = self._held_bytes.reserve()
         try:
             head = self._read_head(call, target, response)
-            yield TargetResponse(head, response, held)
+            with self._held_bytes.reserve() as held:
+                yield TargetResponse(head, response, held)
         finally:
-            held.release()
             # A response that was read completely has released its connection;
             # this closes the others.
             response.close()
--- a/tamarackthread/shared/byte_budget.py
+++ b/tamarackthread/shared/byte_budget.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import collections.abc
+import contextlib
+
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors
 
@@ -28,9 +31,14 @@
         """Return the bytes that are held now."""
         return self._held_bytes
 
-    def reserve(self) -> Reservation:
-        """Return a reservation of no bytes for one answer."""
-        return Reservation(self)
+    @contextlib.contextmanager
+    def reserve(self) -> collections.abc.Iterator[Reservation]:
+        """Count what one answer holds within the block, at first nothing."""
+        held = Reservation(self)
+        try:
+            yield held
+        finally:
+            held.resize(0)
 
     def change(self, before: int, after: int) -> None:
         """Change what one answer holds; raise ``BudgetExceeded``."""
@@ -55,7 +63,3 @@
         """Hold this many bytes; raise ``BudgetExceeded``, holding as before."""
         self._budget.change(self._size, size)
         self._size = size
-
-    def release(self) -> None:
-        """Hold nothing any more."""
-        self.resize(0)
--- a/tamarackthread/shared/response_body.py
+++ b/tamarackthread/shared/response_body.py
@@ -118,6 +118,14 @@
         return Ending.CLOSED
 
 
+async def read_whole(
+    response: aiohttp.ClientResponse, budget: byte_budget.ByteBudget
+) -> bytes:
+    """Read a complete body within a budget; raise like ``ResponseBody.whole``."""
+    with budget.reserve() as held:
+        return await ResponseBody(response).whole(held)
+
+
 def _framing_of(response: aiohttp.ClientResponse) -> Framing:
     if response.method == 'HEAD' or response.status in _BODILESS_STATUSES:
         return Framing.NO_BODY
--- a/tests/test_answer_endings.py
+++ b/tests/test_answer_endings.py
@@ -337,6 +337,6 @@
             status=200, method='POST', headers={}, connection=None
         )
         released.content.readany = mock.AsyncMock(side_effect=(b'half', b''))
+        budget = byte_budget.ByteBudget(99, 99)
         with self.assertRaises(aiohttp.ClientPayloadError):
-            held = byte_budget.ByteBudget(99, 99).reserve()
-            await response_body.ResponseBody(released).whole(held)
+            await response_body.read_whole(released, budget)
