Forget old departures without looking at all of them

A departure that can't be recorded is logged, since an exception in the state machine would halt the log on every member; a connection without a peer's address is closed without a report.

--- a/tamarackthread/control/site/announcing.py
+++ b/tamarackthread/control/site/announcing.py
@@ -14,7 +14,7 @@
     machine,
     target_registry,
 )
-from tamarackthread.shared import log_events
+from tamarackthread.shared import fields, log_events
 from tamarackthread.shared.site import announcements
 
 MILLISECONDS = 1000
@@ -67,8 +67,12 @@
         await self._commit(self._targets.mark_gone(target, born))
 
     def _record_departure(self, departed: announcements.Announcement) -> None:
-        """Tell entries of a target that has left by another host."""
-        self._targets.record_departure(departed)
+        """Tell entries of a target that has left by any host."""
+        # An exception would halt the log on every member.
+        try:
+            self._targets.record_departure(departed)
+        except (fields.FieldInvalid, target_registry.StartMissing) as exc:
+            _log.warning('control: a departure was ignored, %s', exc)
 
     async def _commit(self, announcement: announcements.Announcement) -> None:
         if self._site.departures.covers(announcement):
--- a/tamarackthread/control/site/departures.py
+++ b/tamarackthread/control/site/departures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 
 import attrs
@@ -33,7 +34,9 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._rows: dict[str, Departure] = {}
+        self._rows: collections.OrderedDict[str, Departure] = (
+            collections.OrderedDict()
+        )
 
     @property
     def rows(self) -> list[Departure]:
@@ -65,10 +68,13 @@
         return True
 
     def _forget(self, now_ms: int) -> None:
-        for target, row in tuple(self._rows.items()):
-            is_old = now_ms - row.at_ms > RETENTION_MS
-            if is_old or len(self._rows) > MAX_ROWS:
-                self._rows.pop(target)
+        """Forget the oldest rows, up to the first one that is kept."""
+        while self._rows:
+            oldest = next(iter(self._rows.values()))
+            is_old = now_ms - oldest.at_ms > RETENTION_MS
+            if not is_old and len(self._rows) <= MAX_ROWS:
+                return
+            self._rows.popitem(last=False)
 
 
 def to_messages(departures: Departures) -> list[messages.SiteDeparture]:
--- a/tamarackthread/shared/http_connection.py
+++ b/tamarackthread/shared/http_connection.py
@@ -109,8 +109,9 @@
         self._is_due = False
         if self.transport is None:
             return
-        if self._on_foreign is not None:
-            host, port = self.transport.get_extra_info('peername')[:2]
+        peer = self.transport.get_extra_info('peername')
+        if self._on_foreign is not None and peer is not None:
+            host, port = peer[:2]
             self._on_foreign(f'{host}:{port}')
         self.transport.abort()
 
