Let a caller take away only the headers of its own connection

Cause: the names in the caller's Connection header were applied to the finished list, in which the entry had put its own headers.

--- a/tamarackthread/entry/direct/frontend.py
+++ b/tamarackthread/entry/direct/frontend.py
@@ -9,6 +9,7 @@
 import math
 import random
 
+import attrs
 from aiohttp import web
 
 from tamarackthread.entry.direct import (
@@ -17,6 +18,7 @@
     calls,
     dialect,
     failures,
+    hop_headers,
     routing_table,
     sink,
     target_client,
@@ -181,6 +183,9 @@
     ) -> None:
         try:
             parsed = self._dialect.read_request(request)
+            parsed = attrs.evolve(
+                parsed, headers=hop_headers.end_to_end(parsed.headers)
+            )
         except errors.CodedError as exc:
             await self._send_error('', None, out, exc)
             return
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -40,22 +40,6 @@
 # is a quarter of an entry's memory.
 MAX_ANSWER_BYTES = 16 << 20
 MAX_HELD_BYTES = 64 << 20
-# Hop-by-hop headers, besides those that the Connection header names.
-_HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-connection',
-        'transfer-encoding',
-        'content-length',
-        'te',
-        'trailer',
-        'upgrade',
-        'expect',
-    ),
-)
-
-
 _BODY_ERRORS = (
     aiohttp.ClientError,
     byte_budget.BudgetExceeded,
@@ -222,7 +206,7 @@
                 f'http://{target.announcement.address}{call.request.path}',
                 encoded=True,
             ),
-            headers=_without_hop_by_hop(headers),
+            headers=headers,
             data=call.body or None,
             allow_redirects=False,
         )
@@ -364,14 +348,3 @@
     # budget.
     session._retry_connection = False
     return session
-
-
-def _without_hop_by_hop(headers: calls.Headers) -> calls.Headers:
-    """Leave out headers that concern only the caller's connection."""
-    dropped = set(_HOP_BY_HOP)
-    for header, text in headers:
-        if header.lower() == 'connection':
-            dropped.update(part.strip().lower() for part in text.split(','))
-    return tuple(
-        (name, value) for name, value in headers if name.lower() not in dropped
-    )
--- a/tamarackthread/platform/calls.py
+++ b/tamarackthread/platform/calls.py
@@ -15,6 +15,7 @@
 _ENTRY_HEADERS = frozenset(
     name.lower()
     for name in (
+        wire.CALL_ID,
         wire.DEADLINE,
         wire.LAST_EVENT_ID,
         wire.AUTHORIZATION,
@@ -76,6 +77,7 @@
             if name.lower() not in _ENTRY_HEADERS
         ]
         left_ms = max(1, int(time_left * MILLISECONDS))
+        headers.append((wire.CALL_ID, call.request.call_id))
         headers.append((wire.DEADLINE, str(left_ms)))
         headers.append((wire.EXPECTED_TARGET, target))
         if last_event_id:
