--- a/tamarackthread/platform/__main__.py
+++ b/tamarackthread/platform/__main__.py
@@ -5,7 +5,7 @@
 import importlib
 import sys
 
-from tamarackthread.shared import idle
+from tamarackthread.shared import early_signals, idle
 
 BAD_SETTINGS = 2
 _ROLES = ('entry', 'control')
@@ -22,6 +22,7 @@
     if role == 'control' and not folder:
         idle.wait_for_stop('control: rests, this host has no disk')
         return 0
+    early_signals.handle()
     # Imported late to keep the memory of an idle process small.
     startup = importlib.import_module('tamarackthread.platform.startup')
     return startup.main(role)
