Don't take a target for gone by a condition of a caller

Cause: a 421 was read as the answer to what the entry asks, Expect-Replica, whatever the caller had asked besides.

Why this works: for a caller who sets a condition a 421 says only that this call was not run. test_condition_of_a_caller got 503 for the next call of another caller before. Parsers of header values, which know nothing of the platform, move out of its folder.

--- a/tamarackthread/entry/direct/calls.py
+++ b/tamarackthread/entry/direct/calls.py
@@ -28,6 +28,8 @@
     time_left: float | None = None
     # Last event of a stream that the caller has received.
     last_event_id: str = ''
+    # Whether the caller sets a condition that the intended target may not meet.
+    has_condition: bool = False
     # Ids of the prompt's parts, in order, that other prompts may contain too.
     shared_parts: tuple[str, ...] = ()
 
--- a/tamarackthread/platform/calls.py
+++ b/tamarackthread/platform/calls.py
@@ -5,7 +5,12 @@
 import multidict
 from aiohttp import web
 
-from tamarackthread.entry.direct import calls, dialect, failures
+from tamarackthread.entry.direct import (
+    calls,
+    dialect,
+    failures,
+    header_values,
+)
 from tamarackthread.platform import wire
 from tamarackthread.policy import backpressure
 
@@ -50,16 +55,19 @@
         call_id = headers.get(wire.CALL_ID, '')
         if not call_id:
             raise failures.CallInvalid(f'{wire.CALL_ID} is missing')
-        left_ms = _parse_number(headers.get(wire.DEADLINE, ''))
+        left_ms = header_values.parse_number(headers.get(wire.DEADLINE, ''))
         return calls.CallRequest(
             call_id=call_id,
             method=request.method,
-            host=_hostname(headers.get('Host', '')),
+            host=header_values.hostname(headers.get('Host', '')),
             path=request.raw_path,
             headers=tuple(headers.items()),
-            key=_bearer_token(headers.get(wire.AUTHORIZATION, '')),
+            key=header_values.bearer_token(
+                headers.get(wire.AUTHORIZATION, ''), wire.BEARER
+            ),
             time_left=None if left_ms is None else left_ms / MILLISECONDS,
             last_event_id=headers.get(wire.LAST_EVENT_ID, ''),
+            has_condition=wire.EXPECTED_VERSION in headers,
             shared_parts=_shared_parts(headers.get(wire.PROMPT, '')),
         )
 
@@ -98,9 +106,9 @@
         headers: multidict.CIMultiDictProxy[str],
     ) -> dialect.ResponseKind:
         """Classify a target's response by its head."""
-        if status == wire.MISDIRECTED:
+        if status == wire.MISDIRECTED and not call.request.has_condition:
             return dialect.ResponseKind.MISDIRECTED
-        if wire.NOT_EXECUTED in headers:
+        if status == wire.MISDIRECTED or wire.NOT_EXECUTED in headers:
             return dialect.ResponseKind.NOT_RUN
         if wire.SIGNATURE not in headers or wire.CALL_ID not in headers:
             return dialect.ResponseKind.MISMATCHED
@@ -138,24 +146,7 @@
         return [(wire.CALL_ID, call_id)] if call_id else []
 
 
-def _parse_number(text: str) -> float | None:
-    try:
-        return float(text)
-    except ValueError:
-        return None
-
-
-def _hostname(header: str) -> str:
-    return header.partition(':')[0].lower()
-
-
 def _shared_parts(prompt: str) -> tuple[str, ...]:
     """Return the ids of a prompt's parts but the last, the call's own."""
     ids = [part.partition(':')[0].strip() for part in prompt.split(',')]
     return tuple(filter(None, ids[:-1]))
-
-
-def _bearer_token(credential: str) -> str:
-    if not credential.startswith(wire.BEARER):
-        return ''
-    return credential.removeprefix(wire.BEARER).strip()
--- a/tamarackthread/platform/wire.py
+++ b/tamarackthread/platform/wire.py
@@ -26,6 +26,8 @@
 # Request headers to targets: the expected start of a target, and the caller's
 # organisation.
 EXPECTED_TARGET = 'Expect-Replica'
+# Set by callers: the version of the weights that must run the call.
+EXPECTED_VERSION = 'Expect-Version'
 ORGANISATION = 'Tenant'
 
 # Response headers of targets.  Without the signature an answer is not from the
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -218,6 +218,24 @@
         self.assertEqual((200, b'yes'), (await self.ask())[:2])
         self.assertEqual(1, len(gone.heads))
 
+    async def test_condition_of_a_caller(self):
+        """Guards against a caller who shuts targets out for all others."""
+        self.serve(direct_case.ONCE, attempts=1)
+
+        async def strict(target, head, writer):
+            if direct_case.header(head, 'Expect-Version'):
+                writer.write(
+                    b'HTTP/1.1 421 No\r\nAttempt-Id: c1\r\n'
+                    b'Content-Length: 0\r\n\r\n'
+                )
+                return
+            await direct_case.whole('yes')(target, head, writer)
+
+        await self.add(strict)
+        asked = {'Expect-Version': '7'}
+        self.assertEqual(503, (await self.ask(**asked))[0])
+        self.assertEqual((200, b'yes'), (await self.ask())[:2])
+
     async def test_error_is_retried_elsewhere(self):
         """A read that fails with 500 is retried at another target."""
         self.serve(direct_case.IDEMPOTENT)
