--- a/tamarackthread/control/installing.py
+++ b/tamarackthread/control/installing.py
@@ -55,6 +55,10 @@
         return self._reply(request.total, installed=True)
 
     def _install(self, snapshot: snapshots.Snapshot) -> None:
+        # While the disk was slow, entries after the snapshot may have been
+        # committed, which an older state and log would drop.
+        if snapshot.meta.last_index <= self._state.commit_index:
+            return
         self._state.adopt_snapshot(snapshot)
         self._restore(snapshot)
         _log.info(
--- a/tamarackthread/control/snapshots.py
+++ b/tamarackthread/control/snapshots.py
@@ -99,7 +99,10 @@
     async def complete(
         self, request: messages.SnapshotRequest
     ) -> Snapshot | None:
-        """Store the received snapshot, or return ``None`` if it is damaged."""
+        """Return the received snapshot, or ``None`` if it is damaged.
+
+        Stores it unless a newer one is stored.
+        """
         name = _incoming_name(request)
         data = await self._files.read(name)
         await self._drop_incoming()
@@ -107,8 +110,10 @@
             return None
         snapshot = parse(data)
         async with self._lock:
-            await self._files.replace(FILE, data)
-            self._meta = snapshot.meta
+            # The log may already be compacted up to a newer one.
+            if snapshot.meta.last_index > self._meta.last_index:
+                await self._files.replace(FILE, data)
+                self._meta = snapshot.meta
         return snapshot
 
     async def _received_bytes(self, name: str) -> int:
