Pass encoded bodies of requests on byte for byte

Cause: the HTTP library unpacks bodies of requests unless it is told not to. Entries told it so for answers only.

--- a/tamarackthread/entry/direct/frontend.py
+++ b/tamarackthread/entry/direct/frontend.py
@@ -127,6 +127,8 @@
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_SECONDS,
             lingering_time=0,
+            # Bodies are passed on byte for byte.
+            auto_decompress=False,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
--- a/tamarackthread/entry/frontend.py
+++ b/tamarackthread/entry/frontend.py
@@ -73,6 +73,8 @@
             max_field_size=self._limits.header_limit_bytes,
             max_line_size=self._limits.header_limit_bytes,
             lingering_time=0,
+            # Bodies are passed on byte for byte.
+            auto_decompress=False,
         )
         self._server = web.ServerRunner(
             self._http_server,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -86,6 +86,7 @@
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=0,
+            auto_decompress=False,
         )
         await self.runner.setup()
         await web.TCPSite(self.runner, '127.0.0.1', 0).start()
