Say once what reading a bounded body raises, and when callers of a stopping entry return

Four readers listed the same errors of a body that is read within a budget; they name one list now, in which TimeoutError needs no place of its own, as it is an OSError. The time after which a caller of a stopping entry returns stood at each of four places that raise EntryStops and is its default now. A clock that nobody passed to Announcing is gone, and the tests of departures build announcements as those of control hosts do.

--- a/tamarackthread/agent/engine_client.py
+++ b/tamarackthread/agent/engine_client.py
@@ -27,12 +27,6 @@
 # rank, and of all.
 MAX_ANSWER_BYTES = 4 << 20
 MAX_HELD_BYTES = 16 << 20
-_REQUEST_ERRORS = (
-    aiohttp.ClientError,
-    byte_budget.BudgetExceeded,
-    OSError,
-    ValueError,
-)
 
 Answer = dict[str, typing.Any]
 
@@ -93,7 +87,7 @@
         try:
             async with self._request(method, path, text, timeout) as response:
                 return _parse_object(await self._read_body(response))
-        except _REQUEST_ERRORS as exc:
+        except response_body.BOUNDED_READ_ERRORS as exc:
             raise EngineSilent(f'{path}: {exc!r}') from exc
 
     async def lines(
@@ -109,7 +103,7 @@
                     _parse_object(await self._read_body(response))
                 while line := await _read_line(response):
                     yield _parse_object(line)
-        except _REQUEST_ERRORS as exc:
+        except response_body.BOUNDED_READ_ERRORS as exc:
             raise EngineSilent(f'{path}: {exc!r}') from exc
 
     def _request(
--- a/tamarackthread/agent/target.py
+++ b/tamarackthread/agent/target.py
@@ -42,13 +42,6 @@
 # Bytes of a load report, and of all that are read at once.
 MAX_REPORT_BYTES = 4 << 20
 MAX_HELD_BYTES = 8 << 20
-# ``OSError`` includes ``TimeoutError``; ``ValueError`` is invalid JSON.
-_REQUEST_ERRORS = (
-    aiohttp.ClientError,
-    byte_budget.BudgetExceeded,
-    OSError,
-    ValueError,
-)
 _log = logging.getLogger('tamarackthread.agent')
 
 
@@ -187,7 +180,7 @@
                     response, self._held_bytes
                 )
                 return json.loads(body)
-        except _REQUEST_ERRORS as exc:
+        except response_body.BOUNDED_READ_ERRORS as exc:
             raise target_errors.TargetSilent(f'{path}: {exc!r}') from exc
 
 
--- a/tamarackthread/control/site/announcing.py
+++ b/tamarackthread/control/site/announcing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections.abc
 import datetime
 import logging
 
@@ -18,7 +17,6 @@
 from tamarackthread.shared.site import announcements
 
 MILLISECONDS = 1000
-UnixClock = collections.abc.Callable[[], datetime.datetime]
 _log = logging.getLogger('tamarackthread.control')
 
 
@@ -35,13 +33,11 @@
         group: consensus.Consensus,
         site: machine.SiteMachine,
         targets: target_registry.TargetRegistry,
-        unix_clock: UnixClock | None = None,
     ) -> None:
         """Propose departures to ``group``, whose state machine is ``site``."""
         self._group = group
         self._site = site
         self._targets = targets
-        self._unix_clock = unix_clock or _utc_now
         site.on_departure(self._record_departure)
 
     @property
@@ -77,9 +73,9 @@
     async def _commit(self, announcement: announcements.Announcement) -> None:
         if self._site.departures.covers(announcement):
             return
-        unix_time = self._unix_clock().timestamp()
+        now = datetime.datetime.now(tz=datetime.UTC)
         departure = departures.Departure(
-            announcement, int(unix_time * MILLISECONDS)
+            announcement, int(now.timestamp() * MILLISECONDS)
         )
         until = asyncio.get_running_loop().time() + committing.TIMEOUT_SECONDS
         await committing.commit(
@@ -96,7 +92,3 @@
             service=announcement.service,
             state=announcement.state.name.lower(),
         )
-
-
-def _utc_now() -> datetime.datetime:
-    return datetime.datetime.now(tz=datetime.UTC)
--- a/tamarackthread/control/site/maps/rank_client.py
+++ b/tamarackthread/control/site/maps/rank_client.py
@@ -5,7 +5,12 @@
 import aiohttp
 
 from tamarackthread.control.site.maps import ranks
-from tamarackthread.shared import byte_budget, fields, http_connection
+from tamarackthread.shared import (
+    byte_budget,
+    fields,
+    http_connection,
+    response_body,
+)
 
 HTTP_OK = 200
 # A target accepts few connections, so idle ones are closed soon.
@@ -14,13 +19,6 @@
 # experts take, and of all.
 MAX_ANSWER_BYTES = 4 << 20
 MAX_HELD_BYTES = 32 << 20
-_ANSWER_ERRORS = (
-    aiohttp.ClientError,
-    byte_budget.BudgetExceeded,
-    OSError,
-    TimeoutError,
-    ValueError,
-)
 
 
 class RankClient:
@@ -52,7 +50,7 @@
             async with getting as answer:
                 body = await self._read_body(answer)
                 return fields.parse(body) if answer.status == HTTP_OK else None
-        except _ANSWER_ERRORS:
+        except response_body.BOUNDED_READ_ERRORS:
             return None
 
     async def post(
@@ -73,7 +71,7 @@
             async with posting as answer:
                 await self._read_body(answer)
                 return answer.status
-        except _ANSWER_ERRORS:
+        except response_body.BOUNDED_READ_ERRORS:
             return None
 
     async def close(self) -> None:
@@ -82,6 +80,7 @@
             await session.close()
 
     async def _read_body(self, answer: aiohttp.ClientResponse) -> bytes:
+        """Read a body, also one whose end with its connection was not seen."""
         body = bytearray()
         with self._held_bytes.reserve() as held:
             while not answer.content.at_eof():
--- a/tamarackthread/entry/direct/admission_control.py
+++ b/tamarackthread/entry/direct/admission_control.py
@@ -86,9 +86,7 @@
                 await waiter.granted
         except TimeoutError as exc:
             if self._stopping.ends_at < call.deadline:
-                raise failures.EntryStops(
-                    retry_after=failures.STOPPING_RETRY_AFTER_SECONDS
-                ) from exc
+                raise failures.EntryStops() from exc
             raise failures.NoRoomInTime(
                 retry_after=RETRY_AFTER_SECONDS
             ) from exc
--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -103,9 +103,7 @@
         if progress.may_have_run:
             return late(progress.names)
         if is_stopped:
-            return failures.EntryStops(
-                retry_after=failures.STOPPING_RETRY_AFTER_SECONDS
-            )
+            return failures.EntryStops()
         return failures.DeadlineBeforeSend(
             retry_after=self._jittered(FULL_RETRY_AFTER_SECONDS),
         )
--- a/tamarackthread/entry/direct/failures.py
+++ b/tamarackthread/entry/direct/failures.py
@@ -116,6 +116,14 @@
     code = 'TT7210'
     status = 503
 
+    def __init__(
+        self,
+        text: str = '',
+        retry_after: float = STOPPING_RETRY_AFTER_SECONDS,
+    ) -> None:
+        """Ask the caller to return at once, unless told otherwise."""
+        super().__init__(text, retry_after)
+
 
 class CutByStop(errors.CodedError):
     """Entry has ended while a target had the call."""
--- a/tamarackthread/entry/direct/frontend.py
+++ b/tamarackthread/entry/direct/frontend.py
@@ -226,9 +226,7 @@
             async with self._stopping.timeout_at(math.inf):
                 return await self._admit(request, parsed)
         except TimeoutError as exc:
-            raise failures.EntryStops(
-                retry_after=failures.STOPPING_RETRY_AFTER_SECONDS
-            ) from exc
+            raise failures.EntryStops() from exc
 
     async def _admit(
         self,
@@ -238,9 +236,7 @@
         """Route a request; raise a coded error if it is refused."""
         arrived = asyncio.get_running_loop().time()
         if self._is_refusing:
-            raise failures.EntryStops(
-                retry_after=failures.STOPPING_RETRY_AFTER_SECONDS
-            )
+            raise failures.EntryStops()
         table = await self._tables.wait(calls.startup_wait(parsed.time_left))
         path = parsed.path.partition('?')[0]
         match = table.find(parsed.host, path, parsed.key)
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -40,12 +40,6 @@
 # is a quarter of an entry's memory.
 MAX_ANSWER_BYTES = 16 << 20
 MAX_HELD_BYTES = 64 << 20
-_BODY_ERRORS = (
-    aiohttp.ClientError,
-    byte_budget.BudgetExceeded,
-    OSError,
-    ValueError,
-)
 # Kinds of responses that tell nothing of the target that was asked.
 _OF_OTHER_TARGETS = frozenset(
     (dialect.ResponseKind.MISDIRECTED, dialect.ResponseKind.MISMATCHED)
@@ -321,7 +315,7 @@
 def _raising_lost() -> collections.abc.Iterator[None]:
     try:
         yield
-    except _BODY_ERRORS as exc:
+    except response_body.BOUNDED_READ_ERRORS as exc:
         raise Lost(str(exc) or type(exc).__name__) from exc
 
 
--- a/tamarackthread/shared/response_body.py
+++ b/tamarackthread/shared/response_body.py
@@ -12,6 +12,8 @@
 
 _BODILESS_STATUSES = frozenset((204, 304))
 _READ_ERRORS = (aiohttp.ClientError, OSError, ValueError)
+# What reading a body within a budget raises, timeouts among them.
+BOUNDED_READ_ERRORS = (*_READ_ERRORS, byte_budget.BudgetExceeded)
 
 
 class Framing(enum.StrEnum):
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -18,7 +18,7 @@
 from tamarackthread.entry.direct import targets
 from tamarackthread.shared import errors
 from tamarackthread.shared.site import announcements, document
-from tests import membership_net
+from tests import membership_net, test_site_control
 
 State = announcements.State
 # Bounds of the platform's pages, in seconds.
@@ -31,17 +31,6 @@
 ROUNDS = 3
 
 
-def announcement(state=State.READY, target='t1', sequence=1, **fields):
-    return announcements.Announcement(
-        target=target,
-        service='s',
-        address='10.0.0.1:80',
-        state=state,
-        sequence=sequence,
-        **fields,
-    )
-
-
 def command(announced, at_ms=0):
     return machine.departure_command(departures.Departure(announced, at_ms))
 
@@ -51,22 +40,35 @@
         """Guards against departures that a restart of all hosts forgets."""
         site = machine.SiteMachine()
         site.apply(1, document.pack(4, b'four').encode())
-        site.apply(2, command(announcement(State.LEAVING)))
-        site.apply(3, command(announcement(State.GONE, target='t2', born=7)))
+        site.apply(2, command(test_site_control.announcement(State.LEAVING)))
+        site.apply(
+            3,
+            command(
+                test_site_control.announcement(State.GONE, target='t2', born=7)
+            ),
+        )
         heard = []
         restored = machine.SiteMachine()
         restored.on_departure(heard.append)
         restored.restore(site.snapshot())
         self.assertEqual(4, restored.held.version)
         self.assertEqual(['t1', 't2'], [row.target for row in heard])
-        self.assertTrue(restored.departures.covers(announcement(State.LEAVING)))
-        self.assertFalse(restored.departures.covers(announcement(State.GONE)))
+        self.assertTrue(
+            restored.departures.covers(
+                test_site_control.announcement(State.LEAVING)
+            )
+        )
+        self.assertFalse(
+            restored.departures.covers(
+                test_site_control.announcement(State.GONE)
+            )
+        )
 
     def test_late_and_doubled_commands(self):
         """Guards against a late copy that takes back what was said later."""
         site = machine.SiteMachine()
-        gone = command(announcement(State.GONE, born=7))
-        late = command(announcement(State.LEAVING, born=7))
+        gone = command(test_site_control.announcement(State.GONE, born=7))
+        late = command(test_site_control.announcement(State.LEAVING, born=7))
         self.assertEqual(machine.APPLIED, site.apply(1, gone))
         self.assertEqual(machine.SUPERSEDED, site.apply(2, gone))
         self.assertEqual(machine.SUPERSEDED, site.apply(3, late))
@@ -76,8 +78,12 @@
     def test_unreadable_commands(self):
         """Guards against a command that halts the group on every member."""
         site = machine.SiteMachine()
-        prefix = command(announcement(State.GONE))[:8]
-        for body in (b'', b'\xff', command(announcement())[8:]):
+        prefix = command(test_site_control.announcement(State.GONE))[:8]
+        for body in (
+            b'',
+            b'\xff',
+            command(test_site_control.announcement())[8:],
+        ):
             with self.subTest(body=body):
                 self.assertEqual(
                     machine.SUPERSEDED, site.apply(1, prefix + body)
@@ -87,10 +93,22 @@
         """Guards against a snapshot that grows with every departure."""
         site = machine.SiteMachine()
         for number in range(departures.MAX_ROWS + 5):
-            site.apply(number, command(announcement(State.GONE, f't{number}')))
+            site.apply(
+                number,
+                command(
+                    test_site_control.announcement(
+                        State.GONE, target=f't{number}'
+                    )
+                ),
+            )
         self.assertEqual(departures.MAX_ROWS, len(site.departures.rows))
         later = departures.RETENTION_MS + 1
-        site.apply(1, command(announcement(State.GONE, 'last'), later))
+        site.apply(
+            1,
+            command(
+                test_site_control.announcement(State.GONE, target='last'), later
+            ),
+        )
         self.assertEqual(1, len(site.departures.rows))
 
 
@@ -181,7 +199,7 @@
         """Return the states that a new entry and an old one end up with."""
         new = targets.Targets('z', BEAT, self.random)
         old = targets.Targets('z', BEAT, self.random)
-        old.take(announcement(target=target))
+        old.take(test_site_control.announcement(target=target))
         for node in self.random.sample(membership_net.SEEDS, 3):
             for row in self.net.machines[node].registry.changed_since(0):
                 new.take(row)
@@ -209,7 +227,7 @@
         await site.start()
         for number in range(ROUNDS):
             name = f't{number}'
-            ready = announcement(target=name)
+            ready = test_site_control.announcement(target=name)
             home = site.random.choice(membership_net.SEEDS)
             site.net.machines[home].registry.record(ready)
             state = site.random.choice((State.LEAVING, State.GONE))
@@ -233,7 +251,7 @@
             lost = leader if is_leader else _other(leader)
             site.net.crash(lost)
             async with asyncio.timeout(CATCH_UP):
-                await site.leave(announcement(State.GONE))
+                await site.leave(test_site_control.announcement(State.GONE))
 
     async def _no_quorum(self):
         site = _Site(seed=6)
@@ -243,7 +261,7 @@
             if node != left:
                 site.net.crash(node)
         registry = site.net.machines[left].registry
-        registry.record(announcement())
+        registry.record(test_site_control.announcement())
         with self.assertRaises(committing.ChangeUnsettled):
             async with asyncio.timeout(CALL_TIMEOUT):
                 await site.announcing_on(left).deregister('t1')
