--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import json
+import pathlib
 import sys
 import time
 
@@ -22,12 +23,14 @@
     parser = argparse.ArgumentParser(prog='soak', description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--minutes', type=float, default=1)
+    parser.add_argument('--seconds', type=float, default=SECONDS_A_SEED)
+    parser.add_argument('--keep', type=pathlib.Path)
     chosen = parser.parse_args()
     until = time.perf_counter() + chosen.minutes * SECONDS_OF_MINUTE
     seed = chosen.seed
     broken = 0
     while seed == chosen.seed or time.perf_counter() < until:
-        seen = asyncio.run(run.soak(seed, SECONDS_A_SEED))
+        seen = asyncio.run(run.soak(seed, chosen.seconds, chosen.keep))
         print(json.dumps(seen), flush=True)
         broken += len(seen['violations'])
         seed += 1
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import enum
 
@@ -19,6 +20,10 @@
 CRASHES_CODE = 'TT7213'
 # Calls of one second that a cold target takes from all entries.
 COLD_RATE = 20
+# Repeats of a span that calls earn, and those that are allowed besides.
+BUDGET_SECONDS = 10.0
+BUDGET_SHARE = 0.2
+BUDGET_SLACK = 124
 
 
 class Kind(enum.Enum):
@@ -87,14 +92,24 @@
         self._accepted: list[tuple[float, int]] = []
         self._evacuated: dict[str, float] = {}
         self._cold: dict[str, collections.deque[float]] = {}
+        self._asked_at: list[float] = []
+        self._arrivals: collections.Counter[str] = collections.Counter()
+        self._repeated_at: list[float] = []
         self._crashes: dict[tuple[CrashBound, str], list[float]] = (
             collections.defaultdict(list)
         )
         self._found: list[Violation] = []
 
-    def asked(self, attempt: Attempt) -> None:
+    def asked(self, attempt: Attempt, now: float = 0) -> None:
         """Note a try before it is sent."""
         self.attempts[attempt.identity] = attempt
+        self._asked_at.append(now)
+
+    def arrived(self, identity: str, now: float) -> None:
+        """Note that a call has arrived at a target, which may refuse it."""
+        self._arrivals[identity] += 1
+        if self._arrivals[identity] > 1:
+            self._repeated_at.append(now)
 
     def ran(self, identity: str) -> None:
         """Note that a target began to work on a call."""
@@ -153,6 +168,16 @@
         """Note a call that a planned stop has cut off."""
         self._add('cut_by_planned_stop', attempt.identity)
 
+    def most_repeats(self) -> int:
+        """Return the most repeats in any span over which they are counted."""
+        return max(
+            (
+                _count(self._repeated_at, now - BUDGET_SECONDS, now)
+                for now in self._repeated_at
+            ),
+            default=0,
+        )
+
     def crashes(self) -> dict[str, int]:
         """Count the targets that calls and parts of prompts have crashed."""
         found = {'by_call': 0, 'by_part': 0}
@@ -169,7 +194,24 @@
                 found.append(Violation('ran_unasked', identity))
         for attempt in self.attempts.values():
             found.extend(self._judge(attempt))
-        return found
+        return found + self._judge_repeats()
+
+    def _judge_repeats(self) -> list[Violation]:
+        """Find the worst span with more repeats of all entries than allowed."""
+        worst: float = 0
+        about = ''
+        for now in self._repeated_at:
+            repeats = _count(self._repeated_at, now - BUDGET_SECONDS, now)
+            earlier = (0, BUDGET_SECONDS / 2, BUDGET_SECONDS)
+            calls = max(
+                _count(self._asked_at, now - BUDGET_SECONDS - back, now - back)
+                for back in earlier
+            )
+            allowed = BUDGET_SHARE * calls + BUDGET_SLACK
+            if repeats - allowed > worst:
+                worst = repeats - allowed
+                about = f'{repeats} repeats, {allowed:.0f} allowed'
+        return [Violation('repeats_over_budget', about)] if about else []
 
     def _judge_crashes(self, bound: CrashBound, cause: str) -> None:
         """Find crashes that came long after the cause had to be known."""
@@ -197,3 +239,9 @@
 
     def _add(self, promise: str, about: str) -> None:
         self._found.append(Violation(promise, about))
+
+
+def _count(moments: list[float], after: float, until: float) -> int:
+    """Count the moments of a span, in order of time."""
+    first = bisect.bisect_right(moments, after)
+    return bisect.bisect_right(moments, until) - first
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -22,12 +22,22 @@
 CHANGE_SECONDS = 1.0
 RESEND_SECONDS = 0.1
 EVACUATED_SECONDS = 7.0
+# Orders for a zone that follow each other at once, before it stays evacuated.
+MOST_FLIPS = 4
+FLIP_SECONDS = 0.3
+# Shares of seeds with many entries, which start together, and a longer freeze.
+CROWDED_SHARE = 0.4
+HERD_SECONDS = 4.0
+FULL_SECONDS = 6.0
+CROWDED_PAUSE_SECONDS = 0.2
 CRASH_SECONDS = 0.5
 # Calls share the first part of their prompts and one of so many topics.
 TOPICS = 6
-OPERATOR_SECONDS = 2.0
+# An operator without an answer asks another host.
+OPERATOR_SECONDS = 1.0
 MOST_PAUSE_SECONDS = 2.0
 MOST_DOWN_SECONDS = 1.5
+MOST_FROZEN_SECONDS = 4.0
 # A fault explains a cut call up to so long after its end.
 AFTER_SECONDS = 1.0
 # A call that is read is not cut off without an answer later than this.
@@ -48,10 +58,19 @@
 _FAILURES = (aiohttp.ClientError, OSError, TimeoutError)
 
 
-async def soak(seed: int, seconds: float) -> dict[str, typing.Any]:
-    """Run one seed for so long and return what was seen."""
-    with tempfile.TemporaryDirectory() as folder:
-        return await Soak(seed, pathlib.Path(folder)).run(seconds)
+async def soak(
+    seed: int, seconds: float, kept: pathlib.Path | None = None
+) -> dict[str, typing.Any]:
+    """Run one seed for so long and return what was seen.
+
+    Settings, data and logs stay below ``kept``, if it is given.
+    """
+    if kept is not None:
+        folder = kept / str(seed)
+        folder.mkdir(parents=True)
+        return await Soak(seed, folder).run(seconds)
+    with tempfile.TemporaryDirectory() as temporary:
+        return await Soak(seed, pathlib.Path(temporary)).run(seconds)
 
 
 class Soak:
@@ -62,7 +81,15 @@
         self._rng = random.Random(seed)
         self._seed = seed
         self.seen = ledger.Ledger()
-        self._world = world.World(folder)
+        # A generator of its own: what else a seed draws stays as it was.
+        self._is_crowded = random.Random(f'{seed} crowded').random() < (
+            CROWDED_SHARE
+        )
+        self._call_pause = CROWDED_PAUSE_SECONDS if self._is_crowded else 0.05
+        self._world = world.World(
+            folder,
+            len(world.ENTRIES) if self._is_crowded else world.FEW_ENTRIES,
+        )
         self._targets = [
             targets.Target(
                 _SERVICE,
@@ -106,10 +133,14 @@
         ]
         working.append(asyncio.create_task(self._change_on(session)))
         working.append(asyncio.create_task(self._evacuate_on(session)))
-        working.append(asyncio.create_task(self._crash_on(session)))
-        working.append(asyncio.create_task(self._crash_by_part_on(session)))
-        working.append(asyncio.create_task(self._break_entries()))
-        working.append(asyncio.create_task(self._break_controls()))
+        if self._is_crowded:
+            working.append(asyncio.create_task(self._kill_all()))
+        else:
+            # What crashes targets is known to running processes only.
+            working.append(asyncio.create_task(self._crash_on(session)))
+            working.append(asyncio.create_task(self._crash_by_part_on(session)))
+            working.append(asyncio.create_task(self._break_entries()))
+            working.append(asyncio.create_task(self._break_controls()))
         working.append(asyncio.create_task(self._break_targets()))
         await asyncio.sleep(seconds)
         self._is_over = True
@@ -122,7 +153,7 @@
             kind = self._rng.choice(tuple(_PATHS))
             entry = self._rng.choice(self._world.entries)
             await self._call(session, kind, entry)
-            await asyncio.sleep(self._rng.uniform(0, 0.05))
+            await asyncio.sleep(self._rng.uniform(0, self._call_pause))
 
     async def _call(
         self,
@@ -135,8 +166,8 @@
         attempt = ledger.Attempt(uuid.uuid4().hex, kind, entry.host)
         attempt.is_crashing = bool(body or parts)
         topic = parts or f'topic{self._rng.randrange(TOPICS)}'
-        self.seen.asked(attempt)
         asked_at = asyncio.get_running_loop().time()
+        self.seen.asked(attempt, asked_at)
         headers = {
             'Host': _HOST,
             wire.CALL_ID: attempt.identity,
@@ -187,6 +218,11 @@
         zone = world.ZONES[-1]
         while not self._is_over:
             await self._pause()
+            # An order that a frozen host still holds comes after newer ones.
+            for _ in range(self._rng.randrange(MOST_FLIPS)):
+                await self._order(session, wire.EVACUATE, zone)
+                await asyncio.sleep(self._rng.uniform(0, FLIP_SECONDS))
+                await self._order(session, wire.RESTORE, zone)
             await self._order(session, wire.EVACUATE, zone)
             self.seen.evacuated(zone, asyncio.get_running_loop().time())
             await self._wait(EVACUATED_SECONDS)
@@ -275,6 +311,21 @@
             await self._pause()
             await self._break(self._rng.choice(self._world.entries))
 
+    async def _kill_all(self) -> None:
+        """Kill all processes at once, while all targets refuse calls."""
+        while not self._is_over:
+            await self._pause()
+            self._faults['herd'] += 1
+            for target in self._targets:
+                target.is_full = True
+            await self._world.kill_all(
+                (*self._world.controls, *self._world.entries)
+            )
+            await asyncio.sleep(FULL_SECONDS)
+            for target in self._targets:
+                target.is_full = False
+            await self._wait(HERD_SECONDS)
+
     async def _break_controls(self) -> None:
         """Break one control host at a time, as many as may be lost."""
         while not self._is_over:
@@ -287,6 +338,9 @@
         down = self._rng.uniform(0, MOST_DOWN_SECONDS)
         if fault == 'kill':
             await self._world.kill(node, down)
+        elif fault == 'freeze' and node.role == 'control':
+            frozen = down * MOST_FROZEN_SECONDS / MOST_DOWN_SECONDS
+            await self._world.freeze(node, frozen)
         elif fault == 'freeze':
             await self._world.freeze(node, down)
         else:
@@ -319,6 +373,7 @@
             'version': self._version,
             'faults': dict(self._faults),
             'crashes': self.seen.crashes(),
+            'most_repeats': self.seen.most_repeats(),
             'violations': [f'{one.promise}: {one.about}' for one in found],
         }
 
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -49,6 +49,7 @@
         self._starts = 0
         self._sequence = 0
         self.is_silent = False
+        self.is_full = False
         self.renew()
 
     async def start(self) -> None:
@@ -108,8 +109,12 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         identity = request.headers.get(wire.CALL_ID, '')
+        self._seen.arrived(identity, _now())
         if request.headers.get(wire.EXPECTED_TARGET) != self._name:
             return web.Response(status=wire.MISDIRECTED)
+        if self.is_full:
+            headers = {wire.NOT_EXECUTED: '1', wire.CALL_ID: identity}
+            return web.Response(status=wire.REFUSAL_STATUS, headers=headers)
         self._seen.ran(identity)
         now = _now()
         self._seen.reached(self._zone, identity, now)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import json
 import os
 import pathlib
@@ -17,7 +18,8 @@
 from tamarackthread.platform import wire
 
 CONTROLS = ('127.0.0.11', '127.0.0.12', '127.0.0.13')
-ENTRIES = ('127.0.0.21', '127.0.0.22')
+ENTRIES = tuple(f'127.0.0.{number}' for number in range(21, 33))
+FEW_ENTRIES = 2
 ZONES = ('zone-0', 'zone-1')
 READY_TRIES = 300
 READY_PAUSE_SECONDS = 0.1
@@ -45,7 +47,9 @@
 class World:
     """Hold the processes; each fault is over when its method returns."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self, folder: pathlib.Path, entries: int = FEW_ENTRIES
+    ) -> None:
         """Keep settings, data and output below a folder."""
         self._folder = folder
         self._http = cluster.free_port()
@@ -54,7 +58,7 @@
         self._key = folder / 'link.key'
         self._key.write_text(secrets.token_hex(32))
         self.controls = [self._node('control', host) for host in CONTROLS]
-        self.entries = [self._node('entry', host) for host in ENTRIES]
+        self.entries = [self._node('entry', host) for host in ENTRIES[:entries]]
 
     @property
     def control_addresses(self) -> list[str]:
@@ -104,6 +108,16 @@
         await asyncio.sleep(down)
         await self._start(node)
 
+    async def kill_all(self, nodes: collections.abc.Sequence[Node]) -> None:
+        """Kill processes at the same moment and start all of them again."""
+        for node in nodes:
+            node.broken_at = _now()
+            _process_of(node).kill()
+        for node in nodes:
+            await _process_of(node).wait()
+        for node in nodes:
+            await self._start(node)
+
     async def freeze(self, node: Node, seconds: float) -> None:
         """Stop a process for a while, with all its connections open."""
         node.broken_at = _now()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -87,6 +87,28 @@
             held.reached_cold('t', now=5)
         self.assertEqual(['cold_target_overrun'], self.promises(held))
 
+    def test_repeats_over_budget(self):
+        """Repeats of all entries exceed what calls of the same span allow."""
+        held = seen()
+        for number in range(ledger.BUDGET_SLACK + 1):
+            held.arrived('c1', now=20 + number / 100)
+        self.assertEqual([], self.promises(held))
+        held.arrived('c1', now=22)
+        self.assertEqual(['repeats_over_budget'], self.promises(held))
+        # Five calls of the span before allow one repeat more.
+        for _ in range(5):
+            held.asked(held.attempts['c1'], now=9)
+        held._asked_at.sort()
+        self.assertEqual([], self.promises(held))
+
+    def test_repeats_of_a_later_span(self):
+        """Repeats that are more than a span apart don't add up."""
+        held = seen()
+        for moment in (1, 20):
+            for _ in range(ledger.BUDGET_SLACK):
+                held.arrived('c1', now=moment)
+        self.assertEqual([], self.promises(held))
+
     def test_crashing_call(self):
         """A call crashes target after target long after the third."""
         held = seen()
