--- a/tamarackthread/control/site/evacuation.py
+++ b/tamarackthread/control/site/evacuation.py
@@ -7,10 +7,11 @@
 import logging
 
 from tamarackthread.control import consensus
-from tamarackthread.control.site import committing, machine
+from tamarackthread.control.site import callers, committing, machine
 from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import zones
 
+MILLISECONDS = 1000
 _log = logging.getLogger('tamarackthread.control')
 
 
@@ -36,7 +37,7 @@
         self._zone_names = frozenset(zone_names)
 
     async def request(
-        self, zone: str, author: str, *, is_evacuated: bool
+        self, zone: str, caller: callers.Caller, *, is_evacuated: bool
     ) -> None:
         """Evacuate or restore a zone; return once that is committed.
 
@@ -45,21 +46,26 @@
         """
         if zone not in self._zone_names:
             raise ZoneUnknown(f'zone "{zone}"')
-        until = asyncio.get_running_loop().time() + committing.TIMEOUT_SECONDS
+        asked_at = asyncio.get_running_loop().time()
+        until = asked_at + committing.TIMEOUT_SECONDS
         while not await self._propose(zone, until, is_evacuated=is_evacuated):
             # The zone's revision has changed since this host last applied a
             # command; propose again with the new one.
             await self._read_barrier(until)
+        took = asyncio.get_running_loop().time() - asked_at
         log_events.emit(
             _log,
             log_events.Event.ZONE,
             'control: zone %s is %s, asked by %s',
             zone,
             'evacuated' if is_evacuated else 'in service',
-            author,
+            caller.name,
             zone=zone,
             is_evacuated=is_evacuated,
-            author=author,
+            author=caller.name,
+            revision=self._site.zones.get(zone).revision,
+            took_ms=round(took * MILLISECONDS),
+            is_waiting=caller.is_waiting,
         )
 
     async def list_zones(self) -> list[zones.Zone]:
--- a/tamarackthread/control/site/handler.py
+++ b/tamarackthread/control/site/handler.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from tamarackthread.control import consensus
-from tamarackthread.control.site import evacuation, feed, loads
+from tamarackthread.control.site import callers, evacuation, feed, loads
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.shared import errors, link
 from tamarackthread.shared.site import zones
@@ -58,7 +58,7 @@
         if zone_request.name:
             await self._zones.request(
                 zone_request.name,
-                zone_request.author or link.peer.node,
+                callers.LinkCaller(link, zone_request.author or link.peer.node),
                 is_evacuated=bool(zone_request.is_evacuated),
             )
         rows = [zones.to_message(row) for row in await self._zones.list_zones()]
--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -164,8 +164,10 @@
         progress: call_progress.CallProgress,
     ) -> instances.TargetInstance:
         """Select the next target; raise the final error if none is left."""
-        if progress.failure is not None and not self._may_retry(call, progress):
-            raise self._final_error(call, progress)
+        if progress.failure is not None:
+            if not self._may_retry(call, progress):
+                raise self._final_error(call, progress)
+            self._count_repeat(call, progress.failure)
         if self._targets.cooldown_seconds(call.service):
             raise self._final_error(call, progress)
         await self._admission.admit(call)
@@ -201,6 +203,14 @@
             return False
         return self._budget.spend(call.service)
 
+    def _count_repeat(
+        self, call: calls.Call, failure: errors.CodedError
+    ) -> None:
+        reason = 'other'
+        if isinstance(failure, target_client.TryFailure):
+            reason = failure.reason
+        self._budget.count_repeat(call.service, reason)
+
     def _may_repeat(self, call: calls.Call) -> bool:
         return call.route.is_retryable and self._poison.may_repeat(call)
 
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -98,17 +98,16 @@
             poison,
         )
         self._target_client = target_client.TargetClient(header_dialect)
+        self._retry_budgets = retry_budgets.RetryBudgets(
+            self._site, lambda: len(self._feed_client.entries), loop.time
+        )
         self._frontend = frontend.Frontend(
             header_dialect,
             tables,
             call_runner.CallRunner(
                 self._targets,
                 self._target_client,
-                retry_budgets.RetryBudgets(
-                    self._site,
-                    lambda: len(self._feed_client.entries),
-                    loop.time,
-                ),
+                self._retry_budgets,
                 admission,
                 poison,
                 generator,
@@ -132,6 +131,7 @@
             loop.create_task(self._targets.run()),
             loop.create_task(self._load_exchange.run()),
             loop.create_task(self._call_log.run()),
+            loop.create_task(self._retry_budgets.run()),
         ]
         http = await self._frontend.start(self._site.callers_address)
         ready = await self._frontend.start_readiness(self._site.http_address)
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -46,16 +46,27 @@
 )
 
 
-class NotSent(errors.CodedError):
+class TryFailure(errors.CodedError):
+    """A try at a target gave the caller no answer."""
+
+    # Label of the metric that counts repeats.
+    reason = ''
+
+
+class NotSent(TryFailure):
     """Connection to the target could not be made."""
 
+    reason = 'not_sent'
+
     code = 'TT7220'
     status = 503
 
 
-class Refused(errors.CodedError):
+class Refused(TryFailure):
     """Target refused the call without running it."""
 
+    reason = 'refused'
+
     code = 'TT7221'
     status = 503
 
@@ -63,12 +74,16 @@
 class Elsewhere(Refused):
     """Another target answers at the address of the intended one."""
 
+    reason = 'elsewhere'
+
     code = 'TT7222'
 
 
-class Lost(errors.CodedError):
+class Lost(TryFailure):
     """Target had the call, and its answer is missing or incomplete."""
 
+    reason = 'lost'
+
     code = 'TT7223'
     status = 502
 
@@ -76,6 +91,8 @@
 class Unanswered(Lost):
     """Connection to the target closed before any of its answer came."""
 
+    reason = 'unanswered'
+
     code = 'TT7225'
 
 
--- a/tamarackthread/entry/direct/target_log.py
+++ b/tamarackthread/entry/direct/target_log.py
@@ -89,6 +89,9 @@
     """Log the evacuated zones, and set their metric."""
     evacuated = [row.name for row in known.rows if row.is_evacuated]
     site_metrics.ZONES_EVACUATED.set(len(evacuated))
+    revisions = {row.name: row.revision for row in known.rows}
+    for zone, revision in revisions.items():
+        site_metrics.ZONE_REVISION.labels(zone).set(revision)
     log_events.emit(
         _log,
         log_events.Event.ZONE,
@@ -96,6 +99,7 @@
         ', '.join(evacuated) or 'none',
         zones=evacuated,
         changes=known.changes,
+        revisions=revisions,
     )
 
 
--- a/tamarackthread/platform/http_api.py
+++ b/tamarackthread/platform/http_api.py
@@ -10,6 +10,7 @@
 from tamarackthread.control.site import (
     announcing,
     api,
+    callers,
     evacuation,
     host,
     http_errors,
@@ -89,7 +90,7 @@
 ) -> web.StreamResponse:
     await zones.request(
         request.match_info['zone'],
-        f'an operator at {request.remote}',
+        callers.HttpCaller(request),
         is_evacuated=is_evacuated,
     )
     return web.json_response({})
--- a/tamarackthread/shared/log_events.py
+++ b/tamarackthread/shared/log_events.py
@@ -20,6 +20,8 @@
     CALL_LOST = 'call_lost'
     SUSPECT = 'suspect'
     CALLS_SUMMED = 'calls_summed'
+    RETRY_BUDGET = 'retry_budget'
+    REPEATS_SUMMED = 'repeats_summed'
     # State as seen by this process.
     CONFIGURATION = 'configuration'
     TARGET = 'target'
--- a/tamarackthread/shared/site/site_metrics.py
+++ b/tamarackthread/shared/site/site_metrics.py
@@ -40,6 +40,18 @@
     ('service', 'code'),
     registry=_registry,
 )
+REPEATS = prometheus_client.Counter(
+    'tamarackthread_repeats',
+    'Tries after the first of a call, by why the one before failed.',
+    ('service', 'reason'),
+    registry=_registry,
+)
+RETRY_LEVEL = prometheus_client.Gauge(
+    'tamarackthread_retry_budget',
+    'Retries that this entry may make now.',
+    ('service',),
+    registry=_registry,
+)
 ANSWERS_ENDED = prometheus_client.Counter(
     'tamarackthread_answers_ended',
     'Answers of targets by how they were framed and how their bodies ended.',
@@ -104,6 +116,12 @@
     'Availability zones whose targets get no work from here.',
     registry=_registry,
 )
+ZONE_REVISION = prometheus_client.Gauge(
+    'tamarackthread_zone_revision',
+    'Revision of the request that is obeyed here, by availability zone.',
+    ('zone',),
+    registry=_registry,
+)
 ANNOUNCEMENTS_REFUSED = prometheus_client.Counter(
     'tamarackthread_announcements_refused',
     'Words to this control host that no target writes.',
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -7,6 +7,7 @@
 
 from tamarackthread.cli import client
 from tamarackthread.control.site import (
+    callers,
     committing,
     evacuation,
     feed,
@@ -23,7 +24,6 @@
 
 ZONES = ('east', 'west')
 SERVICE = 's'
-AUTHOR = 'ann'
 SEEDS = (3, 17, 4242)
 REQUESTS = 25
 COPY_SECONDS = 1.5
@@ -44,6 +44,27 @@
     )
 
 
+class PatientCaller(callers.Caller):
+    """Caller that waits for its answer until ``leave``."""
+
+    def __init__(self):
+        self._is_waiting = True
+
+    @property
+    def name(self):
+        return 'ann'
+
+    @property
+    def is_waiting(self):
+        return self._is_waiting
+
+    def leave(self):
+        self._is_waiting = False
+
+
+CALLER = PatientCaller()
+
+
 class MachineCase(unittest.TestCase):
     def test_delayed_copy(self):
         """A delayed copy of a command does not undo a newer request."""
@@ -143,7 +164,7 @@
             self._schedule_copy(node, name, is_evacuated=is_evacuated)
             try:
                 await self._evacuation_on(node).request(
-                    name, AUTHOR, is_evacuated=is_evacuated
+                    name, CALLER, is_evacuated=is_evacuated
                 )
             except errors.CodedError:
                 await asyncio.sleep(0.1)
@@ -234,8 +255,8 @@
         requests = evacuation.Evacuation(
             net.processes[follower], net.machines[follower], ZONES
         )
-        await requests.request('east', AUTHOR, is_evacuated=True)
-        await requests.request('east', AUTHOR, is_evacuated=True)
+        await requests.request('east', CALLER, is_evacuated=True)
+        await requests.request('east', CALLER, is_evacuated=True)
         self.assertTrue(net.machines[leader].zones.is_evacuated('east'))
         net.kill(*consensus_net.NODES)
         await net.start(*consensus_net.NODES)
@@ -252,7 +273,7 @@
     async def _unknown(self):
         requests = evacuation.Evacuation(None, machine.SiteMachine(), ZONES)
         with self.assertRaises(evacuation.ZoneUnknown):
-            await requests.request('north', AUTHOR, is_evacuated=True)
+            await requests.request('north', CALLER, is_evacuated=True)
         self.assertEqual(422, evacuation.ZoneUnknown.status)
 
     async def _without_quorum(self):
@@ -263,11 +284,11 @@
         requests = evacuation.Evacuation(
             net.processes[cut], net.machines[cut], ZONES
         )
-        await requests.request('east', AUTHOR, is_evacuated=True)
+        await requests.request('east', CALLER, is_evacuated=True)
         await net.until(lambda: net.machines[cut].zones.changes)
         net.isolate(cut)
         with self.assertRaises(committing.ChangeUnsettled):
-            await requests.request('east', AUTHOR, is_evacuated=True)
+            await requests.request('east', CALLER, is_evacuated=True)
 
 
 class FeedCase(policy_case.PausedCase):
@@ -367,10 +388,10 @@
         self.rows = {name: zones.Zone(name) for name in ZONES}
         self.authors = []
 
-    async def request(self, zone, author, *, is_evacuated):
+    async def request(self, zone, caller, *, is_evacuated):
         if zone not in self.rows:
             raise evacuation.ZoneUnknown(zone)
-        self.authors.append(author)
+        self.authors.append(caller.name)
         self.rows[zone] = zones.Zone(zone, is_evacuated, 1)
 
     async def list_zones(self):
