Don't let an order whose caller has left undo a newer one

Callers: traffic reached a zone that was being emptied (EVAC).

Cause: a control host that was frozen reads an order from its socket long after the operator has given up, been acknowledged by another host and asked for the opposite; the host took it for a new order. Besides, a request that changed nothing kept the zone's revision, so a copy that was in flight before it could still take effect after its acknowledgement.

--- a/tamarackthread/control/site/evacuation.py
+++ b/tamarackthread/control/site/evacuation.py
@@ -12,6 +12,8 @@
 from tamarackthread.shared.site import zones
 
 MILLISECONDS = 1000
+# Time for the end of a connection to arrive after the last order on it.
+CLOSE_SECONDS = 0.05
 _log = logging.getLogger('tamarackthread.control')
 
 
@@ -22,6 +24,13 @@
     status = 422
 
 
+class CallerGone(errors.CodedError):
+    """Caller closed its connection before its order was proposed."""
+
+    code = 'TT7107'
+    status = 503
+
+
 class Evacuation:
     """Commit operators' requests to evacuate and restore zones."""
 
@@ -41,17 +50,20 @@
     ) -> None:
         """Evacuate or restore a zone; return once that is committed.
 
-        The request is idempotent.  Raises ``ZoneUnknown`` at once, and
-        ``ChangeUnsettled`` without a quorum.
+        The request is idempotent.  Raises ``ZoneUnknown`` at once,
+        ``CallerGone`` if nobody waits for the answer, and ``ChangeUnsettled``
+        without a quorum.
         """
         if zone not in self._zone_names:
             raise ZoneUnknown(f'zone "{zone}"')
         asked_at = asyncio.get_running_loop().time()
         until = asked_at + committing.TIMEOUT_SECONDS
+        await self._require_waiting(caller)
         while not await self._propose(zone, until, is_evacuated=is_evacuated):
             # The zone's revision has changed since this host last applied a
             # command; propose again with the new one.
             await self._read_barrier(until)
+            await self._require_waiting(caller)
         took = asyncio.get_running_loop().time() - asked_at
         log_events.emit(
             _log,
@@ -90,6 +102,13 @@
         result = await committing.commit(self._group, command, until)
         return result == machine.APPLIED
 
+    async def _require_waiting(self, caller: callers.Caller) -> None:
+        # A frozen host reads an order long after its caller has given up, been
+        # acknowledged elsewhere and asked for the opposite.
+        await asyncio.sleep(CLOSE_SECONDS)
+        if not caller.is_waiting:
+            raise CallerGone(caller.name)
+
     async def _read_barrier(self, until: float) -> None:
         remaining = until - asyncio.get_running_loop().time()
         try:
--- a/tamarackthread/control/site/machine.py
+++ b/tamarackthread/control/site/machine.py
@@ -118,13 +118,11 @@
         held = self._zones.get(proposed.name)
         if proposed.revision != held.revision:
             return SUPERSEDED
-        if proposed.is_evacuated != held.is_evacuated:
-            self._zones.learn(
-                zones.Zone(
-                    proposed.name, proposed.is_evacuated, held.revision + 1
-                )
-            )
-            self._notify()
+        # Also a request that changes nothing is newer than all copies in flight.
+        self._zones.learn(
+            zones.Zone(proposed.name, proposed.is_evacuated, held.revision + 1)
+        )
+        self._notify()
         return APPLIED
 
     def _apply_departure(self, command: bytes) -> bytes:
