Begin retry budgets empty, and divide the reserve by the most entries ever known

Callers' calls were repeated beyond the budget (BUDGET) once entries had started together while targets refused.

Cause: a start began with half of the entry's part of the reserve, whatever its last start had spent in the same window, and the part was taken from the last control host's list of entries. A control host that has just started or woken lists few, so each of many entries held much or all of the reserve.

Evidence: 39 entries that are told of one entry each, 60 refused calls each: 1,482 retries where calls earn 351 (test_control_hosts_list_few_entries failed before).

Now a start earns all that it spends, and the divisor never falls while an entry runs. Tests with a frontend save up first, as after some time of service; their checks are the same.

--- a/tamarackthread/entry/direct/retry_budgets.py
+++ b/tamarackthread/entry/direct/retry_budgets.py
@@ -42,7 +42,7 @@
         entries: EntryCount,
         now: Clock,
     ) -> None:
-        """Divide the reserve by ``entries``, as they become known."""
+        """Divide the reserve by ``entries``, the most that were ever known."""
         self._site = site
         self._entries = entries
         self._now = now
@@ -90,11 +90,9 @@
             settings = retries.RetrySettings(
                 ratio=self._site.retry_share, reserve=reserve, min_rate=0
             )
-            # Entries that start together and don't know each other yet would
-            # each spend the whole reserve.
-            # At a common start that was three times as many retries as allowed.
-            level = reserve / 2 if entries else 0
-            budget = retries.RetryBudget(settings, self._now(), level)
+            # What the last start of this entry has spent counts in the same
+            # window, so a start begins with nothing but what calls earn.
+            budget = retries.RetryBudget(settings, self._now(), level=0)
             held = _ServiceBudget(budget, entries)
             self._by_service[service] = held
             _log_budget(service, held, reserve)
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -99,7 +99,7 @@
         )
         self._target_client = target_client.TargetClient(header_dialect)
         self._retry_budgets = retry_budgets.RetryBudgets(
-            self._site, lambda: len(self._feed_client.entries), loop.time
+            self._site, entries.count, loop.time
         )
         self._frontend = frontend.Frontend(
             header_dialect,
--- a/tests/direct_case.py
+++ b/tests/direct_case.py
@@ -26,6 +26,8 @@
 
 HOST = 'h.example'
 PATIENT_SECONDS = 30.0
+# Earn ten retries.
+SAVING_CALLS = 67
 ONCE = configuration.RouteKind.ONCE
 STREAM = configuration.RouteKind.STREAM
 IDEMPOTENT = configuration.RouteKind.IDEMPOTENT
@@ -185,6 +187,10 @@
         )
         await self.sender.start()
         site = settings.Site(seeds=(), link_port=1, retry_reserve=20)
+        self.budgets = retry_budgets.RetryBudgets(site, lambda: 1, loop.time)
+        # As after some time of service: a budget begins empty.
+        for _ in range(SAVING_CALLS):
+            self.budgets.earn('s')
         self.stopping = stop_deadline.StopDeadline()
         self.tables = routing_table.CurrentTable()
         self.crashing = poison_requests.PoisonRequests(
@@ -199,7 +205,7 @@
             call_runner.CallRunner(
                 self.known,
                 self.sender,
-                retry_budgets.RetryBudgets(site, lambda: 1, loop.time),
+                self.budgets,
                 self.admission,
                 self.crashing,
                 rng,
--- a/tests/test_retry_parts.py
+++ b/tests/test_retry_parts.py
@@ -6,6 +6,7 @@
 
 from tamarackthread.entry.direct import retry_budgets
 from tamarackthread.generated import settings
+from tamarackthread.policy import known_entries
 
 ENTRIES = 39
 CALLS_EACH = 60
@@ -35,6 +36,30 @@
 
 
 class StartCase(unittest.TestCase):
+    def test_control_hosts_list_few_entries(self):
+        """Guards against a fresh part of the reserve with each start."""
+        for known in (1, 2, ENTRIES):
+            spent = 0
+            for _ in range(ENTRIES):
+                entry = Entry(known)
+                spent += sum(entry.refuse_call() for _ in range(CALLS_EACH))
+            earned = ENTRIES * CALLS_EACH * entry.site.retry_share
+            self.assertLessEqual(spent, earned, known)
+            self.assertGreater(spent, 0)
+
+    def test_list_of_a_restarted_control_host(self):
+        """Guards against a larger part while a control host lists few entries."""
+        listed = [('e0', 'e1'), ('e0',)]
+        known = known_entries.KnownEntries('e0', lambda: listed[0])
+        site = settings.Site(seeds=(), link_port=1)
+        budget = retry_budgets.RetryBudgets(site, known.count, lambda: float(0))
+        budget.earn(SERVICE)
+        listed.pop(0)
+        for _ in range(1000):
+            budget.earn(SERVICE)
+        spent = sum(budget.spend(SERVICE) for _ in range(100))
+        self.assertLessEqual(spent, site.retry_reserve / 2)
+
     def test_no_other_entry_is_known(self):
         """Guards against a full retry reserve at each entry after a start."""
         entries = [Entry(0) for _ in range(ENTRIES)]
