Pay for a try after another target has answered at the address

A call that gets 421 has arrived at a target, and so has its next try. Nothing paid for that, up to three times a call, so when many targets start again together each entry repeats all calls that meet an old address, beyond any budget (BUDGET).

test_answered_by_another_target failed before: three targets got the call with an empty budget, now one. A try that could not connect is still free (test_unreachable_target).

--- a/tamarackthread/entry/direct/call_progress.py
+++ b/tamarackthread/entry/direct/call_progress.py
@@ -32,6 +32,8 @@
     refused: list[str] = attrs.field(factory=list)
     # Targets that could not be reached.
     unreachable: set[str] = attrs.field(factory=set)
+    # Whether another target has answered at the address of the intended one.
+    was_elsewhere: bool = False
     may_have_run: bool = False
     # The target that may be running the call now.
     current_target: instances.TargetInstance | None = None
@@ -63,6 +65,11 @@
         """Return the names of the targets that are not tried again."""
         return self.unreachable.union(self.sent, self.refused)
 
+    @property
+    def has_arrived(self) -> bool:
+        """Tell whether a target got the call; another try is a repeat then."""
+        return bool(self.sent or self.refused or self.was_elsewhere)
+
     @property
     def names(self) -> str:
         """Return the targets that may have run the call, as text."""
--- a/tamarackthread/entry/direct/call_runner.py
+++ b/tamarackthread/entry/direct/call_runner.py
@@ -195,7 +195,7 @@
             return False
         if len(progress.unreachable) >= MAX_CONNECT_FAILURES:
             return False
-        if not progress.sent and not progress.refused:
+        if not progress.has_arrived:
             return True
         if len(progress.sent) >= call.route.attempts:
             return False
@@ -275,6 +275,7 @@
             # The intended target never got the call, so this is no attempt.
             self._targets.mark_gone(target)
             progress.unreachable.add(target.name)
+            progress.was_elsewhere = True
             return
         if isinstance(failure, (target_client.Refused, target_client.Lost)):
             # When a rank is lost, all ranks of its group fail their calls.
--- a/tests/test_retry_parts.py
+++ b/tests/test_retry_parts.py
@@ -7,6 +7,7 @@
 from tamarackthread.entry.direct import retry_budgets
 from tamarackthread.generated import settings
 from tamarackthread.policy import known_entries
+from tests import direct_case
 
 ENTRIES = 39
 CALLS_EACH = 60
@@ -86,6 +87,34 @@
         self.assertLessEqual(spent, entry.site.retry_reserve / ENTRIES)
 
 
+class ArrivalCase(direct_case.DirectCase):
+    async def test_answered_by_another_target(self):
+        """Guards against repeats after a 421 that no budget pays for."""
+        self.serve(direct_case.ONCE)
+        moved = [await self.add(_misdirected) for _ in range(3)]
+        _empty(self.budgets)
+        self.assertEqual(503, (await self.ask())[0])
+        self.assertEqual(1, sum(len(one.heads) for one in moved))
+
+    async def test_unreachable_target(self):
+        """Guards against a budget that pays for tries which reached nobody."""
+        self.serve(direct_case.ONCE)
+        gone = await self.add(direct_case.dropping)
+        gone.close()
+        await self.add(direct_case.whole('ok'))
+        _empty(self.budgets)
+        self.assertEqual([200, 200], [(await self.ask())[0] for _ in range(2)])
+
+
+def _empty(budgets):
+    for _ in range(direct_case.SAVING_CALLS):
+        budgets.spend(SERVICE)
+
+
+async def _misdirected(target, head, writer):
+    writer.write(b'HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n')
+
+
 def _run_refused_calls(entries):
     """Run the calls of all entries, which discover each other meanwhile."""
     spent = 0
