Bound what connections of clients hold, by the memory and descriptors of the host

Callers saw: an entry that ran out of memory, or took no new connections for minutes.

Cause: the HTTP server bounds each connection (32 requests parsed ahead, 128 fields of 32 KB) and not their sum, and clients decide their number; nothing enforced the configuration's header and idle timeouts, and an answer that nobody reads held its connection for ever.

Now a table of all connections knows what each holds and waits for. Over a bound those go that hold most beyond an ordinary client's share for longest; over the bound of connections the longest waiting one; an ordinary call never pays. A connection has three requests parsed at most, and a turn of the loop reads 16 KB of it.

--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -46,6 +46,7 @@
     site_metrics,
     feed_client,
     host_addresses,
+    metrics_server,
 )
 
 GROUP = 'site'
@@ -140,7 +141,7 @@
             self._peer_addresses,
         )
         self._http_server = http_server
-        self._metrics_server = site_metrics.MetricsServer()
+        self._metrics_server = metrics_server.MetricsServer()
         self._ranks = rank_client
         directory = site_directory.SiteDirectory(self._machine, reader)
         self._directory = directory
--- a/tamarackthread/entry/direct/frontend.py
+++ b/tamarackthread/entry/direct/frontend.py
@@ -23,11 +23,17 @@
     sink,
     target_client,
 )
-from tamarackthread.shared import errors, logs, stop_deadline
+from tamarackthread.shared import (
+    bounded_server,
+    connection_table,
+    errors,
+    logs,
+    process_bounds,
+    stop_deadline,
+)
+from tamarackthread.shared.site import configuration as site
 from tamarackthread.shared.site import site_metrics
 
-# Longer than callers keep idle connections, so that they close them first.
-KEEPALIVE_SECONDS = 75.0
 # Limit of one header.  Callers may send 16 KB of headers, which is over the
 # default limit of aiohttp.
 MAX_HEADER_BYTES = 32 << 10
@@ -53,9 +59,13 @@
         generator: random.Random,
         call_logger: call_log.CallLog,
         stopping: stop_deadline.StopDeadline,
+        bounds: process_bounds.ProcessBounds | None = None,
     ) -> None:
-        """Serve nothing until ``start``."""
+        """Serve nothing until ``start``; the default bounds are those of a
+        small machine.
+        """
         self._stopping = stopping
+        self._bounds = bounds or process_bounds.ProcessBounds()
         self._call_log = call_logger
         self._dialect = header_dialect
         self._tables = tables
@@ -81,11 +91,15 @@
 
     async def start(self, address: str) -> str:
         """Serve callers at HOST:PORT and return the address in use."""
-        return await self._serve(self._handle, address)
+        return await self._serve(
+            self._handle, 'callers', address, self._bounds.clients
+        )
 
     async def start_readiness(self, address: str) -> str:
         """Serve the readiness probe and return the address in use."""
-        return await self._serve(self._answer_readiness, address)
+        return await self._serve(
+            self._answer_readiness, 'readiness', address, process_bounds.FEW
+        )
 
     def begin_drain(self) -> None:
         """Report not ready and ask callers to reconnect, but go on serving."""
@@ -119,29 +133,44 @@
             [web.BaseRequest],
             collections.abc.Awaitable[web.StreamResponse],
         ],
+        title: str,
         address: str,
+        bounds: connection_table.Bounds,
     ) -> str:
-        server = web.Server(
-            handler,
-            access_log=None,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_SECONDS,
-            lingering_time=0,
-            # Bodies are passed on byte for byte.
-            auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-        )
+        server = web.Server(handler, handler_cancellation=True)
         runner = web.ServerRunner(
             server, handle_signals=False, shutdown_timeout=0.1
         )
         await runner.setup()
         self._runners.append(runner)
-        host, _, port = address.rpartition(':')
-        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+        await bounded_server.BoundedSite(
+            title,
+            runner,
+            address,
+            bounds,
+            self._client_limits,
+            # Idle connections are closed by the limit of the configuration.
+            keepalive_timeout=math.inf,
+            lingering_time=0,
+            # Bodies are passed on byte for byte.
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        ).start()
         bound_host, bound_port = runner.addresses[0][:2]
         return f'{bound_host}:{bound_port}'
 
+    def _client_limits(self) -> connection_table.ClientLimits:
+        table = self._tables.current
+        limits = site.Limits() if table is None else table.config.limits
+        return connection_table.ClientLimits(
+            header_bytes=limits.header_bytes,
+            header_seconds=limits.header_seconds,
+            # A body has until its call's deadline.
+            body_seconds=math.inf,
+            idle_seconds=limits.idle_seconds,
+        )
+
     async def _answer_readiness(
         self,
         request: web.BaseRequest,
@@ -240,10 +269,10 @@
         table = await self._tables.wait(calls.startup_wait(parsed.time_left))
         path = parsed.path.partition('?')[0]
         match = table.find(parsed.host, path, parsed.key)
-        body = await _read_body(request, table.config.limits.body_bytes)
         left = match.route.timeout
         if parsed.time_left is not None:
             left = min(left, parsed.time_left)
+        body = await _read_body(request, table.config.limits.body_bytes)
         return calls.Call(
             request=parsed,
             body=body,
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -22,12 +22,18 @@
 )
 from tamarackthread.generated import settings as generated
 from tamarackthread.policy import cold_start, known_entries
-from tamarackthread.shared import link_pool, log_events, process, stop_deadline
+from tamarackthread.shared import (
+    link_pool,
+    log_events,
+    process,
+    process_bounds,
+    stop_deadline,
+)
 from tamarackthread.shared.site import (
     configuration,
-    site_metrics,
     feed_client,
     host_addresses,
+    metrics_server,
 )
 
 # Time after the end of the drain to write the last answers.
@@ -72,7 +78,7 @@
             entries,
         )
         self._call_log = call_log.CallLog()
-        self._metrics_server = site_metrics.MetricsServer()
+        self._metrics_server = metrics_server.MetricsServer()
         tables = routing_table.CurrentTable()
         admission = admission_control.AdmissionControl(
             self._targets,
@@ -97,6 +103,7 @@
             admission.refill,
             poison,
         )
+        bounds = process_bounds.of(settings.site)
         self._target_client = target_client.TargetClient(header_dialect)
         self._retry_budgets = retry_budgets.RetryBudgets(
             self._site, entries.count, loop.time
@@ -116,6 +123,7 @@
             generator,
             self._call_log,
             self._stopping,
+            bounds,
         )
 
     async def run(self, announce: process.Announce | None) -> None:
--- a/tamarackthread/platform/configuration.py
+++ b/tamarackthread/platform/configuration.py
@@ -158,9 +158,20 @@
     defaults = site.Limits()
     return site.Limits(
         body_bytes=int(row.get('max-body-bytes') or defaults.body_bytes),
+        header_bytes=int(row.get('max-header-bytes') or defaults.header_bytes),
+        header_seconds=_seconds(
+            row, 'header-timeout-ms', defaults.header_seconds
+        ),
+        idle_seconds=_seconds(row, 'idle-timeout-ms', defaults.idle_seconds),
     )
 
 
+def _seconds(row: _Row, name: str, default: float) -> float:
+    """Return a time limit, the default if it is missing or not positive."""
+    milliseconds = float(row.get(name) or 0)
+    return milliseconds / MILLISECONDS if milliseconds > 0 else default
+
+
 def _string(value: typing.Any) -> str:
     if not isinstance(value, str):
         raise TypeError(f'{value!r} is not a string')
--- a/tamarackthread/shared/log_events.py
+++ b/tamarackthread/shared/log_events.py
@@ -34,6 +34,7 @@
     MAP = 'map'
     PLAN = 'plan'
     HELD = 'held'
+    CONNECTIONS_CLOSED = 'connections_closed'
     # Start and stop of the process.
     STARTED = 'started'
     STOPPING = 'stopping'
--- a/tamarackthread/shared/site/configuration.py
+++ b/tamarackthread/shared/site/configuration.py
@@ -101,6 +101,10 @@
     """Limits of a request."""
 
     body_bytes: int = 4 << 20
+    header_bytes: int = 16 << 10
+    # From the first byte of a head to its last.
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
 
 
 @attrs.frozen(kw_only=True)
--- a/tamarackthread/shared/site/site_metrics.py
+++ b/tamarackthread/shared/site/site_metrics.py
@@ -1,15 +1,13 @@
-"""Serve Prometheus metrics; no labels for requests, callers or targets."""
+"""Define Prometheus metrics; no labels for requests, callers or targets."""
 
 from __future__ import annotations
 
 import functools
 
 import prometheus_client
-from aiohttp import web
 
 from tamarackthread.shared import faults
 
-PATH = '/metrics'
 # Bounds in seconds, from answers of plain services to the longest streams.
 BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 _registry = prometheus_client.CollectorRegistry()
@@ -122,6 +120,24 @@
     ('zone',),
     registry=_registry,
 )
+CONNECTIONS_CLOSED = prometheus_client.Counter(
+    'tamarackthread_connections_closed',
+    'Connections of clients that this process has closed, by reason.',
+    ('reason',),
+    registry=_registry,
+)
+CONNECTIONS = prometheus_client.Gauge(
+    'tamarackthread_connections',
+    'Open connections of clients, by whom they are served for.',
+    ('server',),
+    registry=_registry,
+)
+CLIENT_BYTES = prometheus_client.Gauge(
+    'tamarackthread_client_bytes',
+    'Bytes that these connections make this process hold.',
+    ('server',),
+    registry=_registry,
+)
 ANNOUNCEMENTS_REFUSED = prometheus_client.Counter(
     'tamarackthread_announcements_refused',
     'Words to this control host that no target writes.',
@@ -161,36 +177,6 @@
 FAULTS = _count_faults()
 
 
-class MetricsServer:
-    """HTTP server of the metrics."""
-
-    def __init__(self) -> None:
-        """Serve from ``start`` on."""
-        self._runner: web.ServerRunner | None = None
-
-    async def start(self, address: str) -> None:
-        """Serve at HOST:PORT, or not at all if the address is empty."""
-        if not address:
-            return
-        self._runner = web.ServerRunner(
-            web.Server(_answer, access_log=None), handle_signals=False
-        )
-        await self._runner.setup()
-        host, _, port = address.rpartition(':')
-        await web.TCPSite(self._runner, host, int(port)).start()
-
-    async def stop(self) -> None:
-        """Stop serving."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-
 def render() -> bytes:
     """Return all metrics in the text format."""
     return prometheus_client.generate_latest(_registry)
-
-
-async def _answer(request: web.BaseRequest) -> web.StreamResponse:
-    if request.path != PATH:
-        return web.Response(status=404)
-    return web.Response(body=render(), content_type='text/plain')
