Let clients that don't read their answers pay for them

Cause: answers that are held had a bound for all, and the next caller met it; a long event that waits for its client, and the transport's copy of an answer, were not counted.

Now what is held of an answer counts for the connection that it is for, and those go first that hold most for longest. Answers are written in slices of 64 KB, so that the transport has no second copy, and a target's connection is read 32 KB at a time.

--- a/tamarackthread/entry/direct/calls.py
+++ b/tamarackthread/entry/direct/calls.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from tamarackthread.shared import connection_table
 from tamarackthread.shared.site import configuration
 
 # A call to an entry that has just started waits for its configuration and
@@ -48,6 +49,10 @@
     arrived_at: float
     deadline: float
     priority: int = 0
+    # What its caller's connection makes this entry hold; ``None`` without one.
+    connection: connection_table.Connection | None = attrs.field(
+        default=None, eq=False, repr=False
+    )
 
 
 def startup_wait(time_left: float | None) -> float:
--- a/tamarackthread/entry/direct/frontend.py
+++ b/tamarackthread/entry/direct/frontend.py
@@ -286,6 +286,7 @@
             arrived_at=arrived,
             deadline=arrived + left,
             priority=match.priority,
+            connection=bounded_server.connection_of(request),
         )
 
     async def _send_error(
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -104,7 +104,9 @@
             poison,
         )
         bounds = process_bounds.of(settings.site)
-        self._target_client = target_client.TargetClient(header_dialect)
+        self._target_client = target_client.TargetClient(
+            header_dialect, bounds.memory_bytes
+        )
         self._retry_budgets = retry_budgets.RetryBudgets(
             self._site, entries.count, loop.time
         )
--- a/tamarackthread/entry/direct/sink.py
+++ b/tamarackthread/entry/direct/sink.py
@@ -12,6 +12,10 @@
 from tamarackthread.shared import connection_reset
 
 
+# A write that is longer waits until the caller takes it.
+SLICE_BYTES = 64 << 10
+
+
 class CallerDisconnected(Exception):
     """Caller has closed its connection and gets no response."""
 
@@ -103,7 +107,7 @@
         """Send a piece, waiting while the caller's receive window is full."""
         self._timing.note(asyncio.get_running_loop().time())
         try:
-            await self.response.write(piece)
+            await self._write_slices(piece)
         except OSError as exc:
             raise CallerDisconnected from exc
 
@@ -119,12 +123,20 @@
         self, head: target_client.ResponseHead, body: bytes
     ) -> None:
         """Send head and body with a Content-Length."""
-        response = web.Response(status=head.status, body=body)
-        response.headers.popall('Content-Type', None)
+        is_long = len(body) > SLICE_BYTES
+        response: web.StreamResponse
+        if is_long:
+            response = web.StreamResponse(status=head.status)
+            response.content_length = len(body)
+        else:
+            response = web.Response(status=head.status, body=body)
+            response.headers.popall('Content-Type', None)
         self._fill(response, head)
         self._response = response
         try:
             await response.prepare(self._request)
+            if is_long:
+                await self._write_slices(body)
             await response.write_eof()
         except OSError as exc:
             raise CallerDisconnected from exc
@@ -150,6 +162,12 @@
     def _takes_chunks(self) -> bool:
         return self._request.version >= http.HttpVersion11
 
+    async def _write_slices(self, content: bytes) -> None:
+        """Write so little at once that the transport doesn't hold it again."""
+        view = memoryview(content)
+        for start in range(0, len(content), SLICE_BYTES):
+            await self.response.write(view[start : start + SLICE_BYTES])
+
     def _fill(
         self, response: web.StreamResponse, head: target_client.ResponseHead
     ) -> None:
--- a/tamarackthread/entry/direct/stream_relay.py
+++ b/tamarackthread/entry/direct/stream_relay.py
@@ -60,7 +60,7 @@
         async for piece in answer.pieces():
             ready = progress.drop_repeated(splitter.feed(piece))
             progress.note_rest(splitter)
-            answer.hold(splitter.rest_size)
+            answer.hold(splitter.rest_size + events.size_of(ready))
             if ready:
                 await self._pass_on(call, ready, progress, out)
         await self._check_end(answer, progress, splitter)
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -35,9 +35,8 @@
 # How long connections to a target that sent what belongs to no request aren't shared:
 # it may do so again, and each time a call on the connection is lost.
 FOREIGN_SECONDS = 10.0
-READ_BYTES = 64 * 1024
-# Bytes of answers that are held until they are complete: of one, and of all, which
-# is a quarter of an entry's memory.
+READ_BYTES = 32 * 1024
+# Bytes of answers that are held until they are complete: of one, and of all.
 MAX_ANSWER_BYTES = 16 << 20
 MAX_HELD_BYTES = 64 << 20
 # Kinds of responses that tell nothing of the target that was asked.
@@ -168,11 +167,13 @@
 class TargetClient:
     """Hold the connection pools for all targets."""
 
-    def __init__(self, header_dialect: dialect.Dialect) -> None:
+    def __init__(
+        self, header_dialect: dialect.Dialect, max_held_bytes: int = 0
+    ) -> None:
         """Open no connections until ``start``."""
         self._dialect = header_dialect
         self._held_bytes = byte_budget.ByteBudget(
-            MAX_HELD_BYTES, MAX_ANSWER_BYTES
+            max_held_bytes or MAX_HELD_BYTES, MAX_ANSWER_BYTES
         )
         # When connections to an address are shared again.
         self._foreign_until: dict[str, float] = {}
@@ -226,7 +227,7 @@
         )
         try:
             head = self._read_head(call, target, response)
-            with self._held_bytes.reserve() as held:
+            with self._held_bytes.reserve(call.connection) as held:
                 yield TargetResponse(head, response, held)
         finally:
             # A response that was read completely has released its connection;
--- a/tamarackthread/shared/byte_budget.py
+++ b/tamarackthread/shared/byte_budget.py
@@ -6,7 +6,7 @@
 import contextlib
 
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors
+from tamarackthread.shared import connection_table, errors
 
 
 class BudgetExceeded(errors.CodedError):
@@ -32,9 +32,14 @@
         return self._held_bytes
 
     @contextlib.contextmanager
-    def reserve(self) -> collections.abc.Iterator[Reservation]:
-        """Count what one answer holds within the block, at first nothing."""
-        held = Reservation(self)
+    def reserve(
+        self, connection: connection_table.Connection | None = None
+    ) -> collections.abc.Iterator[Reservation]:
+        """Count what one answer holds within the block, at first nothing.
+
+        It counts for the ``connection`` of the client that it is for, too.
+        """
+        held = Reservation(self, connection)
         try:
             yield held
         finally:
@@ -54,12 +59,26 @@
 class Reservation:
     """The bytes that one answer holds."""
 
-    def __init__(self, budget: ByteBudget) -> None:
+    def __init__(
+        self,
+        budget: ByteBudget,
+        connection: connection_table.Connection | None = None,
+    ) -> None:
         """Reserve nothing yet."""
         self._budget = budget
+        self._connection = connection
         self._size = 0
 
     def resize(self, size: int) -> None:
         """Hold this many bytes; raise ``BudgetExceeded``, holding as before."""
         self._budget.change(self._size, size)
+        try:
+            self._hold(size)
+        except connection_table.OutOfRoom as exc:
+            self._budget.change(size, self._size)
+            raise BudgetExceeded(str(exc)) from exc
         self._size = size
+
+    def _hold(self, size: int) -> None:
+        if self._connection is not None:
+            self._connection.hold(connection_table.Purpose.ANSWER, size)
--- a/tamarackthread/shared/events.py
+++ b/tamarackthread/shared/events.py
@@ -152,6 +152,11 @@
     return b''.join(block.payload for block in blocks)
 
 
+def size_of(blocks: list[Block]) -> int:
+    """Return the number of bytes of blocks."""
+    return sum(len(block.payload) for block in blocks)
+
+
 def _parse_id(line: bytes) -> int:
     text = line.removeprefix(_ID_FIELD).strip()
     return int(text) if text.isdigit() else -1
--- a/tamarackthread/shared/http_connection.py
+++ b/tamarackthread/shared/http_connection.py
@@ -16,6 +16,7 @@
 import aiohttp
 from aiohttp import client_proto, helpers, streams
 
+READ_BYTES = 32 << 10
 # Bytes of an answer besides its body: heads, sizes of chunks and trailers.
 MAX_FRAMING_BYTES = 64 << 10
 # More of them are allowed in proportion to the body: a chunk of one byte has five.
@@ -53,6 +54,12 @@
         self._head: typing.Any = None
         self._body: streams.StreamReader | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Read no more at once than may wait for the reader of an answer."""
+        super().connection_made(transport)
+        # asyncio reads up to 256 KB; it has no setting for that.
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+
     @property
     def is_first_use(self) -> bool:
         """Return whether no other request was sent on this connection."""
