Bound what operators and targets make a control host hold

Operators saw: no configuration accepted while 600 silent connections were open, and a control host that ran out of memory: 572 MB with 60 orders that never end, 320 MB with 140 heads, of 200 MB.

A heartbeat may have 64 KB.

--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 import asyncio
 import contextlib
 import logging
@@ -24,6 +23,7 @@
     evacuation,
     feed,
     handler,
+    http_server,
     joining,
     loads,
     machine,
@@ -39,6 +39,7 @@
     log_events,
     offload,
     process,
+    process_bounds,
 )
 from tamarackthread.shared.site import (
     announcements,
@@ -77,24 +78,6 @@
 _log = logging.getLogger('tamarackthread.control')
 
 
-class HttpServer(abc.ABC):
-    """HTTP interface of this host to operators and targets."""
-
-    @abc.abstractmethod
-    async def open(
-        self,
-        address: str,
-        site: api.SiteApi,
-        targets: announcing.Announcing,
-        zones: evacuation.Evacuation,
-    ) -> str:
-        """Serve at HOST:PORT and return the address in use."""
-
-    @abc.abstractmethod
-    async def close(self) -> None:
-        """Stop serving."""
-
-
 class SiteHost:
     """A control host's process, with all its parts."""
 
@@ -102,13 +85,14 @@
         self,
         settings: generated.Settings,
         reader: configuration.Reader,
-        http_server: HttpServer,
+        server: http_server.HttpServer,
         rank_client: ranks.Ranks,
     ) -> None:
         """Create all parts; ``run`` starts them."""
         assert settings.control is not None
         assert settings.site is not None
         self._site = settings.site
+        self._bounds = process_bounds.of(settings.site)
         self._node = settings.node.id
         self._drain_seconds = settings.control.drain_seconds
         self._folder = folder.DataFolder(settings.control.data_folder)
@@ -140,7 +124,7 @@
             self._address,
             self._peer_addresses,
         )
-        self._http_server = http_server
+        self._http_server = server
         self._metrics_server = metrics_server.MetricsServer()
         self._ranks = rank_client
         directory = site_directory.SiteDirectory(self._machine, reader)
@@ -191,6 +175,7 @@
             self._api,
             self._announcing,
             self._evacuation,
+            self._bounds.clients,
         )
         await self._metrics_server.start(self._site.metrics_address)
         loop = asyncio.get_running_loop()
@@ -316,9 +301,9 @@
 async def run(
     settings: generated.Settings,
     reader: configuration.Reader,
-    http_server: HttpServer,
+    server: http_server.HttpServer,
     rank_client: ranks.Ranks,
     announce: process.Announce | None = None,
 ) -> None:
     """Run a control host until SIGTERM; ``announce`` gets its addresses."""
-    await SiteHost(settings, reader, http_server, rank_client).run(announce)
+    await SiteHost(settings, reader, server, rank_client).run(announce)
--- a/tamarackthread/control/site/http_errors.py
+++ b/tamarackthread/control/site/http_errors.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from tamarackthread.shared import errors
+from tamarackthread.shared import errors, request_body
 
 PartHandler = collections.abc.Callable[
     [typing.Any, web.Request],
@@ -31,7 +31,8 @@
     request: web.Request,
 ) -> web.StreamResponse:
     try:
-        return await handler(part, request)
+        with request_body.releasing(request):
+            return await handler(part, request)
     except errors.CodedError as exc:
         body = {'error': {'code': exc.code, 'message': str(exc)}}
         return web.json_response(body, status=exc.status)
--- a/tamarackthread/platform/http_api.py
+++ b/tamarackthread/platform/http_api.py
@@ -12,38 +12,34 @@
     api,
     callers,
     evacuation,
-    host,
     http_errors,
+    http_server,
 )
 from tamarackthread.platform import wire
-from tamarackthread.shared import fields
+from tamarackthread.shared import fields, request_body
 from tamarackthread.shared.site import announcements
 
 MILLISECONDS = 1000
 # Size limit of a configuration.
 MAX_BODY_BYTES = 8 << 20
+MAX_ANNOUNCEMENT_BYTES = 64 << 10
 _State = announcements.State
 _STATES = types.MappingProxyType(
     {'ready': _State.READY, 'draining': _State.LEAVING},
 )
 
 
-class PlatformApi(host.HttpServer):
+class PlatformApi(http_server.HttpServer):
     """Map the platform's HTTP paths to control's functions."""
 
-    def __init__(self) -> None:
-        """Prepare the API; ``open`` starts serving."""
-        self._runner: web.AppRunner | None = None
-
-    async def open(
+    def application(
         self,
-        address: str,
         site: api.SiteApi,
         targets: announcing.Announcing,
         zones: evacuation.Evacuation,
-    ) -> str:
-        """Serve at HOST:PORT and return the address in use."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+    ) -> web.Application:
+        """Return the handlers of all paths."""
+        app = web.Application()
         router = app.router
         router.add_post(wire.REPLACE, http_errors.bind(_replace, site))
         router.add_get(wire.READ, http_errors.bind(_read, site))
@@ -53,28 +49,15 @@
             router.add_post(path, http_errors.bind(handler, zones))
         router.add_post(wire.HEARTBEAT, http_errors.bind(_heartbeat, targets))
         router.add_post(wire.DEREGISTER, http_errors.bind(_deregister, targets))
-        # Stopping takes longer than a change or a read.
-        self._runner = web.AppRunner(
-            app, access_log=None, handle_signals=False, shutdown_timeout=1.0
-        )
-        await self._runner.setup()
-        bind_host, _, port = address.rpartition(':')
-        tcp_site = web.TCPSite(self._runner, bind_host, int(port), backlog=1024)
-        await tcp_site.start()
-        bound_host, bound_port = self._runner.addresses[0][:2]
-        return f'{bound_host}:{bound_port}'
-
-    async def close(self) -> None:
-        """Stop serving."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        return app
 
 
 async def _replace(
     site: api.SiteApi,
     request: web.Request,
 ) -> web.StreamResponse:
-    version = await site.replace(await request.read())
+    body = await request_body.read(request, MAX_BODY_BYTES)
+    version = await site.replace(body)
     return web.json_response({'version': version})
 
 
@@ -100,7 +83,7 @@
     targets: announcing.Announcing,
     request: web.Request,
 ) -> web.StreamResponse:
-    body = await request.read()
+    body = await request_body.read(request, MAX_ANNOUNCEMENT_BYTES)
     with targets.registry.validating(_sender(request)):
         announcement = read_announcement(request.match_info['target'], body)
         await targets.announce(announcement)
@@ -111,7 +94,7 @@
     targets: announcing.Announcing,
     request: web.Request,
 ) -> web.StreamResponse:
-    body = await request.read()
+    body = await request_body.read(request, MAX_ANNOUNCEMENT_BYTES)
     with targets.registry.validating(_sender(request)):
         row = fields.parse(body) if body.strip() else {}
         born = fields.integer(row, wire.BORN, default=0)
