Bound what peers may send before they are known

Seen: 280 MB at the peak of a control host of 200 MB with 180 greetings of 1 MiB that never end, and all 400 descriptors taken by 600 silent peers.

Cause: a greeting could be as long as any frame, and nothing bounded how many peers were in their handshake.

Rejections have a line a second.

--- a/tamarackthread/control/site/host.py
+++ b/tamarackthread/control/site/host.py
@@ -160,6 +160,7 @@
                 loads.Loads(self._link_binding.options.identity.incarnation),
                 self._evacuation,
             ),
+            self._bounds.handshakes,
         )
 
     async def run(self, announce: process.Announce | None) -> None:
--- a/tamarackthread/shared/handshake.py
+++ b/tamarackthread/shared/handshake.py
@@ -15,6 +15,8 @@
 
 NONCE_BYTES = 16
 TIMEOUT_SECONDS = 3.0
+# A greeting has a few names; a peer is not known before it.
+MAX_BYTES = 4096
 DIALER_LABEL = b'dialer'
 LISTENER_LABEL = b'listener'
 _ROLES = frozenset(messages.Role)
@@ -116,6 +118,8 @@
 async def _read_payload(reader: asyncio.StreamReader, kind: wire.Kind) -> bytes:
     header = await reader.readexactly(wire.HEADER_BYTES)
     size, received_kind = wire.unpack_header(header)[:2]
+    if size > MAX_BYTES:
+        raise errors.GreetingRefused(f'{size} bytes')
     if received_kind != kind:
         raise errors.GreetingRefused(
             f'{received_kind.name} instead of {kind.name}'
--- a/tamarackthread/shared/listener.py
+++ b/tamarackthread/shared/listener.py
@@ -8,6 +8,12 @@
 
 from tamarackthread.shared import connecting, errors, identity, link
 
+# Peers whose handshake is under way, without a limit that follows from the host.
+MAX_HANDSHAKES = 256
+# Connections that wait in the kernel, and those accepted in a turn of the loop.
+BACKLOG = 256
+ACCEPTED_AT_ONCE = 16
+LOG_SECONDS = 1.0
 _log = logging.getLogger('tamarackthread.link')
 
 
@@ -18,10 +24,19 @@
         self,
         options: identity.LinkOptions,
         handler: link.Handler,
+        max_handshakes: int = MAX_HANDSHAKES,
     ) -> None:
-        """Create a listener that is not yet bound."""
+        """Create a listener that is not yet bound.
+
+        Of more peers than ``max_handshakes`` that are not yet known, the one that
+        has connected first is turned away.
+        """
         self._options = options
         self._handler = handler
+        self._max_handshakes = max_handshakes
+        self._unknown: dict[asyncio.StreamWriter, None] = {}
+        self._rejected = 0
+        self._logged_at = -LOG_SECONDS
         self._links: set[link.Link] = set()
         self._server: asyncio.Server | None = None
 
@@ -40,7 +55,10 @@
             self._accept,
             sock=bound,
             ssl=self._options.listen_tls,
+            backlog=ACCEPTED_AT_ONCE,
         )
+        # asyncio accepts as many at once as may wait.
+        bound.listen(BACKLOG)
         return address_of(bound)
 
     def stop_accepting(self) -> None:
@@ -69,6 +87,8 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        self._make_room()
+        self._unknown[writer] = None
         try:
             accepted = await connecting.accept(
                 reader,
@@ -77,14 +97,39 @@
                 self._handler,
             )
         except errors.CodedError as exc:
-            _log.warning('link: rejected a connection, %s %s', exc.code, exc)
+            self._log_rejected(exc)
             return
+        finally:
+            self._unknown.pop(writer, None)
         self._links.add(accepted)
         try:
             await accepted.wait_closed()
         finally:
             self._links.discard(accepted)
 
+    def _make_room(self) -> None:
+        """Turn away the peer that has been unknown for longest."""
+        if len(self._unknown) < self._max_handshakes:
+            return
+        oldest = next(iter(self._unknown))
+        self._unknown.pop(oldest)
+        oldest.transport.abort()
+
+    def _log_rejected(self, failure: errors.CodedError) -> None:
+        """Log a rejection, unless others were logged a moment ago."""
+        now = asyncio.get_running_loop().time()
+        if now < self._logged_at + LOG_SECONDS:
+            self._rejected += 1
+            return
+        _log.warning(
+            'link: rejected a connection, %s %s, and %d others before it',
+            failure.code,
+            failure,
+            self._rejected,
+        )
+        self._logged_at = now
+        self._rejected = 0
+
 
 def bind(host: str, port: int) -> socket.socket:
     """Bind a socket without accepting connections on it."""
