Refuse an order whose values take many times its size in memory

Seen: 271 MB at the peak of a control host of 200 MB after one order of 8 MB, 2.8 million empty lists.

Cause: the size of an order was bounded, not the number of values that are made of it.

Now an order of over 500,000 values is invalid (4xx). A configuration of 8 MB with routes of today's size has 425,000 by calculation.

--- a/tamarackthread/platform/configuration.py
+++ b/tamarackthread/platform/configuration.py
@@ -4,11 +4,10 @@
 
 import collections.abc
 import contextlib
-import json
 import types
 import typing
 
-from tamarackthread.shared import fields, findings
+from tamarackthread.shared import bounded_json, fields, findings
 from tamarackthread.shared.site import checks
 from tamarackthread.shared.site import configuration as site
 
@@ -44,7 +43,7 @@
     found: list[findings.Finding],
 ) -> site.Configuration | None:
     with _collect_errors('$', findings.SyntaxInvalid.code, found):
-        document = json.loads(body)
+        document = bounded_json.loads(body)
         version = document['version']
         if isinstance(version, bool) or not isinstance(version, int):
             raise ValueError('version is not an integer')
