Bound the lines that callers can make an entry log

Seen by reading: a line for each call that is refused or left, and a traceback of the HTTP library for each request that it can't parse, however many there are. No figure was taken.

--- a/tamarackthread/shared/bounded_server.py
+++ b/tamarackthread/shared/bounded_server.py
@@ -12,6 +12,7 @@
 
 from tamarackthread.shared import (
     connection_table,
+    line_limit,
     listener,
     log_events,
 )
@@ -45,6 +46,11 @@
 _Purpose = connection_table.Purpose
 _Reason = connection_table.Reason
 _log = logging.getLogger('tamarackthread.server')
+# aiohttp logs each request that it can't parse, with its traceback.
+LIBRARY_LINES = 5
+logging.getLogger('aiohttp.server').addFilter(
+    line_limit.LineLimit(LIBRARY_LINES)
+)
 
 Limits = collections.abc.Callable[[], connection_table.ClientLimits]
 
