Log each failed call again, and take heartbeats of a megabyte

The whole tests found both: test_stuck_output.test_calls_go_on counts a line for each of 1,200 refused calls, and got 200; test_target_starts.test_refused expects 400 for an invalid heartbeat of 200 KB, and got 413. Both are promises that hold on: lines of calls go through a bounded queue already, so only the library's tracebacks keep a limit, and heartbeats have the bound of values that orders have.

--- a/tamarackthread/entry/direct/call_log.py
+++ b/tamarackthread/entry/direct/call_log.py
@@ -13,15 +13,13 @@
     stream_timing,
 )
 from tamarackthread.generated.messages import ttypes as messages
-from tamarackthread.shared import errors, line_limit, log_events
+from tamarackthread.shared import errors, log_events
 from tamarackthread.shared.site import site_metrics
 
 SUMMARY_SECONDS = 10.0
 # One of this many ordinary answers gets a log line.
 # At 32 calls a second of an entry, that is a line every 1.5 s.
 SAMPLE_INTERVAL = 50
-# Calls without an answer that are logged in a second.
-FAILURE_LINES = 200
 _Event = log_events.Event
 _log = logging.getLogger('tamarackthread.entry')
 
@@ -29,13 +27,12 @@
 class CallLog:
     """Log the outcome of each call within the request's log context."""
 
-    # Ordinary answers are sampled, and callers who fail again and again can't fill
-    # the log: what is left out is counted.
+    # Ordinary answers are sampled and counted, so that the log volume is
+    # bounded by the number of failures.
     def __init__(self) -> None:
         """Start with all counters at zero."""
         self._counts: collections.Counter[str] = collections.Counter()
         self._answered = 0
-        self._limit = line_limit.LineLimit(FAILURE_LINES)
 
     def log_answered(
         self,
@@ -87,8 +84,6 @@
         service = '' if call is None else call.service
         site_metrics.CALLS.labels(service, event.value).inc()
         self._counts[event.value] += 1
-        if not self._limit.allows():
-            return
         fields: dict[str, object] = {
             'code': failure.code,
             'version': version,
@@ -113,8 +108,6 @@
         """Log that the caller has closed its connection."""
         self._counts[_Event.CALLER_LEFT.value] += 1
         site_metrics.CALLS.labels('', _Event.CALLER_LEFT.value).inc()
-        if not self._limit.allows():
-            return
         log_events.emit(
             _log,
             _Event.CALLER_LEFT,
@@ -126,7 +119,6 @@
         """Log and reset the counters periodically."""
         while True:
             await asyncio.sleep(SUMMARY_SECONDS)
-            self._counts['left_out'] += self._limit.take_left_out()
             if not self._counts:
                 continue
             log_events.emit(
--- a/tamarackthread/platform/http_api.py
+++ b/tamarackthread/platform/http_api.py
@@ -22,7 +22,7 @@
 MILLISECONDS = 1000
 # Size limit of a configuration.
 MAX_BODY_BYTES = 8 << 20
-MAX_ANNOUNCEMENT_BYTES = 64 << 10
+MAX_ANNOUNCEMENT_BYTES = 1 << 20
 _State = announcements.State
 _STATES = types.MappingProxyType(
     {'ready': _State.READY, 'draining': _State.LEAVING},
--- a/tamarackthread/shared/fields.py
+++ b/tamarackthread/shared/fields.py
@@ -5,12 +5,11 @@
 from __future__ import annotations
 
 import collections.abc
-import json
 import math
 import re
 import typing
 
-from tamarackthread.shared import addresses
+from tamarackthread.shared import addresses, bounded_json
 
 JsonObject = dict[str, typing.Any]
 _Choice = typing.TypeVar('_Choice')
@@ -43,7 +42,7 @@
 def parse(body: bytes) -> JsonObject:
     """Parse a JSON object; raise ``FieldInvalid`` for anything else."""
     try:
-        value = json.loads(body)
+        value = bounded_json.loads(body)
     except (ValueError, RecursionError) as exc:
         raise FieldInvalid(f'$: not JSON, {type(exc).__name__}') from exc
     return _require_object(value, '$')
--- a/tamarackthread/shared/line_limit.py
+++ b/tamarackthread/shared/line_limit.py
@@ -9,7 +9,7 @@
 
 
 class LineLimit(logging.Filter):
-    """Let through so many lines of a second; the others are counted."""
+    """Let through so many lines of a second; the others are dropped."""
 
     def __init__(self, lines: int) -> None:
         """Allow ``lines`` in each second."""
@@ -17,7 +17,6 @@
         self._lines = lines
         self._left = lines
         self._begun_at: float = 0
-        self._left_out = 0
 
     def allows(self) -> bool:
         """Tell whether one more line may be logged, and count it."""
@@ -28,15 +27,8 @@
         if self._left:
             self._left -= 1
             return True
-        self._left_out += 1
         return False
 
-    def take_left_out(self) -> int:
-        """Return how many lines were left out since the last question."""
-        left_out = self._left_out
-        self._left_out = 0
-        return left_out
-
     def filter(self, record: logging.LogRecord) -> bool:
         """Limit the lines of the logger that this filter is added to."""
         return self.allows()
