Let connections whose bytes take long to parse rest

Cause, by a profile of the entry: aiohttp parses one such chunk after the other within one read of a body, each with a copy of what is left, 7.5 ms for 16 KB; with 100 connections the links to control hosts were not served in time.

Now a connection whose piece took a millisecond or more to parse isn't read for ten times as long, all such connections in turn, and reads begin with 4 KB and grow while they are cheap.

--- a/tamarackthread/shared/bounded_server.py
+++ b/tamarackthread/shared/bounded_server.py
@@ -20,9 +20,10 @@
 
 # Requests that are parsed while the one before them is served.
 REQUESTS_AHEAD = 2
-# A turn of the event loop reads this much of a connection, and an answer has about
-# as much in the transport's buffer before its writer waits.
-READ_BYTES = 16 << 10
+# A turn of the event loop reads so much of a connection, more of one whose bytes are
+# cheap to parse; an answer has about as much in the transport's buffer.
+MIN_READ_BYTES = 4 << 10
+READ_BYTES = 32 << 10
 WRITE_BYTES = 16 << 10
 # Connections that wait in the kernel, and those accepted in a turn of the loop.
 BACKLOG = 1024
@@ -30,6 +31,13 @@
 SWEEP_SECONDS = 0.5
 # The headers of a request take about this many times their size.
 HEAD_FACTOR = 8
+# Parsing of one piece that takes as long as many ordinary requests, and what is
+# counted of it at most: a slow host is not the client's fault.
+LONG_PARSE_SECONDS = 0.001
+MAX_PARSE_SECONDS = 0.01
+# Times of rest for each time of parsing, of all such connections together: whoever
+# takes the parts in pays several times for them.
+REST_FACTOR = 10
 # What may wait behind an answer that isn't read: in the buffers of its target's
 # connection, and a piece that is written.
 STALLED_BYTES = 192 << 10
@@ -52,6 +60,25 @@
     line_limit.LineLimit(LIBRARY_LINES)
 )
 
+
+class ParseTurns:
+    """Share the processor among connections whose bytes take long to parse.
+
+    Many small chunks cost far more than their size.  Read as they come, they
+    would keep links and probes waiting.
+    """
+
+    def __init__(self) -> None:
+        """Let the first one go on at once."""
+        self._next_at: float = 0
+
+    def take(self, now: float, seconds: float) -> float:
+        """Return how long a connection waits after it has used ``seconds``."""
+        used = min(seconds, MAX_PARSE_SECONDS)
+        self._next_at = max(now, self._next_at) + REST_FACTOR * used
+        return self._next_at - now
+
+
 Limits = collections.abc.Callable[[], connection_table.ClientLimits]
 
 
@@ -62,6 +89,7 @@
         self,
         manager: web.Server,
         table: connection_table.ConnectionTable,
+        parse_turns: ParseTurns,
         limits: Limits,
         **options: typing.Any,
     ) -> None:
@@ -69,12 +97,16 @@
         super().__init__(manager, access_log=None, **options)
         self._table = table
         self._limits = limits
+        self._parse_turns = parse_turns
         self._carrier: asyncio.Transport | None = None
         self._record = connection_table.Connection(
             self._close_for, self._unsent_bytes
         )
         # Of a head that is not complete.
         self._partial_head_bytes = 0
+        self._read_bytes = MIN_READ_BYTES
+        self._piece_seconds: float = 0
+        self._is_resting = False
         self._newest_body: streams.StreamReader = streams.EMPTY_PAYLOAD
 
     @property
@@ -91,8 +123,7 @@
             site_metrics.CONNECTIONS_CLOSED.labels(_Reason.CONNECTIONS).inc()
             self._carrier.abort()
             return
-        # asyncio reads up to 256 KB at once; it has no setting for that.
-        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+        self._read_at_once(MIN_READ_BYTES)
         self._carrier.set_write_buffer_limits(high=WRITE_BYTES)
         super().connection_made(transport)
 
@@ -103,9 +134,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a piece, and count what it adds to the heads that are held."""
+        begun_at = self._loop.time()
         is_of_head = self._newest_body.is_eof()
         requests_before = self._request_count
+        if data:
+            self._begin_piece(len(data))
         super().data_received(data)
+        self._note_parsing(self._loop.time() - begun_at)
         if self._request_count != requests_before:
             self._head_ended()
         elif is_of_head and data:
@@ -162,6 +197,47 @@
         if self._partial_head_bytes > longest:
             self._table.close(self._record, _Reason.LONG_HEAD)
 
+    def _begin_piece(self, size: int) -> None:
+        """Read more at once if the piece before was cheap to parse."""
+        is_cheap = self._piece_seconds < LONG_PARSE_SECONDS / 2
+        if is_cheap and size == self._read_bytes:
+            self._read_at_once(min(2 * size, READ_BYTES))
+        self._piece_seconds = 0
+
+    def _note_parsing(self, seconds: float) -> None:
+        """Read no more for a while after a piece that took long to parse.
+
+        aiohttp parses many small chunks of a piece one by one, as they are read.
+        """
+        self._piece_seconds += seconds
+        if self._piece_seconds < LONG_PARSE_SECONDS or self._carrier is None:
+            return
+        wait = self._parse_turns.take(self._loop.time(), self._piece_seconds)
+        # The rest of the piece is counted by itself.
+        self._piece_seconds = 0
+        if self._is_resting:
+            return
+        self._is_resting = True
+        self._read_at_once(MIN_READ_BYTES)
+        self._carrier.pause_reading()
+        self._loop.call_later(wait, self._end_rest)
+
+    def _read_at_once(self, size: int) -> None:
+        self._read_bytes = size
+        # asyncio reads up to 256 KB at once; it has no setting for that.
+        self._carrier.max_size = size  # type: ignore[union-attr]
+
+    def _end_rest(self) -> None:
+        """Read on, unless aiohttp has stopped reading meanwhile."""
+        self._is_resting = False
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        """Don't let aiohttp read on during a rest."""
+        if not self._is_resting:
+            super()._resume_transport_reading()
+
     def _hold_heads(self, size: int) -> None:
         held = self._record.held_for(_Purpose.HEADS)
         self._hold_or_abort(_Purpose.HEADS, held + size)
@@ -223,6 +299,7 @@
         self._table = connection_table.ConnectionTable(
             bounds, asyncio.get_running_loop().time
         )
+        self._parse_turns = ParseTurns()
         self._limits = limits
         self._options = options
         self._sweeping: asyncio.TimerHandle | None = None
@@ -260,7 +337,12 @@
         if self._sweeping is None:
             self._sweeping = loop.call_later(SWEEP_SECONDS, self._sweep)
         return BoundedProtocol(
-            server, self._table, self._limits, loop=loop, **self._options
+            server,
+            self._table,
+            self._parse_turns,
+            self._limits,
+            loop=loop,
+            **self._options,
         )
 
     def _sweep(self) -> None:
--- a/tests/crowd_case.py
+++ b/tests/crowd_case.py
@@ -269,14 +269,13 @@
 
 
 def head(path, *, length=0, extra=''):
-    """Return the head of a request."""
+    """Return the head of a request; without a length, ``extra`` has another."""
+    if length is not None:
+        extra = f'Content-Length: {length}\r\n{extra}'
     fields = ''.join(
         f'{name}: {value}\r\n' for name, value in ordinary_headers().items()
     )
-    return (
-        f'POST {path} HTTP/1.1\r\n{fields}Content-Length: {length}\r\n'
-        f'{extra}\r\n'
-    ).encode()
+    return (f'POST {path} HTTP/1.1\r\n{fields}{extra}\r\n').encode()
 
 
 def pid(node):
--- a/tests/test_crowd_callers.py
+++ b/tests/test_crowd_callers.py
@@ -17,12 +17,17 @@
 LONG_FIELD_BYTES = 30000
 LONG_FIELDS = 120
 BODY_CLIENTS = 64
+CHUNKED = 'Transfer-Encoding: chunked\r\n'
+CHUNK_CLIENTS = 100
+CHUNKS = 500_000
 BIG_ANSWER_CLIENTS = 60
 STREAM_CLIENTS = 150
 SILENT_CLIENTS = 600
 REFUSED_CLIENTS = 100
 REFUSED_AHEAD = 4000
 SLOW_CLIENTS = 20
+PIECE_BYTES = 1000
+PIECES_AT_ONCE = 500
 TRICKLE_SECONDS = 0.05
 
 
@@ -60,6 +65,18 @@
         await self.assert_unharmed()
 
 
+class ProcessorCase(crowd_case.CrowdCase):
+    async def test_tiny_chunks(self):
+        """Guards against bodies whose parsing keeps all else waiting."""
+        begun = crowd_case.head('/repeat/x', extra=CHUNKED, length=None)
+        await self.crowd(
+            self.world.callers_address(self.entry),
+            CHUNK_CLIENTS,
+            b''.join((begun, b'1\r\nb\r\n' * CHUNKS)),
+        )
+        await self.assert_unharmed()
+
+
 class UnreadCase(crowd_case.CrowdCase):
     async def test_unread_answers(self):
         """Guards against whole answers held until slow clients read them."""
@@ -173,11 +190,20 @@
 
 
 class AllowedCase(crowd_case.CrowdCase):
+    async def _pieces(self, body):
+        for start in range(0, len(body), PIECE_BYTES):
+            yield body[start : start + PIECE_BYTES]
+            if not start % (PIECES_AT_ONCE * PIECE_BYTES):
+                await self.poll()
+
     async def test_largest_requests(self):
         """Guards against limits that the largest allowed request meets."""
         body = b'b' * (4 * MEBIBYTE)
         status, answer = await self.ask('/once/x', body)
         self.assertEqual((200, crowd_target.ORDINARY), (status, answer))
+        # Slowly, in chunks.
+        status, answer = await self.ask('/once/x', self._pieces(body))
+        self.assertEqual((200, crowd_target.ORDINARY), (status, answer))
         status, answer = await self.ask('/repeat/big')
         self.assertEqual(200, status)
         self.assertEqual(crowd_target.BIG_ANSWER_BYTES, len(answer))
