--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -44,6 +44,8 @@
     more: int = 3
 
 
+# Memory of the smallest host.
+MACHINE_BYTES = 200 << 20
 CALL_BOUND = CrashBound('crashing_call_let_through', 3, 4.0)
 # For calls that share a part of their prompts, each new.
 PART_BOUND = CrashBound('crashing_part_let_through', 5, 3.0)
@@ -186,6 +188,13 @@
             found[name] += len(moments)
         return found
 
+    def held_at_most(self, host: str, peak_bytes: int) -> None:
+        """Note the peak memory of a process, 0 if it has ended by itself."""
+        if not peak_bytes:
+            self._add('process_ended', host)
+        if peak_bytes > MACHINE_BYTES:
+            self._add('memory_exceeded', f'{host} had {peak_bytes} bytes')
+
     def violations(self) -> list[Violation]:
         """Judge all that was seen."""
         found = list(self._found)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -13,7 +13,7 @@
 
 import aiohttp
 
-from bench.soak import ledger, targets, world
+from bench.soak import crowd, ledger, targets, world
 from tamarackthread.platform import wire
 
 TARGETS = 4
@@ -28,6 +28,8 @@
 # Share of seeds with many entries, whose processes are all killed at once.
 CROWDED_SHARE = 0.4
 HERD_SECONDS = 4.0
+# Share of seeds with clients that don't behave.
+MISBEHAVED_SHARE = 0.5
 FULL_SECONDS = 6.0
 # Longest pauses of a caller between its calls.
 CALL_PAUSE_SECONDS = 0.05
@@ -87,6 +89,9 @@
         self._is_crowded = random.Random(f'{seed} crowded').random() < (
             CROWDED_SHARE
         )
+        self._has_crowd = random.Random(f'{seed} clients').random() < (
+            MISBEHAVED_SHARE
+        )
         self._call_pause = CALL_PAUSE_SECONDS
         entries = world.FEW_ENTRIES
         if self._is_crowded:
@@ -113,6 +118,7 @@
         async with aiohttp.ClientSession(connector=connector) as session:
             try:
                 await self._press(session, seconds)
+                self._judge_memory()
             finally:
                 await self._world.close()
                 await asyncio.gather(*(one.stop() for one in self._targets))
@@ -145,12 +151,31 @@
             working.append(asyncio.create_task(self._break_entries()))
             working.append(asyncio.create_task(self._break_controls()))
         working.append(asyncio.create_task(self._break_targets()))
+        if self._has_crowd:
+            working.append(asyncio.create_task(self._crowd_on()))
         await asyncio.sleep(seconds)
         self._is_over = True
         await asyncio.gather(*working)
         for task in beating:
             task.cancel()
 
+    async def _crowd_on(self) -> None:
+        """Press entries with clients that don't behave."""
+        pressing = crowd.Crowd(
+            random.Random(f'{self._seed} crowd'),
+            [self._world.callers_address(one) for one in self._world.entries],
+            _HOST,
+            list(_PATHS.values()),
+        )
+        while not self._is_over:
+            self._faults['crowd'] += 1
+            await pressing.press()
+
+    def _judge_memory(self) -> None:
+        """Check what each running process has held at most."""
+        for node in (*self._world.controls, *self._world.entries):
+            self.seen.held_at_most(node.host, world.peak_bytes(node))
+
     async def _call_on(self, session: aiohttp.ClientSession) -> None:
         while not self._is_over:
             kind = self._rng.choice(tuple(_PATHS))
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -24,6 +24,7 @@
 READY_TRIES = 300
 READY_PAUSE_SECONDS = 0.1
 STOP_SECONDS = 20.0
+KIBIBYTE = 1 << 10
 _VARIABLE = 'TAMARACKTHREAD_CONFIG'
 _FAILURES = (aiohttp.ClientError, OSError, TimeoutError)
 
@@ -209,6 +210,17 @@
             )
 
 
+def peak_bytes(node: Node) -> int:
+    """Return the most memory that a process has held, 0 if it has ended."""
+    path = pathlib.Path(f'/proc/{_process_of(node).pid}/status')
+    if _process_of(node).returncode is not None:
+        return 0
+    for line in path.read_text().splitlines():
+        if line.startswith('VmHWM:'):
+            return int(line.split()[1]) * KIBIBYTE
+    return 0
+
+
 def _process_of(node: Node) -> asyncio.subprocess.Process:
     assert node.process is not None
     return node.process
--- a/tests/crowd_case.py
+++ b/tests/crowd_case.py
@@ -284,7 +284,7 @@
 
 def peak_bytes(node):
     """Return the most memory that a process ever held, by the kernel."""
-    for line in pathlib.Path(f'/proc/{pid(node)}/status').open():
-        if line.startswith('VmHWM:'):
-            return int(line.split()[1]) << 10
-    raise AssertionError('no VmHWM')
+    peak = world.peak_bytes(node)
+    if not peak:
+        raise AssertionError(f'{node.host} has ended')
+    return peak
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,17 @@
         held.reached('z', 'c1', now=17)
         self.assertEqual(1, len(self.promises(held)))
 
+    def test_memory(self):
+        """A process ends by itself, or takes more than its host has."""
+        held = seen()
+        held.held_at_most('e', 100 << 20)
+        self.assertEqual([], self.promises(held))
+        held.held_at_most('e', 201 << 20)
+        held.held_at_most('e', 0)
+        self.assertEqual(
+            ['memory_exceeded', 'process_ended'], self.promises(held)
+        )
+
     def test_cold_target(self):
         """A cold target gets one call more in a second than it takes."""
         held = seen()
