Count the steps of parsing, not their time

Seen by reading: a rest after a piece that took a millisecond to parse would also delay an ordinary client on a host whose processor pauses, and behind many heavy clients for seconds.

Ordinary bodies have a step or none.

--- a/tamarackthread/shared/bounded_server.py
+++ b/tamarackthread/shared/bounded_server.py
@@ -31,13 +31,11 @@
 SWEEP_SECONDS = 0.5
 # The headers of a request take about this many times their size.
 HEAD_FACTOR = 8
-# Parsing of one piece that takes as long as many ordinary requests, and what is
-# counted of it at most: a slow host is not the client's fault.
-LONG_PARSE_SECONDS = 0.001
-MAX_PARSE_SECONDS = 0.01
-# Times of rest for each time of parsing, of all such connections together: whoever
-# takes the parts in pays several times for them.
-REST_FACTOR = 10
+# aiohttp parses the chunks of a piece one by one if it stops after each.  So many in
+# a piece are no ordinary body; each is paid for with several times what it costs, which
+# isn't measured: a slow host is not the client's fault.
+MANY_STEPS = 64
+STEP_REST_SECONDS = 50e-6
 # What may wait behind an answer that isn't read: in the buffers of its target's
 # connection, and a piece that is written.
 STALLED_BYTES = 192 << 10
@@ -62,7 +60,7 @@
 
 
 class ParseTurns:
-    """Share the processor among connections whose bytes take long to parse.
+    """Share the processor among connections whose bytes take many steps to parse.
 
     Many small chunks cost far more than their size.  Read as they come, they
     would keep links and probes waiting.
@@ -72,10 +70,9 @@
         """Let the first one go on at once."""
         self._next_at: float = 0
 
-    def take(self, now: float, seconds: float) -> float:
-        """Return how long a connection waits after it has used ``seconds``."""
-        used = min(seconds, MAX_PARSE_SECONDS)
-        self._next_at = max(now, self._next_at) + REST_FACTOR * used
+    def take(self, now: float, steps: int) -> float:
+        """Return how many seconds a connection waits after so many steps."""
+        self._next_at = max(now, self._next_at) + STEP_REST_SECONDS * steps
         return self._next_at - now
 
 
@@ -105,7 +102,7 @@
         # Of a head that is not complete.
         self._partial_head_bytes = 0
         self._read_bytes = MIN_READ_BYTES
-        self._piece_seconds: float = 0
+        self._steps = 0
         self._is_resting = False
         self._newest_body: streams.StreamReader = streams.EMPTY_PAYLOAD
 
@@ -134,13 +131,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a piece, and count what it adds to the heads that are held."""
-        begun_at = self._loop.time()
         is_of_head = self._newest_body.is_eof()
         requests_before = self._request_count
         if data:
             self._begin_piece(len(data))
+        else:
+            self._note_step()
         super().data_received(data)
-        self._note_parsing(self._loop.time() - begun_at)
         if self._request_count != requests_before:
             self._head_ended()
         elif is_of_head and data:
@@ -199,22 +196,18 @@
 
     def _begin_piece(self, size: int) -> None:
         """Read more at once if the piece before was cheap to parse."""
-        is_cheap = self._piece_seconds < LONG_PARSE_SECONDS / 2
-        if is_cheap and size == self._read_bytes:
+        if size == self._read_bytes and not self._is_resting:
             self._read_at_once(min(2 * size, READ_BYTES))
-        self._piece_seconds = 0
+        self._steps = 0
 
-    def _note_parsing(self, seconds: float) -> None:
-        """Read no more for a while after a piece that took long to parse.
-
-        aiohttp parses many small chunks of a piece one by one, as they are read.
-        """
-        self._piece_seconds += seconds
-        if self._piece_seconds < LONG_PARSE_SECONDS or self._carrier is None:
+    def _note_step(self) -> None:
+        """Read no more for a while after a piece of many steps."""
+        self._steps += 1
+        if self._steps < MANY_STEPS or self._carrier is None:
             return
-        wait = self._parse_turns.take(self._loop.time(), self._piece_seconds)
+        wait = self._parse_turns.take(self._loop.time(), self._steps)
         # The rest of the piece is counted by itself.
-        self._piece_seconds = 0
+        self._steps = 0
         if self._is_resting:
             return
         self._is_resting = True
