--- a/tamarackthread/shared/bounded_server.py
+++ b/tamarackthread/shared/bounded_server.py
@@ -31,9 +31,9 @@
 SWEEP_SECONDS = 0.5
 # The headers of a request take about this many times their size.
 HEAD_FACTOR = 8
-# aiohttp parses the chunks of a piece one by one if it stops after each.  So many in
-# a piece are no ordinary body; each is paid for with several times what it costs, which
-# isn't measured: a slow host is not the client's fault.
+# aiohttp parses small chunks one by one, stopping after each.  So many in a piece are
+# no ordinary body.  The rest for each is several times what a step costs; it isn't
+# measured, since a slow host is not the client's fault.
 MANY_STEPS = 64
 STEP_REST_SECONDS = 50e-6
 # What may wait behind an answer that isn't read: in the buffers of its target's
