--- a/tamarackthread/shared/bounded_server.py
+++ b/tamarackthread/shared/bounded_server.py
@@ -32,8 +32,8 @@
 # The headers of a request take about this many times their size.
 HEAD_FACTOR = 8
 # aiohttp parses small chunks one by one, stopping after each.  So many in a piece are
-# no ordinary body.  The rest for each is several times what a step costs; it isn't
-# measured, since a slow host is not the client's fault.
+# no ordinary body; each has a rest of several times what it costs, by its count and
+# not by the clock: a slow host is not the client's fault.
 MANY_STEPS = 64
 STEP_REST_SECONDS = 50e-6
 # What may wait behind an answer that isn't read: in the buffers of its target's
