--- a/bench/soak/crowd.py
+++ b/bench/soak/crowd.py
@@ -47,11 +47,7 @@
         clients = []
         sending = []
         for _ in range(CLIENTS):
-            client = socket.socket()
-            client.setblocking(False)
-            client.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-            )
+            client = new_socket()
             clients.append(client)
             sending.append(
                 asyncio.create_task(_serve(client, (host, int(port)), kind))
@@ -89,6 +85,14 @@
         ).encode()
 
 
+def new_socket() -> socket.socket:
+    """Return a socket that takes as little as the kernel lets it."""
+    client = socket.socket()
+    client.setblocking(False)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return client
+
+
 async def _close(
     clients: list[socket.socket], sending: list[asyncio.Task[None]]
 ) -> None:
--- a/tests/crowd_case.py
+++ b/tests/crowd_case.py
@@ -4,9 +4,9 @@
 """
 
 import asyncio
+import math
 import pathlib
 import resource
-import socket
 import sys
 import tempfile
 import types
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from bench.soak import world
+from bench.soak import crowd, world
 from tamarackthread.platform import wire
 from tests import crowd_target
 
@@ -37,8 +37,6 @@
 MANY_POLLS = 1200
 # An operator gives up after so many tries.
 MANY_ORDERS = 100
-# Clients that don't read take as little as the kernel lets them.
-RECEIVE_BUFFER_BYTES = 4096
 CONFIGURED_LIMITS = types.MappingProxyType(
     {
         'max-header-bytes': 16384,
@@ -56,11 +54,7 @@
         host, _, port = address.rpartition(':')
         self._address = (host, int(port))
         self.sent_bytes = 0
-        self._socket = socket.socket()
-        self._socket.setblocking(False)
-        self._socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
+        self._socket = crowd.new_socket()
         self.is_closed = False
 
     async def send(self, content):
@@ -126,7 +120,7 @@
         self.addCleanup(self._leave)
         await self.configure(1)
         await self.world.wait_ready(self.session)
-        await self._wait_served()
+        self.assertTrue(await self.wait_until(self._is_served))
 
     async def configure(self, version):
         """Put a configuration in force."""
@@ -150,19 +144,26 @@
             'services': [{'name': 'app'}],
             'limits': dict(self.limits),
         }
-        for _ in range(MANY_ORDERS):
-            if await self._is_accepted(body):
-                return
-            if self.has_hung:
-                break
-            await self.poll()
-        self.fail('no configuration was accepted')
-
-    async def poll(self):
-        """Wait for a moment between two looks at the processes."""
-        while True:
+
+        async def is_over():
+            return await self._is_accepted(body) or self.has_hung
+
+        is_over_in_time = await self.wait_until(is_over, MANY_ORDERS)
+        if self.has_hung or not is_over_in_time:
+            self.fail('no configuration was accepted')
+
+    async def wait_until(self, is_over, polls=MANY_POLLS):
+        """Look at the processes until a condition holds; tell whether it does."""
+        while not await is_over():
+            if not polls:
+                return False
+            polls -= 1
             await asyncio.sleep(POLL_SECONDS)
-            break
+            self.look()
+        return True
+
+    def look(self):
+        """Note how many descriptors each process has."""
         for node in (*self.world.controls, *self.world.entries):
             count = len(list(pathlib.Path(f'/proc/{pid(node)}/fd').iterdir()))
             most = self.most_descriptors.get(node.host, 0)
@@ -177,14 +178,15 @@
         await self.settle()
 
     async def settle(self):
-        """Wait until the clients make no progress."""
-        quiet_polls = 0
-        before = -1
-        while quiet_polls < QUIET_POLLS:
-            await self.poll()
-            sent = sum(client.sent_bytes for client in self.clients)
-            quiet_polls = quiet_polls + 1 if sent == before else 0
-            before = sent
+        """Wait until the clients make no progress for some polls."""
+        sums = []
+
+        async def is_quiet():
+            sums.append(sum(client.sent_bytes for client in self.clients))
+            newest = sums[-QUIET_POLLS - 1 :]
+            return len(newest) > QUIET_POLLS and len(set(newest)) == 1
+
+        await self.wait_until(is_quiet, math.inf)
 
     async def ask(self, path='/repeat/x', body=b''):
         """Send one ordinary request; return the status and the body."""
@@ -202,9 +204,9 @@
 
     async def assert_unharmed(self):
         """Check that processes live within their bounds and serve."""
-        await self.poll()
+        self.look()
         self.assertEqual((HTTP_OK, crowd_target.ORDINARY), await self.ask())
-        await self.poll()
+        self.look()
         for node in (*self.world.controls, *self.world.entries):
             with self.subTest(node=node.host):
                 self.assertIsNone(node.process.returncode)
@@ -241,20 +243,18 @@
     async def _answer_of(self, asking, otherwise):
         """Wait for an answer, but not for ever: a process may hang."""
         task = asyncio.create_task(asking)
-        for _ in range(MANY_POLLS):
-            await self.poll()
-            if task.done():
-                return task.result()
+
+        async def is_answered():
+            return task.done()
+
+        if await self.wait_until(is_answered):
+            return task.result()
         task.cancel()
         self.has_hung = True
         return otherwise
 
-    async def _wait_served(self):
-        for _ in range(MANY_POLLS):
-            if await self.ask() == (HTTP_OK, crowd_target.ORDINARY):
-                return
-            await self.poll()
-        self.fail('the site does not serve')
+    async def _is_served(self):
+        return await self.ask() == (HTTP_OK, crowd_target.ORDINARY)
 
     def _leave(self):
         for task in self.sending:
--- a/tests/crowd_target.py
+++ b/tests/crowd_target.py
@@ -1,8 +1,4 @@
-"""Announce a target to control, and answer at the length that a path names.
-
-Usage: ``python -m tests.crowd_target CONTROL...``.  A process of its own: a busy
-crowd must not delay its heartbeats.
-"""
+"""Run a target by itself: ``python -m tests.crowd_target CONTROL...``."""
 
 import asyncio
 import sys
@@ -11,6 +7,7 @@
 import aiohttp
 
 from tamarackthread.platform import wire
+from tests import direct_case
 
 MEBIBYTE = 1 << 20
 ORDINARY = b'an ordinary answer'
@@ -23,6 +20,7 @@
 BEAT_SECONDS = 0.6
 
 
+# In a process of its own, since a busy crowd must not delay its heartbeats.
 class Target:
     """Announce itself to control, and answer at the length of the path."""
 
@@ -66,7 +64,7 @@
             writer.close()
 
     async def _skip_body(self, reader, head):
-        left = int(field_of(head, 'content-length') or 0)
+        left = int(direct_case.header(head, 'content-length') or 0)
         while left:
             left -= len(await reader.readexactly(min(left, READ_BYTES)))
 
@@ -74,7 +72,7 @@
         path = head.split()[1]
         ids = (
             f'HTTP/1.1 200 OK\r\n{wire.SIGNATURE}: s\r\n'
-            f'{wire.CALL_ID}: {field_of(head, wire.CALL_ID)}\r\n'
+            f'{wire.CALL_ID}: {direct_case.header(head, wire.CALL_ID)}\r\n'
         )
         if 'events' in path:
             await self._stream(writer, ids)
@@ -108,14 +106,6 @@
         return 0
 
 
-def field_of(text, name):
-    """Return the value of a header of a head, empty if missing."""
-    for line in text.split('\r\n'):
-        if line.lower().startswith(f'{name.lower()}: '):
-            return line.split(': ', 1)[1]
-    return ''
-
-
 async def main(controls):
     async with aiohttp.ClientSession() as session:
         await Target(controls).start(session)
--- a/tests/test_crowd_callers.py
+++ b/tests/test_crowd_callers.py
@@ -160,12 +160,16 @@
 
     async def _assert_few_open(self):
         """Wait until the entry has closed all connections but its own few."""
-        for _ in range(crowd_case.MANY_POLLS):
+
+        async def are_few():
             self.most_descriptors.clear()
-            await self.poll()
-            if self.most_descriptors[self.entry.host] < REFUSED_CLIENTS:
-                return
-        self.fail('connections without progress stay open')
+            self.look()
+            return self.most_descriptors[self.entry.host] < REFUSED_CLIENTS
+
+        self.assertTrue(
+            await self.wait_until(are_few),
+            'connections without progress stay open',
+        )
 
     async def test_trickled_heads(self):
         """Guards against heads that go on a byte at a time for ever."""
@@ -182,11 +186,14 @@
         self.sending += [
             asyncio.create_task(client.wait_closed()) for client in self.clients
         ]
-        for _ in range(crowd_case.MANY_POLLS):
-            await self.poll()
-            if all(client.is_closed for client in self.clients):
-                return
-        self.fail('connections over the time limits stay open')
+
+        async def are_closed():
+            return all(client.is_closed for client in self.clients)
+
+        self.assertTrue(
+            await self.wait_until(are_closed),
+            'connections over the time limits stay open',
+        )
 
 
 class AllowedCase(crowd_case.CrowdCase):
@@ -194,7 +201,10 @@
         for start in range(0, len(body), PIECE_BYTES):
             yield body[start : start + PIECE_BYTES]
             if not start % (PIECES_AT_ONCE * PIECE_BYTES):
-                await self.poll()
+                await self.wait_until(self._never, polls=1)
+
+    async def _never(self):
+        return False
 
     async def test_largest_requests(self):
         """Guards against limits that the largest allowed request meets."""
