Say limits, addresses and limited lines once, and part the bounded server

Found on reading the change again: the limits of clients and their defaults stood in two classes that were copied field by field; the bytes read of a target in two modules; an address was put together beside listener.address_of, twice; the listener limited its lines by hand beside LineLimit; an entry's front end took more than it used; and a starter of applications had one caller. The module of the server held its protocol, too.

Each stands once now, and bounded_protocol is a module of its own. Orders at control keep their 30 s for a body, which stand there now.

--- a/tamarackthread/control/site/http_server.py
+++ b/tamarackthread/control/site/http_server.py
@@ -14,6 +14,16 @@
 )
 
 
+# An order may come over a narrow link.
+BODY_SECONDS = 30.0
+# Stopping takes longer than a change or a read.
+SHUTDOWN_SECONDS = 1.0
+
+
+def _client_limits() -> connection_table.ClientLimits:
+    return connection_table.ClientLimits(body_seconds=BODY_SECONDS)
+
+
 class HttpServer(abc.ABC):
     """HTTP interface of a control host; its paths are a platform's."""
 
@@ -39,14 +49,17 @@
         bounds: connection_table.Bounds = process_bounds.SMALL,
     ) -> str:
         """Serve at HOST:PORT within bounds and return the address in use."""
-        self._runner = await bounded_server.start_application(
-            'operators',
+        self._runner = web.AppRunner(
             self.application(site, targets, zones),
-            address,
-            bounds,
+            handle_signals=False,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        await self._runner.setup()
+        served = bounded_server.BoundedSite(
+            'operators', self._runner, address, bounds, _client_limits
         )
-        bound_host, bound_port = self._runner.addresses[0][:2]
-        return f'{bound_host}:{bound_port}'
+        await served.start()
+        return served.address
 
     async def close(self) -> None:
         """Stop serving."""
--- a/tamarackthread/entry/direct/frontend.py
+++ b/tamarackthread/entry/direct/frontend.py
@@ -24,6 +24,7 @@
     target_client,
 )
 from tamarackthread.shared import (
+    bounded_protocol,
     bounded_server,
     connection_table,
     errors,
@@ -60,13 +61,11 @@
         generator: random.Random,
         call_logger: call_log.CallLog,
         stopping: stop_deadline.StopDeadline,
-        bounds: process_bounds.ProcessBounds | None = None,
+        bounds: connection_table.Bounds = process_bounds.SMALL,
     ) -> None:
-        """Serve nothing until ``start``; the default bounds are those of a
-        small machine.
-        """
+        """Serve nothing until ``start``; ``bounds`` are those of callers."""
         self._stopping = stopping
-        self._bounds = bounds or process_bounds.ProcessBounds()
+        self._bounds = bounds
         self._call_log = call_logger
         self._dialect = header_dialect
         self._tables = tables
@@ -92,9 +91,7 @@
 
     async def start(self, address: str) -> str:
         """Serve callers at HOST:PORT and return the address in use."""
-        return await self._serve(
-            self._handle, 'callers', address, self._bounds.clients
-        )
+        return await self._serve(self._handle, 'callers', address, self._bounds)
 
     async def start_readiness(self, address: str) -> str:
         """Serve the readiness probe and return the address in use."""
@@ -144,7 +141,7 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        await bounded_server.BoundedSite(
+        served = bounded_server.BoundedSite(
             title,
             runner,
             address,
@@ -157,20 +154,14 @@
             auto_decompress=False,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
-        ).start()
-        bound_host, bound_port = runner.addresses[0][:2]
-        return f'{bound_host}:{bound_port}'
+        )
+        await served.start()
+        return served.address
 
     def _client_limits(self) -> connection_table.ClientLimits:
         table = self._tables.current
         limits = site.Limits() if table is None else table.config.limits
-        return connection_table.ClientLimits(
-            header_bytes=limits.header_bytes,
-            header_seconds=limits.header_seconds,
-            # A body has until its call's deadline.
-            body_seconds=math.inf,
-            idle_seconds=limits.idle_seconds,
-        )
+        return limits.clients
 
     async def _answer_readiness(
         self,
@@ -286,7 +277,7 @@
             arrived_at=arrived,
             deadline=arrived + left,
             priority=match.priority,
-            connection=bounded_server.connection_of(request),
+            connection=bounded_protocol.connection_of(request),
         )
 
     async def _send_error(
--- a/tamarackthread/entry/direct/role.py
+++ b/tamarackthread/entry/direct/role.py
@@ -125,7 +125,7 @@
             generator,
             self._call_log,
             self._stopping,
-            bounds,
+            bounds.clients,
         )
 
     async def run(self, announce: process.Announce | None) -> None:
--- a/tamarackthread/entry/direct/target_client.py
+++ b/tamarackthread/entry/direct/target_client.py
@@ -35,7 +35,6 @@
 # How long connections to a target that sent what belongs to no request aren't shared:
 # it may do so again, and each time a call on the connection is lost.
 FOREIGN_SECONDS = 10.0
-READ_BYTES = 32 * 1024
 # Bytes of answers that are held until they are complete: of one, and of all.
 MAX_ANSWER_BYTES = 16 << 20
 MAX_HELD_BYTES = 64 << 20
@@ -354,7 +353,7 @@
         ),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        read_bufsize=READ_BYTES,
+        read_bufsize=http_connection.READ_BYTES,
     )
     # aiohttp would resend idempotent methods on its own, outside the retry
     # budget.
--- a/tamarackthread/platform/configuration.py
+++ b/tamarackthread/platform/configuration.py
@@ -7,7 +7,12 @@
 import types
 import typing
 
-from tamarackthread.shared import bounded_json, fields, findings
+from tamarackthread.shared import (
+    bounded_json,
+    connection_table,
+    fields,
+    findings,
+)
 from tamarackthread.shared.site import checks
 from tamarackthread.shared.site import configuration as site
 
@@ -155,13 +160,16 @@
 
 def _limits(row: _Row) -> site.Limits:
     defaults = site.Limits()
+    known = defaults.clients
     return site.Limits(
         body_bytes=int(row.get('max-body-bytes') or defaults.body_bytes),
-        header_bytes=int(row.get('max-header-bytes') or defaults.header_bytes),
-        header_seconds=_seconds(
-            row, 'header-timeout-ms', defaults.header_seconds
+        clients=connection_table.ClientLimits(
+            header_bytes=int(row.get('max-header-bytes') or known.header_bytes),
+            header_seconds=_seconds(
+                row, 'header-timeout-ms', known.header_seconds
+            ),
+            idle_seconds=_seconds(row, 'idle-timeout-ms', known.idle_seconds),
         ),
-        idle_seconds=_seconds(row, 'idle-timeout-ms', defaults.idle_seconds),
     )
 
 
--- a/tamarackthread/shared/connection_table.py
+++ b/tamarackthread/shared/connection_table.py
@@ -11,6 +11,7 @@
 import collections
 import collections.abc
 import enum
+import math
 
 import attrs
 
@@ -89,8 +90,10 @@
     """Limits of each client, with the defaults of a configuration."""
 
     header_bytes: int = 16 << 10
+    # From the first byte of a head to its last.
     header_seconds: float = 3.0
-    body_seconds: float = 30.0
+    # Calls have deadlines of their own.
+    body_seconds: float = math.inf
     idle_seconds: float = 15.0
 
 
--- a/tamarackthread/shared/line_limit.py
+++ b/tamarackthread/shared/line_limit.py
@@ -17,6 +17,7 @@
         self._lines = lines
         self._left = lines
         self._begun_at: float = 0
+        self._left_out = 0
 
     def allows(self) -> bool:
         """Tell whether one more line may be logged, and count it."""
@@ -27,8 +28,15 @@
         if self._left:
             self._left -= 1
             return True
+        self._left_out += 1
         return False
 
+    def take_left_out(self) -> int:
+        """Return how many lines were left out since the last question."""
+        left_out = self._left_out
+        self._left_out = 0
+        return left_out
+
     def filter(self, record: logging.LogRecord) -> bool:
         """Limit the lines of the logger that this filter is added to."""
         return self.allows()
--- a/tamarackthread/shared/listener.py
+++ b/tamarackthread/shared/listener.py
@@ -6,14 +6,13 @@
 import logging
 import socket
 
-from tamarackthread.shared import connecting, errors, identity, link
+from tamarackthread.shared import connecting, errors, identity, line_limit, link
 
 # Peers whose handshake is under way, without a limit that follows from the host.
 MAX_HANDSHAKES = 256
 # Connections that wait in the kernel, and those accepted in a turn of the loop.
 BACKLOG = 256
 ACCEPTED_AT_ONCE = 16
-LOG_SECONDS = 1.0
 _log = logging.getLogger('tamarackthread.link')
 
 
@@ -35,8 +34,7 @@
         self._handler = handler
         self._max_handshakes = max_handshakes
         self._unknown: dict[asyncio.StreamWriter, None] = {}
-        self._rejected = 0
-        self._logged_at = -LOG_SECONDS
+        self._rejections = line_limit.LineLimit(1)
         self._links: set[link.Link] = set()
         self._server: asyncio.Server | None = None
 
@@ -116,19 +114,15 @@
         oldest.transport.abort()
 
     def _log_rejected(self, failure: errors.CodedError) -> None:
-        """Log a rejection, unless others were logged a moment ago."""
-        now = asyncio.get_running_loop().time()
-        if now < self._logged_at + LOG_SECONDS:
-            self._rejected += 1
+        """Log a rejection, unless another was logged a moment ago."""
+        if not self._rejections.allows():
             return
         _log.warning(
             'link: rejected a connection, %s %s, and %d others before it',
             failure.code,
             failure,
-            self._rejected,
+            self._rejections.take_left_out(),
         )
-        self._logged_at = now
-        self._rejected = 0
 
 
 def bind(host: str, port: int) -> socket.socket:
--- a/tamarackthread/shared/request_body.py
+++ b/tamarackthread/shared/request_body.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from tamarackthread.shared import bounded_server, connection_table, errors
+from tamarackthread.shared import bounded_protocol, connection_table, errors
 
 # A body is held once as it is read, and once more as it is passed on.
 COPIES = 2
@@ -35,7 +35,7 @@
         return b''
     if (request.content_length or 0) > max_bytes:
         raise BodyOverLimit(f'at most {max_bytes} bytes')
-    connection = bounded_server.connection_of(request)
+    connection = bounded_protocol.connection_of(request)
     connection.enter(_Phase.BODY)
     pieces: list[bytes] = []
     try:
@@ -50,7 +50,7 @@
 async def _read_pieces(
     request: web.BaseRequest, max_bytes: int, pieces: list[bytes]
 ) -> None:
-    connection = bounded_server.connection_of(request)
+    connection = bounded_protocol.connection_of(request)
     newest = bytearray()
     size = 0
     while not request.content.at_eof():
@@ -72,4 +72,4 @@
     try:
         yield
     finally:
-        bounded_server.connection_of(request).hold(_BODY, 0)
+        bounded_protocol.connection_of(request).hold(_BODY, 0)
--- a/tamarackthread/shared/site/configuration.py
+++ b/tamarackthread/shared/site/configuration.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from tamarackthread.shared import connection_table
+
 
 class RouteKind(enum.Enum):
     """Whether the calls of a route may be retried."""
@@ -101,10 +103,7 @@
     """Limits of a request."""
 
     body_bytes: int = 4 << 20
-    header_bytes: int = 16 << 10
-    # From the first byte of a head to its last.
-    header_seconds: float = 3.0
-    idle_seconds: float = 15.0
+    clients: connection_table.ClientLimits = connection_table.ClientLimits()
 
 
 @attrs.frozen(kw_only=True)
