Take no answer for one whose status line is malformed

What callers saw: an answer of a target whose status was 000 came as an answer, its status line written anew as "HTTP/1.1 0 ", with the target's signature.

Cause: aiohttp's client parses any three digits as a status, and versions of other protocols (HTTP/0.9, HTTP/2.0, RTSP, ICE). Its reader skips 100 to 199 only; what was left was judged by its headers. So 000 to 099 and 600 to 999 passed for answers, and so did a switch to another protocol (101) that no request had asked for. The same reader serves entries, agents, orders to ranks, reports and engines.

A call that may repeat ended with such an answer and was not tried at another target.

Why this works: a connection's reader finds the end of each head by itself, also of interim ones, and checks the status line before the parser is given the last piece of it. A malformed head ends the connection, and its call is one that may have run: 502, or tried elsewhere where that is allowed.

--- a/tamarackthread/shared/http_connection.py
+++ b/tamarackthread/shared/http_connection.py
@@ -3,7 +3,7 @@
 What arrives on a connection while no answer is due belongs to no request, and
 so does what follows the end of an answer.  Taken for the next answer, it would
 leave the connection one answer behind for as long as it is used.  Such a
-connection is closed at once.
+connection is closed at once, and so is one with a malformed head.
 """
 
 from __future__ import annotations
@@ -16,13 +16,15 @@
 import aiohttp
 from aiohttp import client_proto, helpers, streams
 
+from tamarackthread.shared import response_head
+
 READ_BYTES = 32 << 10
 # Bytes of an answer besides its body: heads, sizes of chunks and trailers.
 MAX_FRAMING_BYTES = 64 << 10
 # More of them are allowed in proportion to the body: a chunk of one byte has five.
 MAX_FRAMING_RATIO = 8
-_HEAD_END = b'\r\n\r\n'
-_SWITCHING_PROTOCOLS = 101
+# A last chunk without trailers ends so.
+_CHUNKS_END = b'\r\n\r\n'
 _FIRST_FINAL_STATUS = 200
 
 
@@ -48,9 +50,10 @@
         self._is_due = False
         self._has_surplus = False
         self._received_bytes = 0
-        # The last bytes before the current piece: the end of a head, or of chunks,
-        # may lie in both.
+        # The last bytes before the current piece: the end of chunks may lie in
+        # both.
         self._last_bytes = b''
+        self._head_reader = response_head.HeadReader()
         self._head: typing.Any = None
         self._body: streams.StreamReader | None = None
 
@@ -71,6 +74,7 @@
         self._is_due = True
         self._received_bytes = 0
         self._last_bytes = b''
+        self._head_reader = response_head.HeadReader()
         self._head = None
         self._body = None
         super().set_response_params(**settings)
@@ -83,8 +87,7 @@
             self._has_surplus = True
             return
         head, body = data
-        is_final = head.code >= _FIRST_FINAL_STATUS
-        if is_final or head.code == _SWITCHING_PROTOCOLS:
+        if head.code >= _FIRST_FINAL_STATUS:
             self._head = head
             self._body = body
         super().feed_data(data, size)
@@ -97,8 +100,12 @@
             self._is_due = self._is_due and not self._is_complete
             return
         while data and self._is_due:
-            # By itself, a head isn't lost with invalid bytes after its answer.
-            size = len(data) if self._head else self._head_size(data)
+            try:
+                size = self._part_size(data)
+            except response_head.MalformedHead as exc:
+                self._fail(exc)
+                self._abort()
+                return
             self._receive(data[:size])
             data = data[size:]
         if data:
@@ -112,15 +119,12 @@
 
     def give_up(self) -> None:
         """Close a connection that carries what belongs to no request."""
-        self.force_close()
-        self._is_due = False
-        if self.transport is None:
-            return
-        peer = self.transport.get_extra_info('peername')
-        if self._on_foreign is not None and peer is not None:
-            host, port = peer[:2]
-            self._on_foreign(f'{host}:{port}')
-        self.transport.abort()
+        if self.transport is not None:
+            peer = self.transport.get_extra_info('peername')
+            if self._on_foreign is not None and peer is not None:
+                host, port = peer[:2]
+                self._on_foreign(f'{host}:{port}')
+        self._abort()
 
     @property
     def _is_complete(self) -> bool:
@@ -132,16 +136,15 @@
             return 0
         return self._body.total_bytes
 
-    def _head_size(self, data: bytes) -> int:
-        """Return the size of the part of a piece that belongs to a head."""
-        received = self._last_bytes + data
-        end = received.find(_HEAD_END)
-        if end < 0:
-            self._last_bytes = received[1 - len(_HEAD_END) :]
+    def _part_size(self, data: bytes) -> int:
+        """Return the size of the part of a piece to parse next.
+
+        By itself, a head isn't lost with invalid bytes after its answer.
+        Raises ``MalformedHead`` before the parser can repair the head.
+        """
+        if self._head is not None:
             return len(data)
-        before = len(self._last_bytes)
-        self._last_bytes = b''
-        return end + len(_HEAD_END) - before
+        return self._head_reader.feed(data)
 
     def _receive(self, data: bytes) -> None:
         """Parse a head, a part of one, or a part of a body."""
@@ -151,13 +154,13 @@
         self._received_bytes += len(data)
         if not self._is_complete:
             if had_head:
-                self._last_bytes = data[1 - len(_HEAD_END) :]
+                self._last_bytes = data[1 - len(_CHUNKS_END) :]
             self._check_framing()
             return
         self._is_due = False
         is_exact = self._body_bytes - bytes_before == len(data)
         if self._head.chunked:
-            is_exact = (self._last_bytes + data).endswith(_HEAD_END)
+            is_exact = (self._last_bytes + data).endswith(_CHUNKS_END)
         if self._has_surplus or (had_head and not is_exact):
             self.give_up()
 
@@ -169,10 +172,21 @@
         failure = aiohttp.ClientPayloadError(
             f'over {MAX_FRAMING_BYTES} bytes that are no body'
         )
+        self._fail(failure)
+        self.give_up()
+
+    def _fail(self, failure: aiohttp.ClientError) -> None:
+        """Raise a failure where the answer is read."""
         if self._body is not None:
             helpers.set_exception(self._body, failure)
         self.set_exception(failure)
-        self.give_up()
+
+    def _abort(self) -> None:
+        """Read no more, and close the connection at once."""
+        self.force_close()
+        self._is_due = False
+        if self.transport is not None:
+            self.transport.abort()
 
 
 class Response(aiohttp.ClientResponse):
--- /dev/null
+++ b/tests/test_broken_heads.py
@@ -0,0 +1,200 @@
+"""Test that an answer whose head is malformed is no answer, for each reader."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+import unittest
+
+from tamarackthread.agent import engine_client, order_errors
+from tamarackthread.agent import target as agent_target
+from tamarackthread.control.site.maps import ranks
+from tamarackthread.generated.messages import ttypes as messages
+from tamarackthread.platform import ranks as platform_ranks
+from tamarackthread.shared import target_errors
+from tests import direct_case
+
+OK_LINE = b'HTTP/1.1 200 OK'
+# RFC 9112, section 4, and RFC 9110, section 15.
+STATUS_LINES = (
+    b'HTTP/1.1 000 OK',
+    b'HTTP/1.1 001 OK',
+    b'HTTP/1.1 099 OK',
+    b'HTTP/1.1 600 OK',
+    b'HTTP/1.1 999 OK',
+    b'HTTP/1.1 0 OK',
+    b'HTTP/1.1 20 OK',
+    b'HTTP/1.1 2000 OK',
+    b'HTTP/1.1 0200 OK',
+    b'HTTP/1.1 -20 OK',
+    b'HTTP/1.1 200OK',
+    b'HTTP/1.1  200 OK',
+    b'HTTP/1.1 2 0 OK',
+    b'HTTP/1.1\t200 OK',
+    b'HTTP/1.1 200 O\0K',
+    b'HTTP/1.1 200 O\x7fK',
+    b'HTTP/2.0 200 OK',
+    b'HTTP/0.9 200 OK',
+    b'RTSP/1.0 200 OK',
+    b'ICE/1.0 200 OK',
+    b'http/1.1 200 OK',
+    b' HTTP/1.1 200 OK',
+    # No request asks for another protocol.
+    b'HTTP/1.1 101 Switching Protocols',
+)
+MALFORMED = tuple((line,) for line in STATUS_LINES)
+WELL_FORMED = (
+    b'HTTP/1.0 200 OK',
+    b'HTTP/1.1 200',
+    b'HTTP/1.1 200 \t\xe9t\xe9',
+)
+INTERIM = b'HTTP/1.1 102 Wait\r\n\r\n'
+# A whole event, so that all kinds of calls have it for an answer.
+EVENT = 'data: a\n\n'
+
+
+def answering(*lines, before=b'', piece_bytes=0):
+    """Answer with a status line and more lines of a head, in pieces if set."""
+
+    async def script(target, head, writer):
+        _, _, ids = direct_case.head_of(target, head).partition('\r\n')
+        start = b'\r\n'.join((*lines, ids.encode()))
+        rest = f'Content-Length: {len(EVENT)}\r\n\r\n{EVENT}'.encode()
+        answer = before + start + rest
+        size = piece_bytes or len(answer)
+        for offset in range(0, len(answer), size):
+            if writer.transport.is_closing():
+                return
+            writer.write(answer[offset : offset + size])
+            await asyncio.sleep(0)
+
+    return script
+
+
+class EntryCase(direct_case.DirectCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.target = await self.add(None)
+
+    async def test_malformed(self):
+        """Guards against a malformed head that reaches a caller."""
+        for lines in MALFORMED:
+            found = await self._ask_each_way(*lines)
+            self.assertEqual({502}, set(found), lines)
+
+    async def test_well_formed(self):
+        """Guards against answers that are taken for malformed ones."""
+        for line in WELL_FORMED:
+            found = await self._ask_each_way(line)
+            self.assertEqual({200}, set(found), line)
+
+    async def test_interim_answers(self):
+        """Guards against a malformed interim answer that is skipped."""
+        self.serve(direct_case.ONCE, attempts=1)
+        self.target._script = answering(OK_LINE, before=INTERIM)
+        self.assertEqual(200, (await self.ask())[0])
+        before = INTERIM.replace(b'102', b'010')
+        self.target._script = answering(OK_LINE, before=before)
+        self.assertEqual(502, (await self.ask())[0])
+
+    async def test_other_target(self):
+        """Guards against a malformed answer that ends a call which may repeat."""
+        self.serve(direct_case.IDEMPOTENT)
+        self.target._script = answering(STATUS_LINES[0])
+        await self.add(direct_case.whole('ok'))
+        while not self.target.heads:
+            status, body, _ = await self.ask()
+            self.assertEqual((200, b'ok'), (status, body))
+
+    async def test_resumed_stream(self):
+        """Guards against a malformed answer that goes on with a stream."""
+        begins = direct_case.streaming(1, 2, is_whole=False)
+        goes_on = answering(STATUS_LINES[0])
+
+        async def script(target, head, writer):
+            is_resumed = direct_case.header(head, 'Last-Event-Id')
+            chosen = goes_on if is_resumed else begins
+            await chosen(target, head, writer)
+
+        self.serve(direct_case.STREAM, is_resumable=True)
+        self.target._script = script
+        other = await self.add(script)
+        with self.assertRaises(direct_case.aiohttp.ClientPayloadError):
+            await self.ask()
+        self.assertEqual([1, 1], [len(self.target.heads), len(other.heads)])
+
+    async def _ask_each_way(self, *lines):
+        """Return the statuses of a call of each kind, alone and after others."""
+        found = []
+        for kind in (direct_case.ONCE, direct_case.STREAM):
+            self.serve(kind, attempts=1)
+            found.append(await self._ask_for(answering(*lines)))
+        found.append(await self._ask_for(answering(*lines, piece_bytes=1)))
+        found.append(await self._ask_for(answering(*lines, before=INTERIM)))
+        self.serve(direct_case.IDEMPOTENT, attempts=1)
+        await self._ask_for(direct_case.whole('ok'))
+        found.append(await self._ask_for(answering(*lines)))
+        return found
+
+    async def _ask_for(self, script):
+        self.target._script = script
+        try:
+            return (await self.ask())[0]
+        except direct_case.aiohttp.ClientError as exc:
+            return exc
+
+
+class OtherReadersCase(unittest.IsolatedAsyncioTestCase):
+    """Ask ranks, engines and an agent's target with malformed answers."""
+
+    async def test_ranks(self):
+        """Guards against an order that passes for done or refused by no status."""
+        client = platform_ranks.PlatformRanks()
+        self.addAsyncCleanup(client.close)
+        order = ranks.Order(
+            operation=ranks.HOLD, epoch=1, fence=1, timeout_seconds=60
+        )
+        for lines in MALFORMED:
+            address = await self._start(lines)
+            rank = ranks.Rank('t', address)
+            self.assertIsNone(await client.report(rank), lines)
+            outcome = await client.order(rank, order)
+            self.assertEqual(ranks.Outcome.UNKNOWN, outcome, lines)
+
+    async def test_engines(self):
+        """Guards against an agent that takes a malformed answer of its engine."""
+        for lines in MALFORMED:
+            address = await self._start(lines)
+            client = engine_client.EngineClient(f'http://{address}', 9)
+            await client.start()
+            with self.assertRaises(order_errors.EngineFailed, msg=lines):
+                await client.ask('GET', '/', seconds=60)
+            await client.stop()
+
+    async def test_agents(self):
+        """Guards against an agent that passes a malformed answer on."""
+        opening = messages.OpenCall(
+            call_id=b'c', idempotent=True, method='POST', path='/'
+        )
+        for lines in MALFORMED:
+            address = await self._start(lines)
+            client = agent_target.TargetClient(
+                types.SimpleNamespace(
+                    connection_limit=4,
+                    idle_connection_seconds=9,
+                    connect_timeout_seconds=9,
+                    target_url=f'http://{address}',
+                )
+            )
+            await client.start()
+            with self.assertRaises(target_errors.TargetBroke, msg=lines):
+                await client.send_call(opening, b'', 9)
+            with self.assertRaises(target_errors.TargetSilent, msg=lines):
+                await client.load()
+            await client.stop()
+
+    async def _start(self, lines):
+        """Start a target whose answers begin with these lines."""
+        target = direct_case.FakeTarget('t', answering(*lines))
+        self.addCleanup(target.close)
+        return await target.start()
