End an answer at once whose chunks are malformed

What callers saw: after an answer's head and chunks that are none (a size such as 0x5, a control byte in an extension, a malformed trailer), no answer until the call's deadline, though the connection to the target had been closed; then 504. A stream that could have been resumed at another target ended so. If the caller read slowly, the entry raised an unexpected error instead.

Cause: aiohttp's client stops at a parser's error and tells whoever waits for a head; a body is told only if its parser still knows it, which it forgets before it raises. Nothing wakes the reader of the body. The parser also raises where it goes on after a pause, for a caller who reads slowly.

Why this works: after each piece, and after each pause, a failure of the parser is passed on to the body, and the connection is closed: the call has its 502, or is tried elsewhere or resumed where that is allowed.

--- a/tamarackthread/shared/http_connection.py
+++ b/tamarackthread/shared/http_connection.py
@@ -97,6 +97,7 @@
         if not data:
             # aiohttp resumes its parser so, after a pause.
             super().data_received(data)
+            self._check_chunks()
             self._is_due = self._is_due and not self._is_complete
             return
         while data and self._is_due:
@@ -152,6 +153,7 @@
         bytes_before = self._body_bytes
         client_proto.ResponseHandler.data_received(self, data)
         self._received_bytes += len(data)
+        self._check_chunks()
         if not self._is_complete:
             if had_head:
                 self._last_bytes = data[1 - len(_CHUNKS_END) :]
@@ -164,6 +166,15 @@
         if self._has_surplus or (had_head and not is_exact):
             self.give_up()
 
+    def _check_chunks(self) -> None:
+        """End a body whose chunks can't be parsed, for which aiohttp waits."""
+        if self._body is None or self._is_complete:
+            return
+        if self.exception() is None:
+            return
+        self._fail(aiohttp.ClientPayloadError('chunks are malformed'))
+        self._abort()
+
     def _check_framing(self) -> None:
         framing_bytes = self._received_bytes - self._body_bytes
         limit = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._body_bytes
--- a/tests/test_broken_heads.py
+++ b/tests/test_malformed_answers.py
@@ -1,17 +1,18 @@
-"""Test that an answer whose head is malformed is no answer, for each reader."""
+"""Test that a malformed answer is none, for each reader of answers."""
 
 from __future__ import annotations
 
 import asyncio
 import types
 import unittest
+from unittest import mock
 
 from tamarackthread.agent import engine_client, order_errors
 from tamarackthread.agent import target as agent_target
 from tamarackthread.control.site.maps import ranks
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.platform import ranks as platform_ranks
-from tamarackthread.shared import target_errors
+from tamarackthread.shared import http_connection, target_errors
 from tests import direct_case
 
 OK_LINE = b'HTTP/1.1 200 OK'
@@ -81,6 +82,19 @@
     (OK_LINE, b'X-Note: \xe9\x80'),
     (OK_LINE, b"!#$%&'*+-.^_`|~09azAZ: 1"),
 )
+MALFORMED_CHUNKS = (
+    '+5\r\nhello\r\n',
+    '0x5\r\nhello\r\n',
+    '\r\nhello\r\n',
+    '5\0\r\nhello\r\n',
+    '5;a=\1\r\nhello\r\n',
+    '5\r\nhello 0\r\n\r\n',
+    '0\r\nX Note: 1\r\n\r\n',
+    '0\r\n: 1\r\n\r\n',
+)
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+# More than are parsed before they are read.
+MANY_CHUNKS = 20000
 INTERIM = b'HTTP/1.1 102 Wait\r\n\r\n'
 # A whole event, so that all kinds of calls have it for an answer.
 EVENT = 'data: a\n\n'
@@ -104,6 +118,17 @@
     return script
 
 
+def chunking(first, end):
+    """Answer with a chunk, and what is none."""
+
+    async def script(target, head, writer):
+        start = direct_case.head_of(target, head)
+        answer = f'{start}Transfer-Encoding: chunked\r\n\r\n{first}{end}'
+        writer.write(answer.encode())
+
+    return script
+
+
 class EntryCase(direct_case.DirectCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -141,14 +166,10 @@
 
     async def test_resumed_stream(self):
         """Guards against a malformed answer that goes on with a stream."""
-        begins = direct_case.streaming(1, 2, is_whole=False)
-        goes_on = answering(STATUS_LINES[0])
-
-        async def script(target, head, writer):
-            is_resumed = direct_case.header(head, 'Last-Event-Id')
-            chosen = goes_on if is_resumed else begins
-            await chosen(target, head, writer)
-
+        script = _resuming(
+            direct_case.streaming(1, 2, is_whole=False),
+            answering(STATUS_LINES[0]),
+        )
         self.serve(direct_case.STREAM, is_resumable=True)
         self.target._script = script
         other = await self.add(script)
@@ -177,6 +198,68 @@
             return exc
 
 
+class ChunksCase(direct_case.DirectCase):
+    """Send answers whose heads are well-formed and whose chunks aren't."""
+
+    async def test_whole_answer(self):
+        """Guards against a caller who waits for a body that can't go on."""
+        self.serve(direct_case.IDEMPOTENT, attempts=1)
+        fake = await self.add(None)
+        for end in MALFORMED_CHUNKS:
+            fake._script = chunking('5\r\nhello\r\n', end)
+            self.assertEqual(502, (await self.ask())[0], end)
+
+    async def test_stream(self):
+        """Guards against a stream that is not resumed after malformed chunks."""
+        self.serve(direct_case.STREAM, is_resumable=True)
+        event = direct_case.chunk('id: 1\ndata: e1\n\n').decode()
+        again = direct_case.streaming(1, 2, is_whole=True)
+        for end in MALFORMED_CHUNKS:
+            scripts = iter((chunking(event, end), again))
+
+            async def script(*request, scripts=scripts):
+                await next(scripts)(*request)
+
+            fakes = [await self.add(script), await self.add(script)]
+            _, body, _ = await self.ask()
+            self.assertEqual(
+                b'id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n', body, end
+            )
+            for fake in fakes:
+                self.known.mark_gone(self.known.get(fake.name))
+
+
+def _resuming(begins, goes_on):
+    """Begin a stream by one script, and resume it by another."""
+
+    async def script(target, head, writer):
+        is_resumed = direct_case.header(head, 'Last-Event-Id')
+        chosen = goes_on if is_resumed else begins
+        await chosen(target, head, writer)
+
+    return script
+
+
+class PausedReaderCase(unittest.IsolatedAsyncioTestCase):
+    async def test_chunks_after_a_pause(self):
+        """Guards against a slow reader who never learns of malformed chunks."""
+        chunks = MANY_CHUNKS * '1\r\nx\r\n'
+        for end in MALFORMED_CHUNKS:
+            loop = asyncio.get_running_loop()
+            protocol = http_connection.AnswerProtocol(loop)
+            transport = mock.Mock(spec=asyncio.Transport)
+            protocol.connection_made(transport)
+            protocol.set_response_params()
+            protocol.data_received(CHUNKED + f'{chunks}{end}'.encode())
+            transport.pause_reading.assert_called()
+            _, body = await protocol.read()
+            received = 0
+            with self.assertRaises(direct_case.aiohttp.ClientPayloadError):
+                while piece := body.read_nowait():
+                    received += len(piece)
+            self.assertLessEqual(received, MANY_CHUNKS)
+
+
 class OtherReadersCase(unittest.IsolatedAsyncioTestCase):
     """Ask ranks, engines and an agent's target with malformed answers."""
 
