Take no answer for one whose body has an unknown transfer coding

What callers saw: an answer whose Transfer-Encoding was spoiled (chunkedx, an empty one) came as 200 with the target's signature, and the sizes of its chunks were part of the body; one that was compressed (gzip, chunked) came compressed. If the connection stayed open, they had 504 at their deadline.

No request accepts any (RFC 9112, section 7.4).

Evidence: CodingsCase in tests/test_malformed_answers.py with the code before: each of the 10 codings reached the caller as 200, in calls that run once and in streams; 8 with the framing in the body.

Why this works: an answer with a Transfer-Encoding counts only if that is chunked alone and the parser reads it so. Bytes after an answer that was given up for its head or chunks don't count as another's any more, so the target's connections stay shared, as they do after other bytes that the parser refuses.

--- a/tamarackthread/shared/http_connection.py
+++ b/tamarackthread/shared/http_connection.py
@@ -88,6 +88,11 @@
             return
         head, body = data
         if head.code >= _FIRST_FINAL_STATUS:
+            if _has_unknown_coding(head):
+                failure = response_head.MalformedHead('coding of the body')
+                self._fail(failure)
+                self._abort()
+                return
             self._head = head
             self._body = body
         super().feed_data(data, size)
@@ -109,7 +114,7 @@
                 return
             self._receive(data[:size])
             data = data[size:]
-        if data:
+        if data and self.exception() is None:
             self.give_up()
 
     def forbid_reuse(self) -> None:
@@ -200,6 +205,18 @@
             self.transport.abort()
 
 
+def _has_unknown_coding(head: typing.Any) -> bool:
+    """Return whether a body is encoded in a way that no request accepts.
+
+    The parser would take it for a body that ends with its connection.
+    """
+    codings = head.headers.getall('Transfer-Encoding', None)
+    if codings is None:
+        return False
+    is_chunked = [coding.lower() for coding in codings] == ['chunked']
+    return not (head.chunked and is_chunked)
+
+
 class Response(aiohttp.ClientResponse):
     """Response that can close its connection after it has released it."""
 
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -92,12 +92,27 @@
     '0\r\nX Note: 1\r\n\r\n',
     '0\r\n: 1\r\n\r\n',
 )
+# No request accepts them (RFC 9112, section 7.4).
+CODINGS = (
+    'xchunked',
+    'chunkedx',
+    '"chunked"',
+    'chunked;a=b',
+    'gzip, chunked',
+    'chunked, gzip',
+    'chunked, chunked',
+    'chunked\r\nTransfer-Encoding: gzip',
+    'identity',
+    '',
+)
+CHUNKED_CODINGS = ('chunked', 'Chunked', '  chunked ')
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 # More than are parsed before they are read.
 MANY_CHUNKS = 20000
 INTERIM = b'HTTP/1.1 102 Wait\r\n\r\n'
 # A whole event, so that all kinds of calls have it for an answer.
 EVENT = 'data: a\n\n'
+WHOLE_CHUNKS = f'{len(EVENT):x}\r\n{EVENT}\r\n0\r\n\r\n'
 
 
 def answering(*lines, before=b'', piece_bytes=0):
@@ -118,13 +133,16 @@
     return script
 
 
-def chunking(first, end):
-    """Answer with a chunk, and what is none."""
+def chunking(first, end, coding='chunked'):
+    """Answer with a chunk and an end, framed by a transfer coding."""
 
     async def script(target, head, writer):
         start = direct_case.head_of(target, head)
-        answer = f'{start}Transfer-Encoding: chunked\r\n\r\n{first}{end}'
+        answer = f'{start}Transfer-Encoding: {coding}\r\n\r\n{first}{end}'
         writer.write(answer.encode())
+        if coding != 'chunked':
+            # Else a reader that looks for the end of the connection finds none.
+            writer.close()
 
     return script
 
@@ -240,6 +258,22 @@
     return script
 
 
+class CodingsCase(direct_case.DirectCase):
+    async def test_codings(self):
+        """Guards against chunks, or what was encoded, as a caller's body."""
+        fake = await self.add(None)
+        for kind in (direct_case.ONCE, direct_case.STREAM):
+            self.serve(kind, attempts=1)
+            for coding in CODINGS:
+                fake._script = chunking(WHOLE_CHUNKS, '', coding)
+                self.assertEqual(502, (await self.ask())[0], coding)
+                self.assertFalse(self.sender._foreign_until, coding)
+            for coding in CHUNKED_CODINGS:
+                fake._script = chunking(WHOLE_CHUNKS, '', coding)
+                _, body, _ = await self.ask()
+                self.assertEqual(EVENT.encode(), body, coding)
+
+
 class PausedReaderCase(unittest.IsolatedAsyncioTestCase):
     async def test_chunks_after_a_pause(self):
         """Guards against a slow reader who never learns of malformed chunks."""
