--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import types
 import unittest
 from unittest import mock
 
-from tamarackthread.agent import engine_client, order_errors
+from tamarackthread.agent import engine_client
 from tamarackthread.agent import target as agent_target
 from tamarackthread.control.site.maps import ranks
 from tamarackthread.generated.messages import ttypes as messages
@@ -112,16 +113,31 @@
 INTERIM = b'HTTP/1.1 102 Wait\r\n\r\n'
 # A whole event, so that all kinds of calls have it for an answer.
 EVENT = 'data: a\n\n'
+# What ranks, engines and targets report.
+REPORT = json.dumps(
+    {
+        'group': {
+            'name': 'g',
+            'epoch': 1,
+            'rank': 0,
+            'size': 1,
+            'state': 'open',
+        },
+        'map': 1,
+        'running': 0,
+        'queued': 0,
+    }
+)
 WHOLE_CHUNKS = f'{len(EVENT):x}\r\n{EVENT}\r\n0\r\n\r\n'
 
 
-def answering(*lines, before=b'', piece_bytes=0):
+def answering(*lines, before=b'', body=EVENT, piece_bytes=0):
     """Answer with a status line and more lines of a head, in pieces if set."""
 
     async def script(target, head, writer):
         _, _, ids = direct_case.head_of(target, head).partition('\r\n')
         start = b'\r\n'.join((*lines, ids.encode()))
-        rest = f'Content-Length: {len(EVENT)}\r\n\r\n{EVENT}'.encode()
+        rest = f'Content-Length: {len(body)}\r\n\r\n{body}'.encode()
         answer = before + start + rest
         size = piece_bytes or len(answer)
         for offset in range(0, len(answer), size):
@@ -304,47 +320,72 @@
         order = ranks.Order(
             operation=ranks.HOLD, epoch=1, fence=1, timeout_seconds=60
         )
+        whole = ranks.Rank('t', await self._start((OK_LINE,)))
+        self.assertIsNotNone(await client.report(whole))
+        self.assertEqual(ranks.Outcome.DONE, await client.order(whole, order))
         for lines in MALFORMED:
-            address = await self._start(lines)
-            rank = ranks.Rank('t', address)
+            rank = ranks.Rank('t', await self._start(lines))
             self.assertIsNone(await client.report(rank), lines)
             outcome = await client.order(rank, order)
             self.assertEqual(ranks.Outcome.UNKNOWN, outcome, lines)
 
     async def test_engines(self):
         """Guards against an agent that takes a malformed answer of its engine."""
+        found = await self._ask_engine((OK_LINE,))
+        self.assertEqual(json.loads(REPORT), found)
         for lines in MALFORMED:
-            address = await self._start(lines)
-            client = engine_client.EngineClient(f'http://{address}', 9)
-            await client.start()
-            with self.assertRaises(order_errors.EngineFailed, msg=lines):
-                await client.ask('GET', '/', seconds=60)
-            await client.stop()
+            with self.assertRaises(engine_client.EngineSilent, msg=lines):
+                await self._ask_engine(lines)
 
     async def test_agents(self):
         """Guards against an agent that passes a malformed answer on."""
-        opening = messages.OpenCall(
-            call_id=b'c', idempotent=True, method='POST', path='/'
-        )
+        await self._ask_target((OK_LINE,), _send_call)
         for lines in MALFORMED:
-            address = await self._start(lines)
-            client = agent_target.TargetClient(
-                types.SimpleNamespace(
-                    connection_limit=4,
-                    idle_connection_seconds=9,
-                    connect_timeout_seconds=9,
-                    target_url=f'http://{address}',
-                )
-            )
-            await client.start()
             with self.assertRaises(target_errors.TargetBroke, msg=lines):
-                await client.send_call(opening, b'', 9)
+                await self._ask_target(lines, _send_call)
+
+    async def test_load_reports(self):
+        """Guards against an agent that takes a malformed load report."""
+        report = agent_target.TargetClient.load
+        await self._ask_target((OK_LINE,), report)
+        for lines in MALFORMED:
             with self.assertRaises(target_errors.TargetSilent, msg=lines):
-                await client.load()
+                await self._ask_target(lines, report)
+
+    async def _ask_engine(self, lines):
+        address = await self._start(lines)
+        client = engine_client.EngineClient(f'http://{address}', 9)
+        await client.start()
+        try:
+            return await client.ask('GET', '/', seconds=60)
+        finally:
+            await client.stop()
+
+    async def _ask_target(self, lines, ask):
+        client = agent_target.TargetClient(
+            types.SimpleNamespace(
+                connection_limit=4,
+                idle_connection_seconds=9,
+                connect_timeout_seconds=9,
+                target_url=f'http://{await self._start(lines)}',
+            )
+        )
+        await client.start()
+        try:
+            return await ask(client)
+        finally:
             await client.stop()
 
     async def _start(self, lines):
         """Start a target whose answers begin with these lines."""
-        target = direct_case.FakeTarget('t', answering(*lines))
+        script = answering(*lines, body=REPORT)
+        target = direct_case.FakeTarget('t', script)
         self.addCleanup(target.close)
         return await target.start()
+
+
+async def _send_call(client):
+    opening = messages.OpenCall(
+        call_id=b'c', idempotent=True, method='POST', path='/'
+    )
+    return await client.send_call(opening, b'', 9)
