Word failures of answers by what was wrong with them

Read again as a newcomer would: the log line of a failed try said 'coding of the body', and two conditions gave no reason.

--- a/tamarackthread/shared/http_connection.py
+++ b/tamarackthread/shared/http_connection.py
@@ -89,8 +89,8 @@
         head, body = data
         if head.code >= _FIRST_FINAL_STATUS:
             if _has_unknown_coding(head):
-                failure = response_head.MalformedHead('coding of the body')
-                self._fail(failure)
+                failure = 'transfer coding of the body is unknown'
+                self._fail(response_head.MalformedHead(failure))
                 self._abort()
                 return
             self._head = head
@@ -114,6 +114,7 @@
                 return
             self._receive(data[:size])
             data = data[size:]
+        # What follows in an answer that has failed is the answer's own.
         if data and self.exception() is None:
             self.give_up()
 
@@ -173,9 +174,8 @@
 
     def _check_chunks(self) -> None:
         """End a body whose chunks can't be parsed, for which aiohttp waits."""
-        if self._body is None or self._is_complete:
-            return
-        if self.exception() is None:
+        is_due = self._body is not None and not self._is_complete
+        if not is_due or self.exception() is None:
             return
         self._fail(aiohttp.ClientPayloadError('chunks are malformed'))
         self._abort()
