--- a/tamarackthread/shared/http_connection.py
+++ b/tamarackthread/shared/http_connection.py
@@ -91,7 +91,6 @@
             if _has_unknown_coding(head):
                 failure = 'transfer coding of the body is unknown'
                 self._fail(response_head.MalformedHead(failure))
-                self._abort()
                 return
             self._head = head
             self._body = body
@@ -102,15 +101,16 @@
         if not data:
             # aiohttp resumes its parser so, after a pause.
             super().data_received(data)
-            self._check_chunks()
-            self._is_due = self._is_due and not self._is_complete
+            if self._is_complete:
+                self._is_due = False
+            else:
+                self._check_chunks()
             return
         while data and self._is_due:
             try:
                 size = self._part_size(data)
             except response_head.MalformedHead as exc:
                 self._fail(exc)
-                self._abort()
                 return
             self._receive(data[:size])
             data = data[size:]
@@ -126,11 +126,7 @@
 
     def give_up(self) -> None:
         """Close a connection that carries what belongs to no request."""
-        if self.transport is not None:
-            peer = self.transport.get_extra_info('peername')
-            if self._on_foreign is not None and peer is not None:
-                host, port = peer[:2]
-                self._on_foreign(f'{host}:{port}')
+        self._note_foreign()
         self._abort()
 
     @property
@@ -159,10 +155,10 @@
         bytes_before = self._body_bytes
         client_proto.ResponseHandler.data_received(self, data)
         self._received_bytes += len(data)
-        self._check_chunks()
         if not self._is_complete:
             if had_head:
                 self._last_bytes = data[1 - len(_CHUNKS_END) :]
+            self._check_chunks()
             self._check_framing()
             return
         self._is_due = False
@@ -174,11 +170,9 @@
 
     def _check_chunks(self) -> None:
         """End a body whose chunks can't be parsed, for which aiohttp waits."""
-        is_due = self._body is not None and not self._is_complete
-        if not is_due or self.exception() is None:
+        if self._body is None or self.exception() is None:
             return
         self._fail(aiohttp.ClientPayloadError('chunks are malformed'))
-        self._abort()
 
     def _check_framing(self) -> None:
         framing_bytes = self._received_bytes - self._body_bytes
@@ -188,14 +182,23 @@
         failure = aiohttp.ClientPayloadError(
             f'over {MAX_FRAMING_BYTES} bytes that are no body'
         )
+        self._note_foreign()
         self._fail(failure)
-        self.give_up()
+
+    def _note_foreign(self) -> None:
+        if self._on_foreign is None or self.transport is None:
+            return
+        peer = self.transport.get_extra_info('peername')
+        if peer is not None:
+            host, port = peer[:2]
+            self._on_foreign(f'{host}:{port}')
 
     def _fail(self, failure: aiohttp.ClientError) -> None:
-        """Raise a failure where the answer is read."""
+        """Raise a failure where the answer is read, and close the connection."""
         if self._body is not None:
             helpers.set_exception(self._body, failure)
         self.set_exception(failure)
+        self._abort()
 
     def _abort(self) -> None:
         """Read no more, and close the connection at once."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -13,7 +13,7 @@
 from tamarackthread.entry.direct import target_client
 from tamarackthread.platform import ranks as platform_ranks
 from tamarackthread.shared import byte_budget, events, target_errors
-from tests import direct_case
+from tests import agent_client, direct_case
 
 MEBIBYTE = 1 << 20
 # More than any reader accepts with the bounds of these tests.
@@ -214,17 +214,8 @@
         """Guards against a target whose load report fills an agent's memory."""
         with mock.patch.object(agent_target, 'LOAD_TIMEOUT_SECONDS', 60):
             async for place, address in self._spouting():
-                client = agent_target.TargetClient(
-                    types.SimpleNamespace(
-                        connection_limit=4,
-                        idle_connection_seconds=9,
-                        target_url=f'http://{address}',
-                    )
-                )
-                await client.start()
                 with self.assertRaises(target_errors.TargetSilent, msg=place):
-                    await client.load()
-                await client.stop()
+                    await _load(address)
 
     async def _spouting(self):
         """Yield each place and the address that spouts there."""
@@ -238,3 +229,8 @@
                     await asyncio.sleep(0)
                 self.assertLess(max(spouts.written), SPOUT_BYTES)
             server.close()
+
+
+async def _load(address):
+    async with agent_client.asking(address) as client:
+        return await client.load()
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -5,17 +5,15 @@
 import asyncio
 import json
 import random
-import types
 import unittest
 from unittest import mock
 
-from tamarackthread.agent import target as agent_target
 from tamarackthread.control.site.maps import ranks
 from tamarackthread.entry.direct import target_client
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.platform import ranks as platform_ranks
 from tamarackthread.shared import target_errors
-from tests import direct_case
+from tests import agent_client, direct_case
 
 SEEDS = range(12)
 CALLS = 25
@@ -271,19 +269,13 @@
             return b''.join(late[first:])
 
         server = _Server(answer)
-        client = agent_target.TargetClient(
-            types.SimpleNamespace(
-                connection_limit=4,
-                idle_connection_seconds=9,
-                connect_timeout_seconds=9,
-                target_url=f'http://{await server.start()}',
-            )
-        )
-        await client.start()
+        address = await server.start()
         try:
-            return [await _call(client, text) for text in ('first', 'second')]
+            async with agent_client.asking(address) as client:
+                return [
+                    await _call(client, text) for text in ('first', 'second')
+                ]
         finally:
-            await client.stop()
             server.close()
 
 
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import types
 import unittest
 from unittest import mock
 
@@ -14,7 +13,7 @@
 from tamarackthread.generated.messages import ttypes as messages
 from tamarackthread.platform import ranks as platform_ranks
 from tamarackthread.shared import http_connection, target_errors
-from tests import direct_case
+from tests import agent_client, direct_case
 
 OK_LINE = b'HTTP/1.1 200 OK'
 # RFC 9112, section 4, and RFC 9110, section 15.
@@ -163,6 +162,17 @@
     return script
 
 
+def _resuming(begins, goes_on):
+    """Begin a stream by one script, and resume it by another."""
+
+    async def script(target, head, writer):
+        is_resumed = direct_case.header(head, 'Last-Event-Id')
+        chosen = goes_on if is_resumed else begins
+        await chosen(target, head, writer)
+
+    return script
+
+
 class EntryCase(direct_case.DirectCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -263,17 +273,6 @@
                 self.known.mark_gone(self.known.get(fake.name))
 
 
-def _resuming(begins, goes_on):
-    """Begin a stream by one script, and resume it by another."""
-
-    async def script(target, head, writer):
-        is_resumed = direct_case.header(head, 'Last-Event-Id')
-        chosen = goes_on if is_resumed else begins
-        await chosen(target, head, writer)
-
-    return script
-
-
 class CodingsCase(direct_case.DirectCase):
     async def test_codings(self):
         """Guards against chunks, or what was encoded, as a caller's body."""
@@ -362,19 +361,8 @@
             await client.stop()
 
     async def _ask_target(self, lines, ask):
-        client = agent_target.TargetClient(
-            types.SimpleNamespace(
-                connection_limit=4,
-                idle_connection_seconds=9,
-                connect_timeout_seconds=9,
-                target_url=f'http://{await self._start(lines)}',
-            )
-        )
-        await client.start()
-        try:
+        async with agent_client.asking(await self._start(lines)) as client:
             return await ask(client)
-        finally:
-            await client.stop()
 
     async def _start(self, lines):
         """Start a target whose answers begin with these lines."""
